Feature: Carry weights to servers and requests through them, thin

Cause: the whole path has to stand before any part of it is made thick. Change: one binary with entry, agent and the operators' commands; state machines without I/O for configuration, weights, admission, routing; stand-ins for the platform, origin, engines and plain services; a quickstart over real processes.

--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,155 @@
+/// @file admission.cc Concurrency limit and fair queue of one backend server.
+#include "admission_base.h"
+
+#include <algorithm>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr double kSlowAverage = 0.02;   // Weight of a new sample in the usual latency.
+constexpr double kFastAverage = 0.3;    // Weight of a new sample in the recent latency.
+constexpr double kJump = 3.0;           // Ratio of recent to usual latency that is a jump.
+constexpr double kLeastJumpS = 0.05;    // Recent latency below which nothing is a jump.
+constexpr uint32_t kLeastSamples = 20;  // Samples before a jump is believed.
+constexpr seconds kFallPause{1};        // Between two falls for the same jump.
+
+}  // namespace
+
+void admission::SetLimits(uint32_t cold_limit, uint32_t most_limit) {
+  options_.cold_limit = cold_limit;
+  options_.most_limit = most_limit;
+  limit_ = std::clamp<double>(limit_, cold_limit, most_limit);
+}
+
+admission_result admission::Admit(const admission_request& request) {
+  admission_result result;
+  if (in_flight_ < Limit() && queued_ == 0) {
+    Start(request.organisation, request.weight);
+    result.kind = admission_result::kind_type::kStarted;
+    return result;
+  }
+  if (options_.queue_length == 0) return result;
+  if (queued_ >= options_.queue_length) {
+    result.displaced = Displace(request.organisation);
+    if (!result.displaced) return result;
+  }
+  organisation_queue& queue = queues_[request.organisation];
+  // One that was idle starts level with the others and saves up no credit.
+  if (queue.calls.empty()) queue.served = std::max(queue.served, LeastServed());
+  auto place = std::upper_bound(
+      queue.calls.begin(), queue.calls.end(), request,
+      [](const auto& a, const auto& b) { return a.priority < b.priority; });
+  queue.calls.insert(place, request);
+  ++queued_;
+  result.kind = admission_result::kind_type::kQueued;
+  return result;
+}
+
+bool admission::OnFinished(time_point now, std::optional<duration> first_part) {
+  if (in_flight_ > 0) --in_flight_;
+  if (!first_part) return false;
+  const double latency = ToSeconds(*first_part);
+  if (samples_++ == 0) usual_latency_ = recent_latency_ = latency;
+  usual_latency_ += kSlowAverage * (latency - usual_latency_);
+  recent_latency_ += kFastAverage * (latency - recent_latency_);
+  bool jumped = samples_ >= kLeastSamples && recent_latency_ > kLeastJumpS &&
+                recent_latency_ > kJump * usual_latency_;
+  if (jumped && now - last_fall_ > kFallPause && limit_ > options_.cold_limit) {
+    last_fall_ = now;
+    OnCold();
+    return true;
+  }
+  // One more place after as many successes as there are places.
+  limit_ = std::min<double>(limit_ + 1.0 / limit_, options_.most_limit);
+  return false;
+}
+
+void admission::OnCold() {
+  limit_ = options_.cold_limit;
+  samples_ = 0;
+}
+
+std::vector<call_id> admission::TakeReady() {
+  std::vector<call_id> ready;
+  while (in_flight_ < Limit() && queued_ > 0) {
+    organisation_queue* queue = NextQueue();
+    admission_request request = queue->calls.front();
+    queue->calls.pop_front();
+    --queued_;
+    Start(request.organisation, request.weight);
+    ready.push_back(request.id);
+  }
+  return ready;
+}
+
+std::vector<call_id> admission::TakeExpired(time_point now) {
+  std::vector<call_id> expired;
+  for (auto& [organisation, queue] : queues_) {
+    std::erase_if(queue.calls, [&](const admission_request& request) {
+      if (now < request.deadline) return false;
+      expired.push_back(request.id);
+      return true;
+    });
+  }
+  queued_ -= expired.size();
+  return expired;
+}
+
+bool admission::Remove(const call_id& id) {
+  for (auto& [organisation, queue] : queues_) {
+    size_t removed =
+        std::erase_if(queue.calls, [&](const auto& request) { return request.id == id; });
+    queued_ -= removed;
+    if (removed > 0) return true;
+  }
+  return false;
+}
+
+std::vector<call_id> admission::TakeAll() {
+  return TakeExpired(time_point::max());
+}
+
+void admission::Start(const std::string& organisation, uint32_t weight) {
+  ++in_flight_;
+  organisation_queue& queue = queues_[organisation];
+  if (queue.calls.empty()) queue.served = std::max(queue.served, LeastServed());
+  queue.served += 1.0 / std::max(1U, weight);
+}
+
+std::optional<call_id> admission::Displace(const std::string& newcomer) {
+  auto longest = std::max_element(queues_.begin(), queues_.end(), [](auto& a, auto& b) {
+    return a.second.calls.size() < b.second.calls.size();
+  });
+  size_t own = queues_.contains(newcomer) ? queues_[newcomer].calls.size() : 0;
+  if (longest == queues_.end() || longest->second.calls.size() <= own + 1) return std::nullopt;
+  call_id displaced = longest->second.calls.back().id;
+  longest->second.calls.pop_back();
+  --queued_;
+  return displaced;
+}
+
+admission::organisation_queue* admission::NextQueue() {
+  organisation_queue* next = nullptr;
+  for (auto& [organisation, queue] : queues_) {
+    if (queue.calls.empty()) continue;
+    if (next == nullptr) {
+      next = &queue;
+      continue;
+    }
+    const uint32_t priority = queue.calls.front().priority;
+    const uint32_t best = next->calls.front().priority;
+    if (priority < best || (priority == best && queue.served < next->served)) next = &queue;
+  }
+  return next;
+}
+
+double admission::LeastServed() const {
+  double least = -1;
+  for (const auto& [organisation, queue] : queues_) {
+    if (!queue.calls.empty() && (least < 0 || queue.served < least)) least = queue.served;
+  }
+  return std::max(0.0, least);
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/agent_base.h
@@ -0,0 +1,93 @@
+/// @file agent_base.h State machine of the agent in front of one backend server.
+#ifndef AGENT_BASE_H_
+#define AGENT_BASE_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "call_table_base.h"
+#include "gossip_base.h"
+#include "server_control_base.h"
+#include "weight_transfer_base.h"
+
+namespace fuchsiafall {
+
+/// What the platform's store holds after the revision that was asked about.
+struct store_news {
+  std::optional<proto::configuration> snapshot;
+  google::protobuf::RepeatedPtrField<proto::edit> edits;
+};
+
+/// Message from another process.
+struct message_arrival {
+  plane where = plane::kControl;
+  proto::envelope message;
+};
+
+/// The control step is due.
+struct tick {};
+/// The process was paused for longer than a control step may take.
+struct pause_noticed {};
+/// A graceful shutdown is wanted.
+struct shutdown_order {};
+
+using agent_input = std::variant<tick, pause_noticed, shutdown_order, store_news, proto::vm_list,
+                                 message_arrival, blob_arrival, engine_report, load_answer,
+                                 engine_part, record_result>;
+
+struct agent_options {
+  vm_id self;
+  domain_id domain;
+  gossip_options gossip;
+  weight_transfer_options weights;
+  server_control_options server;
+  call_table_options calls;
+};
+
+/// Joins the configuration, the weights, the backend server and its calls.
+/// It has no clock, thread or socket: inputs come in with the time, outputs go out.
+class agent {
+ public:
+  using tick_input = tick;
+  using pause_input = pause_noticed;
+
+  agent(agent_options options, std::shared_ptr<blob_store> blobs);
+
+  /// Takes one input at a time that never goes back.
+  output_list Step(time_point now, const agent_input& input);
+
+  const gossip& Gossip() const { return gossip_; }
+  const weight_transfer& Weights() const { return weights_; }
+  const server_control& Server() const { return server_; }
+  const call_table& Calls() const { return calls_; }
+  proto::server_state State() const;
+  /// Whether a shutdown was ordered and all calls have finished.
+  bool IsDrained() const { return is_shutting_down_ && calls_.Running() == 0; }
+  bool IsShuttingDown() const { return is_shutting_down_; }
+
+ private:
+  void OnMessage(time_point now, const message_arrival& arrival, output_list* out);
+  void OnCall(time_point now, const proto::envelope& message, output_list* out);
+  void OnEngineReport(time_point now, const engine_report& report, output_list* out);
+  void OnNewRevision(time_point now, output_list* out);
+  void StepAll(time_point now, output_list* out);
+  void SpreadLoaded(output_list* out);
+  void PublishState(time_point now, output_list* out);
+
+  agent_options options_;
+  gossip gossip_;
+  weight_transfer weights_;
+  server_control server_;
+  call_table calls_;
+  std::string service_;
+  proto::server_state published_;
+  time_point published_at_{};
+  std::string spread_;        ///< Loaded servers that the neighbours were last told.
+  bool is_shutting_down_ = false;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // AGENT_BASE_H_
--- /dev/null
+++ b/src/agent_process.cc
@@ -0,0 +1,272 @@
+/// @file agent_process.cc Threads and sockets around the agent's state machine.
+#include "agent_process.h"
+
+#include <Poco/ThreadPool.h>
+#include <google/protobuf/util/json_util.h>
+
+#include <iostream>
+
+#include "hash_func.h"
+#include "network/control_loop.h"
+#include "network/http_server.h"
+#include "network/pool_work.h"
+#include "platform/engine_client.h"
+#include "platform/http_call.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr milliseconds kReportInterval{300};  // Between looks at the engine's state.
+constexpr int kOriginThreads = 4;
+constexpr int kRecordThreads = 16;
+constexpr seconds kOriginSilence{10};
+constexpr int kRecordTries = 3;
+
+agent_options OptionsOf(const settings& from, incarnation own) {
+  const vm_id self(from.vm);
+  const domain_id domain(from.domain);
+  agent_options options{.self = self, .domain = domain};
+  options.gossip = GossipOptionsOf(from, own);
+  options.weights = {.self = self,
+                     .domain = domain,
+                     .own_incarnation = own,
+                     .rate = static_cast<double>(from.bulk_rate),
+                     .chunk_timeout = milliseconds(from.chunk_timeout_ms),
+                     .upload_queue = static_cast<size_t>(from.upload_queue),
+                     .staging_bytes = static_cast<uint64_t>(from.staging_mb) << 20,
+                     .neighbours = static_cast<size_t>(from.swarm_neighbours),
+                     .seed = own.value};
+  options.server = {.self = self, .domain = domain, .own_incarnation = own};
+  options.calls.self = self;
+  options.calls.own_incarnation = own;
+  options.calls.admission.queue_length = static_cast<size_t>(from.queue_length);
+  return options;
+}
+
+/// Creates the record of a call; a lost answer is settled by reading back.
+record_result::status_type CreateRecord(const store_client& store, const create_record& record) {
+  for (int i = 0; i < kRecordTries; ++i) {
+    switch (store.write(record.key, record.value, 0)) {
+      case store_write::kDone: return record_result::status_type::kCreated;
+      case store_write::kNotSent: return record_result::status_type::kUnavailable;
+      default: break;
+    }
+    store_value back = store.read(record.key);
+    if (back.status == store_value::status_type::kFound) {
+      return back.value == record.value ? record_result::status_type::kCreated
+                                        : record_result::status_type::kExists;
+    }
+  }
+  return record_result::status_type::kUnavailable;
+}
+
+void ReleaseRecord(const store_client& store, const release_record& record) {
+  store_value back = store.read(record.key);
+  bool is_ours = back.status == store_value::status_type::kFound && back.value == record.value;
+  if (is_ours) store.remove(record.key, back.modify_index);
+}
+
+/// The agent with its threads.
+class agent_process {
+ public:
+  explicit agent_process(const settings& from)
+      : settings_(from),
+        runtime_(from, Hooks()),
+        machine_(OptionsOf(from, runtime_.OwnIncarnation()), blobs_),
+        loop_({.pause = milliseconds(from.pause_ms)}, &machine_,
+              [this](std::vector<output>&& items) { Perform(std::move(items)); }),
+        engine_({.address = from.engine,
+                 .weights_address = from.http_ip + ":" + std::to_string(from.http_port)},
+                [this](engine_part part) { loop_.Post(std::move(part)); }) {}
+
+  exit_code Run() {
+    outcome<done> started = runtime_.Start();
+    if (!started) return Fail(started.LastReason());
+    auto server = StartHttpServer(
+        {settings_.http_ip, settings_.http_port, settings_.http_threads},
+        [this](auto& request, auto& response) { Answer(&request, &response); });
+    if (!server) return Fail(server.LastReason());
+    LogEvent(log_event::kProcessStarted, "role=agent vm=" + settings_.vm);
+    std::thread reports([this] { WatchEngine(); });
+    loop_.Run([this] { return IsFinished(); });
+    is_stopping_ = true;
+    reports.join();
+    runtime_.Stop();
+    (*server)->stop();
+    engine_.JoinAll();
+    origin_pool_.joinAll();
+    record_pool_.joinAll();
+    LogEvent(log_event::kProcessStopped, "role=agent vm=" + settings_.vm);
+    return exit_code::kOk;
+  }
+
+ private:
+  node_hooks Hooks() {
+    return {.on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
+            .on_blob = [this](blob_arrival b) { loop_.Post(std::move(b)); },
+            .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
+            .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
+            .on_shutdown =
+                [this] {
+                  LogEvent(log_event::kProcessStopping, "role=agent vm=" + settings_.vm);
+                  loop_.Post(shutdown_order());
+                }};
+  }
+
+  static exit_code Fail(const std::string& why) {
+    std::cerr << "fuchsiafall: " << why << "\n";
+    return exit_code::kFailed;
+  }
+
+  bool IsFinished() {
+    const time_point now = std::chrono::steady_clock::now();
+    runtime_.SetWatch(machine_.Gossip().World()->Revision(),
+                      machine_.Gossip().WatchesStore(now));
+    if (!machine_.IsShuttingDown()) return false;
+    if (!drain_until_) drain_until_ = now + seconds(settings_.drain_s);
+    // The last answers leave with the links, which are closed a moment later.
+    if (!machine_.IsDrained() || machine_.Calls().Queued() > 0) return now > *drain_until_;
+    if (!drained_at_) drained_at_ = now;
+    return now - *drained_at_ > milliseconds(300);
+  }
+
+  void Perform(std::vector<output>&& items) {
+    for (output& item : items) {
+      if (runtime_.Perform(&item)) continue;
+      if (const auto* fetch = std::get_if<fetch_from_origin>(&item)) {
+        StartWork(&origin_pool_, [this, wanted = fetch->wanted] { FetchFromOrigin(wanted); });
+      } else if (const auto* order = std::get_if<order_load>(&item)) {
+        const time_point issued_at = std::chrono::steady_clock::now();
+        StartWork(&record_pool_, [this, copy = *order, issued_at] {
+          loop_.Post(engine_.Load(copy, issued_at));
+        });
+      } else if (const auto* call = std::get_if<start_call>(&item)) {
+        engine_.Start(*call);
+      } else if (const auto* cancel = std::get_if<cancel_call>(&item)) {
+        engine_.Cancel({cancel->entry, cancel->attempt});
+      } else if (const auto* record = std::get_if<create_record>(&item)) {
+        StartRecord(*record);
+      } else if (const auto* release = std::get_if<release_record>(&item)) {
+        StartWork(&record_pool_, [this, copy = *release] { ReleaseRecord(runtime_.Store(), copy); });
+      }
+    }
+  }
+
+  void StartRecord(const create_record& record) {
+    const call_id id{record.entry, record.attempt};
+    bool started = StartWork(&record_pool_, [this, record, id] {
+      const time_point begun = std::chrono::steady_clock::now();
+      record_result::status_type status = CreateRecord(runtime_.Store(), record);
+      runtime_.Metrics().Time("record_create", std::chrono::steady_clock::now() - begun);
+      loop_.Post(record_result{id, status});
+    });
+    if (!started) loop_.Post(record_result{id, record_result::status_type::kUnavailable});
+  }
+
+  void FetchFromOrigin(const digest& wanted) {
+    http_result result = CallHttp({.address = settings_.origin,
+                                   .path = "/blobs/" + ToHex(wanted.value),
+                                   .timeout = kOriginSilence});
+    blob_arrival blob{.wanted = wanted};
+    if (result.status != http_result::status_type::kAnswered) {
+      blob.status = blob_arrival::status_type::kUnreachable;
+    } else if (result.http_status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
+      blob.status = blob_arrival::status_type::kNotHere;
+    } else if (result.http_status != Poco::Net::HTTPResponse::HTTP_OK) {
+      blob.status = blob_arrival::status_type::kUnreachable;
+    } else {
+      blob.actual = DigestOf(result.body);
+      blob.bytes = std::make_shared<std::string>(std::move(result.body));
+    }
+    loop_.Post(std::move(blob));
+  }
+
+  void WatchEngine() {
+    while (!is_stopping_) {
+      loop_.Post(engine_.Report());
+      std::this_thread::sleep_for(kReportInterval);
+    }
+  }
+
+  void Answer(Poco::Net::HTTPServerRequest* request, Poco::Net::HTTPServerResponse* response) {
+    const std::string& path = request->getURI();
+    constexpr std::string_view kWeights = "/weights/";
+    constexpr std::string_view kManifests = "/manifests/";
+    if (path.starts_with(kWeights)) {
+      AnswerWeights(path.substr(kWeights.size()), response);
+    } else if (path.starts_with(kManifests)) {
+      AnswerManifest(path.substr(kManifests.size()), response);
+    } else if (path == "/metrics") {
+      AnswerHttp(response, 200, "text/plain", runtime_.DescribeMetrics());
+    } else if (path == "/healthz") {
+      AnswerHttp(response, 200, "text/plain", "ok\n");
+    } else if (path == "/readyz") {
+      bool ready = loop_.Ask([](const agent& a) { return a.State().accepting(); });
+      AnswerHttp(response, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    } else if (path == "/status") {
+      AnswerStatus(response);
+    } else {
+      AnswerHttp(response, 404, "text/plain", "not found\n");
+    }
+  }
+
+  void AnswerStatus(Poco::Net::HTTPServerResponse* response) {
+    std::string text;
+    auto state = loop_.Ask([](const agent& a) { return a.State(); });
+    google::protobuf::util::JsonPrintOptions print;
+    print.always_print_primitive_fields = true;
+    auto written = google::protobuf::util::MessageToJsonString(state, &text, print);
+    AnswerHttp(response, written.ok() ? 200 : 500, "application/json", text);
+  }
+
+  void AnswerManifest(const std::string& hex, Poco::Net::HTTPServerResponse* response) {
+    outcome<digest> name = DigestFromHex(hex);
+    shared_bytes bytes = name ? blobs_->Find(*name) : nullptr;
+    if (bytes == nullptr) {
+      AnswerHttp(response, 404, "text/plain", "no such manifest\n");
+      return;
+    }
+    AnswerHttp(response, 200, "application/octet-stream", *bytes);
+  }
+
+  void AnswerWeights(const std::string& hex, Poco::Net::HTTPServerResponse* response) {
+    outcome<digest> manifest = DigestFromHex(hex);
+    if (!manifest) {
+      AnswerHttp(response, 400, "text/plain", manifest.LastReason() + "\n");
+      return;
+    }
+    auto chunks =
+        loop_.Ask([&manifest](const agent& a) { return a.Weights().Weights(*manifest); });
+    if (chunks.empty()) {
+      AnswerHttp(response, 404, "text/plain", "no complete weights of this digest\n");
+      return;
+    }
+    std::streamsize length = 0;
+    for (const shared_bytes& chunk : chunks) length += static_cast<std::streamsize>(chunk->size());
+    response->setContentType("application/octet-stream");
+    response->setContentLength(length);
+    std::ostream& stream = response->send();
+    for (const shared_bytes& chunk : chunks) stream << *chunk;
+  }
+
+  settings settings_;
+  std::shared_ptr<blob_store> blobs_ = std::make_shared<blob_store>();
+  node_runtime runtime_;
+  agent machine_;
+  control_loop<agent, agent_input> loop_;
+  engine_client engine_;
+  Poco::ThreadPool origin_pool_{1, kOriginThreads};
+  Poco::ThreadPool record_pool_{1, kRecordThreads};
+  std::atomic<bool> is_stopping_{false};
+  std::optional<time_point> drain_until_;
+  std::optional<time_point> drained_at_;
+};
+
+}  // namespace
+
+exit_code RunAgent(const settings& from) {
+  return agent_process(from).Run();
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/agent_process.h
@@ -0,0 +1,14 @@
+/// @file agent_process.h The process of an agent.
+#ifndef AGENT_PROCESS_H_
+#define AGENT_PROCESS_H_
+
+#include "network/node_runtime.h"
+
+namespace fuchsiafall {
+
+/// Runs an agent until it is shut down.
+exit_code RunAgent(const settings& from);
+
+}  // namespace fuchsiafall
+
+#endif  // AGENT_PROCESS_H_
--- /dev/null
+++ b/src/bench/bench_main.cc
@@ -0,0 +1,114 @@
+/// @file bench_main.cc Command line and report of the benches.
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+#include <string_view>
+
+#include "bench/bench.h"
+#include "network/node_runtime.h"
+
+namespace fuchsiafall::bench {
+
+namespace {
+
+/// Bench with its name.
+struct bench_info {
+  std::string_view name;
+  std::string_view help;
+  void (*run)(const bench_arguments&, report*);
+};
+
+constexpr bench_info kBenches[] = {
+    {"quickstart", "a small fleet from nothing to a rollout under load", RunQuickstart},
+};
+
+std::string Verdict(const figure& item) {
+  if (!item.bound) return "-";
+  return item.IsShort() ? "short" : "ok";
+}
+
+}  // namespace
+
+bool figure::IsShort() const {
+  if (!bound) return false;
+  return side == bound_side::kMost ? value > *bound : value < *bound;
+}
+
+void report::Add(const std::string& name, double value, const std::string& unit) {
+  figures_.push_back({.name = name, .value = value, .unit = unit});
+}
+
+void report::AddMost(const std::string& name, double value, const std::string& unit,
+                     double most) {
+  figures_.push_back({name, value, unit, most, bound_side::kMost});
+}
+
+void report::AddLeast(const std::string& name, double value, const std::string& unit,
+                      double least) {
+  figures_.push_back({name, value, unit, least, bound_side::kLeast});
+}
+
+void report::Print(bool json) const {
+  if (json) {
+    Poco::JSON::Array list;
+    for (const figure& item : figures_) {
+      Poco::JSON::Object object;
+      object.set("figure", item.name);
+      object.set("value", item.value);
+      object.set("unit", item.unit);
+      if (item.bound) object.set("bound", *item.bound);
+      object.set("verdict", Verdict(item));
+      list.add(object);
+    }
+    list.stringify(std::cout, 2);
+    std::cout << '\n';
+    return;
+  }
+  for (const figure& item : figures_) {
+    std::cout << std::left << std::setw(56) << item.name << std::right << std::setw(12)
+              << std::fixed << std::setprecision(2) << item.value << ' ' << std::left
+              << std::setw(10) << item.unit;
+    std::string bound = "-";
+    if (item.bound) {
+      std::ostringstream text;
+      text << (item.side == bound_side::kMost ? "<= " : ">= ") << std::fixed
+           << std::setprecision(2) << *item.bound;
+      bound = text.str();
+    }
+    std::cout << std::setw(14) << bound << Verdict(item) << '\n';
+  }
+}
+
+bool report::IsShort() const {
+  return std::any_of(figures_.begin(), figures_.end(),
+                     [](const figure& item) { return item.IsShort(); });
+}
+
+void Progress(const std::string& text) {
+  std::cerr << ".. " << text << std::endl;
+}
+
+}  // namespace fuchsiafall::bench
+
+int main(int argc, char** argv) {
+  using namespace fuchsiafall::bench;
+  fuchsiafall::BlockSignals();
+  bench_arguments arguments(argv + 1, argv + argc);
+  const bool json = std::erase(arguments, "--json") > 0;
+  const std::string name = arguments.empty() ? "list" : arguments.front();
+  if (!arguments.empty()) arguments.erase(arguments.begin());
+  for (const bench_info& info : kBenches) {
+    if (name == "list") std::cout << std::left << std::setw(14) << info.name << info.help << '\n';
+    if (info.name != name) continue;
+    report result;
+    info.run(arguments, &result);
+    result.Print(json);
+    return result.IsShort() ? 1 : 0;
+  }
+  if (name == "list") return 0;
+  std::cerr << "bench: found '" << name << "'; 'scripts/bench list' names those allowed\n";
+  return 2;
+}
--- /dev/null
+++ b/src/blob_store.cc
@@ -0,0 +1,30 @@
+/// @file blob_store.cc Verified blobs in memory.
+#include "blob_store_base.h"
+
+namespace fuchsiafall {
+
+void blob_store::Put(const digest& name, shared_bytes bytes) {
+  std::lock_guard lock(mutex_);
+  const uint64_t size = bytes->size();
+  if (blobs_.emplace(name, std::move(bytes)).second) total_bytes_ += size;
+}
+
+shared_bytes blob_store::Find(const digest& name) const {
+  std::lock_guard lock(mutex_);
+  auto it = blobs_.find(name);
+  return it == blobs_.end() ? nullptr : it->second;
+}
+
+void blob_store::KeepOnly(const std::set<digest>& names) {
+  std::lock_guard lock(mutex_);
+  std::erase_if(blobs_, [&](const auto& item) { return !names.contains(item.first); });
+  total_bytes_ = 0;
+  for (const auto& [name, bytes] : blobs_) total_bytes_ += bytes->size();
+}
+
+uint64_t blob_store::TotalBytes() const {
+  std::lock_guard lock(mutex_);
+  return total_bytes_;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/blob_store_base.h
@@ -0,0 +1,37 @@
+/// @file blob_store_base.h Verified blobs in memory, by their digests.
+#ifndef BLOB_STORE_BASE_H_
+#define BLOB_STORE_BASE_H_
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "ids_type.h"
+#include "output_type.h"
+
+namespace fuchsiafall {
+
+/// Holds blobs whose bytes match their digests; safe to use from all threads.
+class blob_store {
+ public:
+  /// Adds a blob.
+  /// @pre The caller has verified that the bytes match the digest.
+  void Put(const digest& name, shared_bytes bytes);
+  /// Looks up a blob; null when it is not held.
+  shared_bytes Find(const digest& name) const;
+  /// Drops all blobs but those named.
+  void KeepOnly(const std::set<digest>& names);
+  /// Sums the sizes of all blobs, in bytes.
+  uint64_t TotalBytes() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::unordered_map<digest, shared_bytes> blobs_;
+  uint64_t total_bytes_ = 0;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // BLOB_STORE_BASE_H_
--- /dev/null
+++ b/src/configuration_log.cc
@@ -0,0 +1,53 @@
+/// @file configuration_log.cc Adoption of revisions.
+#include "configuration_log_base.h"
+
+#include "configuration_func.h"
+
+namespace fuchsiafall {
+
+namespace {
+constexpr size_t kMostEditsHeld = 128;
+}
+
+configuration_log::configuration_log()
+    : world_(std::make_shared<world>(proto::configuration())) {}
+
+outcome<bool> configuration_log::AdoptSnapshot(const proto::configuration& snapshot) {
+  if (revision(snapshot.revision()) <= Revision()) return false;
+  outcome<done> checked = CheckInventory(snapshot.inventory());
+  if (!checked) return failure{checked.LastReason()};
+  world_ = std::make_shared<world>(snapshot);
+  edits_.clear();
+  return true;
+}
+
+outcome<bool> configuration_log::AdoptEdits(
+    const google::protobuf::RepeatedPtrField<proto::edit>& edits) {
+  proto::configuration next = world_->Configuration();
+  std::deque<proto::edit> adopted;
+  for (const proto::edit& edit : edits) {
+    if (edit.revision() <= next.revision()) continue;
+    outcome<done> tested = TestEdit(next, edit);
+    if (!tested) return failure{tested.LastReason()};
+    ExecuteEdit(&next, edit);
+    adopted.push_back(edit);
+  }
+  if (adopted.empty()) return false;
+  world_ = std::make_shared<world>(std::move(next));
+  edits_.insert(edits_.end(), adopted.begin(), adopted.end());
+  while (edits_.size() > kMostEditsHeld) edits_.pop_front();
+  return true;
+}
+
+void configuration_log::WriteUpdate(revision from, proto::envelope* message) const {
+  if (edits_.empty() || edits_.front().revision() > from.value + 1) {
+    *message->mutable_snapshot() = world_->Configuration();
+    return;
+  }
+  proto::config_delta* delta = message->mutable_config_delta();
+  for (const proto::edit& edit : edits_) {
+    if (edit.revision() > from.value) *delta->add_edits() = edit;
+  }
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,7 @@
+/// @file main.cc Entry point of the one binary.
+#include "operator_cmd.h"
+
+int main(int argc, char** argv) {
+  fuchsiafall::BlockSignals();
+  return static_cast<int>(fuchsiafall::RunCommand(argc, argv));
+}
--- /dev/null
+++ b/src/network/message_link.cc
@@ -0,0 +1,234 @@
+/// @file message_link.cc Messages between processes over ZeroMQ.
+#include "network/message_link.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <zmq.hpp>
+
+#include "outcome_type.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr int kHighWaterMark = 64;                   // Messages buffered for one peer.
+constexpr int kPingMs = 5000;                        // Between pings of an idle connection.
+constexpr int kPingTimeoutMs = 5000;                 // Without an answer to a ping.
+constexpr int kReconnectMs = 100;
+constexpr int kMostReconnectMs = 2000;
+constexpr int kMostFrameBytes = 80 * 1024 * 1024;
+constexpr milliseconds kRetryInterval{5};            // While a connection is being made.
+constexpr seconds kIdleClose{60};
+constexpr int kMostPollMs = 200;
+
+void SetCommonOptions(zmq::socket_t* socket) {
+  socket->set(zmq::sockopt::linger, 0);
+  socket->set(zmq::sockopt::heartbeat_ivl, kPingMs);
+  socket->set(zmq::sockopt::heartbeat_timeout, kPingTimeoutMs);
+  socket->set(zmq::sockopt::heartbeat_ttl, kPingMs + kPingTimeoutMs);
+  socket->set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMostFrameBytes));
+}
+
+}  // namespace
+
+/// Sockets and queues that only the link's thread touches.
+struct message_link::state {
+  struct connection {
+    zmq::socket_t socket;
+    time_point last_used{};
+  };
+  struct waiting {
+    send_message message;
+    time_point expires{};
+  };
+
+  explicit state(zmq::context_t* c) : context(c), receiver(*c, zmq::socket_type::pull) {}
+
+  zmq::context_t* context;
+  zmq::socket_t receiver;
+  int wake_fd = -1;
+  std::map<std::string, connection> connections;
+  std::multimap<time_point, waiting> due;  ///< By the time at which to send.
+  time_point last_idle_check{};
+};
+
+message_link::message_link(message_link_options options, zmq::context_t* context,
+                           metrics* counters, arrival_hook on_arrival)
+    : options_(std::move(options)),
+      counters_(counters),
+      on_arrival_(std::move(on_arrival)),
+      state_(std::make_unique<state>(context)) {}
+
+message_link::~message_link() {
+  Stop();
+  if (state_->wake_fd >= 0) close(state_->wake_fd);
+}
+
+outcome<done> message_link::Start() {
+  state_->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  try {
+    SetCommonOptions(&state_->receiver);
+    state_->receiver.set(zmq::sockopt::rcvhwm, kHighWaterMark * 16);
+    if (!options_.keys.secret_key.empty()) {
+      state_->receiver.set(zmq::sockopt::curve_server, true);
+      state_->receiver.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
+    }
+    state_->receiver.bind("tcp://" + options_.listen_address);
+  } catch (const zmq::error_t& e) {
+    return failure{options_.name + " link: cannot listen on " + options_.listen_address + ": " +
+                   e.what()};
+  }
+  thread_ = std::thread([this] { Loop(); });
+  return done{};
+}
+
+void message_link::Stop() {
+  if (!thread_.joinable()) return;
+  is_stopping_ = true;
+  eventfd_write(state_->wake_fd, 1);
+  thread_.join();
+}
+
+void message_link::Send(send_message message) {
+  {
+    std::lock_guard lock(mutex_);
+    queued_.push_back(std::move(message));
+  }
+  eventfd_write(state_->wake_fd, 1);
+}
+
+void message_link::Loop() {
+  while (!is_stopping_) {
+    zmq::pollitem_t items[] = {{state_->receiver.handle(), 0, ZMQ_POLLIN, 0},
+                               {nullptr, state_->wake_fd, ZMQ_POLLIN, 0}};
+    int timeout = PollTimeoutMs(std::chrono::steady_clock::now());
+    try {
+      zmq::poll(items, 2, std::chrono::milliseconds(timeout));
+    } catch (const zmq::error_t&) {
+      continue;  // Interrupted by a signal.
+    }
+    if ((items[1].revents & ZMQ_POLLIN) != 0) TakeQueued();
+    if ((items[0].revents & ZMQ_POLLIN) != 0) Receive();
+    time_point now = std::chrono::steady_clock::now();
+    SendDue(now);
+    CloseIdle(now);
+  }
+  state_->connections.clear();
+  state_->receiver.close();
+}
+
+void message_link::TakeQueued() {
+  eventfd_t count = 0;
+  eventfd_read(state_->wake_fd, &count);
+  std::vector<send_message> taken;
+  {
+    std::lock_guard lock(mutex_);
+    taken.swap(queued_);
+  }
+  const time_point now = std::chrono::steady_clock::now();
+  for (send_message& message : taken) {
+    const time_point at = std::max(message.send_at, now);
+    state_->due.emplace(at, state::waiting{std::move(message), at + options_.send_expiry});
+  }
+}
+
+void message_link::SendDue(time_point now) {
+  std::vector<state::waiting> unsent;
+  while (!state_->due.empty() && state_->due.begin()->first <= now) {
+    state::waiting item = std::move(state_->due.begin()->second);
+    state_->due.erase(state_->due.begin());
+    if (TrySend(now, item.message)) continue;
+    if (now >= item.expires) {
+      counters_->Count(options_.name + "_messages_unsent");
+      continue;
+    }
+    unsent.push_back(std::move(item));
+  }
+  for (state::waiting& item : unsent) state_->due.emplace(now + kRetryInterval, std::move(item));
+}
+
+bool message_link::TrySend(time_point now, const send_message& message) {
+  try {
+    auto it = state_->connections.find(message.address);
+    if (it == state_->connections.end()) {
+      zmq::socket_t socket(*state_->context, zmq::socket_type::push);
+      SetCommonOptions(&socket);
+      socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+      socket.set(zmq::sockopt::immediate, true);
+      socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+      socket.set(zmq::sockopt::reconnect_ivl_max, kMostReconnectMs);
+      if (!options_.keys.secret_key.empty()) {
+        socket.set(zmq::sockopt::curve_serverkey, options_.keys.fleet_key);
+        socket.set(zmq::sockopt::curve_publickey, options_.keys.public_key);
+        socket.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
+      }
+      socket.connect("tcp://" + MapAddress(message.address));
+      it = state_->connections.emplace(message.address, state::connection{std::move(socket)}).first;
+    }
+    it->second.last_used = now;
+    if ((it->second.socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) == 0) return false;
+    std::string frame;
+    if (message.attachment != nullptr) {
+      proto::envelope with_data = message.message;
+      with_data.mutable_blob_answer()->set_data(*message.attachment);
+      with_data.SerializeToString(&frame);
+    } else {
+      message.message.SerializeToString(&frame);
+    }
+    if (!it->second.socket.send(zmq::buffer(frame), zmq::send_flags::dontwait)) return false;
+    counters_->Count(options_.name + "_messages_sent");
+    counters_->Count(options_.name + "_bytes_sent", frame.size());
+    return true;
+  } catch (const zmq::error_t&) {
+    counters_->Count(options_.name + "_send_errors");
+    state_->connections.erase(message.address);
+    return false;
+  }
+}
+
+void message_link::Receive() {
+  constexpr int kMostAtOnce = 256;
+  for (int i = 0; i < kMostAtOnce; ++i) {
+    zmq::message_t frame;
+    try {
+      if (!state_->receiver.recv(frame, zmq::recv_flags::dontwait)) return;
+    } catch (const zmq::error_t&) {
+      return;
+    }
+    counters_->Count(options_.name + "_messages_received");
+    counters_->Count(options_.name + "_bytes_received", frame.size());
+    proto::envelope message;
+    bool is_whole = message.ParseFromArray(frame.data(), static_cast<int>(frame.size())) &&
+                    message.body_case() != proto::envelope::BODY_NOT_SET && !message.vm().empty();
+    if (!is_whole) {
+      counters_->Count("messages_malformed");
+      LogEvent(log_event::kMessageDropped, "plane=" + options_.name);
+      continue;
+    }
+    on_arrival_(std::move(message));
+  }
+}
+
+void message_link::CloseIdle(time_point now) {
+  if (now - state_->last_idle_check < seconds(5)) return;
+  state_->last_idle_check = now;
+  std::erase_if(state_->connections,
+                [&](const auto& item) { return now - item.second.last_used > kIdleClose; });
+}
+
+int message_link::PollTimeoutMs(time_point now) const {
+  if (state_->due.empty()) return kMostPollMs;
+  auto wait = std::chrono::ceil<milliseconds>(state_->due.begin()->first - now).count();
+  return static_cast<int>(std::clamp<int64_t>(wait, 0, kMostPollMs));
+}
+
+std::string message_link::MapAddress(const std::string& address) const {
+  for (const auto& [prefix, replacement] : options_.address_map) {
+    if (address.starts_with(prefix)) return replacement + address.substr(prefix.size());
+  }
+  return address;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/message_link.h
@@ -0,0 +1,100 @@
+/// @file message_link.h Messages between processes over ZeroMQ, on one socket for each plane.
+#ifndef NETWORK_MESSAGE_LINK_H_
+#define NETWORK_MESSAGE_LINK_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "metrics_base.h"
+#include "outcome_type.h"
+#include "output_type.h"
+
+namespace zmq {
+class context_t;
+}
+
+namespace fuchsiafall {
+
+/// Keys of the links between processes, in ZeroMQ's Z85 form; all empty for none.
+struct link_keys {
+  std::string public_key;
+  std::string secret_key;
+  std::string fleet_key;  ///< Public key that peers present.
+};
+
+struct message_link_options {
+  std::string name;            ///< For metrics: control, bulk or traffic.
+  std::string listen_address;  ///< ip:port
+  link_keys keys;
+  std::map<std::string, std::string> address_map;  ///< Prefixes replaced before connecting.
+  milliseconds send_expiry{1000};  ///< Time after which an unsent message is dropped.
+};
+
+/// Sends and receives messages in a thread of its own. Delivery is not certain; a peer
+/// that does not answer the transport's pings gets a new connection.
+class message_link {
+ public:
+  /// Takes one message, in the link's thread.
+  using arrival_hook = std::function<void(proto::envelope&&)>;
+
+  message_link(message_link_options options, zmq::context_t* context, metrics* counters,
+               arrival_hook on_arrival);
+  ~message_link();
+  message_link(const message_link&) = delete;
+  message_link& operator=(const message_link&) = delete;
+
+  /// Binds the address and starts the thread.
+  outcome<done> Start();
+  void Stop();
+  /// Queues a message; safe to call from all threads.
+  void Send(send_message message);
+
+ private:
+  struct state;
+  void Loop();
+  void TakeQueued();
+  void SendDue(time_point now);
+  bool TrySend(time_point now, const send_message& message);
+  void Receive();
+  void CloseIdle(time_point now);
+  int PollTimeoutMs(time_point now) const;
+  std::string MapAddress(const std::string& address) const;
+
+  message_link_options options_;
+  metrics* counters_;
+  arrival_hook on_arrival_;
+  std::unique_ptr<state> state_;
+  std::mutex mutex_;
+  std::vector<send_message> queued_;
+  std::atomic<bool> is_stopping_{false};
+  std::thread thread_;
+};
+
+/// Lets only peers in that present the fleet's key; one for each ZeroMQ context.
+class link_gate {
+ public:
+  link_gate(zmq::context_t* context, std::string fleet_key, metrics* counters);
+  ~link_gate();
+  link_gate(const link_gate&) = delete;
+  link_gate& operator=(const link_gate&) = delete;
+
+ private:
+  void Loop();
+
+  zmq::context_t* context_;
+  std::string fleet_key_;
+  metrics* counters_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<bool> is_bound_{false};
+  std::thread thread_;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_MESSAGE_LINK_H_
--- /dev/null
+++ b/src/network/node_runtime.h
@@ -0,0 +1,98 @@
+/// @file node_runtime.h What the processes of entries and agents have in common: links,
+/// the watch of the store, signals and the common outputs.
+#ifndef NETWORK_NODE_RUNTIME_H_
+#define NETWORK_NODE_RUNTIME_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "agent_base.h"
+#include "metrics_base.h"
+#include "network/message_link.h"
+#include "platform/store_client.h"
+#include "settings_base.h"
+
+namespace fuchsiafall {
+
+/// Exit codes of all commands.
+enum class exit_code : int {
+  kOk = 0,
+  kFailed = 1,
+  kUsage = 2,
+  kBadInput = 3,
+  kConflict = 4,
+  kUnreachable = 5,
+  kUnknown = 6,
+};
+
+/// What the threads of a process hand to its control thread.
+struct node_hooks {
+  std::function<void(message_arrival)> on_message;
+  std::function<void(blob_arrival)> on_blob;
+  std::function<void(store_news)> on_store;
+  std::function<void(proto::vm_list)> on_vm_list;
+  std::function<void()> on_shutdown;
+};
+
+/// Sockets and threads around the state machine of an entry or agent.
+class node_runtime {
+ public:
+  node_runtime(const settings& from, node_hooks hooks);
+  ~node_runtime();
+  node_runtime(const node_runtime&) = delete;
+  node_runtime& operator=(const node_runtime&) = delete;
+
+  /// Opens the links and starts all threads.
+  outcome<done> Start();
+  void Stop();
+  /// Performs an output that all roles have in common.
+  /// @return Whether it was one.
+  bool Perform(output* item);
+  /// Tells the watch of the store what it has to know.
+  void SetWatch(revision own, bool watches) {
+    own_revision_ = own.value;
+    watches_store_ = watches;
+  }
+
+  metrics& Metrics() { return metrics_; }
+  const store_client& Store() const { return store_; }
+  incarnation OwnIncarnation() const { return incarnation_; }
+  /// Writes the answer of /metrics, with the process's own use of the machine.
+  std::string DescribeMetrics();
+
+ private:
+  void OnEnvelope(plane where, proto::envelope&& message);
+  void WatchStore();
+  void ReadVmList();
+  void WaitForSignal();
+  void Sleep(milliseconds span);
+
+  settings settings_;
+  node_hooks hooks_;
+  metrics metrics_;
+  incarnation incarnation_;
+  store_client store_;
+  std::unique_ptr<zmq::context_t> context_;
+  std::unique_ptr<link_gate> gate_;
+  std::unique_ptr<message_link> control_;
+  std::unique_ptr<message_link> bulk_;
+  std::unique_ptr<message_link> traffic_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<uint64_t> own_revision_{0};
+  std::atomic<bool> watches_store_{false};
+  std::thread store_thread_;
+  std::thread signal_thread_;
+};
+
+/// Blocks the signals that order a graceful shutdown; call before any thread starts.
+void BlockSignals();
+
+/// Fills in the options that entries and agents have in common.
+gossip_options GossipOptionsOf(const settings& from, incarnation own);
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_NODE_RUNTIME_H_
--- /dev/null
+++ b/src/network/pool_work.h
@@ -0,0 +1,19 @@
+/// @file pool_work.h Running a function in a thread of a pool.
+#ifndef NETWORK_POOL_WORK_H_
+#define NETWORK_POOL_WORK_H_
+
+#include <functional>
+
+namespace Poco {
+class ThreadPool;
+}
+
+namespace fuchsiafall {
+
+/// Runs work in a thread of the pool.
+/// @return Whether a thread was free; if not, the work is dropped.
+bool StartWork(Poco::ThreadPool* pool, std::function<void()> work);
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_POOL_WORK_H_
--- /dev/null
+++ b/src/standins/standin_func.cc
@@ -0,0 +1,57 @@
+/// @file standin_func.cc What the stand-ins have in common.
+#include "standins/standin_func.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/URI.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace fuchsiafall::standins {
+
+std::string SplitQuery(const std::string& uri, query_map* query) {
+  Poco::URI parsed(uri);
+  for (const auto& [name, value] : parsed.getQueryParameters()) (*query)[name] = value;
+  return parsed.getPath();
+}
+
+int IntOf(const query_map& query, const std::string& name, int otherwise) {
+  auto it = query.find(name);
+  return it == query.end() ? otherwise : std::atoi(it->second.c_str());
+}
+
+double DoubleOf(const query_map& query, const std::string& name, double otherwise) {
+  auto it = query.find(name);
+  return it == query.end() ? otherwise : std::atof(it->second.c_str());
+}
+
+void BreakConnection(Poco::Net::HTTPServerRequest* request) {
+  auto& impl = static_cast<Poco::Net::HTTPServerRequestImpl&>(*request);
+  impl.socket().setLinger(true, 0);
+  impl.socket().close();
+}
+
+std::shared_ptr<Poco::Net::HTTPServer> Serve(const std::string& address, int threads,
+                                             http_handler handler) {
+  Poco::Net::SocketAddress parsed(address);
+  auto server = StartHttpServer(
+      {parsed.host().toString(), parsed.port(), threads}, std::move(handler));
+  if (!server) {
+    std::cerr << "stand-in: " << server.LastReason() << '\n';
+    std::exit(1);
+  }
+  return *server;
+}
+
+void WaitForEnd() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+}  // namespace fuchsiafall::standins
--- /dev/null
+++ b/src/world_base.h
@@ -0,0 +1,67 @@
+/// @file world_base.h The machines, zones and services of one configuration, indexed.
+#ifndef WORLD_BASE_H_
+#define WORLD_BASE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ids_type.h"
+#include "proto/fuchsiafall.pb.h"
+
+namespace fuchsiafall {
+
+/// Separate sockets between processes, so that bulk never delays the others.
+enum class plane { kControl, kBulk, kTraffic };
+
+/// Failure domain with its VMs.
+struct failure_domain {
+  domain_id id;
+  std::string region;
+  bool in_service = true;
+  std::vector<std::string> vms;      ///< Ids of all VMs.
+  std::vector<std::string> entries;  ///< Ids of the entry VMs.
+  std::map<std::string, std::vector<std::string>> servers;  ///< Agents' VM ids, by service.
+};
+
+/// View of a configuration that is never changed once built.
+class world {
+ public:
+  explicit world(proto::configuration configuration);
+
+  const proto::configuration& Configuration() const { return configuration_; }
+  revision Revision() const { return revision(configuration_.revision()); }
+
+  const proto::vm* FindVm(const vm_id& id) const;
+  const proto::service* FindService(const std::string& id) const;
+  const proto::version* FindVersion(const std::string& id) const;
+  const proto::adapter* FindAdapter(const std::string& id) const;
+  const proto::organisation* FindOrganisationByToken(const std::string& token) const;
+  const failure_domain* FindDomain(const std::string& id) const;
+  const std::map<std::string, failure_domain>& Domains() const { return domains_; }
+
+  /// Whether operators have the VM's failure domain in service.
+  bool IsInService(const proto::vm& vm) const;
+  /// Whether a call may be repeated without harm.
+  bool IsIdempotent(const proto::service& service, const std::string& method,
+                    const std::string& path) const;
+  /// Writes a VM's address on one plane, as ip:port.
+  static std::string AddressOf(const proto::vm& vm, plane where);
+
+ private:
+  proto::configuration configuration_;
+  std::map<std::string, failure_domain> domains_;
+  std::map<std::string, const proto::vm*> vms_;
+  std::map<std::string, const proto::service*> services_;
+  std::map<std::string, const proto::version*> versions_;
+  std::map<std::string, const proto::adapter*> adapters_;
+  std::map<std::string, const proto::organisation*> tokens_;
+};
+
+using world_ptr = std::shared_ptr<const world>;
+
+}  // namespace fuchsiafall
+
+#endif  // WORLD_BASE_H_
