--- a/src/admission.cc
+++ b/src/admission.cc
@@ -7,10 +7,14 @@
 
 namespace {
 
-constexpr double kSlowAverage = 0.02;   // Weight of a new sample in the usual latency.
-constexpr double kFastAverage = 0.3;    // Weight of a new sample in the recent latency.
-constexpr double kJump = 3.0;           // Ratio of recent to usual latency that is a jump.
-constexpr double kLeastJumpS = 0.05;    // Recent latency below which nothing is a jump.
+constexpr double kSlowAverage =
+    0.02;  // Weight of a new sample in the usual latency.
+constexpr double kFastAverage =
+    0.3;  // Weight of a new sample in the recent latency.
+constexpr double kJump =
+    3.0;  // Ratio of recent to usual latency that is a jump.
+constexpr double kLeastJumpS =
+    0.05;  // Recent latency below which nothing is a jump.
 constexpr uint32_t kLeastSamples = 20;  // Samples before a jump is believed.
 constexpr seconds kFallPause{1};        // Between two falls for the same jump.
 
@@ -29,14 +33,17 @@
     result.kind = admission_result::kind_type::kStarted;
     return result;
   }
-  if (options_.queue_length == 0) return result;
+  if (options_.queue_length == 0)
+    return result;
   if (queued_ >= options_.queue_length) {
     result.displaced = Displace(request.organisation);
-    if (!result.displaced) return result;
+    if (!result.displaced)
+      return result;
   }
   organisation_queue& queue = queues_[request.organisation];
   // One that was idle starts level with the others and saves up no credit.
-  if (queue.calls.empty()) queue.served = std::max(queue.served, LeastServed());
+  if (queue.calls.empty())
+    queue.served = std::max(queue.served, LeastServed());
   auto place = std::upper_bound(
       queue.calls.begin(), queue.calls.end(), request,
       [](const auto& a, const auto& b) { return a.priority < b.priority; });
@@ -47,10 +54,13 @@
 }
 
 bool admission::OnFinished(time_point now, std::optional<duration> first_part) {
-  if (in_flight_ > 0) --in_flight_;
-  if (!first_part) return false;
+  if (in_flight_ > 0)
+    --in_flight_;
+  if (!first_part)
+    return false;
   const double latency = ToSeconds(*first_part);
-  if (samples_++ == 0) usual_latency_ = recent_latency_ = latency;
+  if (samples_++ == 0)
+    usual_latency_ = recent_latency_ = latency;
   usual_latency_ += kSlowAverage * (latency - usual_latency_);
   recent_latency_ += kFastAverage * (latency - recent_latency_);
   bool jumped = samples_ >= kLeastSamples && recent_latency_ > kLeastJumpS &&
@@ -60,6 +70,8 @@
     OnCold();
     return true;
   }
+  if (!may_grow_)
+    return false;
   // One more place after as many successes as there are places.
   limit_ = std::min<double>(limit_ + 1.0 / limit_, options_.most_limit);
   return false;
@@ -87,7 +99,8 @@
   std::vector<call_id> expired;
   for (auto& [organisation, queue] : queues_) {
     std::erase_if(queue.calls, [&](const admission_request& request) {
-      if (now < request.deadline) return false;
+      if (now < request.deadline)
+        return false;
       expired.push_back(request.id);
       return true;
     });
@@ -98,10 +111,11 @@
 
 bool admission::Remove(const call_id& id) {
   for (auto& [organisation, queue] : queues_) {
-    size_t removed =
-        std::erase_if(queue.calls, [&](const auto& request) { return request.id == id; });
+    size_t removed = std::erase_if(
+        queue.calls, [&](const auto& request) { return request.id == id; });
     queued_ -= removed;
-    if (removed > 0) return true;
+    if (removed > 0)
+      return true;
   }
   return false;
 }
@@ -113,16 +127,19 @@
 void admission::Start(const std::string& organisation, uint32_t weight) {
   ++in_flight_;
   organisation_queue& queue = queues_[organisation];
-  if (queue.calls.empty()) queue.served = std::max(queue.served, LeastServed());
+  if (queue.calls.empty())
+    queue.served = std::max(queue.served, LeastServed());
   queue.served += 1.0 / std::max(1U, weight);
 }
 
 std::optional<call_id> admission::Displace(const std::string& newcomer) {
-  auto longest = std::max_element(queues_.begin(), queues_.end(), [](auto& a, auto& b) {
-    return a.second.calls.size() < b.second.calls.size();
-  });
+  auto longest =
+      std::max_element(queues_.begin(), queues_.end(), [](auto& a, auto& b) {
+        return a.second.calls.size() < b.second.calls.size();
+      });
   size_t own = queues_.contains(newcomer) ? queues_[newcomer].calls.size() : 0;
-  if (longest == queues_.end() || longest->second.calls.size() <= own + 1) return std::nullopt;
+  if (longest == queues_.end() || longest->second.calls.size() <= own + 1)
+    return std::nullopt;
   call_id displaced = longest->second.calls.back().id;
   longest->second.calls.pop_back();
   --queued_;
@@ -132,14 +149,16 @@
 admission::organisation_queue* admission::NextQueue() {
   organisation_queue* next = nullptr;
   for (auto& [organisation, queue] : queues_) {
-    if (queue.calls.empty()) continue;
+    if (queue.calls.empty())
+      continue;
     if (next == nullptr) {
       next = &queue;
       continue;
     }
     const uint32_t priority = queue.calls.front().priority;
     const uint32_t best = next->calls.front().priority;
-    if (priority < best || (priority == best && queue.served < next->served)) next = &queue;
+    if (priority < best || (priority == best && queue.served < next->served))
+      next = &queue;
   }
   return next;
 }
@@ -147,7 +166,8 @@
 double admission::LeastServed() const {
   double least = -1;
   for (const auto& [organisation, queue] : queues_) {
-    if (!queue.calls.empty() && (least < 0 || queue.served < least)) least = queue.served;
+    if (!queue.calls.empty() && (least < 0 || queue.served < least))
+      least = queue.served;
   }
   return std::max(0.0, least);
 }
--- a/src/admission_base.h
+++ b/src/admission_base.h
@@ -39,14 +39,18 @@
 struct admission_result {
   enum class kind_type { kStarted, kQueued, kRefused };
   kind_type kind = kind_type::kRefused;
-  std::optional<call_id> displaced;  ///< Queued call that lost its place to this one.
+  std::optional<call_id>
+      displaced;  ///< Queued call that lost its place to this one.
 };
 
-/// Limits the concurrent calls of a server: from its cold limit upwards with observed
-/// success, and back at once when it turns cold. Queues fairly between organisations.
+/// Limits the concurrent calls of a server: from its cold limit upwards with
+/// observed success, and back at once when it turns cold. Queues fairly between
+/// organisations.
 class admission {
  public:
-  explicit admission(admission_options options) : options_(options) { OnCold(); }
+  explicit admission(admission_options options) : options_(options) {
+    OnCold();
+  }
 
   /// Changes the limits; a lower most_limit holds at once.
   void SetLimits(uint32_t cold_limit, uint32_t most_limit);
@@ -57,6 +61,8 @@
   bool OnFinished(time_point now, std::optional<duration> first_part);
   /// Falls back to the cold limit.
   void OnCold();
+  /// Lets the limit grow only while the server is not known to be cold.
+  void SetWarm(bool is_warm) { may_grow_ = is_warm; }
   /// Takes the queued calls that may start now.
   std::vector<call_id> TakeReady();
   /// Takes the queued calls whose deadline has passed.
@@ -84,10 +90,12 @@
 
   admission_options options_;
   double limit_ = 1;
+  bool may_grow_ = true;
   size_t in_flight_ = 0;
   size_t queued_ = 0;
   std::map<std::string, organisation_queue> queues_;
-  double usual_latency_ = 0;   ///< Slow average of the time to the first part, in seconds.
+  double usual_latency_ =
+      0;  ///< Slow average of the time to the first part, in seconds.
   double recent_latency_ = 0;  ///< Fast average of the same.
   uint32_t samples_ = 0;
   time_point last_fall_{};
--- a/src/agent.cc
+++ b/src/agent.cc
@@ -9,24 +9,31 @@
 
 namespace {
 
-constexpr milliseconds kStateInterval{500};  // Between states told for a change of load only.
+constexpr milliseconds kStateInterval{
+    500};  // Between states told for a change of load only.
 
 /// Lists what a model service wants to have loaded, the version first.
-std::vector<load_part> PartsOf(const world& where, const proto::service& service) {
+std::vector<load_part> PartsOf(const world& where,
+                               const proto::service& service) {
   std::vector<load_part> parts;
   const proto::version* version = where.FindVersion(service.version());
-  if (version == nullptr) return parts;
+  if (version == nullptr)
+    return parts;
   parts.push_back({version->id(), *DigestFromHex(version->manifest_digest())});
   for (const std::string& id : service.adapters()) {
     const proto::adapter* adapter = where.FindAdapter(id);
-    if (adapter == nullptr || adapter->base_version() != version->id()) continue;
-    parts.push_back({adapter->id(), *DigestFromHex(adapter->manifest_digest())});
+    if (adapter == nullptr || adapter->base_version() != version->id())
+      continue;
+    parts.push_back(
+        {adapter->id(), *DigestFromHex(adapter->manifest_digest())});
   }
   return parts;
 }
 
-bool IsUrgent(const proto::server_state& before, const proto::server_state& after) {
-  return before.version() != after.version() || before.accepting() != after.accepting() ||
+bool IsUrgent(const proto::server_state& before,
+              const proto::server_state& after) {
+  return before.version() != after.version() ||
+         before.accepting() != after.accepting() ||
          before.warm() != after.warm();
 }
 
@@ -51,8 +58,10 @@
     is_shutting_down_ = true;
     calls_.ShutDown(now, &out);
   } else if (const auto* news = std::get_if<store_news>(&input)) {
-    const proto::configuration* snapshot = news->snapshot ? &*news->snapshot : nullptr;
-    if (gossip_.OnStore(now, snapshot, news->edits, &out)) OnNewRevision(now, &out);
+    const proto::configuration* snapshot =
+        news->snapshot ? &*news->snapshot : nullptr;
+    if (gossip_.OnStore(now, snapshot, news->edits, &out))
+      OnNewRevision(now, &out);
   } else if (const auto* list = std::get_if<proto::vm_list>(&input)) {
     gossip_.OnVmList(now, *list, &out);
   } else if (const auto* arrival = std::get_if<message_arrival>(&input)) {
@@ -78,54 +87,71 @@
   state.set_service(service_);
   state.set_version(server_.ServedVersion());
   state.set_limit(calls_.Admission().Limit());
-  state.set_in_flight(static_cast<uint32_t>(calls_.Running() + calls_.Queued()));
+  state.set_in_flight(
+      static_cast<uint32_t>(calls_.Running() + calls_.Queued()));
   const proto::vm* own = gossip_.World()->FindVm(options_.self);
   bool may_serve = own != nullptr && gossip_.World()->IsInService(*own) &&
                    !gossip_.IsLeaving(options_.self) && !is_shutting_down_;
   state.set_accepting(may_serve && server_.Accepts());
   state.set_warm(calls_.Admission().IsWarm());
-  for (const std::string& adapter : server_.Engine().adapters) state.add_adapters(adapter);
+  for (const std::string& adapter : server_.Engine().adapters)
+    state.add_adapters(adapter);
   state.set_progress_percent(weights_.ProgressPercent());
-  if (!weights_.Target().empty()) state.set_loading_version(weights_.Target().front().name);
+  if (!weights_.Target().empty())
+    state.set_loading_version(weights_.Target().front().name);
   std::string last_reason = weights_.LastReason();
-  state.set_last_reason(last_reason.empty() ? server_.LastReason() : last_reason);
+  state.set_last_reason(last_reason.empty() ? server_.LastReason()
+                                            : last_reason);
   return state;
 }
 
-void agent::OnMessage(time_point now, const message_arrival& arrival, output_list* out) {
+void agent::OnMessage(time_point now,
+                      const message_arrival& arrival,
+                      output_list* out) {
   const proto::envelope& message = arrival.message;
   const vm_id from(message.vm());
   switch (message.body_case()) {
-    case proto::envelope::kHave: weights_.OnHaveMap(now, from, message.have(), out); return;
+    case proto::envelope::kHave:
+      weights_.OnHaveMap(now, from, message.have(), out);
+      return;
     case proto::envelope::kBlobRequest:
       weights_.OnBlobRequest(now, from, message.blob_request(), out);
       return;
     case proto::envelope::kLoaded:
-      if (server_.OnLoadedMap(message.loaded())) SpreadLoaded(out);
+      if (server_.OnLoadedMap(message.loaded()))
+        SpreadLoaded(out);
+      return;
+    case proto::envelope::kCall:
+      OnCall(now, message, out);
       return;
-    case proto::envelope::kCall: OnCall(now, message, out); return;
     case proto::envelope::kCancel:
-      calls_.OnCancel(now, {from, attempt_id(message.cancel().attempt_id())}, out);
+      calls_.OnCancel(now, {from, attempt_id(message.cancel().attempt_id())},
+                      out);
       return;
     default:
-      if (gossip_.OnMessage(now, message, out)) OnNewRevision(now, out);
+      if (gossip_.OnMessage(now, message, out))
+        OnNewRevision(now, out);
       return;
   }
 }
 
-void agent::OnCall(time_point now, const proto::envelope& message, output_list* out) {
+void agent::OnCall(time_point now,
+                   const proto::envelope& message,
+                   output_list* out) {
   const world& where = *gossip_.World();
   const proto::call_request& request = message.call();
   const proto::vm* entry = where.FindVm(vm_id(message.vm()));
-  std::string address = entry != nullptr ? world::AddressOf(*entry, plane::kTraffic)
-                                         : message.reply_address();
+  std::string address = entry != nullptr
+                            ? world::AddressOf(*entry, plane::kTraffic)
+                            : message.reply_address();
   if (address.empty()) {
     out->Count("calls_without_address");
     return;
   }
   const proto::vm* own = where.FindVm(options_.self);
   call_context context;
-  context.service = own == nullptr ? nullptr : where.FindService(own->service());
+  context.service =
+      own == nullptr ? nullptr : where.FindService(own->service());
   context.accepts = server_.Accepts();
   // While it drains, the server is about to lose the version that it still has.
   context.served_version = server_.ServedVersion();
@@ -133,36 +159,48 @@
   context.domain_in_service = own != nullptr && where.IsInService(*own);
   context.is_leaving = gossip_.IsLeaving(options_.self);
   for (const auto& item : where.Configuration().inventory().organisations()) {
-    if (item.id() == request.organisation()) context.weight = std::max(1U, item.weight());
+    if (item.id() == request.organisation())
+      context.weight = std::max(1U, item.weight());
   }
-  // Both have to know the call as idempotent, since either may have an old configuration.
+  // Both have to know the call as idempotent, since either may have an old
+  // configuration.
   context.is_idempotent =
       request.idempotent() && context.service != nullptr &&
       where.IsIdempotent(*context.service, request.method(), request.path());
   calls_.OnCall(now, vm_id(message.vm()), address, request, context, out);
 }
 
-void agent::OnEngineReport(time_point now, const engine_report& report, output_list* out) {
-  bool restarted = !report.start_id.empty() && !server_.Engine().start_id.empty() &&
+void agent::OnEngineReport(time_point now,
+                           const engine_report& report,
+                           output_list* out) {
+  bool restarted = !report.start_id.empty() &&
+                   !server_.Engine().start_id.empty() &&
                    report.start_id != server_.Engine().start_id;
-  bool turned_cold = report.reachable && server_.Engine().is_warm && !report.is_warm;
+  bool turned_cold =
+      report.reachable && server_.Engine().is_warm && !report.is_warm;
+  bool loaded = report.version != server_.Engine().version;
   server_.OnEngine(now, report, out);
-  if (restarted || turned_cold) calls_.OnCold(out);
+  if (restarted || turned_cold || loaded)
+    calls_.OnCold(out);
+  calls_.SetWarm(server_.IsWarm(now));
   SpreadLoaded(out);
 }
 
 void agent::OnNewRevision(time_point now, output_list* out) {
   const world_ptr& where = gossip_.World();
   const proto::vm* own = where->FindVm(options_.self);
-  const proto::service* service = own == nullptr ? nullptr : where->FindService(own->service());
-  if (service == nullptr) return;
+  const proto::service* service =
+      own == nullptr ? nullptr : where->FindService(own->service());
+  if (service == nullptr)
+    return;
   bool is_first = service_.empty();
   service_ = service->id();
   calls_.SetLimits(service->cold_limit(), service->most_limit());
   std::vector<load_part> parts = PartsOf(*where, *service);
   server_.SetTarget(now, where, *service, parts);
   weights_.SetTarget(now, where, service_, parts, is_first, out);
-  if (is_first || parts.empty()) return;
+  if (is_first || parts.empty())
+    return;
   out->Log(log_event::kTargetChanged, "version=" + service->version());
 }
 
@@ -188,18 +226,23 @@
 void agent::SpreadLoaded(output_list* out) {
   proto::loaded_map map = server_.LoadedMap();
   std::string text = map.SerializeAsString();
-  if (map.vms().empty() || text == spread_) return;
+  if (map.vms().empty() || text == spread_)
+    return;
   spread_ = text;
-  const failure_domain* own = gossip_.World()->FindDomain(options_.domain.value);
-  if (own == nullptr || !own->servers.contains(service_)) return;
-  for (const std::string& id : RingNeighbours(own->servers.at(service_), options_.self.value,
-                                              options_.weights.neighbours)) {
+  const failure_domain* own =
+      gossip_.World()->FindDomain(options_.domain.value);
+  if (own == nullptr || !own->servers.contains(service_))
+    return;
+  for (const std::string& id :
+       RingNeighbours(own->servers.at(service_), options_.self.value,
+                      options_.weights.neighbours)) {
     proto::envelope message;
     message.set_vm(options_.self.value);
     message.set_incarnation(options_.gossip.own_incarnation.value);
     *message.mutable_loaded() = map;
     const proto::vm* vm = gossip_.World()->FindVm(vm_id(id));
-    out->Send(plane::kControl, world::AddressOf(*vm, plane::kControl), std::move(message));
+    out->Send(plane::kControl, world::AddressOf(*vm, plane::kControl),
+              std::move(message));
   }
 }
 
@@ -207,7 +250,8 @@
   proto::server_state state = State();
   calls_.SetState(state);
   bool urgent = IsUrgent(published_, state);
-  if (!urgent && now - published_at_ < kStateInterval) return;
+  if (!urgent && now - published_at_ < kStateInterval)
+    return;
   published_at_ = now;
   published_ = state;
   gossip_.SetOwnState(now, state, urgent, out);
--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -1,4 +1,5 @@
-/// @file agent_base.h State machine of the agent in front of one backend server.
+/// @file agent_base.h State machine of the agent in front of one backend
+/// server.
 #ifndef AGENT_BASE_H_
 #define AGENT_BASE_H_
 
@@ -33,9 +34,17 @@
 /// A graceful shutdown is wanted.
 struct shutdown_order {};
 
-using agent_input = std::variant<tick, pause_noticed, shutdown_order, store_news, proto::vm_list,
-                                 message_arrival, blob_arrival, engine_report, load_answer,
-                                 engine_part, record_result>;
+using agent_input = std::variant<tick,
+                                 pause_noticed,
+                                 shutdown_order,
+                                 store_news,
+                                 proto::vm_list,
+                                 message_arrival,
+                                 blob_arrival,
+                                 engine_report,
+                                 load_answer,
+                                 engine_part,
+                                 record_result>;
 
 struct agent_options {
   vm_id self;
@@ -47,7 +56,8 @@
 };
 
 /// Joins the configuration, the weights, the backend server and its calls.
-/// It has no clock, thread or socket: inputs come in with the time, outputs go out.
+/// It has no clock, thread or socket: inputs come in with the time, outputs go
+/// out.
 class agent {
  public:
   using tick_input = tick;
@@ -68,9 +78,13 @@
   bool IsShuttingDown() const { return is_shutting_down_; }
 
  private:
-  void OnMessage(time_point now, const message_arrival& arrival, output_list* out);
+  void OnMessage(time_point now,
+                 const message_arrival& arrival,
+                 output_list* out);
   void OnCall(time_point now, const proto::envelope& message, output_list* out);
-  void OnEngineReport(time_point now, const engine_report& report, output_list* out);
+  void OnEngineReport(time_point now,
+                      const engine_report& report,
+                      output_list* out);
   void OnNewRevision(time_point now, output_list* out);
   void StepAll(time_point now, output_list* out);
   void SpreadLoaded(output_list* out);
@@ -84,7 +98,7 @@
   std::string service_;
   proto::server_state published_;
   time_point published_at_{};
-  std::string spread_;        ///< Loaded servers that the neighbours were last told.
+  std::string spread_;  ///< Loaded servers that the neighbours were last told.
   bool is_shutting_down_ = false;
 };
 
--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -17,7 +17,8 @@
 
 namespace {
 
-constexpr milliseconds kReportInterval{300};  // Between looks at the engine's state.
+constexpr milliseconds kReportInterval{
+    300};  // Between looks at the engine's state.
 constexpr int kOriginThreads = 4;
 constexpr int kRecordThreads = 16;
 constexpr seconds kOriginSilence{10};
@@ -34,10 +35,14 @@
                      .rate = static_cast<double>(from.bulk_rate),
                      .chunk_timeout = milliseconds(from.chunk_timeout_ms),
                      .upload_queue = static_cast<size_t>(from.upload_queue),
-                     .staging_bytes = static_cast<uint64_t>(from.staging_mb) << 20,
+                     .staging_bytes = static_cast<uint64_t>(from.staging_mb)
+                                      << 20,
                      .neighbours = static_cast<size_t>(from.swarm_neighbours),
                      .seed = own.value};
-  options.server = {.self = self, .domain = domain, .own_incarnation = own};
+  options.server = {.self = self,
+                    .domain = domain,
+                    .own_incarnation = own,
+                    .report_lag = milliseconds(from.report_lag_ms)};
   options.calls.self = self;
   options.calls.own_incarnation = own;
   options.calls.admission.queue_length = static_cast<size_t>(from.queue_length);
@@ -45,12 +50,16 @@
 }
 
 /// Creates the record of a call; a lost answer is settled by reading back.
-record_result::status_type CreateRecord(const store_client& store, const create_record& record) {
+record_result::status_type CreateRecord(const store_client& store,
+                                        const create_record& record) {
   for (int i = 0; i < kRecordTries; ++i) {
     switch (store.write(record.key, record.value, 0)) {
-      case store_write::kDone: return record_result::status_type::kCreated;
-      case store_write::kNotSent: return record_result::status_type::kUnavailable;
-      default: break;
+      case store_write::kDone:
+        return record_result::status_type::kCreated;
+      case store_write::kNotSent:
+        return record_result::status_type::kUnavailable;
+      default:
+        break;
     }
     store_value back = store.read(record.key);
     if (back.status == store_value::status_type::kFound) {
@@ -63,8 +72,10 @@
 
 void ReleaseRecord(const store_client& store, const release_record& record) {
   store_value back = store.read(record.key);
-  bool is_ours = back.status == store_value::status_type::kFound && back.value == record.value;
-  if (is_ours) store.remove(record.key, back.modify_index);
+  bool is_ours = back.status == store_value::status_type::kFound &&
+                 back.value == record.value;
+  if (is_ours)
+    store.remove(record.key, back.modify_index);
 }
 
 /// The agent with its threads.
@@ -74,26 +85,31 @@
       : settings_(from),
         runtime_(from, Hooks()),
         machine_(OptionsOf(from, runtime_.OwnIncarnation()), blobs_),
-        loop_({.pause = milliseconds(from.pause_ms)}, &machine_,
-              [this](std::vector<output>&& items) { Perform(std::move(items)); }),
+        loop_(
+            {.pause = milliseconds(from.pause_ms)},
+            &machine_,
+            [this](std::vector<output>&& items) { Perform(std::move(items)); }),
         engine_({.address = from.engine,
-                 .weights_address = from.http_ip + ":" + std::to_string(from.http_port)},
+                 .weights_address =
+                     from.http_ip + ":" + std::to_string(from.http_port)},
                 [this](engine_part part) { loop_.Post(std::move(part)); }) {}
 
   exit_code Run() {
     outcome<done> started = runtime_.Start();
-    if (!started) return Fail(started.LastReason());
+    if (!started)
+      return Fail(started.LastReason());
     auto server = StartHttpServer(
         {settings_.http_ip, settings_.http_port, settings_.http_threads},
         [this](auto& request, auto& response) { Answer(&request, &response); });
-    if (!server) return Fail(server.LastReason());
+    if (!server)
+      return Fail(server.LastReason());
     LogEvent(log_event::kProcessStarted, "role=agent vm=" + settings_.vm);
     std::thread reports([this] { WatchEngine(); });
     loop_.Run([this] { return IsFinished(); });
     is_stopping_ = true;
     reports.join();
     runtime_.Stop();
-    (*server)->stop();
+    (*server)->stopAll(true);
     engine_.JoinAll();
     origin_pool_.joinAll();
     record_pool_.joinAll();
@@ -103,15 +119,17 @@
 
  private:
   node_hooks Hooks() {
-    return {.on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
-            .on_blob = [this](blob_arrival b) { loop_.Post(std::move(b)); },
-            .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
-            .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
-            .on_shutdown =
-                [this] {
-                  LogEvent(log_event::kProcessStopping, "role=agent vm=" + settings_.vm);
-                  loop_.Post(shutdown_order());
-                }};
+    return {
+        .on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
+        .on_blob = [this](blob_arrival b) { loop_.Post(std::move(b)); },
+        .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
+        .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
+        .on_shutdown =
+            [this] {
+              LogEvent(log_event::kProcessStopping,
+                       "role=agent vm=" + settings_.vm);
+              loop_.Post(shutdown_order());
+            }};
   }
 
   static exit_code Fail(const std::string& why) {
@@ -123,19 +141,25 @@
     const time_point now = std::chrono::steady_clock::now();
     runtime_.SetWatch(machine_.Gossip().World()->Revision(),
                       machine_.Gossip().WatchesStore(now));
-    if (!machine_.IsShuttingDown()) return false;
-    if (!drain_until_) drain_until_ = now + seconds(settings_.drain_s);
+    if (!machine_.IsShuttingDown())
+      return false;
+    if (!drain_until_)
+      drain_until_ = now + seconds(settings_.drain_s);
     // The last answers leave with the links, which are closed a moment later.
-    if (!machine_.IsDrained() || machine_.Calls().Queued() > 0) return now > *drain_until_;
-    if (!drained_at_) drained_at_ = now;
+    if (!machine_.IsDrained() || machine_.Calls().Queued() > 0)
+      return now > *drain_until_;
+    if (!drained_at_)
+      drained_at_ = now;
     return now - *drained_at_ > milliseconds(300);
   }
 
   void Perform(std::vector<output>&& items) {
     for (output& item : items) {
-      if (runtime_.Perform(&item)) continue;
+      if (runtime_.Perform(&item))
+        continue;
       if (const auto* fetch = std::get_if<fetch_from_origin>(&item)) {
-        StartWork(&origin_pool_, [this, wanted = fetch->wanted] { FetchFromOrigin(wanted); });
+        StartWork(&origin_pool_,
+                  [this, wanted = fetch->wanted] { FetchFromOrigin(wanted); });
       } else if (const auto* order = std::get_if<order_load>(&item)) {
         const time_point issued_at = std::chrono::steady_clock::now();
         StartWork(&record_pool_, [this, copy = *order, issued_at] {
@@ -148,7 +172,9 @@
       } else if (const auto* record = std::get_if<create_record>(&item)) {
         StartRecord(*record);
       } else if (const auto* release = std::get_if<release_record>(&item)) {
-        StartWork(&record_pool_, [this, copy = *release] { ReleaseRecord(runtime_.Store(), copy); });
+        StartWork(&record_pool_, [this, copy = *release] {
+          ReleaseRecord(runtime_.Store(), copy);
+        });
       }
     }
   }
@@ -157,11 +183,14 @@
     const call_id id{record.entry, record.attempt};
     bool started = StartWork(&record_pool_, [this, record, id] {
       const time_point begun = std::chrono::steady_clock::now();
-      record_result::status_type status = CreateRecord(runtime_.Store(), record);
-      runtime_.Metrics().Time("record_create", std::chrono::steady_clock::now() - begun);
+      record_result::status_type status =
+          CreateRecord(runtime_.Store(), record);
+      runtime_.Metrics().Time("record_create",
+                              std::chrono::steady_clock::now() - begun);
       loop_.Post(record_result{id, status});
     });
-    if (!started) loop_.Post(record_result{id, record_result::status_type::kUnavailable});
+    if (!started)
+      loop_.Post(record_result{id, record_result::status_type::kUnavailable});
   }
 
   void FetchFromOrigin(const digest& wanted) {
@@ -189,7 +218,8 @@
     }
   }
 
-  void Answer(Poco::Net::HTTPServerRequest* request, Poco::Net::HTTPServerResponse* response) {
+  void Answer(Poco::Net::HTTPServerRequest* request,
+              Poco::Net::HTTPServerResponse* response) {
     const std::string& path = request->getURI();
     constexpr std::string_view kWeights = "/weights/";
     constexpr std::string_view kManifests = "/manifests/";
@@ -202,8 +232,10 @@
     } else if (path == "/healthz") {
       AnswerHttp(response, 200, "text/plain", "ok\n");
     } else if (path == "/readyz") {
-      bool ready = loop_.Ask([](const agent& a) { return a.State().accepting(); });
-      AnswerHttp(response, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+      bool ready =
+          loop_.Ask([](const agent& a) { return a.State().accepting(); });
+      AnswerHttp(response, ready ? 200 : 503, "text/plain",
+                 ready ? "ready\n" : "not ready\n");
     } else if (path == "/status") {
       AnswerStatus(response);
     } else {
@@ -216,11 +248,13 @@
     auto state = loop_.Ask([](const agent& a) { return a.State(); });
     google::protobuf::util::JsonPrintOptions print;
     print.always_print_primitive_fields = true;
-    auto written = google::protobuf::util::MessageToJsonString(state, &text, print);
+    auto written =
+        google::protobuf::util::MessageToJsonString(state, &text, print);
     AnswerHttp(response, written.ok() ? 200 : 500, "application/json", text);
   }
 
-  void AnswerManifest(const std::string& hex, Poco::Net::HTTPServerResponse* response) {
+  void AnswerManifest(const std::string& hex,
+                      Poco::Net::HTTPServerResponse* response) {
     outcome<digest> name = DigestFromHex(hex);
     shared_bytes bytes = name ? blobs_->Find(*name) : nullptr;
     if (bytes == nullptr) {
@@ -230,24 +264,28 @@
     AnswerHttp(response, 200, "application/octet-stream", *bytes);
   }
 
-  void AnswerWeights(const std::string& hex, Poco::Net::HTTPServerResponse* response) {
+  void AnswerWeights(const std::string& hex,
+                     Poco::Net::HTTPServerResponse* response) {
     outcome<digest> manifest = DigestFromHex(hex);
     if (!manifest) {
       AnswerHttp(response, 400, "text/plain", manifest.LastReason() + "\n");
       return;
     }
-    auto chunks =
-        loop_.Ask([&manifest](const agent& a) { return a.Weights().Weights(*manifest); });
+    auto chunks = loop_.Ask(
+        [&manifest](const agent& a) { return a.Weights().Weights(*manifest); });
     if (chunks.empty()) {
-      AnswerHttp(response, 404, "text/plain", "no complete weights of this digest\n");
+      AnswerHttp(response, 404, "text/plain",
+                 "no complete weights of this digest\n");
       return;
     }
     std::streamsize length = 0;
-    for (const shared_bytes& chunk : chunks) length += static_cast<std::streamsize>(chunk->size());
+    for (const shared_bytes& chunk : chunks)
+      length += static_cast<std::streamsize>(chunk->size());
     response->setContentType("application/octet-stream");
     response->setContentLength(length);
     std::ostream& stream = response->send();
-    for (const shared_bytes& chunk : chunks) stream << *chunk;
+    for (const shared_bytes& chunk : chunks)
+      stream << *chunk;
   }
 
   settings settings_;
--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -1,4 +1,5 @@
-/// @file bench.h Benches: each measures real processes and compares with the stated targets.
+/// @file bench.h Benches: each measures real processes and compares with the
+/// stated targets.
 #ifndef BENCH_BENCH_H_
 #define BENCH_BENCH_H_
 
@@ -26,8 +27,14 @@
 class report {
  public:
   void Add(const std::string& name, double value, const std::string& unit);
-  void AddMost(const std::string& name, double value, const std::string& unit, double most);
-  void AddLeast(const std::string& name, double value, const std::string& unit, double least);
+  void AddMost(const std::string& name,
+               double value,
+               const std::string& unit,
+               double most);
+  void AddLeast(const std::string& name,
+                double value,
+                const std::string& unit,
+                double least);
   /// Prints one line for each figure, or JSON.
   void Print(bool json) const;
   bool IsShort() const;
--- a/src/bench/bench_main.cc
+++ b/src/bench/bench_main.cc
@@ -22,31 +22,40 @@
 };
 
 constexpr bench_info kBenches[] = {
-    {"quickstart", "a small fleet from nothing to a rollout under load", RunQuickstart},
+    {"quickstart", "a small fleet from nothing to a rollout under load",
+     RunQuickstart},
 };
 
 std::string Verdict(const figure& item) {
-  if (!item.bound) return "-";
+  if (!item.bound)
+    return "-";
   return item.IsShort() ? "short" : "ok";
 }
 
 }  // namespace
 
 bool figure::IsShort() const {
-  if (!bound) return false;
+  if (!bound)
+    return false;
   return side == bound_side::kMost ? value > *bound : value < *bound;
 }
 
-void report::Add(const std::string& name, double value, const std::string& unit) {
+void report::Add(const std::string& name,
+                 double value,
+                 const std::string& unit) {
   figures_.push_back({.name = name, .value = value, .unit = unit});
 }
 
-void report::AddMost(const std::string& name, double value, const std::string& unit,
+void report::AddMost(const std::string& name,
+                     double value,
+                     const std::string& unit,
                      double most) {
   figures_.push_back({name, value, unit, most, bound_side::kMost});
 }
 
-void report::AddLeast(const std::string& name, double value, const std::string& unit,
+void report::AddLeast(const std::string& name,
+                      double value,
+                      const std::string& unit,
                       double least) {
   figures_.push_back({name, value, unit, least, bound_side::kLeast});
 }
@@ -59,7 +68,8 @@
       object.set("figure", item.name);
       object.set("value", item.value);
       object.set("unit", item.unit);
-      if (item.bound) object.set("bound", *item.bound);
+      if (item.bound)
+        object.set("bound", *item.bound);
       object.set("verdict", Verdict(item));
       list.add(object);
     }
@@ -68,9 +78,9 @@
     return;
   }
   for (const figure& item : figures_) {
-    std::cout << std::left << std::setw(56) << item.name << std::right << std::setw(12)
-              << std::fixed << std::setprecision(2) << item.value << ' ' << std::left
-              << std::setw(10) << item.unit;
+    std::cout << std::left << std::setw(56) << item.name << std::right
+              << std::setw(12) << std::fixed << std::setprecision(2)
+              << item.value << ' ' << std::left << std::setw(10) << item.unit;
     std::string bound = "-";
     if (item.bound) {
       std::ostringstream text;
@@ -99,16 +109,21 @@
   bench_arguments arguments(argv + 1, argv + argc);
   const bool json = std::erase(arguments, "--json") > 0;
   const std::string name = arguments.empty() ? "list" : arguments.front();
-  if (!arguments.empty()) arguments.erase(arguments.begin());
+  if (!arguments.empty())
+    arguments.erase(arguments.begin());
   for (const bench_info& info : kBenches) {
-    if (name == "list") std::cout << std::left << std::setw(14) << info.name << info.help << '\n';
-    if (info.name != name) continue;
+    if (name == "list")
+      std::cout << std::left << std::setw(14) << info.name << info.help << '\n';
+    if (info.name != name)
+      continue;
     report result;
     info.run(arguments, &result);
     result.Print(json);
     return result.IsShort() ? 1 : 0;
   }
-  if (name == "list") return 0;
-  std::cerr << "bench: found '" << name << "'; 'scripts/bench list' names those allowed\n";
+  if (name == "list")
+    return 0;
+  std::cerr << "bench: found '" << name
+            << "'; 'scripts/bench list' names those allowed\n";
   return 2;
 }
--- a/src/bench/quickstart.cc
+++ b/src/bench/quickstart.cc
@@ -1,4 +1,5 @@
-/// @file quickstart.cc A small fleet from nothing: apply, rollout, requests, a domain out and back.
+/// @file quickstart.cc A small fleet from nothing: apply, rollout, requests, a
+/// domain out and back.
 #include <csignal>
 
 #include <algorithm>
@@ -23,7 +24,8 @@
 harness::fleet_options Options() {
   harness::fleet_options options;
   options.folder = harness::NewFolder("quickstart");
-  options.services = {{.id = "assistant", .servers = 3}, {.id = "booking", .is_plain = true, .servers = 1}};
+  options.services = {{.id = "assistant", .servers = 3},
+                      {.id = "booking", .is_plain = true, .servers = 1}};
   options.weights = {"v1:8388608:131072:1", "v2:8388608:131072:2"};
   return options;
 }
@@ -33,7 +35,8 @@
   size_t count = 0;
   for (harness::fleet_vm* vm : system->VmsOf(proto::vm::AGENT)) {
     const std::string stats = system->Control(vm->engine, "/control/stats");
-    if (harness::ReadJsonText(stats, "version") == version) ++count;
+    if (harness::ReadJsonText(stats, "version") == version)
+      ++count;
   }
   return count;
 }
@@ -44,19 +47,23 @@
   system->SetVersion("assistant", version);
   const time_point begun = std::chrono::steady_clock::now();
   outcome<done> applied = system->Apply();
-  if (!applied) Progress(applied.LastReason());
-  harness::WaitUntil([&] { return CountServing(system, version) == servers; }, kReadyLongest);
+  if (!applied)
+    Progress(applied.LastReason());
+  harness::WaitUntil([&] { return CountServing(system, version) == servers; },
+                     kReadyLongest);
   return ToSeconds(std::chrono::steady_clock::now() - begun);
 }
 
 double OriginCopies(fleet* system) {
-  auto sent = harness::ReadJsonNumber(system->ControlOrigin("/control/stats"), "sent_bytes");
+  auto sent = harness::ReadJsonNumber(system->ControlOrigin("/control/stats"),
+                                      "sent_bytes");
   return static_cast<double>(sent.value_or(0)) / kWeightBytes;
 }
 
 std::vector<std::string> EntryAddresses(fleet* system) {
   std::vector<std::string> addresses;
-  for (harness::fleet_vm* vm : system->VmsOf(proto::vm::ENTRY)) addresses.push_back(vm->http);
+  for (harness::fleet_vm* vm : system->VmsOf(proto::vm::ENTRY))
+    addresses.push_back(vm->http);
   return addresses;
 }
 
@@ -72,19 +79,24 @@
                               .is_plain = true,
                               .prompt = "seat " + std::to_string(i % kSeats),
                               .key = "seat-" + std::to_string(i % kSeats)};
-    harness::call_record record = harness::MakeCall(plan, std::chrono::steady_clock::now());
-    if (record.end == harness::call_record::end_type::kAnswered) ++answered;
+    harness::call_record record =
+        harness::MakeCall(plan, std::chrono::steady_clock::now());
+    if (record.end == harness::call_record::end_type::kAnswered)
+      ++answered;
   }
   for (harness::fleet_vm* vm : system->VmsOf(proto::vm::AGENT)) {
-    if (vm->vm.service() != "booking") continue;
+    if (vm->vm.service() != "booking")
+      continue;
     const std::string stats = system->Control(vm->engine, "/control/stats");
-    result->AddMost("bookings run twice",
-                    static_cast<double>(harness::ReadJsonNumber(stats, "duplicates").value_or(-1)),
-                    "keys", 0);
+    result->AddMost(
+        "bookings run twice",
+        static_cast<double>(
+            harness::ReadJsonNumber(stats, "duplicates").value_or(-1)),
+        "keys", 0);
     break;
   }
-  result->AddLeast("bookings answered, each key sent twice", static_cast<double>(answered),
-                   "answers", 2 * kSeats);
+  result->AddLeast("bookings answered, each key sent twice",
+                   static_cast<double>(answered), "answers", 2 * kSeats);
 }
 
 }  // namespace
@@ -92,7 +104,8 @@
 void RunQuickstart(const bench_arguments&, report* result) {
   fleet system(Options());
   const size_t servers = 9;
-  Progress("starting 3 failure domains with 2 entries and 4 backend servers each");
+  Progress(
+      "starting 3 failure domains with 2 entries and 4 backend servers each");
   outcome<done> started = system.Start();
   if (!started) {
     Progress(started.LastReason());
@@ -101,18 +114,23 @@
   }
   Progress("applying the inventory; all servers get v1");
   result->Add("v1 on all servers", RollOut(&system, "v1", servers), "s");
-  result->AddLeast("servers that serve v1", static_cast<double>(CountServing(&system, "v1")),
-                   "servers", static_cast<double>(servers));
-  result->AddMost("v1 drawn from the origin", OriginCopies(&system), "copies", 1.2);
+  result->AddLeast("servers that serve v1",
+                   static_cast<double>(CountServing(&system, "v1")), "servers",
+                   static_cast<double>(servers));
+  result->AddMost("v1 drawn from the origin", OriginCopies(&system), "copies",
+                  1.2);
 
   Progress("sending requests; rolling out v2 while they flow");
   harness::load load({.entries = EntryAddresses(&system), .rate = kRate});
   load.Start();
   system.ControlOrigin("/control/stats?reset=1");
-  result->Add("v2 on all servers under load", RollOut(&system, "v2", servers), "s");
-  result->AddLeast("servers that serve v2", static_cast<double>(CountServing(&system, "v2")),
-                   "servers", static_cast<double>(servers));
-  result->AddMost("v2 drawn from the origin", OriginCopies(&system), "copies", 1.2);
+  result->Add("v2 on all servers under load", RollOut(&system, "v2", servers),
+              "s");
+  result->AddLeast("servers that serve v2",
+                   static_cast<double>(CountServing(&system, "v2")), "servers",
+                   static_cast<double>(servers));
+  result->AddMost("v2 drawn from the origin", OriginCopies(&system), "copies",
+                  1.2);
 
   Progress("taking southern out of service and returning it");
   const time_point before = std::chrono::steady_clock::now();
@@ -139,17 +157,20 @@
     result->Add("refused, " + reason, static_cast<double>(count), "requests");
   }
   result->AddMost("lost", static_cast<double>(all.lost), "requests", 0);
-  result->AddMost("wrong, partial or mixed answers", static_cast<double>(all.wrong), "requests", 0);
+  result->AddMost("wrong, partial or mixed answers",
+                  static_cast<double>(all.wrong), "requests", 0);
   result->Add("first token p50, before", usual.first_p50_ms, "ms");
   result->Add("first token p95, before", usual.first_p95_ms, "ms");
   result->Add("first token p95, domain out", out.first_p95_ms, "ms");
   result->AddMost("cold limit exceeded",
-                  static_cast<double>(system.SumEngines("cold_limit_exceeded")), "times", 0);
-  result->AddMost("unverified weights loaded", static_cast<double>(system.SumEngines("bad_loads")),
+                  static_cast<double>(system.SumEngines("cold_limit_exceeded")),
                   "times", 0);
+  result->AddMost("unverified weights loaded",
+                  static_cast<double>(system.SumEngines("bad_loads")), "times",
+                  0);
   Progress("shutting down");
-  result->AddMost("processes that did not end gracefully", static_cast<double>(system.Stop()),
-                  "processes", 0);
+  result->AddMost("processes that did not end gracefully",
+                  static_cast<double>(system.Stop()), "processes", 0);
 }
 
 }  // namespace fuchsiafall::bench
--- a/src/blob_store.cc
+++ b/src/blob_store.cc
@@ -6,7 +6,8 @@
 void blob_store::Put(const digest& name, shared_bytes bytes) {
   std::lock_guard lock(mutex_);
   const uint64_t size = bytes->size();
-  if (blobs_.emplace(name, std::move(bytes)).second) total_bytes_ += size;
+  if (blobs_.emplace(name, std::move(bytes)).second)
+    total_bytes_ += size;
 }
 
 shared_bytes blob_store::Find(const digest& name) const {
@@ -17,9 +18,11 @@
 
 void blob_store::KeepOnly(const std::set<digest>& names) {
   std::lock_guard lock(mutex_);
-  std::erase_if(blobs_, [&](const auto& item) { return !names.contains(item.first); });
+  std::erase_if(blobs_,
+                [&](const auto& item) { return !names.contains(item.first); });
   total_bytes_ = 0;
-  for (const auto& [name, bytes] : blobs_) total_bytes_ += bytes->size();
+  for (const auto& [name, bytes] : blobs_)
+    total_bytes_ += bytes->size();
 }
 
 uint64_t blob_store::TotalBytes() const {
--- a/src/call_table.cc
+++ b/src/call_table.cc
@@ -21,8 +21,11 @@
   admission_.SetLimits(cold_limit, most_limit);
 }
 
-void call_table::OnCall(time_point now, const vm_id& entry, const std::string& reply_address,
-                        const proto::call_request& request, const call_context& context,
+void call_table::OnCall(time_point now,
+                        const vm_id& entry,
+                        const std::string& reply_address,
+                        const proto::call_request& request,
+                        const call_context& context,
                         output_list* out) {
   const call_id id{entry, attempt_id(request.attempt_id())};
   if (calls_.contains(id)) {
@@ -31,7 +34,8 @@
   }
   std::optional<reason> refused = RefuseFor(now, request, context);
   if (refused) {
-    Refuse(reply_address, id, *refused, 0, !InfoOf(*refused).proves_not_run, out);
+    Refuse(reply_address, id, *refused, 0, !InfoOf(*refused).proves_not_run,
+           out);
     return;
   }
   call item;
@@ -40,43 +44,56 @@
   item.deadline = now + milliseconds(request.deadline_ms());
   item.last_sent = now;
   item.is_idempotent = context.is_idempotent;
-  if (!item.is_idempotent && AnswerFromSaved(id, item, out)) return;
+  if (!item.is_idempotent && AnswerFromSaved(id, item, out))
+    return;
 
-  admission_result result = admission_.Admit({.id = id,
-                                              .organisation = request.organisation(),
-                                              .weight = context.weight,
-                                              .priority = request.priority(),
-                                              .deadline = item.deadline});
-  if (result.displaced) RefuseAndForget(*result.displaced, reason::kServerFull, out);
+  admission_result result =
+      admission_.Admit({.id = id,
+                        .organisation = request.organisation(),
+                        .weight = context.weight,
+                        .priority = request.priority(),
+                        .deadline = item.deadline});
+  if (result.displaced)
+    RefuseAndForget(*result.displaced, reason::kServerFull, out);
   if (result.kind == admission_result::kind_type::kRefused) {
     Refuse(reply_address, id, reason::kServerFull, 0, false, out);
     return;
   }
   calls_.emplace(id, std::move(item));
-  if (result.kind == admission_result::kind_type::kStarted) Begin(now, id, out);
+  if (result.kind == admission_result::kind_type::kStarted)
+    Begin(now, id, out);
 }
 
-void call_table::OnRecord(time_point now, const record_result& result, output_list* out) {
+void call_table::OnRecord(time_point now,
+                          const record_result& result,
+                          output_list* out) {
   auto it = calls_.find(result.id);
-  bool is_expected = it != calls_.end() && it->second.stage == call_stage::kRecording;
-  if (!is_expected) return;
+  bool is_expected =
+      it != calls_.end() && it->second.stage == call_stage::kRecording;
+  if (!is_expected)
+    return;
   if (result.status == record_result::status_type::kCreated) {
     if (now < it->second.deadline) {
       Run(now, result.id, out);
       return;
     }
     // It did not run, so that the key is free for another try.
-    out->Add(release_record{RecordKey(it->second.request), RecordValue(result.id)});
+    out->Add(
+        release_record{RecordKey(it->second.request), RecordValue(result.id)});
   }
-  reason why = result.status == record_result::status_type::kExists    ? reason::kKeyUsed
-               : result.status == record_result::status_type::kCreated ? reason::kQueueDeadline
-                                                                       : reason::kStoreUnavailable;
+  reason why = result.status == record_result::status_type::kExists
+                   ? reason::kKeyUsed
+               : result.status == record_result::status_type::kCreated
+                   ? reason::kQueueDeadline
+                   : reason::kStoreUnavailable;
   admission_.OnFinished(now, std::nullopt);
   RefuseAndForget(result.id, why, out);
   StartReady(now, out);
 }
 
-void call_table::OnPart(time_point now, const engine_part& part, output_list* out) {
+void call_table::OnPart(time_point now,
+                        const engine_part& part,
+                        output_list* out) {
   auto it = calls_.find(part.id);
   if (it == calls_.end() || it->second.stage != call_stage::kRunning) {
     out->Count("parts_late");
@@ -89,17 +106,21 @@
       out->Add(release_record{RecordKey(item.request), RecordValue(part.id)});
     }
     admission_.OnFinished(now, std::nullopt);
-    Refuse(item.reply_address, part.id, part.why, item.next_sequence, !not_run, out);
+    Refuse(item.reply_address, part.id, part.why, item.next_sequence, !not_run,
+           out);
     calls_.erase(it);
     StartReady(now, out);
     return;
   }
-  if (!item.had_part) out->Count("calls_answered");
+  if (!item.had_part)
+    out->Count("calls_answered");
   duration first_part = now - item.started_at;
   item.had_part = true;
   SendPart(now, part.id, &item, part, out);
-  if (!part.last) return;
-  if (!item.is_idempotent) Save(item);
+  if (!part.last)
+    return;
+  if (!item.is_idempotent)
+    Save(item);
   if (admission_.OnFinished(now, first_part)) {
     out->Count("limit_falls");
     out->Log(log_event::kLimitLowered, "cause=latency");
@@ -110,7 +131,8 @@
 
 void call_table::OnCancel(time_point now, const call_id& id, output_list* out) {
   auto it = calls_.find(id);
-  if (it == calls_.end()) return;
+  if (it == calls_.end())
+    return;
   out->Count("calls_cancelled");
   if (it->second.stage == call_stage::kQueued) {
     admission_.Remove(id);
@@ -118,12 +140,15 @@
     return;
   }
   if (it->second.stage == call_stage::kRecording) {
-    // The record says whether it ran; a record without a run is released on arrival.
+    // The record says whether it ran; a record without a run is released on
+    // arrival.
     it->second.deadline = now;
     return;
   }
-  // A call that may not be repeated is finished all the same, so that its answer is saved.
-  if (it->second.is_idempotent) out->Add(cancel_call{id.attempt, id.entry});
+  // A call that may not be repeated is finished all the same, so that its
+  // answer is saved.
+  if (it->second.is_idempotent)
+    out->Add(cancel_call{id.attempt, id.entry});
 }
 
 void call_table::OnCold(output_list* out) {
@@ -133,7 +158,8 @@
 }
 
 void call_table::RefuseQueued(time_point, reason why, output_list* out) {
-  for (const call_id& id : admission_.TakeAll()) RefuseAndForget(id, why, out);
+  for (const call_id& id : admission_.TakeAll())
+    RefuseAndForget(id, why, out);
 }
 
 void call_table::ShutDown(time_point now, output_list* out) {
@@ -147,10 +173,14 @@
   }
   StartReady(now, out);
   for (auto& [id, item] : calls_) {
-    bool is_overdue = item.stage == call_stage::kRunning && now >= item.deadline;
-    // Nobody waits for it any more, so that its place is better given to another.
-    if (is_overdue && item.is_idempotent) out->Add(cancel_call{id.attempt, id.entry});
-    if (now - item.last_sent < options_.keepalive) continue;
+    bool is_overdue =
+        item.stage == call_stage::kRunning && now >= item.deadline;
+    // Nobody waits for it any more, so that its place is better given to
+    // another.
+    if (is_overdue && item.is_idempotent)
+      out->Add(cancel_call{id.attempt, id.entry});
+    if (now - item.last_sent < options_.keepalive)
+      continue;
     item.last_sent = now;
     proto::envelope message = NewMessage();
     message.mutable_part()->set_attempt_id(id.attempt.value);
@@ -159,29 +189,42 @@
   }
 }
 
-std::optional<reason> call_table::RefuseFor(time_point, const proto::call_request& request,
+std::optional<reason> call_table::RefuseFor(time_point,
+                                            const proto::call_request& request,
                                             const call_context& context) const {
-  if (is_shutting_down_) return reason::kShuttingDown;
-  if (context.service == nullptr || request.service() != context.service->id()) {
+  if (is_shutting_down_)
+    return reason::kShuttingDown;
+  if (context.service == nullptr ||
+      request.service() != context.service->id()) {
     return reason::kUnknownService;
   }
-  if (!context.domain_in_service) return reason::kDomainOut;
-  if (context.is_leaving) return reason::kServerLeaving;
-  if (!context.accepts) return reason::kServerLoading;
-  if (request.version() != context.served_version) return reason::kWrongVersion;
+  if (!context.domain_in_service)
+    return reason::kDomainOut;
+  if (context.is_leaving)
+    return reason::kServerLeaving;
+  if (!context.accepts)
+    return reason::kServerLoading;
+  if (request.version() != context.served_version)
+    return reason::kWrongVersion;
   const auto& adapters = context.adapters;
   if (!request.adapter().empty() &&
-      std::find(adapters.begin(), adapters.end(), request.adapter()) == adapters.end()) {
+      std::find(adapters.begin(), adapters.end(), request.adapter()) ==
+          adapters.end()) {
     return reason::kWrongVersion;
   }
-  if (!context.is_idempotent && request.idempotency_key().empty()) return reason::kKeyMissing;
-  if (request.deadline_ms() == 0) return reason::kQueueDeadline;
+  if (!context.is_idempotent && request.idempotency_key().empty())
+    return reason::kKeyMissing;
+  if (request.deadline_ms() == 0)
+    return reason::kQueueDeadline;
   return std::nullopt;
 }
 
-bool call_table::AnswerFromSaved(const call_id& id, const call& item, output_list* out) {
+bool call_table::AnswerFromSaved(const call_id& id,
+                                 const call& item,
+                                 output_list* out) {
   auto saved = saved_.find(RecordKey(item.request));
-  if (saved == saved_.end()) return false;
+  if (saved == saved_.end())
+    return false;
   if (saved->second.fingerprint != item.request.fingerprint()) {
     Refuse(item.reply_address, id, reason::kKeyUsed, 0, true, out);
     return true;
@@ -201,14 +244,17 @@
 }
 
 void call_table::Save(const call& item) {
-  if (item.saved.size() > kMostSavedBytes || options_.saved_answers == 0) return;
+  if (item.saved.size() > kMostSavedBytes || options_.saved_answers == 0)
+    return;
   std::string key = RecordKey(item.request);
-  if (saved_.contains(key)) return;
+  if (saved_.contains(key))
+    return;
   if (saved_.size() >= options_.saved_answers) {
     saved_.erase(saved_order_.front());
     saved_order_.pop_front();
   }
-  saved_[key] = {item.request.fingerprint(), item.http_status, item.content_type, item.saved};
+  saved_[key] = {item.request.fingerprint(), item.http_status,
+                 item.content_type, item.saved};
   saved_order_.push_back(key);
 }
 
@@ -220,7 +266,8 @@
     return;
   }
   item.stage = call_stage::kRecording;
-  out->Add(create_record{id.attempt, id.entry, RecordKey(item.request), RecordValue(id)});
+  out->Add(create_record{id.attempt, id.entry, RecordKey(item.request),
+                         RecordValue(id)});
 }
 
 void call_table::Run(time_point now, const call_id& id, output_list* out) {
@@ -232,11 +279,16 @@
 }
 
 void call_table::StartReady(time_point now, output_list* out) {
-  for (const call_id& id : admission_.TakeReady()) Begin(now, id, out);
+  for (const call_id& id : admission_.TakeReady())
+    Begin(now, id, out);
 }
 
-void call_table::Refuse(const std::string& address, const call_id& id, reason why,
-                        uint32_t sequence, bool may_have_run, output_list* out) {
+void call_table::Refuse(const std::string& address,
+                        const call_id& id,
+                        reason why,
+                        uint32_t sequence,
+                        bool may_have_run,
+                        output_list* out) {
   out->CountRefusal(why);
   proto::envelope message = NewMessage();
   proto::call_part* part = message.mutable_part();
@@ -250,22 +302,30 @@
   out->Send(plane::kTraffic, address, std::move(message));
 }
 
-void call_table::RefuseAndForget(const call_id& id, reason why, output_list* out) {
+void call_table::RefuseAndForget(const call_id& id,
+                                 reason why,
+                                 output_list* out) {
   auto it = calls_.find(id);
-  if (it == calls_.end()) return;
-  Refuse(it->second.reply_address, id, why, 0, !InfoOf(why).proves_not_run, out);
+  if (it == calls_.end())
+    return;
+  Refuse(it->second.reply_address, id, why, 0, !InfoOf(why).proves_not_run,
+         out);
   calls_.erase(it);
 }
 
-void call_table::SendPart(time_point now, const call_id& id, call* item,
-                          const engine_part& part, output_list* out) {
+void call_table::SendPart(time_point now,
+                          const call_id& id,
+                          call* item,
+                          const engine_part& part,
+                          output_list* out) {
   item->last_sent = now;
   item->bytes += part.data.size();
   if (item->next_sequence == 0) {
     item->http_status = part.http_status;
     item->content_type = part.content_type;
   }
-  if (!item->is_idempotent && item->saved.size() <= kMostSavedBytes) item->saved += part.data;
+  if (!item->is_idempotent && item->saved.size() <= kMostSavedBytes)
+    item->saved += part.data;
   proto::envelope message = NewMessage();
   proto::call_part* body = message.mutable_part();
   body->set_attempt_id(id.attempt.value);
@@ -290,12 +350,14 @@
 
 std::string call_table::RecordKey(const proto::call_request& request) const {
   std::string name = request.organisation() + '\n' + request.idempotency_key();
-  return "fuchsiafall/once/" + request.service() + "/" + ToHex(DigestOf(name).value);
+  return "fuchsiafall/once/" + request.service() + "/" +
+         ToHex(DigestOf(name).value);
 }
 
 std::string call_table::RecordValue(const call_id& id) const {
-  return options_.self.value + "/" + std::to_string(options_.own_incarnation.value) + "/" +
-         id.entry.value + "/" + std::to_string(id.attempt.value);
+  return options_.self.value + "/" +
+         std::to_string(options_.own_incarnation.value) + "/" + id.entry.value +
+         "/" + std::to_string(id.attempt.value);
 }
 
 }  // namespace fuchsiafall
--- a/src/call_table_base.h
+++ b/src/call_table_base.h
@@ -1,4 +1,5 @@
-/// @file call_table_base.h Calls at one agent, from their arrival to their last part.
+/// @file call_table_base.h Calls at one agent, from their arrival to their last
+/// part.
 #ifndef CALL_TABLE_BASE_H_
 #define CALL_TABLE_BASE_H_
 
@@ -15,20 +16,21 @@
   vm_id self;
   incarnation own_incarnation;
   admission_options admission;
-  milliseconds keepalive{1000};     ///< Time after which a running call without parts says so.
-  size_t saved_answers = 1000;      ///< Answers kept for repeated idempotency keys.
+  milliseconds keepalive{
+      1000};  ///< Time after which a running call without parts says so.
+  size_t saved_answers = 1000;  ///< Answers kept for repeated idempotency keys.
 };
 
 /// What decides whether a call that has just arrived may run.
 struct call_context {
   const proto::service* service = nullptr;  ///< Service of this backend server.
-  bool accepts = false;                     ///< Whether the server serves at present.
+  bool accepts = false;  ///< Whether the server serves at present.
   std::string served_version;
-  std::vector<std::string> adapters;        ///< Adapters that are loaded.
+  std::vector<std::string> adapters;  ///< Adapters that are loaded.
   bool domain_in_service = true;
   bool is_leaving = false;
   bool is_idempotent = false;
-  uint32_t weight = 1;                      ///< Share of the organisation.
+  uint32_t weight = 1;  ///< Share of the organisation.
 };
 
 /// Part of an answer from the backend server.
@@ -48,20 +50,27 @@
   status_type status = status_type::kUnavailable;
 };
 
-/// Admits, runs and answers calls. A refusal that proves "not run" is only given
-/// before the call was handed to the backend server, or when it took no connection.
+/// Admits, runs and answers calls. A refusal that proves "not run" is only
+/// given before the call was handed to the backend server, or when it took no
+/// connection.
 class call_table {
  public:
   explicit call_table(call_table_options options);
 
   void SetLimits(uint32_t cold_limit, uint32_t most_limit);
-  void OnCall(time_point now, const vm_id& entry, const std::string& reply_address,
-              const proto::call_request& request, const call_context& context, output_list* out);
+  void OnCall(time_point now,
+              const vm_id& entry,
+              const std::string& reply_address,
+              const proto::call_request& request,
+              const call_context& context,
+              output_list* out);
   void OnRecord(time_point now, const record_result& result, output_list* out);
   void OnPart(time_point now, const engine_part& part, output_list* out);
   void OnCancel(time_point now, const call_id& id, output_list* out);
   /// Falls back to the cold limit.
   void OnCold(output_list* out);
+  /// Tells whether the server is known to be warm.
+  void SetWarm(bool is_warm) { admission_.SetWarm(is_warm); }
   /// Refuses all queued calls, as "not run".
   void RefuseQueued(time_point now, reason why, output_list* out);
   /// Refuses every new call from now on.
@@ -89,7 +98,7 @@
     uint64_t bytes = 0;
     bool had_part = false;
     bool is_idempotent = true;
-    std::string saved;         ///< Answer so far, of calls that may not be repeated.
+    std::string saved;  ///< Answer so far, of calls that may not be repeated.
     int http_status = 0;
     std::string content_type;
   };
@@ -101,17 +110,25 @@
     std::string data;
   };
 
-  std::optional<reason> RefuseFor(time_point now, const proto::call_request& request,
+  std::optional<reason> RefuseFor(time_point now,
+                                  const proto::call_request& request,
                                   const call_context& context) const;
   bool AnswerFromSaved(const call_id& id, const call& item, output_list* out);
   void Save(const call& item);
   void Begin(time_point now, const call_id& id, output_list* out);
   void Run(time_point now, const call_id& id, output_list* out);
   void StartReady(time_point now, output_list* out);
-  void Refuse(const std::string& address, const call_id& id, reason why, uint32_t sequence,
-              bool may_have_run, output_list* out);
+  void Refuse(const std::string& address,
+              const call_id& id,
+              reason why,
+              uint32_t sequence,
+              bool may_have_run,
+              output_list* out);
   void RefuseAndForget(const call_id& id, reason why, output_list* out);
-  void SendPart(time_point now, const call_id& id, call* item, const engine_part& part,
+  void SendPart(time_point now,
+                const call_id& id,
+                call* item,
+                const engine_part& part,
                 output_list* out);
   proto::envelope NewMessage() const;
   std::string RecordKey(const proto::call_request& request) const;
@@ -121,7 +138,8 @@
   admission admission_;
   std::map<call_id, call> calls_;
   std::map<std::string, saved_answer> saved_;
-  std::list<std::string> saved_order_;  ///< Keys of saved answers, oldest first.
+  std::list<std::string>
+      saved_order_;  ///< Keys of saved answers, oldest first.
   proto::server_state state_;
   bool is_shutting_down_ = false;
 };
--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -25,62 +25,88 @@
 };
 
 constexpr command_info kCommands[] = {
-    {"check", "INVENTORY [RULES]", "checks an inventory and rules", false, RunCheck},
-    {"diff", "INVENTORY [RULES]", "shows what apply would change", true, RunDiff},
-    {"apply", "INVENTORY [RULES]", "puts an inventory and rules in force", true, RunApply},
-    {"take-out", "DOMAIN", "takes a failure domain out of service", true, RunTakeOut},
-    {"return", "DOMAIN", "returns a failure domain to service", true, RunReturn},
-    {"settle", "EDIT_ID", "tells whether an edit was accepted", true, RunSettle},
-    {"status", "", "shows all processes with the revision in force", true, RunStatus},
+    {"check", "INVENTORY [RULES]", "checks an inventory and rules", false,
+     RunCheck},
+    {"diff", "INVENTORY [RULES]", "shows what apply would change", true,
+     RunDiff},
+    {"apply", "INVENTORY [RULES]", "puts an inventory and rules in force", true,
+     RunApply},
+    {"take-out", "DOMAIN", "takes a failure domain out of service", true,
+     RunTakeOut},
+    {"return", "DOMAIN", "returns a failure domain to service", true,
+     RunReturn},
+    {"settle", "EDIT_ID", "tells whether an edit was accepted", true,
+     RunSettle},
+    {"status", "", "shows all processes with the revision in force", true,
+     RunStatus},
     {"rollout", "status", "shows how far each rollout is", true, RunRollout},
-    {"manifest", "FILE", "makes a manifest of weights and prints its digest", false, RunManifest},
+    {"manifest", "FILE", "makes a manifest of weights and prints its digest",
+     false, RunManifest},
 };
 
 constexpr char kExitCodes[] =
-    "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 bad input, 4 conflict with another edit,\n"
-    "5 store unreachable, nothing changed, 6 not known whether the edit was accepted\n";
+    "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 bad input, 4 conflict with "
+    "another edit,\n"
+    "5 store unreachable, nothing changed, 6 not known whether the edit was "
+    "accepted\n";
 
 void PrintUsage() {
   std::cout << "Usage: fuchsiafall COMMAND [ARGUMENTS] [OPTIONS]\n\n"
             << "  entry --config F.ini   runs an entry, which callers talk to\n"
-            << "  agent --config F.ini   runs the agent in front of a backend server\n";
+            << "  agent --config F.ini   runs the agent in front of a backend "
+               "server\n";
   for (const command_info& command : kCommands) {
-    std::cout << "  " << command.name << ' ' << command.arguments << "   " << command.help << '\n';
+    std::cout << "  " << command.name << ' ' << command.arguments << "   "
+              << command.help << '\n';
   }
-  std::cout << "\n'fuchsiafall COMMAND --help' shows a command's options.\n" << kExitCodes;
+  std::cout << "\n'fuchsiafall COMMAND --help' shows a command's options.\n"
+            << kExitCodes;
 }
 
 /// Options of the operators' commands, bound to where they are stored.
-po::options_description OperatorOptions(command_line* line, std::string* config) {
+po::options_description OperatorOptions(command_line* line,
+                                        std::string* config) {
   po::options_description options("Options");
   auto add = options.add_options();
   add("help", "shows this help");
   add("version", "shows the version");
   add("config", po::value(config), "INI file with platform.store and keys");
-  add("store", po::value(&line->store), "address of the platform's store, ip:port");
-  add("author", po::value(&line->author)->default_value("operator"), "name written into edits");
-  add("edit-id", po::value(&line->edit_id), "id of the edit, to repeat it safely");
+  add("store", po::value(&line->store),
+      "address of the platform's store, ip:port");
+  add("author", po::value(&line->author)->default_value("operator"),
+      "name written into edits");
+  add("edit-id", po::value(&line->edit_id),
+      "id of the edit, to repeat it safely");
   add("listen", po::value(&line->listen_ip)->default_value("127.0.0.1"),
       "address at which processes answer");
-  add("wait", po::value(&line->wait_ms)->default_value(2000), "ms to wait for their answers");
-  add("chunk-bytes", po::value(&line->chunk_bytes)->default_value(kDefaultChunkBytes),
+  add("wait", po::value(&line->wait_ms)->default_value(2000),
+      "ms to wait for their answers");
+  add("chunk-bytes",
+      po::value(&line->chunk_bytes)->default_value(kDefaultChunkBytes),
       "bytes of a chunk, for manifest");
-  add("out", po::value(&line->output), "folder to write chunks to, for manifest");
+  add("out", po::value(&line->output),
+      "folder to write chunks to, for manifest");
   add("json", po::bool_switch(&line->json), "prints JSON in place of a table");
-  add("watch", po::bool_switch(&line->watch), "draws anew until the rollout is finished");
+  add("watch", po::bool_switch(&line->watch),
+      "draws anew until the rollout is finished");
   return options;
 }
 
 outcome<done> ReadOperatorConfig(const std::string& path, command_line* line) {
-  if (path.empty()) return done{};
+  if (path.empty())
+    return done{};
   outcome<settings> read = ReadSettings(path);
-  if (!read) return failure{read.LastReason()};
-  if (line->store.empty()) line->store = read->store;
+  if (!read)
+    return failure{read.LastReason()};
+  if (line->store.empty())
+    line->store = read->store;
   line->keys = {read->public_key, read->secret_key, read->fleet_key};
   return done{};
 }
 
-exit_code RunOperatorCommand(const command_info& command, int argc, char** argv) {
+exit_code RunOperatorCommand(const command_info& command,
+                             int argc,
+                             char** argv) {
   command_line line;
   std::string config;
   po::options_description options = OperatorOptions(&line, &config);
@@ -90,16 +116,23 @@
   positional.add("argument", -1);
   po::variables_map values;
   try {
-    po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(),
+    po::store(po::command_line_parser(argc, argv)
+                  .options(all)
+                  .positional(positional)
+                  .run(),
               values);
     po::notify(values);
   } catch (const po::error& e) {
-    return PrintError(exit_code::kUsage, std::string(e.what()) + "; see 'fuchsiafall " +
-                                             std::string(command.name) + " --help'");
+    return PrintError(exit_code::kUsage,
+                      std::string(e.what()) + "; see 'fuchsiafall " +
+                          std::string(command.name) + " --help'");
   }
   if (values.contains("help")) {
-    std::cout << "Usage: fuchsiafall " << command.name << ' ' << command.arguments
-              << " [OPTIONS]\n" << command.help << "\n\n" << options << '\n' << kExitCodes;
+    std::cout << "Usage: fuchsiafall " << command.name << ' '
+              << command.arguments << " [OPTIONS]\n"
+              << command.help << "\n\n"
+              << options << '\n'
+              << kExitCodes;
     return exit_code::kOk;
   }
   if (values.contains("version")) {
@@ -107,12 +140,15 @@
     return exit_code::kOk;
   }
   outcome<done> read = ReadOperatorConfig(config, &line);
-  if (!read) return PrintError(exit_code::kBadInput, read.LastReason());
+  if (!read)
+    return PrintError(exit_code::kBadInput, read.LastReason());
   if (command.needs_store && line.store.empty()) {
-    return PrintError(exit_code::kUsage, "--store: allowed is the store's ip:port");
+    return PrintError(exit_code::kUsage,
+                      "--store: allowed is the store's ip:port");
   }
   if (line.chunk_bytes == 0) {
-    return PrintError(exit_code::kUsage, "--chunk-bytes: found 0, allowed is 1 or more");
+    return PrintError(exit_code::kUsage,
+                      "--chunk-bytes: found 0, allowed is 1 or more");
   }
   return command.run(line);
 }
@@ -121,7 +157,8 @@
   std::string config;
   po::options_description options("Options");
   options.add_options()("help", "shows this help and all settings")(
-      "version", "shows the version")("config", po::value(&config), "INI file with the settings");
+      "version", "shows the version")("config", po::value(&config),
+                                      "INI file with the settings");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -139,11 +176,14 @@
     std::cout << "fuchsiafall " << FUCHSIAFALL_VERSION << '\n';
     return exit_code::kOk;
   }
-  if (config.empty()) return PrintError(exit_code::kUsage, "--config: allowed is an INI file");
+  if (config.empty())
+    return PrintError(exit_code::kUsage, "--config: allowed is an INI file");
   outcome<settings> read = ReadSettings(config);
-  if (!read) return PrintError(exit_code::kBadInput, read.LastReason());
+  if (!read)
+    return PrintError(exit_code::kBadInput, read.LastReason());
   if (read->vm.empty() || read->domain.empty()) {
-    return PrintError(exit_code::kBadInput, config + ": node.vm and node.domain must be set");
+    return PrintError(exit_code::kBadInput,
+                      config + ": node.vm and node.domain must be set");
   }
   SetUpLog(read->log_file, read->vm);
   return role == "entry" ? RunEntry(*read) : RunAgent(*read);
@@ -161,12 +201,15 @@
     std::cout << "fuchsiafall " << FUCHSIAFALL_VERSION << '\n';
     return exit_code::kOk;
   }
-  if (name == "entry" || name == "agent") return RunRole(name, argc - 1, argv + 1);
+  if (name == "entry" || name == "agent")
+    return RunRole(name, argc - 1, argv + 1);
   for (const command_info& command : kCommands) {
-    if (command.name == name) return RunOperatorCommand(command, argc - 1, argv + 1);
+    if (command.name == name)
+      return RunOperatorCommand(command, argc - 1, argv + 1);
   }
   return PrintError(exit_code::kUsage,
-                    "command: found '" + name + "'; 'fuchsiafall --help' lists those allowed");
+                    "command: found '" + name +
+                        "'; 'fuchsiafall --help' lists those allowed");
 }
 
 }  // namespace fuchsiafall
--- a/src/configuration_cmd.cc
+++ b/src/configuration_cmd.cc
@@ -1,4 +1,5 @@
-/// @file configuration_cmd.cc The operators' edits: each is tested, then executed.
+/// @file configuration_cmd.cc The operators' edits: each is tested, then
+/// executed.
 #include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
@@ -12,7 +13,8 @@
 template <typename Items>
 int FindId(const Items& items, const std::string& id) {
   for (int i = 0; i < items.size(); ++i) {
-    if (items[i].id() == id) return i;
+    if (items[i].id() == id)
+      return i;
   }
   return -1;
 }
@@ -22,7 +24,8 @@
 void MergeItems(Items* items, const Items& upsert, const Items& remove) {
   for (const auto& item : remove) {
     int place = FindId(*items, item.id());
-    if (place >= 0) items->DeleteSubrange(place, 1);
+    if (place >= 0)
+      items->DeleteSubrange(place, 1);
   }
   for (const auto& item : upsert) {
     int place = FindId(*items, item.id());
@@ -36,18 +39,24 @@
 
 /// Collects what one list needs to become another.
 template <typename Items>
-void DiffItems(const Items& from, const Items& to, Items* upsert, Items* remove) {
+void DiffItems(const Items& from,
+               const Items& to,
+               Items* upsert,
+               Items* remove) {
   using differencer = google::protobuf::util::MessageDifferencer;
   for (const auto& item : to) {
     int place = FindId(from, item.id());
-    if (place < 0 || !differencer::Equals(from[place], item)) *upsert->Add() = item;
+    if (place < 0 || !differencer::Equals(from[place], item))
+      *upsert->Add() = item;
   }
   for (const auto& item : from) {
-    if (FindId(to, item.id()) < 0) remove->Add()->set_id(item.id());
+    if (FindId(to, item.id()) < 0)
+      remove->Add()->set_id(item.id());
   }
 }
 
-void MergeInventory(proto::inventory* inventory, const proto::inventory_delta& delta) {
+void MergeInventory(proto::inventory* inventory,
+                    const proto::inventory_delta& delta) {
   const proto::inventory& add = delta.upsert();
   const proto::inventory& drop = delta.remove();
   MergeItems(inventory->mutable_domains(), add.domains(), drop.domains());
@@ -55,7 +64,8 @@
   MergeItems(inventory->mutable_adapters(), add.adapters(), drop.adapters());
   MergeItems(inventory->mutable_services(), add.services(), drop.services());
   MergeItems(inventory->mutable_vms(), add.vms(), drop.vms());
-  MergeItems(inventory->mutable_organisations(), add.organisations(), drop.organisations());
+  MergeItems(inventory->mutable_organisations(), add.organisations(),
+             drop.organisations());
 }
 
 bool IsOut(const proto::configuration& current, const std::string& domain) {
@@ -63,8 +73,10 @@
   return std::find(out.begin(), out.end(), domain) != out.end();
 }
 
-outcome<done> TestDomain(const proto::configuration& current, const std::string& domain) {
-  if (FindId(current.inventory().domains(), domain) >= 0) return done{};
+outcome<done> TestDomain(const proto::configuration& current,
+                         const std::string& domain) {
+  if (FindId(current.inventory().domains(), domain) >= 0)
+    return done{};
   std::string known;
   for (const auto& item : current.inventory().domains()) {
     known += (known.empty() ? "" : ", ") + item.id();
@@ -72,17 +84,22 @@
   return failure{"domain: found '" + domain + "', allowed is one of " + known};
 }
 
-outcome<done> TestTakeOut(const proto::configuration& current, const std::string& domain) {
-  if (IsOut(current, domain)) return failure{"domain '" + domain + "' is out of service already"};
+outcome<done> TestTakeOut(const proto::configuration& current,
+                          const std::string& domain) {
+  if (IsOut(current, domain))
+    return failure{"domain '" + domain + "' is out of service already"};
   return TestDomain(current, domain);
 }
 
-outcome<done> TestReturn(const proto::configuration& current, const std::string& domain) {
-  if (!IsOut(current, domain)) return failure{"domain '" + domain + "' is in service already"};
+outcome<done> TestReturn(const proto::configuration& current,
+                         const std::string& domain) {
+  if (!IsOut(current, domain))
+    return failure{"domain '" + domain + "' is in service already"};
   return done{};
 }
 
-void ExecuteReturn(proto::configuration* configuration, const std::string& domain) {
+void ExecuteReturn(proto::configuration* configuration,
+                   const std::string& domain) {
   auto* out = configuration->mutable_domains_out();
   out->erase(std::remove(out->begin(), out->end(), domain), out->end());
 }
@@ -96,17 +113,25 @@
 
 }  // namespace
 
-outcome<done> TestEdit(const proto::configuration& current, const proto::edit& edit) {
+outcome<done> TestEdit(const proto::configuration& current,
+                       const proto::edit& edit) {
   if (edit.revision() != current.revision() + 1) {
     return failure{"edit makes revision " + std::to_string(edit.revision()) +
-                   ", but the configuration is at " + std::to_string(current.revision())};
+                   ", but the configuration is at " +
+                   std::to_string(current.revision())};
   }
   switch (edit.change_case()) {
-    case proto::edit::kReplace: return CheckInventory(edit.replace().inventory());
-    case proto::edit::kDelta: return TestDelta(current, edit.delta());
-    case proto::edit::kTakeOut: return TestTakeOut(current, edit.take_out());
-    case proto::edit::kReturnDomain: return TestReturn(current, edit.return_domain());
-    default: return failure{"edit '" + edit.edit_id() + "' holds no change known here"};
+    case proto::edit::kReplace:
+      return CheckInventory(edit.replace().inventory());
+    case proto::edit::kDelta:
+      return TestDelta(current, edit.delta());
+    case proto::edit::kTakeOut:
+      return TestTakeOut(current, edit.take_out());
+    case proto::edit::kReturnDomain:
+      return TestReturn(current, edit.return_domain());
+    default:
+      return failure{"edit '" + edit.edit_id() +
+                     "' holds no change known here"};
   }
 }
 
@@ -118,32 +143,43 @@
       break;
     case proto::edit::kDelta:
       MergeInventory(configuration->mutable_inventory(), edit.delta());
-      if (edit.delta().has_rules()) *configuration->mutable_rules() = edit.delta().rules();
+      if (edit.delta().has_rules())
+        *configuration->mutable_rules() = edit.delta().rules();
+      break;
+    case proto::edit::kTakeOut:
+      configuration->add_domains_out(edit.take_out());
+      break;
+    case proto::edit::kReturnDomain:
+      ExecuteReturn(configuration, edit.return_domain());
+      break;
+    default:
       break;
-    case proto::edit::kTakeOut: configuration->add_domains_out(edit.take_out()); break;
-    case proto::edit::kReturnDomain: ExecuteReturn(configuration, edit.return_domain()); break;
-    default: break;
   }
   configuration->set_revision(edit.revision());
 }
 
-proto::inventory_delta DiffInventories(const proto::inventory& from, const proto::inventory& to) {
+proto::inventory_delta DiffInventories(const proto::inventory& from,
+                                       const proto::inventory& to) {
   proto::inventory_delta delta;
   proto::inventory* add = delta.mutable_upsert();
   proto::inventory* drop = delta.mutable_remove();
-  DiffItems(from.domains(), to.domains(), add->mutable_domains(), drop->mutable_domains());
-  DiffItems(from.versions(), to.versions(), add->mutable_versions(), drop->mutable_versions());
-  DiffItems(from.adapters(), to.adapters(), add->mutable_adapters(), drop->mutable_adapters());
-  DiffItems(from.services(), to.services(), add->mutable_services(), drop->mutable_services());
+  DiffItems(from.domains(), to.domains(), add->mutable_domains(),
+            drop->mutable_domains());
+  DiffItems(from.versions(), to.versions(), add->mutable_versions(),
+            drop->mutable_versions());
+  DiffItems(from.adapters(), to.adapters(), add->mutable_adapters(),
+            drop->mutable_adapters());
+  DiffItems(from.services(), to.services(), add->mutable_services(),
+            drop->mutable_services());
   DiffItems(from.vms(), to.vms(), add->mutable_vms(), drop->mutable_vms());
-  DiffItems(from.organisations(), to.organisations(), add->mutable_organisations(),
-            drop->mutable_organisations());
+  DiffItems(from.organisations(), to.organisations(),
+            add->mutable_organisations(), drop->mutable_organisations());
   return delta;
 }
 
 bool IsEmptyDelta(const proto::inventory_delta& delta) {
-  return delta.upsert().ByteSizeLong() == 0 && delta.remove().ByteSizeLong() == 0 &&
-         !delta.has_rules();
+  return delta.upsert().ByteSizeLong() == 0 &&
+         delta.remove().ByteSizeLong() == 0 && !delta.has_rules();
 }
 
 }  // namespace fuchsiafall
--- a/src/configuration_file.cc
+++ b/src/configuration_file.cc
@@ -15,15 +15,18 @@
 
 outcome<proto::inventory> ReadInventory(const std::string& path) {
   std::ifstream file(path);
-  if (!file) return failure{path + ": cannot be opened"};
+  if (!file)
+    return failure{path + ": cannot be opened"};
   std::stringstream text;
   text << file.rdbuf();
   proto::inventory inventory;
   google::protobuf::util::Status status =
       google::protobuf::util::JsonStringToMessage(text.str(), &inventory);
-  if (!status.ok()) return failure{path + ": " + std::string(status.message())};
+  if (!status.ok())
+    return failure{path + ": " + std::string(status.message())};
   outcome<done> checked = CheckInventory(inventory);
-  if (!checked) return failure{path + ": " + checked.LastReason()};
+  if (!checked)
+    return failure{path + ": " + checked.LastReason()};
   return inventory;
 }
 
@@ -32,7 +35,8 @@
 #define RULE(field, name, def, least, most, unit, help) rules.set_##field(def);
 #include "table/rules.h"
 #undef RULE
-  if (path.empty()) return rules;
+  if (path.empty())
+    return rules;
 
   Poco::AutoPtr<Poco::Util::IniFileConfiguration> file;
   try {
@@ -46,25 +50,29 @@
   for (const std::string& section : sections) {
     Poco::Util::AbstractConfiguration::Keys keys;
     file->keys(section, keys);
-    for (const std::string& key : keys) names.insert(section + "." + key);
+    for (const std::string& key : keys)
+      names.insert(section + "." + key);
   }
   std::string allowed;
-#define RULE(field, name, def, least, most, unit, help)                                      \
-  allowed += std::string(allowed.empty() ? "" : ", ") + name;                                \
-  if (names.erase(name) > 0) {                                                               \
-    unsigned number = 0;                                                                     \
-    std::string found = file->getRawString(name);                                            \
-    if (!Poco::NumberParser::tryParseUnsigned(found, number) || number < (least) ||          \
-        number > (most)) {                                                                   \
-      return failure{path + ": " + name + ": found '" + found +                              \
-                     "', allowed is a whole number from " #least " to " #most " " unit};     \
-    }                                                                                        \
-    rules.set_##field(number);                                                               \
+#define RULE(field, name, def, least, most, unit, help)                       \
+  allowed += std::string(allowed.empty() ? "" : ", ") + name;                 \
+  if (names.erase(name) > 0) {                                                \
+    unsigned number = 0;                                                      \
+    std::string found = file->getRawString(name);                             \
+    if (!Poco::NumberParser::tryParseUnsigned(found, number) ||               \
+        number < (least) || number > (most)) {                                \
+      return failure{path + ": " + name + ": found '" + found +               \
+                     "', allowed is a whole number from " #least " to " #most \
+                     " " unit};                                               \
+    }                                                                         \
+    rules.set_##field(number);                                                \
   }
 #include "table/rules.h"
 #undef RULE
-  if (names.empty()) return rules;
-  return failure{path + ": " + *names.begin() + ": unknown rule, allowed is one of " + allowed};
+  if (names.empty())
+    return rules;
+  return failure{path + ": " + *names.begin() +
+                 ": unknown rule, allowed is one of " + allowed};
 }
 
 }  // namespace fuchsiafall
--- a/src/configuration_func.h
+++ b/src/configuration_func.h
@@ -1,4 +1,5 @@
-/// @file configuration_func.h Checks of inventories, and the operators' edits as commands.
+/// @file configuration_func.h Checks of inventories, and the operators' edits
+/// as commands.
 #ifndef CONFIGURATION_FUNC_H_
 #define CONFIGURATION_FUNC_H_
 
@@ -14,14 +15,16 @@
 outcome<done> CheckInventory(const proto::inventory& inventory);
 
 /// Tests whether an edit can be executed on a configuration.
-outcome<done> TestEdit(const proto::configuration& current, const proto::edit& edit);
+outcome<done> TestEdit(const proto::configuration& current,
+                       const proto::edit& edit);
 
 /// Executes a tested edit; all processes do so in the order of revisions.
 /// @pre TestEdit() accepted it on the same configuration.
 void ExecuteEdit(proto::configuration* configuration, const proto::edit& edit);
 
 /// Computes the difference that turns one inventory into another.
-proto::inventory_delta DiffInventories(const proto::inventory& from, const proto::inventory& to);
+proto::inventory_delta DiffInventories(const proto::inventory& from,
+                                       const proto::inventory& to);
 
 /// Whether a delta changes nothing.
 bool IsEmptyDelta(const proto::inventory_delta& delta);
--- a/src/configuration_log.cc
+++ b/src/configuration_log.cc
@@ -12,10 +12,13 @@
 configuration_log::configuration_log()
     : world_(std::make_shared<world>(proto::configuration())) {}
 
-outcome<bool> configuration_log::AdoptSnapshot(const proto::configuration& snapshot) {
-  if (revision(snapshot.revision()) <= Revision()) return false;
+outcome<bool> configuration_log::AdoptSnapshot(
+    const proto::configuration& snapshot) {
+  if (revision(snapshot.revision()) <= Revision())
+    return false;
   outcome<done> checked = CheckInventory(snapshot.inventory());
-  if (!checked) return failure{checked.LastReason()};
+  if (!checked)
+    return failure{checked.LastReason()};
   world_ = std::make_shared<world>(snapshot);
   edits_.clear();
   return true;
@@ -26,27 +29,33 @@
   proto::configuration next = world_->Configuration();
   std::deque<proto::edit> adopted;
   for (const proto::edit& edit : edits) {
-    if (edit.revision() <= next.revision()) continue;
+    if (edit.revision() <= next.revision())
+      continue;
     outcome<done> tested = TestEdit(next, edit);
-    if (!tested) return failure{tested.LastReason()};
+    if (!tested)
+      return failure{tested.LastReason()};
     ExecuteEdit(&next, edit);
     adopted.push_back(edit);
   }
-  if (adopted.empty()) return false;
+  if (adopted.empty())
+    return false;
   world_ = std::make_shared<world>(std::move(next));
   edits_.insert(edits_.end(), adopted.begin(), adopted.end());
-  while (edits_.size() > kMostEditsHeld) edits_.pop_front();
+  while (edits_.size() > kMostEditsHeld)
+    edits_.pop_front();
   return true;
 }
 
-void configuration_log::WriteUpdate(revision from, proto::envelope* message) const {
+void configuration_log::WriteUpdate(revision from,
+                                    proto::envelope* message) const {
   if (edits_.empty() || edits_.front().revision() > from.value + 1) {
     *message->mutable_snapshot() = world_->Configuration();
     return;
   }
   proto::config_delta* delta = message->mutable_config_delta();
   for (const proto::edit& edit : edits_) {
-    if (edit.revision() > from.value) *delta->add_edits() = edit;
+    if (edit.revision() > from.value)
+      *delta->add_edits() = edit;
   }
 }
 
--- a/src/configuration_log_base.h
+++ b/src/configuration_log_base.h
@@ -1,4 +1,5 @@
-/// @file configuration_log_base.h The configuration in force in one process, and its last edits.
+/// @file configuration_log_base.h The configuration in force in one process,
+/// and its last edits.
 #ifndef CONFIGURATION_LOG_BASE_H_
 #define CONFIGURATION_LOG_BASE_H_
 
@@ -21,17 +22,21 @@
   /// Adopts a whole configuration when it is higher than the present one.
   /// @return Whether it was adopted.
   outcome<bool> AdoptSnapshot(const proto::configuration& snapshot);
-  /// Adopts the edits that follow the present revision; older ones are passed over.
-  /// @return Whether any was adopted; a failure when there is a gap before the first.
-  outcome<bool> AdoptEdits(const google::protobuf::RepeatedPtrField<proto::edit>& edits);
-
-  /// Writes what brings a peer from its revision to the present one, the edits if
-  /// they are still held and else the whole configuration.
+  /// Adopts the edits that follow the present revision; older ones are passed
+  /// over.
+  /// @return Whether any was adopted; a failure when there is a gap before the
+  /// first.
+  outcome<bool> AdoptEdits(
+      const google::protobuf::RepeatedPtrField<proto::edit>& edits);
+
+  /// Writes what brings a peer from its revision to the present one, the edits
+  /// if they are still held and else the whole configuration.
   void WriteUpdate(revision from, proto::envelope* message) const;
 
  private:
-  world_ptr world_;               ///< Never null.
-  std::deque<proto::edit> edits_; ///< The last edits, contiguous up to the present revision.
+  world_ptr world_;  ///< Never null.
+  std::deque<proto::edit>
+      edits_;  ///< The last edits, contiguous up to the present revision.
 };
 
 }  // namespace fuchsiafall
--- a/src/configuration_store.cc
+++ b/src/configuration_store.cc
@@ -1,4 +1,5 @@
-/// @file configuration_store.cc The sequence of accepted edits in the platform's store.
+/// @file configuration_store.cc The sequence of accepted edits in the
+/// platform's store.
 #include "configuration_store.h"
 
 #include <algorithm>
@@ -13,14 +14,16 @@
 constexpr char kSnapshotPrefix[] = "fuchsiafall/snapshot/";
 constexpr int kMostEditsInHead = 64;
 constexpr size_t kMostHeadBytes = 128 * 1024;
-constexpr size_t kMostValueBytes = 1024 * 1024;  // Limit of the platform's store.
+constexpr size_t kMostValueBytes =
+    1024 * 1024;  // Limit of the platform's store.
 constexpr int kMostSettledIds = 2000;
 constexpr milliseconds kRetryPause{100};
 
 using status_type = publish_result::status_type;
 
 /// Finds the revision that an edit made, by the ids that a head remembers.
-uint64_t FindSettled(const proto::config_head& head, const std::string& edit_id) {
+uint64_t FindSettled(const proto::config_head& head,
+                     const std::string& edit_id) {
   const int count = head.settled_edit_ids_size();
   for (int i = count - 1; i >= 0; --i) {
     if (head.settled_edit_ids(i) == edit_id) {
@@ -31,61 +34,78 @@
 }
 
 std::string NameLastEdit(const proto::config_head& head) {
-  if (head.edits().empty()) return "edit of revision " + std::to_string(head.revision());
+  if (head.edits().empty())
+    return "edit of revision " + std::to_string(head.revision());
   const proto::edit& last = *head.edits().rbegin();
-  return "edit '" + last.edit_id() + "' by '" + last.author() + "' made revision " +
-         std::to_string(last.revision());
+  return "edit '" + last.edit_id() + "' by '" + last.author() +
+         "' made revision " + std::to_string(last.revision());
 }
 
-/// Writes a snapshot under a key of its own; a lost answer is settled by reading back.
-outcome<done> WriteSnapshot(const store_client& store, const std::string& key,
+/// Writes a snapshot under a key of its own; a lost answer is settled by
+/// reading back.
+outcome<done> WriteSnapshot(const store_client& store,
+                            const std::string& key,
                             const std::string& value) {
   if (value.size() > kMostValueBytes) {
     return failure{"configuration: found " + std::to_string(value.size()) +
                    " bytes, allowed are " + std::to_string(kMostValueBytes)};
   }
   store_write written = store.write(key, value, 0);
-  if (written == store_write::kDone) return done{};
+  if (written == store_write::kDone)
+    return done{};
   store_value back = store.read(key);
-  if (back.status == store_value::status_type::kFound && back.value == value) return done{};
+  if (back.status == store_value::status_type::kFound && back.value == value)
+    return done{};
   return failure{"the store did not take the snapshot"};
 }
 
-/// Makes the head that follows when an edit is accepted, folding old edits away.
-outcome<proto::config_head> NextHead(const store_client& store, const proto::config_head& head,
+/// Makes the head that follows when an edit is accepted, folding old edits
+/// away.
+outcome<proto::config_head> NextHead(const store_client& store,
+                                     const proto::config_head& head,
                                      const proto::configuration& current,
                                      const proto::edit& edit) {
   proto::config_head next = head;
   next.set_revision(edit.revision());
   next.add_settled_edit_ids(edit.edit_id());
   auto* ids = next.mutable_settled_edit_ids();
-  if (ids->size() > kMostSettledIds) ids->DeleteSubrange(0, ids->size() - kMostSettledIds);
+  if (ids->size() > kMostSettledIds)
+    ids->DeleteSubrange(0, ids->size() - kMostSettledIds);
   *next.add_edits() = edit;
-  if (next.edits_size() <= kMostEditsInHead && next.ByteSizeLong() <= kMostHeadBytes) return next;
+  if (next.edits_size() <= kMostEditsInHead &&
+      next.ByteSizeLong() <= kMostHeadBytes)
+    return next;
 
   proto::configuration snapshot = current;
   ExecuteEdit(&snapshot, edit);
   next.clear_edits();
   next.set_snapshot_revision(edit.revision());
-  next.set_snapshot_key(kSnapshotPrefix + std::to_string(edit.revision()) + "-" + edit.edit_id());
+  next.set_snapshot_key(kSnapshotPrefix + std::to_string(edit.revision()) +
+                        "-" + edit.edit_id());
   outcome<done> written =
       WriteSnapshot(store, next.snapshot_key(), snapshot.SerializeAsString());
-  if (!written) return failure{written.LastReason()};
+  if (!written)
+    return failure{written.LastReason()};
   return next;
 }
 
 /// State of one publishing over its tries.
 class publisher {
  public:
-  publisher(const store_client& store, const publish_options& options, const edit_hook& make_edit)
+  publisher(const store_client& store,
+            const publish_options& options,
+            const edit_hook& make_edit)
       : store_(store), options_(options), make_edit_(make_edit) {}
 
   publish_result Run() {
     for (uint32_t i = 0; i < options_.most_tries; ++i) {
-      if (i > 0 && options_.pause) options_.pause(kRetryPause);
-      if (Try()) return result_;
+      if (i > 0 && options_.pause)
+        options_.pause(kRetryPause);
+      if (Try())
+        return result_;
     }
-    if (was_unknown_) return Result(status_type::kUnknown, "the store gave no answer");
+    if (was_unknown_)
+      return Result(status_type::kUnknown, "the store gave no answer");
     return result_;
   }
 
@@ -111,7 +131,8 @@
       return true;
     }
     // A write on its way can no longer succeed once the head has changed.
-    if (read->modify_index != written_at_) was_unknown_ = false;
+    if (read->modify_index != written_at_)
+      was_unknown_ = false;
     if (base_ && *base_ != read->head.revision() && !options_.is_rebased) {
       result_ = Result(status_type::kConflict, NameLastEdit(read->head));
       return true;
@@ -121,7 +142,8 @@
   }
 
   bool TryWrite(const stored_head& read) {
-    outcome<proto::configuration> current = ReadConfiguration(store_, read.head);
+    outcome<proto::configuration> current =
+        ReadConfiguration(store_, read.head);
     if (!current) {
       result_ = Result(status_type::kUnreachable, current.LastReason());
       return false;
@@ -132,36 +154,45 @@
       edit->set_author(options_.author);
       edit->set_revision(current->revision() + 1);
     }
-    outcome<done> tested = edit ? TestEdit(*current, *edit) : failure{edit.LastReason()};
+    outcome<done> tested =
+        edit ? TestEdit(*current, *edit) : failure{edit.LastReason()};
     if (!tested) {
       result_ = Result(status_type::kRefused, tested.LastReason());
       return true;
     }
-    outcome<proto::config_head> next = NextHead(store_, read.head, *current, *edit);
+    outcome<proto::config_head> next =
+        NextHead(store_, read.head, *current, *edit);
     if (!next) {
       result_ = Result(status_type::kUnreachable, next.LastReason());
       return false;
     }
     written_at_ = read.modify_index;
-    switch (store_.write(kHeadKey, next->SerializeAsString(), read.modify_index)) {
+    switch (
+        store_.write(kHeadKey, next->SerializeAsString(), read.modify_index)) {
       case store_write::kDone:
         result_.status = status_type::kAccepted;
         result_.revision = next->revision();
         RemoveOldSnapshot(read.head, *next);
         return true;
-      case store_write::kUnknown: was_unknown_ = true; return false;
+      case store_write::kUnknown:
+        was_unknown_ = true;
+        return false;
       case store_write::kConflict:
         result_ = Result(status_type::kConflict, "another edit came first");
         return false;
       case store_write::kNotSent:
-        result_ = Result(status_type::kUnreachable, "the store takes no connection");
+        result_ =
+            Result(status_type::kUnreachable, "the store takes no connection");
         return false;
     }
     return false;
   }
 
-  void RemoveOldSnapshot(const proto::config_head& before, const proto::config_head& after) {
-    if (before.snapshot_key().empty() || before.snapshot_key() == after.snapshot_key()) return;
+  void RemoveOldSnapshot(const proto::config_head& before,
+                         const proto::config_head& after) {
+    if (before.snapshot_key().empty() ||
+        before.snapshot_key() == after.snapshot_key())
+      return;
     store_value old = store_.read(before.snapshot_key());
     if (old.status == store_value::status_type::kFound) {
       store_.remove(before.snapshot_key(), old.modify_index);
@@ -172,9 +203,11 @@
   const publish_options& options_;
   const edit_hook& make_edit_;
   publish_result result_;
-  std::optional<uint64_t> base_;  ///< Revision that the edit was first made against.
-  bool was_unknown_ = false;      ///< Whether a write without an answer may yet succeed.
-  uint64_t written_at_ = 0;       ///< Index that the last write was conditional on.
+  std::optional<uint64_t>
+      base_;  ///< Revision that the edit was first made against.
+  bool was_unknown_ =
+      false;  ///< Whether a write without an answer may yet succeed.
+  uint64_t written_at_ = 0;  ///< Index that the last write was conditional on.
 };
 
 /// Understands the answer of a read or watch of the head.
@@ -182,11 +215,13 @@
   stored_head result;
   result.modify_index = value.modify_index;
   result.watch_index = value.watch_index;
-  if (value.status == store_value::status_type::kAbsent) return result;
+  if (value.status == store_value::status_type::kAbsent)
+    return result;
   if (value.status == store_value::status_type::kUnreachable) {
     return failure{"the platform's store cannot be reached"};
   }
-  if (!result.head.ParseFromString(value.value)) return failure{"the head cannot be parsed"};
+  if (!result.head.ParseFromString(value.value))
+    return failure{"the head cannot be parsed"};
   return result;
 }
 
@@ -196,12 +231,14 @@
   return ParseHead(store.read(kHeadKey));
 }
 
-outcome<stored_head> WatchHead(const store_client& store, uint64_t watch_index,
+outcome<stored_head> WatchHead(const store_client& store,
+                               uint64_t watch_index,
                                milliseconds wait) {
   return ParseHead(store.watch(kHeadKey, watch_index, wait));
 }
 
-outcome<store_news> NewsSince(const store_client& store, const proto::config_head& head,
+outcome<store_news> NewsSince(const store_client& store,
+                              const proto::config_head& head,
                               revision from) {
   store_news news;
   if (from.value < head.snapshot_revision()) {
@@ -209,34 +246,43 @@
     proto::configuration snapshot;
     if (value.status != store_value::status_type::kFound ||
         !snapshot.ParseFromString(value.value)) {
-      return failure{"the snapshot '" + head.snapshot_key() + "' cannot be read"};
+      return failure{"the snapshot '" + head.snapshot_key() +
+                     "' cannot be read"};
     }
     news.snapshot = std::move(snapshot);
   }
   for (const proto::edit& edit : head.edits()) {
-    if (edit.revision() > from.value) *news.edits.Add() = edit;
+    if (edit.revision() > from.value)
+      *news.edits.Add() = edit;
   }
   return news;
 }
 
-outcome<proto::configuration> ReadConfiguration(const store_client& store,
-                                                const proto::config_head& head) {
+outcome<proto::configuration> ReadConfiguration(
+    const store_client& store,
+    const proto::config_head& head) {
   outcome<store_news> news = NewsSince(store, head, revision(0));
-  if (!news) return failure{news.LastReason()};
+  if (!news)
+    return failure{news.LastReason()};
   proto::configuration configuration;
-  if (news->snapshot) configuration = *news->snapshot;
-  for (const proto::edit& edit : news->edits) ExecuteEdit(&configuration, edit);
+  if (news->snapshot)
+    configuration = *news->snapshot;
+  for (const proto::edit& edit : news->edits)
+    ExecuteEdit(&configuration, edit);
   return configuration;
 }
 
-publish_result PublishEdit(const store_client& store, const publish_options& options,
+publish_result PublishEdit(const store_client& store,
+                           const publish_options& options,
                            const edit_hook& make_edit) {
   return publisher(store, options, make_edit).Run();
 }
 
-outcome<uint64_t> SettleEdit(const store_client& store, const std::string& edit_id) {
+outcome<uint64_t> SettleEdit(const store_client& store,
+                             const std::string& edit_id) {
   outcome<stored_head> read = ReadHead(store);
-  if (!read) return failure{read.LastReason()};
+  if (!read)
+    return failure{read.LastReason()};
   return FindSettled(read->head, edit_id);
 }
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -21,8 +21,10 @@
     is_shutting_down_ = true;
     requests_.ShutDown();
   } else if (const auto* news = std::get_if<store_news>(&input)) {
-    const proto::configuration* snapshot = news->snapshot ? &*news->snapshot : nullptr;
-    if (gossip_.OnStore(now, snapshot, news->edits, &out)) OnNewRevision(now);
+    const proto::configuration* snapshot =
+        news->snapshot ? &*news->snapshot : nullptr;
+    if (gossip_.OnStore(now, snapshot, news->edits, &out))
+      OnNewRevision(now);
   } else if (const auto* list = std::get_if<proto::vm_list>(&input)) {
     gossip_.OnVmList(now, *list, &out);
   } else if (const auto* arrival = std::get_if<message_arrival>(&input)) {
@@ -37,18 +39,21 @@
 
 bool entry::IsReady() const {
   const proto::vm* own = gossip_.World()->FindVm(options_.self);
-  return own != nullptr && gossip_.World()->IsInService(*own) && !is_shutting_down_ &&
-         !gossip_.IsLeaving(options_.self);
+  return own != nullptr && gossip_.World()->IsInService(*own) &&
+         !is_shutting_down_ && !gossip_.IsLeaving(options_.self);
 }
 
-void entry::OnMessage(time_point now, const message_arrival& arrival, output_list* out) {
+void entry::OnMessage(time_point now,
+                      const message_arrival& arrival,
+                      output_list* out) {
   const proto::envelope& message = arrival.message;
   const vm_id from(message.vm());
   if (message.body_case() == proto::envelope::kPart) {
     requests_.OnPart(now, from, message.part(), out);
     return;
   }
-  if (gossip_.OnMessage(now, message, out)) OnNewRevision(now);
+  if (gossip_.OnMessage(now, message, out))
+    OnNewRevision(now);
   if (message.has_heartbeat() && message.heartbeat().has_state()) {
     router_.OnState(now, from, message.heartbeat().state());
   }
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -9,8 +9,14 @@
 
 namespace fuchsiafall {
 
-using entry_input = std::variant<tick, pause_noticed, shutdown_order, store_news, proto::vm_list,
-                                 message_arrival, caller_request, caller_gone>;
+using entry_input = std::variant<tick,
+                                 pause_noticed,
+                                 shutdown_order,
+                                 store_news,
+                                 proto::vm_list,
+                                 message_arrival,
+                                 caller_request,
+                                 caller_gone>;
 
 struct entry_options {
   vm_id self;
@@ -21,7 +27,8 @@
 };
 
 /// Joins the configuration, the routes and the callers' requests.
-/// It has no clock, thread or socket: inputs come in with the time, outputs go out.
+/// It has no clock, thread or socket: inputs come in with the time, outputs go
+/// out.
 class entry {
  public:
   using tick_input = tick;
@@ -43,7 +50,9 @@
   bool IsShuttingDown() const { return is_shutting_down_; }
 
  private:
-  void OnMessage(time_point now, const message_arrival& arrival, output_list* out);
+  void OnMessage(time_point now,
+                 const message_arrival& arrival,
+                 output_list* out);
   void OnNewRevision(time_point now);
 
   entry_options options_;
--- a/src/entry_process.cc
+++ b/src/entry_process.cc
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr milliseconds kReadinessLead{500};  // For the balancer to notice before the exit.
+constexpr milliseconds kReadinessLead{
+    500};  // For the balancer to notice before the exit.
 
 entry_options OptionsOf(const settings& from, incarnation own) {
   const vm_id self(from.vm);
@@ -24,12 +25,13 @@
                      .domain = domain,
                      .subset = static_cast<size_t>(from.subset),
                      .seed = own.value};
-  options.requests = {.self = self,
-                      .own_incarnation = own,
-                      .own_traffic_address = from.ip + ":" + std::to_string(from.port + 2),
-                      .deadline = milliseconds(from.deadline_ms),
-                      .progress = milliseconds(from.progress_ms),
-                      .retry_share = static_cast<double>(from.retry_percent) / 100};
+  options.requests = {
+      .self = self,
+      .own_incarnation = own,
+      .own_traffic_address = from.ip + ":" + std::to_string(from.port + 2),
+      .deadline = milliseconds(from.deadline_ms),
+      .progress = milliseconds(from.progress_ms),
+      .retry_share = static_cast<double>(from.retry_percent) / 100};
   return options;
 }
 
@@ -40,20 +42,25 @@
       : settings_(from),
         runtime_(from, Hooks()),
         machine_(OptionsOf(from, runtime_.OwnIncarnation())),
-        loop_({.pause = milliseconds(from.pause_ms)}, &machine_,
-              [this](std::vector<output>&& items) { Perform(std::move(items)); }) {}
+        loop_({.pause = milliseconds(from.pause_ms)},
+              &machine_,
+              [this](std::vector<output>&& items) {
+                Perform(std::move(items));
+              }) {}
 
   exit_code Run() {
     outcome<done> started = runtime_.Start();
-    if (!started) return Fail(started.LastReason());
+    if (!started)
+      return Fail(started.LastReason());
     auto server = StartHttpServer(
         {settings_.http_ip, settings_.http_port, settings_.http_threads},
         [this](auto& request, auto& response) { Answer(&request, &response); });
-    if (!server) return Fail(server.LastReason());
+    if (!server)
+      return Fail(server.LastReason());
     LogEvent(log_event::kProcessStarted, "role=entry vm=" + settings_.vm);
     loop_.Run([this] { return IsFinished(); });
     RefuseOpen();
-    (*server)->stop();
+    (*server)->stopAll(true);
     runtime_.Stop();
     LogEvent(log_event::kProcessStopped, "role=entry vm=" + settings_.vm);
     return exit_code::kOk;
@@ -61,14 +68,16 @@
 
  private:
   node_hooks Hooks() {
-    return {.on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
-            .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
-            .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
-            .on_shutdown =
-                [this] {
-                  LogEvent(log_event::kProcessStopping, "role=entry vm=" + settings_.vm);
-                  loop_.Post(shutdown_order());
-                }};
+    return {
+        .on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
+        .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
+        .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
+        .on_shutdown =
+            [this] {
+              LogEvent(log_event::kProcessStopping,
+                       "role=entry vm=" + settings_.vm);
+              loop_.Post(shutdown_order());
+            }};
   }
 
   static exit_code Fail(const std::string& why) {
@@ -80,16 +89,20 @@
     const time_point now = std::chrono::steady_clock::now();
     runtime_.SetWatch(machine_.Gossip().World()->Revision(),
                       machine_.Gossip().WatchesStore(now));
-    if (!machine_.IsShuttingDown()) return false;
-    if (!stop_begun_) stop_begun_ = now;
+    if (!machine_.IsShuttingDown())
+      return false;
+    if (!stop_begun_)
+      stop_begun_ = now;
     const duration passed = now - *stop_begun_;
-    if (passed > seconds(settings_.drain_s)) return true;
+    if (passed > seconds(settings_.drain_s))
+      return true;
     return machine_.IsDrained() && passed > kReadinessLead;
   }
 
   void Perform(std::vector<output>&& items) {
     for (output& item : items) {
-      if (runtime_.Perform(&item)) continue;
+      if (runtime_.Perform(&item))
+        continue;
       if (auto* part = std::get_if<answer_part>(&item)) {
         Deliver(part->request, std::move(*part));
       } else if (auto* refusal = std::get_if<answer_refusal>(&item)) {
@@ -103,17 +116,20 @@
     std::lock_guard lock(mutex_);
     is_closed_ = true;
     for (auto& [id, channel] : channels_) {
-      channel->Push(answer_refusal{id, reason::kShuttingDown, true, milliseconds(0)});
+      channel->Push(
+          answer_refusal{id, reason::kShuttingDown, true, milliseconds(0)});
     }
   }
 
   void Deliver(uint64_t request, caller_event event) {
     std::lock_guard lock(mutex_);
     auto it = channels_.find(request);
-    if (it != channels_.end()) it->second->Push(std::move(event));
+    if (it != channels_.end())
+      it->second->Push(std::move(event));
   }
 
-  void Answer(Poco::Net::HTTPServerRequest* request, Poco::Net::HTTPServerResponse* response) {
+  void Answer(Poco::Net::HTTPServerRequest* request,
+              Poco::Net::HTTPServerResponse* response) {
     const std::string& path = request->getURI();
     if (path == "/metrics") {
       AnswerHttp(response, 200, "text/plain", runtime_.DescribeMetrics());
@@ -121,7 +137,8 @@
       AnswerHttp(response, 200, "text/plain", "ok\n");
     } else if (path == "/readyz") {
       bool ready = loop_.Ask([](const entry& e) { return e.IsReady(); });
-      AnswerHttp(response, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+      AnswerHttp(response, ready ? 200 : 503, "text/plain",
+                 ready ? "ready\n" : "not ready\n");
     } else {
       AnswerCaller(request, response);
     }
@@ -141,7 +158,8 @@
       std::unique_lock lock(mutex_);
       if (is_closed_) {
         lock.unlock();
-        WriteRefusal(response, {.why = reason::kShuttingDown}, "the process is shutting down");
+        WriteRefusal(response, {.why = reason::kShuttingDown},
+                     "the process is shutting down");
         return;
       }
       read->id = next_request_++;
@@ -155,8 +173,10 @@
     } catch (const Poco::Exception&) {
       stayed = false;
     }
-    if (!stayed) loop_.Post(caller_gone{id});
-    runtime_.Metrics().Time("request", std::chrono::steady_clock::now() - begun);
+    if (!stayed)
+      loop_.Post(caller_gone{id});
+    runtime_.Metrics().Time("request",
+                            std::chrono::steady_clock::now() - begun);
     std::lock_guard lock(mutex_);
     channels_.erase(id);
   }
@@ -166,7 +186,8 @@
   entry machine_;
   control_loop<entry, entry_input> loop_;
   std::mutex mutex_;
-  std::map<uint64_t, std::shared_ptr<caller_channel>> channels_;  ///< By request id.
+  std::map<uint64_t, std::shared_ptr<caller_channel>>
+      channels_;  ///< By request id.
   uint64_t next_request_ = 1;
   bool is_closed_ = false;  ///< Whether the control thread has ended.
   std::optional<time_point> stop_begun_;
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -8,19 +8,24 @@
 
 namespace {
 
-constexpr size_t kBridges = 2;            // VMs of a domain that keep links to one other domain.
-constexpr size_t kWatchers = 2;           // VMs of a domain that watch the store.
-constexpr size_t kWatcherCandidates = 5;  // VMs that stand in for silent watchers, in order.
+constexpr size_t kBridges =
+    2;  // VMs of a domain that keep links to one other domain.
+constexpr size_t kWatchers = 2;  // VMs of a domain that watch the store.
+constexpr size_t kWatcherCandidates =
+    5;  // VMs that stand in for silent watchers, in order.
 constexpr size_t kMostCrashesSent = 16;
 constexpr size_t kMostCrashesHeld = 4096;
-constexpr seconds kCrashSpread{60};   // Time for which a crash record is passed on.
+constexpr seconds kCrashSpread{
+    60};  // Time for which a crash record is passed on.
 constexpr seconds kCrashMemory{600};  // Time for which a crash record counts.
 constexpr seconds kWatchMemory{20};   // Time for which a wish to watch lasts.
 
-std::vector<std::string> RankedBridges(const failure_domain& from, const failure_domain& to) {
+std::vector<std::string> RankedBridges(const failure_domain& from,
+                                       const failure_domain& to) {
   std::vector<std::string> bridges;
   std::string key = "bridge " + from.id.value + " " + to.id.value;
-  for (size_t i : RendezvousRank(key, from.vms, kBridges)) bridges.push_back(from.vms[i]);
+  for (size_t i : RendezvousRank(key, from.vms, kBridges))
+    bridges.push_back(from.vms[i]);
   return bridges;
 }
 
@@ -29,17 +34,24 @@
 gossip::gossip(gossip_options options) : options_(std::move(options)) {}
 
 void gossip::Step(time_point now, output_list* out) {
-  if (World()->Revision().value == 0) AskFirstPeers(now, out);
-  auto is_due = [&](const vm_id& id) { return now - peers_[id].last_sent >= options_.heartbeat; };
+  if (World()->Revision().value == 0)
+    AskFirstPeers(now, out);
+  auto is_due = [&](const vm_id& id) {
+    return now - peers_[id].last_sent >= options_.heartbeat;
+  };
   for (const vm_id& id : neighbours_) {
-    if (is_due(id)) SendHeartbeat(now, id, out);
+    if (is_due(id))
+      SendHeartbeat(now, id, out);
   }
   for (const vm_id& id : extra_) {
-    if (!neighbours_.contains(id) && is_due(id)) SendHeartbeat(now, id, out);
+    if (!neighbours_.contains(id) && is_due(id))
+      SendHeartbeat(now, id, out);
   }
 }
 
-bool gossip::OnMessage(time_point now, const proto::envelope& message, output_list* out) {
+bool gossip::OnMessage(time_point now,
+                       const proto::envelope& message,
+                       output_list* out) {
   const vm_id from(message.vm());
   peer& sender = peers_[from];
   sender.last_heard = now;
@@ -47,52 +59,72 @@
   sender.was_asked = false;
   sender.known_incarnation = incarnation(message.incarnation());
   switch (message.body_case()) {
-    case proto::envelope::kHeartbeat: OnHeartbeat(now, message, out); return false;
+    case proto::envelope::kHeartbeat:
+      OnHeartbeat(now, message, out);
+      return false;
     case proto::envelope::kConfigDelta: {
       const auto& edits = message.config_delta().edits();
-      if (!edits.empty()) sender.known_revision = revision(edits.rbegin()->revision());
+      if (!edits.empty())
+        sender.known_revision = revision(edits.rbegin()->revision());
       return Adopt(now, log_.AdoptEdits(edits), out);
     }
     case proto::envelope::kSnapshot:
       sender.known_revision = revision(message.snapshot().revision());
       return Adopt(now, log_.AdoptSnapshot(message.snapshot()), out);
-    case proto::envelope::kVmList: OnVmList(now, message.vm_list(), out); return false;
-    default: return false;
+    case proto::envelope::kVmList:
+      OnVmList(now, message.vm_list(), out);
+      return false;
+    default:
+      return false;
   }
 }
 
-bool gossip::OnStore(time_point now, const proto::configuration* snapshot,
-                     const google::protobuf::RepeatedPtrField<proto::edit>& edits,
-                     output_list* out) {
+bool gossip::OnStore(
+    time_point now,
+    const proto::configuration* snapshot,
+    const google::protobuf::RepeatedPtrField<proto::edit>& edits,
+    output_list* out) {
   last_confirmed_ = now;
   bool changed = false;
-  if (snapshot != nullptr) changed = Adopt(now, log_.AdoptSnapshot(*snapshot), out);
+  if (snapshot != nullptr)
+    changed = Adopt(now, log_.AdoptSnapshot(*snapshot), out);
   return Adopt(now, log_.AdoptEdits(edits), out) || changed;
 }
 
-void gossip::OnVmList(time_point now, const proto::vm_list& list, output_list* out) {
-  if (list.index() <= vm_list_.index()) return;
+void gossip::OnVmList(time_point now,
+                      const proto::vm_list& list,
+                      output_list* out) {
+  if (list.index() <= vm_list_.index())
+    return;
   vm_list_ = list;
   leaving_ = {list.leaving().begin(), list.leaving().end()};
-  for (const vm_id& id : neighbours_) SendHeartbeat(now, id, out);
+  for (const vm_id& id : neighbours_)
+    SendHeartbeat(now, id, out);
 }
 
 void gossip::AddCrash(time_point now, fingerprint request, uint32_t crashes) {
   if (crashes_.size() >= kMostCrashesHeld) {
-    std::erase_if(crashes_, [&](const auto& item) { return now - item.second.last > kCrashSpread; });
-    if (crashes_.size() >= kMostCrashesHeld) return;
+    std::erase_if(crashes_, [&](const auto& item) {
+      return now - item.second.last > kCrashSpread;
+    });
+    if (crashes_.size() >= kMostCrashesHeld)
+      return;
   }
   crash_memory& memory = crashes_[request];
   memory.crashes += crashes;
   memory.last = now;
 }
 
-void gossip::SetOwnState(time_point now, const proto::server_state& state, bool urgent,
+void gossip::SetOwnState(time_point now,
+                         const proto::server_state& state,
+                         bool urgent,
                          output_list* out) {
   own_state_ = state;
-  if (!urgent) return;
+  if (!urgent)
+    return;
   for (const auto& [id, info] : peers_) {
-    if (info.watches && now - info.watched_at < kWatchMemory) SendHeartbeat(now, id, out);
+    if (info.watches && now - info.watched_at < kWatchMemory)
+      SendHeartbeat(now, id, out);
   }
 }
 
@@ -104,15 +136,20 @@
 bool gossip::WatchesStore(time_point now) const {
   size_t alive = 0;
   for (const vm_id& id : watchers_) {
-    if (id == options_.self) return alive < kWatchers;
-    if (!IsSuspect(now, id)) ++alive;
+    if (id == options_.self)
+      return alive < kWatchers;
+    if (!IsSuspect(now, id))
+      ++alive;
   }
   return watchers_.empty();
 }
 
-bool gossip::IsSilent(time_point now, const vm_id& id, milliseconds longest) const {
+bool gossip::IsSilent(time_point now,
+                      const vm_id& id,
+                      milliseconds longest) const {
   auto it = peers_.find(id);
-  if (it == peers_.end()) return false;
+  if (it == peers_.end())
+    return false;
   return it->second.was_asked && now - it->second.asked_since > longest;
 }
 
@@ -123,7 +160,8 @@
 
 uint32_t gossip::CrashesOf(time_point now, fingerprint request) const {
   auto it = crashes_.find(request);
-  if (it == crashes_.end() || now - it->second.last > kCrashMemory) return 0;
+  if (it == crashes_.end() || now - it->second.last > kCrashMemory)
+    return 0;
   return it->second.crashes;
 }
 
@@ -131,32 +169,42 @@
   neighbours_.clear();
   watchers_.clear();
   const failure_domain* own = World()->FindDomain(options_.domain.value);
-  if (own == nullptr) return;
+  if (own == nullptr)
+    return;
   for (const std::string& id :
        RingNeighbours(own->vms, options_.self.value, options_.neighbours)) {
     neighbours_.insert(vm_id(id));
   }
   AddBridges(*own);
   AddWatchers(*own);
-  std::erase_if(peers_, [&](const auto& item) { return World()->FindVm(item.first) == nullptr; });
+  std::erase_if(peers_, [&](const auto& item) {
+    return World()->FindVm(item.first) == nullptr;
+  });
 }
 
 void gossip::AddBridges(const failure_domain& own) {
   for (const auto& [id, other] : World()->Domains()) {
-    if (id == own.id.value) continue;
+    if (id == own.id.value)
+      continue;
     std::vector<std::string> here = RankedBridges(own, other);
-    if (std::find(here.begin(), here.end(), options_.self.value) == here.end()) continue;
-    for (const std::string& there : RankedBridges(other, own)) neighbours_.insert(vm_id(there));
+    if (std::find(here.begin(), here.end(), options_.self.value) == here.end())
+      continue;
+    for (const std::string& there : RankedBridges(other, own))
+      neighbours_.insert(vm_id(there));
   }
 }
 
 void gossip::AddWatchers(const failure_domain& own) {
-  for (size_t i : RendezvousRank("watch " + own.id.value, own.vms, kWatcherCandidates)) {
+  for (size_t i :
+       RendezvousRank("watch " + own.id.value, own.vms, kWatcherCandidates)) {
     watchers_.emplace_back(own.vms[i]);
   }
-  if (std::find(watchers_.begin(), watchers_.end(), options_.self) == watchers_.end()) return;
+  if (std::find(watchers_.begin(), watchers_.end(), options_.self) ==
+      watchers_.end())
+    return;
   for (const vm_id& id : watchers_) {
-    if (id != options_.self) neighbours_.insert(id);
+    if (id != options_.self)
+      neighbours_.insert(id);
   }
 }
 
@@ -167,13 +215,18 @@
   return message;
 }
 
-void gossip::FillHeartbeat(time_point now, bool with_state, proto::heartbeat* heartbeat) const {
+void gossip::FillHeartbeat(time_point now,
+                           bool with_state,
+                           proto::heartbeat* heartbeat) const {
   heartbeat->set_revision(World()->Revision().value);
   heartbeat->set_vm_list_index(vm_list_.index());
-  if (with_state) *heartbeat->mutable_state() = own_state_;
+  if (with_state)
+    *heartbeat->mutable_state() = own_state_;
   for (const auto& [request, memory] : crashes_) {
-    if (now - memory.last > kCrashSpread) continue;
-    if (static_cast<size_t>(heartbeat->crashes_size()) == kMostCrashesSent) break;
+    if (now - memory.last > kCrashSpread)
+      continue;
+    if (static_cast<size_t>(heartbeat->crashes_size()) == kMostCrashesSent)
+      break;
     proto::crash_record* record = heartbeat->add_crashes();
     record->set_fingerprint(request.value);
     record->set_crashes(memory.crashes);
@@ -183,7 +236,8 @@
 
 void gossip::SendHeartbeat(time_point now, const vm_id& id, output_list* out) {
   std::string address = AddressOf(id);
-  if (address.empty()) return;
+  if (address.empty())
+    return;
   peer& target = peers_[id];
   target.last_sent = now;
   if (!target.was_asked) {
@@ -195,12 +249,15 @@
   bool is_extra = extra_.contains(id) && !neighbours_.contains(id);
   heartbeat->set_reply_wanted(is_extra);
   heartbeat->set_watch(extra_with_state_ && extra_.contains(id));
-  FillHeartbeat(now, target.watches && now - target.watched_at < kWatchMemory, heartbeat);
+  FillHeartbeat(now, target.watches && now - target.watched_at < kWatchMemory,
+                heartbeat);
   out->Send(plane::kControl, address, std::move(message));
 }
 
 void gossip::AskFirstPeers(time_point now, output_list* out) {
-  if (now - last_asked_first_ < std::min<duration>(options_.heartbeat, seconds(1))) return;
+  if (now - last_asked_first_ <
+      std::min<duration>(options_.heartbeat, seconds(1)))
+    return;
   last_asked_first_ = now;
   for (const std::string& address : options_.first_peers) {
     proto::envelope message = NewMessage();
@@ -210,12 +267,15 @@
   }
 }
 
-void gossip::OnHeartbeat(time_point now, const proto::envelope& message, output_list* out) {
+void gossip::OnHeartbeat(time_point now,
+                         const proto::envelope& message,
+                         output_list* out) {
   const vm_id from(message.vm());
   const proto::heartbeat& heartbeat = message.heartbeat();
   peer& sender = peers_[from];
   sender.known_revision = revision(heartbeat.revision());
-  if (heartbeat.revision() == World()->Revision().value) last_confirmed_ = now;
+  if (heartbeat.revision() == World()->Revision().value)
+    last_confirmed_ = now;
   if (heartbeat.has_state()) {
     sender.state = heartbeat.state();
     sender.state_at = now;
@@ -223,11 +283,14 @@
   }
   bool is_new_watcher = heartbeat.watch() && !sender.watches;
   sender.watches = heartbeat.watch();
-  if (heartbeat.watch()) sender.watched_at = now;
+  if (heartbeat.watch())
+    sender.watched_at = now;
   MergeCrashes(now, heartbeat);
 
-  std::string address = AddressOf(from).empty() ? message.reply_address() : AddressOf(from);
-  if (address.empty()) return;
+  std::string address =
+      AddressOf(from).empty() ? message.reply_address() : AddressOf(from);
+  if (address.empty())
+    return;
   if (heartbeat.revision() < World()->Revision().value) {
     SendUpdate(from, sender.known_revision, address, out);
   }
@@ -236,7 +299,8 @@
     *list.mutable_vm_list() = vm_list_;
     out->Send(plane::kControl, address, std::move(list));
   }
-  if (!heartbeat.reply_wanted() && !is_new_watcher) return;
+  if (!heartbeat.reply_wanted() && !is_new_watcher)
+    return;
   proto::envelope reply = NewMessage();
   FillHeartbeat(now, heartbeat.watch(), reply.mutable_heartbeat());
   out->Send(plane::kControl, address, std::move(reply));
@@ -248,10 +312,12 @@
     out->Log(log_event::kConfigurationRefused, adopted.LastReason());
     return false;
   }
-  if (!*adopted) return false;
+  if (!*adopted)
+    return false;
   last_confirmed_ = now;
   out->Count("configuration_adopted");
-  out->Log(log_event::kConfigurationAdopted, "revision=" + std::to_string(log_.Revision().value));
+  out->Log(log_event::kConfigurationAdopted,
+           "revision=" + std::to_string(log_.Revision().value));
   RebuildNeighbours();
   PushUpdates(out);
   return true;
@@ -260,25 +326,34 @@
 void gossip::PushUpdates(output_list* out) {
   auto push = [&](const vm_id& id) {
     auto it = peers_.find(id);
-    // Peers not heard yet say in their first heartbeat which revision they need.
-    if (it == peers_.end() || !it->second.was_heard) return;
-    if (it->second.known_revision >= log_.Revision()) return;
+    // Peers not heard yet say in their first heartbeat which revision they
+    // need.
+    if (it == peers_.end() || !it->second.was_heard)
+      return;
+    if (it->second.known_revision >= log_.Revision())
+      return;
     SendUpdate(id, it->second.known_revision, AddressOf(id), out);
   };
-  for (const vm_id& id : neighbours_) push(id);
+  for (const vm_id& id : neighbours_)
+    push(id);
   for (const vm_id& id : extra_) {
-    if (!neighbours_.contains(id)) push(id);
+    if (!neighbours_.contains(id))
+      push(id);
   }
 }
 
-void gossip::SendUpdate(const vm_id& id, revision from, const std::string& address,
+void gossip::SendUpdate(const vm_id& id,
+                        revision from,
+                        const std::string& address,
                         output_list* out) {
-  if (address.empty()) return;
+  if (address.empty())
+    return;
   proto::envelope message = NewMessage();
   log_.WriteUpdate(from, &message);
   out->Count("configuration_updates_sent");
   out->Send(plane::kControl, address, std::move(message));
-  // Taken as known until its next heartbeat says otherwise, so that it is not sent twice.
+  // Taken as known until its next heartbeat says otherwise, so that it is not
+  // sent twice.
   peers_[id].known_revision = log_.Revision();
 }
 
@@ -292,8 +367,10 @@
     const fingerprint request(record.fingerprint());
     auto it = crashes_.find(request);
     time_point last = now - milliseconds(record.age_ms());
-    if (it != crashes_.end() && it->second.crashes >= record.crashes()) continue;
-    if (it == crashes_.end() && crashes_.size() >= kMostCrashesHeld) return;
+    if (it != crashes_.end() && it->second.crashes >= record.crashes())
+      continue;
+    if (it == crashes_.end() && crashes_.size() >= kMostCrashesHeld)
+      return;
     crashes_[request] = {record.crashes(), last};
   }
 }
--- a/src/gossip_base.h
+++ b/src/gossip_base.h
@@ -17,22 +17,24 @@
   vm_id self;
   domain_id domain;
   incarnation own_incarnation;
-  std::string own_address;               ///< Control address, for peers without a configuration.
+  std::string
+      own_address;  ///< Control address, for peers without a configuration.
   std::vector<std::string> first_peers;  ///< Control addresses asked at start.
-  milliseconds heartbeat{2000};          ///< Time between heartbeats to a neighbour.
-  milliseconds suspect{6000};            ///< Silence after which a peer is suspected.
-  size_t neighbours = 8;                 ///< Neighbours in the own failure domain.
+  milliseconds heartbeat{2000};  ///< Time between heartbeats to a neighbour.
+  milliseconds suspect{6000};    ///< Silence after which a peer is suspected.
+  size_t neighbours = 8;         ///< Neighbours in the own failure domain.
 };
 
 /// What direct evidence says of another process.
 struct peer {
   time_point last_heard{};
   time_point last_sent{};
-  time_point asked_since{};   ///< First heartbeat sent after last_heard.
+  time_point asked_since{};  ///< First heartbeat sent after last_heard.
   bool was_heard = false;
-  bool was_asked = false;     ///< Whether a heartbeat has gone unanswered since asked_since.
-  bool watches = false;       ///< Whether it wants our state with each heartbeat.
-  time_point watched_at{};    ///< When it last said so.
+  bool was_asked =
+      false;  ///< Whether a heartbeat has gone unanswered since asked_since.
+  bool watches = false;     ///< Whether it wants our state with each heartbeat.
+  time_point watched_at{};  ///< When it last said so.
   revision known_revision;
   incarnation known_incarnation;
   proto::server_state state;  ///< Of agents; default until heard.
@@ -56,10 +58,14 @@
   void Step(time_point now, output_list* out);
   /// Takes any control message; others are ignored.
   /// @return Whether a new revision was adopted.
-  bool OnMessage(time_point now, const proto::envelope& message, output_list* out);
+  bool OnMessage(time_point now,
+                 const proto::envelope& message,
+                 output_list* out);
   /// Takes what the store holds.
-  bool OnStore(time_point now, const proto::configuration* snapshot,
-               const google::protobuf::RepeatedPtrField<proto::edit>& edits, output_list* out);
+  bool OnStore(time_point now,
+               const proto::configuration* snapshot,
+               const google::protobuf::RepeatedPtrField<proto::edit>& edits,
+               output_list* out);
   /// Takes the platform's list of leaving VMs.
   void OnVmList(time_point now, const proto::vm_list& list, output_list* out);
   /// Adds crashes that a request caused to those known.
@@ -68,7 +74,9 @@
   void ForgetCrash(fingerprint request) { crashes_.erase(request); }
 
   /// Sets the state sent to peers that watch; urgent ones are told at once.
-  void SetOwnState(time_point now, const proto::server_state& state, bool urgent,
+  void SetOwnState(time_point now,
+                   const proto::server_state& state,
+                   bool urgent,
                    output_list* out);
   /// Names VMs outside the own neighbourhood to exchange heartbeats with.
   /// @param with_state Whether their state is wanted.
@@ -98,11 +106,18 @@
   void SendHeartbeat(time_point now, const vm_id& id, output_list* out);
   void AskFirstPeers(time_point now, output_list* out);
   proto::envelope NewMessage() const;
-  void FillHeartbeat(time_point now, bool with_state, proto::heartbeat* heartbeat) const;
-  void OnHeartbeat(time_point now, const proto::envelope& message, output_list* out);
+  void FillHeartbeat(time_point now,
+                     bool with_state,
+                     proto::heartbeat* heartbeat) const;
+  void OnHeartbeat(time_point now,
+                   const proto::envelope& message,
+                   output_list* out);
   bool Adopt(time_point now, outcome<bool> adopted, output_list* out);
   void PushUpdates(output_list* out);
-  void SendUpdate(const vm_id& id, revision from, const std::string& address, output_list* out);
+  void SendUpdate(const vm_id& id,
+                  revision from,
+                  const std::string& address,
+                  output_list* out);
   std::string AddressOf(const vm_id& id) const;
   void MergeCrashes(time_point now, const proto::heartbeat& heartbeat);
 
--- a/src/harness/child_process.cc
+++ b/src/harness/child_process.cc
@@ -15,17 +15,20 @@
 
 namespace fuchsiafall::harness {
 
-child_process::child_process(std::vector<std::string> arguments, std::string log)
+child_process::child_process(std::vector<std::string> arguments,
+                             std::string log)
     : arguments_(std::move(arguments)), log_(std::move(log)) {}
 
 child_process::~child_process() {
-  if (IsRunning()) Kill();
+  if (IsRunning())
+    Kill();
 }
 
 void child_process::Start() {
   std::vector<char*> argv;
   argv.reserve(arguments_.size() + 1);
-  for (std::string& argument : arguments_) argv.push_back(argument.data());
+  for (std::string& argument : arguments_)
+    argv.push_back(argument.data());
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -33,18 +36,21 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   exit_code_.reset();
-  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) != 0) pid_ = -1;
+  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) != 0)
+    pid_ = -1;
   posix_spawn_file_actions_destroy(&actions);
 }
 
 void child_process::Signal(int signal) const {
-  if (pid_ > 0) kill(pid_, signal);
+  if (pid_ > 0)
+    kill(pid_, signal);
 }
 
 std::optional<int> child_process::Wait(milliseconds longest) {
   const time_point until = std::chrono::steady_clock::now() + longest;
   while (IsRunning()) {
-    if (std::chrono::steady_clock::now() >= until) return std::nullopt;
+    if (std::chrono::steady_clock::now() >= until)
+      return std::nullopt;
     std::this_thread::sleep_for(milliseconds(10));
   }
   return exit_code_;
@@ -56,9 +62,11 @@
 }
 
 bool child_process::IsRunning() {
-  if (pid_ <= 0) return false;
+  if (pid_ <= 0)
+    return false;
   int status = 0;
-  if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  if (waitpid(pid_, &status, WNOHANG) != pid_)
+    return true;
   exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   pid_ = -1;
   return false;
@@ -66,13 +74,16 @@
 
 duration child_process::CpuTime() const {
   std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  std::string text((std::istreambuf_iterator<char>(file)),
+                   std::istreambuf_iterator<char>());
   const size_t after_name = text.rfind(')');
-  if (after_name == std::string::npos) return {};
+  if (after_name == std::string::npos)
+    return {};
   std::istringstream fields(text.substr(after_name + 2));
   std::string skipped;
   constexpr int kFieldsBeforeTimes = 11;
-  for (int i = 0; i < kFieldsBeforeTimes; ++i) fields >> skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i)
+    fields >> skipped;
   int64_t user = 0;
   int64_t system = 0;
   fields >> user >> system;
--- a/src/harness/fleet.cc
+++ b/src/harness/fleet.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 
@@ -21,8 +22,9 @@
 constexpr int kControlPort = 7000;
 constexpr int kHttpPort = 7100;
 constexpr int kEnginePort = 7200;
-constexpr int kDomainOctet = 10;   // Of the first domain's addresses: 127.10.x.y.
-constexpr int kProxyOctet = 100;   // Of the first forwarded address.
+constexpr int kDomainOctet =
+    10;  // Of the first domain's addresses: 127.10.x.y.
+constexpr int kProxyOctet = 100;  // Of the first forwarded address.
 constexpr int kMostDomains = 8;
 constexpr char kStoreAddress[] = "127.0.0.1:7300";
 constexpr char kOriginAddress[] = "127.0.0.1:7301";
@@ -36,7 +38,8 @@
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
-  return {(std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>()};
+  return {(std::istreambuf_iterator<char>(file)),
+          std::istreambuf_iterator<char>()};
 }
 
 std::string PrefixOf(size_t domain) {
@@ -57,30 +60,37 @@
 
 }  // namespace
 
-bool WaitUntil(const std::function<bool()>& condition, milliseconds longest,
+bool WaitUntil(const std::function<bool()>& condition,
+               milliseconds longest,
                milliseconds interval) {
   const time_point until = std::chrono::steady_clock::now() + longest;
   while (!condition()) {
-    if (std::chrono::steady_clock::now() >= until) return false;
+    if (std::chrono::steady_clock::now() >= until)
+      return false;
     std::this_thread::sleep_for(interval);
   }
   return true;
 }
 
-std::optional<double> ReadMetric(const std::string& text, const std::string& name) {
+std::optional<double> ReadMetric(const std::string& text,
+                                 const std::string& name) {
   std::istringstream lines(text);
   std::string found;
   double value = 0;
   while (lines >> found >> value) {
-    if (found == name) return value;
+    if (found == name)
+      return value;
   }
   return std::nullopt;
 }
 
-std::optional<int64_t> ReadJsonNumber(const std::string& text, const std::string& name) {
+std::optional<int64_t> ReadJsonNumber(const std::string& text,
+                                      const std::string& name) {
   try {
-    auto object = Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
-    if (!object->has(name)) return std::nullopt;
+    auto object =
+        Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
+    if (!object->has(name))
+      return std::nullopt;
     return object->getValue<Poco::Int64>(name);
   } catch (const Poco::Exception&) {
     return std::nullopt;
@@ -89,7 +99,8 @@
 
 std::string ReadJsonText(const std::string& text, const std::string& name) {
   try {
-    auto object = Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
+    auto object =
+        Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
     return object->optValue<std::string>(name, "");
   } catch (const Poco::Exception&) {
     return "";
@@ -98,7 +109,8 @@
 
 std::string NewFolder(const std::string& name) {
   std::string folder =
-      (std::filesystem::temp_directory_path() / ("fuchsiafall-" + name)).string();
+      (std::filesystem::temp_directory_path() / ("fuchsiafall-" + name))
+          .string();
   std::filesystem::remove_all(folder);
   std::filesystem::create_directories(folder);
   return folder;
@@ -121,7 +133,8 @@
 }
 
 fleet::~fleet() {
-  for (fleet_vm& vm : vms_) vm.process.reset();
+  for (fleet_vm& vm : vms_)
+    vm.process.reset();
   standins_.clear();
 }
 
@@ -134,16 +147,19 @@
   for (const fleet_service& item : options_.services) {
     auto* service = inventory_.add_services();
     service->set_id(item.id);
-    service->set_kind(item.is_plain ? proto::service::PLAIN : proto::service::MODEL);
+    service->set_kind(item.is_plain ? proto::service::PLAIN
+                                    : proto::service::MODEL);
     service->set_cold_limit(item.cold_limit);
     service->set_most_limit(item.most_limit);
     service->set_checks_fencing(options_.checks_fencing);
   }
   for (size_t d = 0; d < options_.domains.size(); ++d) {
     size_t number = 0;
-    for (size_t i = 0; i < options_.entries; ++i) AddVm(d, number++, proto::vm::ENTRY, "");
+    for (size_t i = 0; i < options_.entries; ++i)
+      AddVm(d, number++, proto::vm::ENTRY, "");
     for (const fleet_service& item : options_.services) {
-      for (size_t i = 0; i < item.servers; ++i) AddVm(d, number++, proto::vm::AGENT, item.id);
+      for (size_t i = 0; i < item.servers; ++i)
+        AddVm(d, number++, proto::vm::AGENT, item.id);
     }
   }
   const std::pair<const char*, uint32_t> organisations[] = {
@@ -156,12 +172,14 @@
   }
 }
 
-void fleet::AddVm(size_t domain, size_t number, proto::vm::role_type role,
+void fleet::AddVm(size_t domain,
+                  size_t number,
+                  proto::vm::role_type role,
                   const std::string& service) {
   fleet_vm item;
   const bool is_entry = role == proto::vm::ENTRY;
-  item.vm.set_id(options_.domains[domain] + (is_entry ? "-entry-" : "-server-") +
-                 std::to_string(number));
+  item.vm.set_id(options_.domains[domain] +
+                 (is_entry ? "-entry-" : "-server-") + std::to_string(number));
   item.vm.set_domain(options_.domains[domain]);
   item.vm.set_role(role);
   item.vm.set_ip(PrefixOf(domain) + std::to_string(number / 200) + "." +
@@ -169,19 +187,22 @@
   item.vm.set_port(kControlPort);
   item.vm.set_service(service);
   item.http = item.vm.ip() + ":" + std::to_string(kHttpPort);
-  if (!is_entry) item.engine = item.vm.ip() + ":" + std::to_string(kEnginePort);
+  if (!is_entry)
+    item.engine = item.vm.ip() + ":" + std::to_string(kEnginePort);
   *inventory_.add_vms() = item.vm;
   vms_.push_back(std::move(item));
 }
 
 outcome<done> fleet::Start() {
   outcome<done> started = StartStandins();
-  if (!started) return started;
+  if (!started)
+    return started;
   for (fleet_vm& vm : vms_) {
     const std::string settings = WriteSettings(vm);
     const char* role = vm.vm.role() == proto::vm::ENTRY ? "entry" : "agent";
     vm.process = std::make_unique<child_process>(
-        std::vector<std::string>{ProgramFolder() + "/fuchsiafall", role, "--config", settings},
+        std::vector<std::string>{ProgramFolder() + "/fuchsiafall", role,
+                                 "--config", settings},
         folder_ + "/" + vm.vm.id() + ".log");
     vm.process->Start();
   }
@@ -191,15 +212,23 @@
 size_t fleet::Stop() {
   size_t bad = 0;
   for (fleet_vm& vm : vms_) {
-    if (vm.process != nullptr) vm.process->Signal(SIGTERM);
+    if (vm.process != nullptr)
+      vm.process->Signal(SIGTERM);
   }
   for (fleet_vm& vm : vms_) {
-    if (vm.process == nullptr) continue;
+    if (vm.process == nullptr)
+      continue;
     std::optional<int> code = vm.process->Wait(kStopLongest);
-    if (code != 0) ++bad;
+    if (code == 0)
+      continue;
+    ++bad;
+    std::cerr << "!! " << vm.vm.id() << " ended with " << code.value_or(-1)
+              << std::endl;
   }
-  for (auto& [name, process] : standins_) process->Signal(SIGTERM);
-  for (auto& [name, process] : standins_) process->Wait(seconds(5));
+  for (auto& [name, process] : standins_)
+    process->Signal(SIGTERM);
+  for (auto& [name, process] : standins_)
+    process->Wait(seconds(5));
   return bad;
 }
 
@@ -210,11 +239,13 @@
   std::ofstream(path) << text;
   std::string output;
   int code = RunCommand({"apply", path, "--store", store_}, &output);
-  if (!written.ok() || code != 0) return failure{"apply: " + output};
+  if (!written.ok() || code != 0)
+    return failure{"apply: " + output};
   return done{};
 }
 
-int fleet::RunCommand(const std::vector<std::string>& arguments, std::string* output) const {
+int fleet::RunCommand(const std::vector<std::string>& arguments,
+                      std::string* output) const {
   std::vector<std::string> all{ProgramFolder() + "/fuchsiafall"};
   all.insert(all.end(), arguments.begin(), arguments.end());
   const std::string log = folder_ + "/command.log";
@@ -222,13 +253,15 @@
   child_process command(all, log);
   command.Start();
   std::optional<int> code = command.Wait(seconds(60));
-  if (output != nullptr) *output = ReadFile(log);
+  if (output != nullptr)
+    *output = ReadFile(log);
   return code.value_or(-1);
 }
 
 void fleet::SetVersion(const std::string& service, const std::string& version) {
   bool is_known = false;
-  for (const auto& item : inventory_.versions()) is_known = is_known || item.id() == version;
+  for (const auto& item : inventory_.versions())
+    is_known = is_known || item.id() == version;
   if (!is_known) {
     auto* item = inventory_.add_versions();
     item->set_id(version);
@@ -236,11 +269,13 @@
     item->set_manifest_digest(digests_[version]);
   }
   for (auto& item : *inventory_.mutable_services()) {
-    if (item.id() == service) item.set_version(version);
+    if (item.id() == service)
+      item.set_version(version);
   }
 }
 
-std::vector<fleet_vm*> fleet::VmsOf(proto::vm::role_type role, const std::string& domain) {
+std::vector<fleet_vm*> fleet::VmsOf(proto::vm::role_type role,
+                                    const std::string& domain) {
   std::vector<fleet_vm*> found;
   for (fleet_vm& vm : vms_) {
     if (vm.vm.role() == role && (domain.empty() || vm.vm.domain() == domain)) {
@@ -250,23 +285,29 @@
   return found;
 }
 
-std::string fleet::Control(const std::string& address, const std::string& path) const {
-  return CallHttp({.address = address, .path = path, .timeout = seconds(5)}).body;
+std::string fleet::Control(const std::string& address,
+                           const std::string& path) const {
+  return CallHttp({.address = address, .path = path, .timeout = seconds(5)})
+      .body;
 }
 
 int64_t fleet::SumEngines(const std::string& name) {
   int64_t sum = 0;
   for (fleet_vm& vm : vms_) {
-    if (vm.engine.empty()) continue;
-    sum += ReadJsonNumber(Control(vm.engine, "/control/stats"), name).value_or(0);
+    if (vm.engine.empty())
+      continue;
+    sum +=
+        ReadJsonNumber(Control(vm.engine, "/control/stats"), name).value_or(0);
   }
   return sum;
 }
 
-int64_t fleet::SumMetrics(const std::vector<fleet_vm*>& vms, const std::string& name) {
+int64_t fleet::SumMetrics(const std::vector<fleet_vm*>& vms,
+                          const std::string& name) {
   int64_t sum = 0;
   for (const fleet_vm* vm : vms) {
-    sum += static_cast<int64_t>(ReadMetric(Control(vm->http, "/metrics"), name).value_or(0));
+    sum += static_cast<int64_t>(
+        ReadMetric(Control(vm->http, "/metrics"), name).value_or(0));
   }
   return sum;
 }
@@ -276,15 +317,19 @@
   vm->process->Start();
 }
 
-outcome<done> fleet::StartStandin(const std::string& name, std::vector<std::string> arguments) {
-  arguments.insert(arguments.begin(), ProgramFolder() + "/fuchsiafall-standins");
+outcome<done> fleet::StartStandin(const std::string& name,
+                                  std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(),
+                   ProgramFolder() + "/fuchsiafall-standins");
   const std::string log = folder_ + "/standin-" + name + ".log";
   auto process = std::make_unique<child_process>(std::move(arguments), log);
   process->Start();
   standins_[name] = std::move(process);
   bool is_ready = WaitUntil(
-      [&] { return ReadFile(log).find("ready") != std::string::npos; }, kStartLongest);
-  if (is_ready) return done{};
+      [&] { return ReadFile(log).find("ready") != std::string::npos; },
+      kStartLongest);
+  if (is_ready)
+    return done{};
   return failure{"stand-in " + name + " did not start: " + ReadFile(log)};
 }
 
@@ -292,10 +337,12 @@
   std::vector<std::string> engines{"engines"};
   std::vector<std::string> plain{"plain"};
   for (const fleet_vm& vm : vms_) {
-    if (vm.engine.empty()) continue;
+    if (vm.engine.empty())
+      continue;
     bool is_plain = false;
     for (const fleet_service& item : options_.services) {
-      if (item.id == vm.vm.service()) is_plain = item.is_plain;
+      if (item.id == vm.vm.service())
+        is_plain = item.is_plain;
     }
     std::vector<std::string>& list = is_plain ? plain : engines;
     list.insert(list.end(), {"--listen", vm.engine});
@@ -312,7 +359,8 @@
     set(&engines, "--cold-limit", options_.services.front().cold_limit);
     set(&engines, "--most-limit", options_.services.front().most_limit);
   }
-  if (options_.checks_fencing) engines.emplace_back("--checks-fencing");
+  if (options_.checks_fencing)
+    engines.emplace_back("--checks-fencing");
   std::vector<std::string> origin{"origin", "--listen", origin_};
   set(&origin, "--rate", options_.origin_rate);
   for (const std::string& spec : options_.weights) {
@@ -327,12 +375,14 @@
     std::vector<std::string> proxy{"proxy", "--control", proxy_};
     set(&proxy, "--rate", options_.region_rate);
     set(&proxy, "--delay-ms", options_.region_delay_ms);
-    for (const std::string& link : ProxyLinks()) proxy.insert(proxy.end(), {"--link", link});
+    for (const std::string& link : ProxyLinks())
+      proxy.insert(proxy.end(), {"--link", link});
     all.emplace_back("proxy", proxy);
   }
   for (auto& [name, arguments] : all) {
     outcome<done> started = StartStandin(name, arguments);
-    if (!started) return started;
+    if (!started)
+      return started;
   }
   // The platform and the origin are not behind the links between regions.
   if (options_.has_proxy) {
@@ -350,12 +400,16 @@
     links.push_back(name + "-origin=" + ProxyOrigin(from) + ">" + origin_);
     for (const fleet_vm& vm : vms_) {
       size_t to = 0;
-      while (options_.domains[to] != vm.vm.domain()) ++to;
-      if (to == from) continue;
+      while (options_.domains[to] != vm.vm.domain())
+        ++to;
+      if (to == from)
+        continue;
       const std::string rest = vm.vm.ip().substr(PrefixOf(to).size());
       for (int port = kControlPort; port < kControlPort + 3; ++port) {
-        links.push_back(name + "-" + vm.vm.domain() + "=" + ProxyPrefix(from, to) + rest + ":" +
-                        std::to_string(port) + ">" + vm.vm.ip() + ":" + std::to_string(port));
+        links.push_back(name + "-" + vm.vm.domain() + "=" +
+                        ProxyPrefix(from, to) + rest + ":" +
+                        std::to_string(port) + ">" + vm.vm.ip() + ":" +
+                        std::to_string(port));
       }
     }
   }
@@ -364,7 +418,8 @@
 
 std::string fleet::WriteSettings(const fleet_vm& vm) {
   size_t domain = 0;
-  while (options_.domains[domain] != vm.vm.domain()) ++domain;
+  while (options_.domains[domain] != vm.vm.domain())
+    ++domain;
   std::map<std::string, std::string> values{
       {"node.vm", vm.vm.id()},
       {"node.domain", vm.vm.domain()},
@@ -373,12 +428,14 @@
       {"node.port", std::to_string(vm.vm.port())},
       {"http.ip", vm.vm.ip()},
       {"http.port", std::to_string(kHttpPort)},
-      {"http.threads", std::to_string(vm.engine.empty() ? options_.entry_threads : 4)},
+      {"http.threads",
+       std::to_string(vm.engine.empty() ? options_.entry_threads : 4)},
       {"platform.store", options_.has_proxy ? ProxyStore(domain) : store_},
       {"platform.vm_list", options_.has_proxy ? ProxyStore(domain) : store_},
       {"platform.origin", options_.has_proxy ? ProxyOrigin(domain) : origin_},
       {"weights.rate", std::to_string(static_cast<int64_t>(options_.vm_rate))}};
-  if (!vm.engine.empty()) values["engine.address"] = vm.engine;
+  if (!vm.engine.empty())
+    values["engine.address"] = vm.engine;
   if (options_.has_keys) {
     values["keys.public"] = public_key_;
     values["keys.secret"] = secret_key_;
@@ -388,12 +445,15 @@
   std::string peers;
   size_t named = 0;
   for (const fleet_vm& other : vms_) {
-    if (other.vm.domain() != vm.vm.domain() || other.vm.id() == vm.vm.id()) continue;
-    if (named++ == 3) break;
+    if (other.vm.domain() != vm.vm.domain() || other.vm.id() == vm.vm.id())
+      continue;
+    if (named++ == 3)
+      break;
     peers += other.vm.ip() + ":" + std::to_string(other.vm.port()) + ",";
   }
   values["peers.first"] = peers;
-  for (const auto& [name, value] : options_.settings) values[name] = value;
+  for (const auto& [name, value] : options_.settings)
+    values[name] = value;
 
   const std::string path = folder_ + "/" + vm.vm.id() + ".ini";
   std::ofstream file(path);
@@ -409,7 +469,8 @@
   if (options_.has_proxy) {
     file << "[address_map]\n";
     for (size_t to = 0; to < options_.domains.size(); ++to) {
-      if (to != domain) file << PrefixOf(to) << " = " << ProxyPrefix(domain, to) << '\n';
+      if (to != domain)
+        file << PrefixOf(to) << " = " << ProxyPrefix(domain, to) << '\n';
     }
   }
   return path;
@@ -419,11 +480,13 @@
   std::istringstream lines(ReadFile(folder_ + "/standin-origin.log"));
   std::string word;
   while (lines >> word) {
-    if (word != "weights") continue;
+    if (word != "weights")
+      continue;
     std::string name;
     lines >> name >> digests_[name];
   }
-  if (digests_.size() == options_.weights.size()) return done{};
+  if (digests_.size() == options_.weights.size())
+    return done{};
   return failure{"the origin did not name all weights"};
 }
 
--- a/src/harness/fleet.h
+++ b/src/harness/fleet.h
@@ -1,4 +1,5 @@
-/// @file fleet.h Starts real processes with stand-ins on loopback, for the bench and tests.
+/// @file fleet.h Starts real processes with stand-ins on loopback, for the
+/// bench and tests.
 #ifndef HARNESS_FLEET_H_
 #define HARNESS_FLEET_H_
 
@@ -50,22 +51,23 @@
 struct fleet_service {
   std::string id;
   bool is_plain = false;
-  size_t servers = 2;          ///< In each failure domain.
+  size_t servers = 2;  ///< In each failure domain.
   uint32_t cold_limit = 2;
   uint32_t most_limit = 16;
 };
 
 struct fleet_options {
-  std::string folder;                     ///< For settings and logs.
+  std::string folder;  ///< For settings and logs.
   std::vector<std::string> domains{"western", "southern", "eastern"};
-  size_t entries = 2;                     ///< In each failure domain.
+  size_t entries = 2;  ///< In each failure domain.
   std::vector<fleet_service> services;
-  std::vector<std::string> weights;       ///< Origin: NAME:BYTES:CHUNK_BYTES:SEED.
-  double origin_rate = 16e6;              ///< Bytes per second.
-  double vm_rate = 8e6;                   ///< Bytes per second.
-  double region_rate = 2.5e6;             ///< Bytes per second between two domains, each way.
+  std::vector<std::string> weights;  ///< Origin: NAME:BYTES:CHUNK_BYTES:SEED.
+  double origin_rate = 16e6;         ///< Bytes per second.
+  double vm_rate = 8e6;              ///< Bytes per second.
+  double region_rate =
+      2.5e6;  ///< Bytes per second between two domains, each way.
   int region_delay_ms = 2;
-  bool has_proxy = false;                 ///< Whether domains talk through the proxy.
+  bool has_proxy = false;  ///< Whether domains talk through the proxy.
   bool checks_fencing = false;
   int warm_after = 8;
   int load_ms = 200;
@@ -73,15 +75,16 @@
   int token_ms = 5;
   int service_ms = 10;
   int entry_threads = 64;
-  std::map<std::string, std::string> settings;  ///< By section.name, for all processes.
-  bool has_keys = false;                  ///< Whether links use CURVE keys.
+  std::map<std::string, std::string>
+      settings;           ///< By section.name, for all processes.
+  bool has_keys = false;  ///< Whether links use CURVE keys.
 };
 
 /// VM of a fleet with its process.
 struct fleet_vm {
   proto::vm vm;
-  std::string http;                       ///< ip:port of its page.
-  std::string engine;                     ///< ip:port of its backend server.
+  std::string http;    ///< ip:port of its page.
+  std::string engine;  ///< ip:port of its backend server.
   std::unique_ptr<child_process> process;
 };
 
@@ -96,40 +99,55 @@
   /// Starts the stand-ins, then all processes.
   outcome<done> Start();
   /// Ends all processes gracefully.
-  /// @return How many did not end by themselves, or with another exit code than 0.
+  /// @return How many did not end by themselves, or with another exit code than
+  /// 0.
   size_t Stop();
 
   /// Writes the present inventory and has it applied.
   outcome<done> Apply();
   /// Runs an operators' command to its end.
-  int RunCommand(const std::vector<std::string>& arguments, std::string* output = nullptr) const;
+  int RunCommand(const std::vector<std::string>& arguments,
+                 std::string* output = nullptr) const;
   /// Changes the intended version of a model service in the inventory.
   void SetVersion(const std::string& service, const std::string& version);
 
   proto::inventory& Inventory() { return inventory_; }
   std::vector<fleet_vm>& Vms() { return vms_; }
-  std::vector<fleet_vm*> VmsOf(proto::vm::role_type role, const std::string& domain = "");
+  std::vector<fleet_vm*> VmsOf(proto::vm::role_type role,
+                               const std::string& domain = "");
   const std::map<std::string, std::string>& Digests() const { return digests_; }
   const std::string& StoreAddress() const { return store_; }
   const fleet_options& Options() const { return options_; }
 
   /// Calls a stand-in's control page and returns its answer.
-  std::string Control(const std::string& address, const std::string& path) const;
-  std::string ControlPlatform(const std::string& path) const { return Control(store_, path); }
-  std::string ControlOrigin(const std::string& path) const { return Control(origin_, path); }
-  std::string ControlProxy(const std::string& path) const { return Control(proxy_, path); }
+  std::string Control(const std::string& address,
+                      const std::string& path) const;
+  std::string ControlPlatform(const std::string& path) const {
+    return Control(store_, path);
+  }
+  std::string ControlOrigin(const std::string& path) const {
+    return Control(origin_, path);
+  }
+  std::string ControlProxy(const std::string& path) const {
+    return Control(proxy_, path);
+  }
   /// Sums one number over the control pages of all engines.
   int64_t SumEngines(const std::string& name);
   /// Sums one counter over the pages of some processes.
-  int64_t SumMetrics(const std::vector<fleet_vm*>& vms, const std::string& name);
+  int64_t SumMetrics(const std::vector<fleet_vm*>& vms,
+                     const std::string& name);
   /// Starts a VM's process anew, empty.
   void Restart(fleet_vm* vm);
 
  private:
   void BuildInventory();
-  void AddVm(size_t domain, size_t number, proto::vm::role_type role, const std::string& service);
+  void AddVm(size_t domain,
+             size_t number,
+             proto::vm::role_type role,
+             const std::string& service);
   outcome<done> StartStandins();
-  outcome<done> StartStandin(const std::string& name, std::vector<std::string> arguments);
+  outcome<done> StartStandin(const std::string& name,
+                             std::vector<std::string> arguments);
   std::vector<std::string> ProxyLinks();
   std::string WriteSettings(const fleet_vm& vm);
   outcome<done> ReadDigests();
@@ -139,7 +157,8 @@
   proto::inventory inventory_;
   std::vector<fleet_vm> vms_;
   std::map<std::string, std::unique_ptr<child_process>> standins_;
-  std::map<std::string, std::string> digests_;  ///< Of manifests, by the name of the weights.
+  std::map<std::string, std::string>
+      digests_;  ///< Of manifests, by the name of the weights.
   std::string store_;
   std::string origin_;
   std::string proxy_;
@@ -149,13 +168,16 @@
 
 /// Waits until a condition holds.
 /// @return Whether it came to hold in time.
-bool WaitUntil(const std::function<bool()>& condition, milliseconds longest,
+bool WaitUntil(const std::function<bool()>& condition,
+               milliseconds longest,
                milliseconds interval = milliseconds(50));
 
 /// Reads one number from lines of "name value".
-std::optional<double> ReadMetric(const std::string& text, const std::string& name);
+std::optional<double> ReadMetric(const std::string& text,
+                                 const std::string& name);
 /// Reads one number from a flat JSON object.
-std::optional<int64_t> ReadJsonNumber(const std::string& text, const std::string& name);
+std::optional<int64_t> ReadJsonNumber(const std::string& text,
+                                      const std::string& name);
 std::string ReadJsonText(const std::string& text, const std::string& name);
 
 /// Folder for a run's settings and logs, empty at its start.
--- a/src/harness/load.cc
+++ b/src/harness/load.cc
@@ -31,7 +31,10 @@
   body.set("stream", plan.stream);
   std::ostringstream text;
   body.stringify(text);
-  return {.address = plan.entry, .method = "POST", .path = "/v1/completions", .body = text.str()};
+  return {.address = plan.entry,
+          .method = "POST",
+          .path = "/v1/completions",
+          .body = text.str()};
 }
 
 http_call ServiceCall(const caller_plan& plan) {
@@ -39,7 +42,8 @@
                  .method = "POST",
                  .path = "/services/" + plan.service + "/book",
                  .body = plan.prompt};
-  if (!plan.key.empty()) call.headers["Idempotency-Key"] = plan.key;
+  if (!plan.key.empty())
+    call.headers["Idempotency-Key"] = plan.key;
   return call;
 }
 
@@ -47,44 +51,58 @@
 bool IsOwnText(const std::string& text, const caller_plan& plan) {
   std::string expected;
   const std::string tag = TagOf(plan.prompt);
-  for (int i = 0; i < plan.tokens; ++i) expected += tag + "-" + std::to_string(i) + " ";
+  for (int i = 0; i < plan.tokens; ++i)
+    expected += tag + "-" + std::to_string(i) + " ";
   return text == expected;
 }
 
 /// Reads all events of a stream.
 /// @return Whether it was whole, of one version and the caller's own.
-bool ReadStream(const std::string& body, const caller_plan& plan, call_record* record) {
+bool ReadStream(const std::string& body,
+                const caller_plan& plan,
+                call_record* record) {
   std::istringstream lines(body);
   std::string line;
   std::string text;
   bool is_done = false;
   while (std::getline(lines, line)) {
-    if (!line.starts_with("data: ")) continue;
+    if (!line.starts_with("data: "))
+      continue;
     const std::string data = line.substr(6);
     if (data == "[DONE]") {
       is_done = true;
       continue;
     }
-    auto event = Poco::JSON::Parser().parse(data).extract<Poco::JSON::Object::Ptr>();
-    if (!event->isArray("choices")) return false;
-    text += event->getArray("choices")->getObject(0)->getValue<std::string>("text");
+    auto event =
+        Poco::JSON::Parser().parse(data).extract<Poco::JSON::Object::Ptr>();
+    if (!event->isArray("choices"))
+      return false;
+    text +=
+        event->getArray("choices")->getObject(0)->getValue<std::string>("text");
     const auto version = event->getValue<std::string>("version");
-    if (!record->version.empty() && record->version != version) return false;
+    if (!record->version.empty() && record->version != version)
+      return false;
     record->version = version;
   }
   return is_done && IsOwnText(text, plan);
 }
 
-bool ReadWhole(const std::string& body, const caller_plan& plan, call_record* record) {
-  auto answer = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
-  if (plan.is_plain) return answer->getValue<std::string>("tag") == TagOf(plan.prompt);
+bool ReadWhole(const std::string& body,
+               const caller_plan& plan,
+               call_record* record) {
+  auto answer =
+      Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
+  if (plan.is_plain)
+    return answer->getValue<std::string>("tag") == TagOf(plan.prompt);
   record->version = answer->getValue<std::string>("version");
   auto choice = answer->getArray("choices")->getObject(0);
   return IsOwnText(choice->getValue<std::string>("text"), plan);
 }
 
 /// Tells how a call ended from the whole of its answer.
-void Judge(const http_result& result, const caller_plan& plan, call_record* record) {
+void Judge(const http_result& result,
+           const caller_plan& plan,
+           call_record* record) {
   if (result.status != http_result::status_type::kAnswered) {
     record->reason = "connection";
     return;
@@ -105,12 +123,14 @@
   }
   bool is_whole = false;
   try {
-    is_whole = result.http_status == kHttpOk && (is_stream ? ReadStream(result.body, plan, record)
-                                                           : ReadWhole(result.body, plan, record));
+    is_whole = result.http_status == kHttpOk &&
+               (is_stream ? ReadStream(result.body, plan, record)
+                          : ReadWhole(result.body, plan, record));
   } catch (const Poco::Exception&) {
     is_whole = false;
   }
-  record->end = is_whole ? call_record::end_type::kAnswered : call_record::end_type::kWrong;
+  record->end = is_whole ? call_record::end_type::kAnswered
+                         : call_record::end_type::kWrong;
 }
 
 }  // namespace
@@ -126,19 +146,22 @@
   call.headers["X-Deadline-Ms"] = std::to_string(plan.deadline.count());
   std::string body;
   bool has_first = false;
-  http_result result = CallHttp(call, [&](const http_result&, const std::string& piece) {
-    if (!has_first) record.first = std::chrono::steady_clock::now() - due;
-    has_first = true;
-    body += piece;
-    return true;
-  });
+  http_result result =
+      CallHttp(call, [&](const http_result&, const std::string& piece) {
+        if (!has_first)
+          record.first = std::chrono::steady_clock::now() - due;
+        has_first = true;
+        body += piece;
+        return true;
+      });
   result.body = std::move(body);
   record.total = std::chrono::steady_clock::now() - due;
   Judge(result, plan, &record);
   return record;
 }
 
-load::load(load_options options) : options_(std::move(options)), random_state_(options_.seed) {}
+load::load(load_options options)
+    : options_(std::move(options)), random_state_(options_.seed) {}
 
 load::~load() {
   Stop();
@@ -153,7 +176,8 @@
 
 void load::Stop() {
   is_stopping_ = true;
-  for (std::thread& thread : threads_) thread.join();
+  for (std::thread& thread : threads_)
+    thread.join();
   threads_.clear();
 }
 
@@ -164,13 +188,18 @@
 
 bool load::NextPlan(caller_plan* plan, time_point* due) {
   std::lock_guard lock(mutex_);
-  if (is_stopping_) return false;
-  std::mt19937_64 random(Hash64(std::to_string(++random_state_), options_.seed));
+  if (is_stopping_)
+    return false;
+  std::mt19937_64 random(
+      Hash64(std::to_string(++random_state_), options_.seed));
   *due = next_due_;
-  const double gap = std::exponential_distribution<double>(options_.rate)(random);
-  next_due_ += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
+  const double gap =
+      std::exponential_distribution<double>(options_.rate)(random);
+  next_due_ +=
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
   std::vector<double> shares = options_.shares;
-  if (shares.empty()) shares.assign(options_.organisations.size(), 1);
+  if (shares.empty())
+    shares.assign(options_.organisations.size(), 1);
   std::discrete_distribution<size_t> organisation(shares.begin(), shares.end());
   plan->entry = options_.entries[random() % options_.entries.size()];
   plan->organisation = options_.organisations[organisation(random)];
@@ -178,7 +207,8 @@
   plan->stream = options_.stream;
   plan->tokens = options_.tokens;
   plan->deadline = options_.deadline;
-  plan->prompt = "request " + std::to_string(options_.seed) + "/" + std::to_string(sent_++);
+  plan->prompt = "request " + std::to_string(options_.seed) + "/" +
+                 std::to_string(sent_++);
   return true;
 }
 
@@ -194,26 +224,37 @@
 }
 
 double QuantileMs(std::vector<duration> times, double share) {
-  if (times.empty()) return 0;
+  if (times.empty())
+    return 0;
   std::sort(times.begin(), times.end());
-  const auto rank = static_cast<size_t>(std::ceil(share * static_cast<double>(times.size())));
+  const auto rank =
+      static_cast<size_t>(std::ceil(share * static_cast<double>(times.size())));
   return ToSeconds(times[std::max<size_t>(rank, 1) - 1]) * 1000;
 }
 
-load_summary Summarise(const std::vector<call_record>& records, time_point from, time_point to) {
+load_summary Summarise(const std::vector<call_record>& records,
+                       time_point from,
+                       time_point to) {
   load_summary summary;
   std::vector<duration> firsts;
   for (const call_record& record : records) {
-    if (record.due < from || record.due >= to) continue;
+    if (record.due < from || record.due >= to)
+      continue;
     ++summary.all;
     switch (record.end) {
       case call_record::end_type::kAnswered:
         ++summary.answered;
         firsts.push_back(record.first);
         break;
-      case call_record::end_type::kRefused: ++summary.refused[record.reason]; break;
-      case call_record::end_type::kLost: ++summary.lost; break;
-      case call_record::end_type::kWrong: ++summary.wrong; break;
+      case call_record::end_type::kRefused:
+        ++summary.refused[record.reason];
+        break;
+      case call_record::end_type::kLost:
+        ++summary.lost;
+        break;
+      case call_record::end_type::kWrong:
+        ++summary.wrong;
+        break;
     }
   }
   summary.first_p50_ms = QuantileMs(firsts, 0.5);
--- a/src/harness/load.h
+++ b/src/harness/load.h
@@ -16,16 +16,16 @@
 /// How one request ended for its caller.
 struct call_record {
   enum class end_type {
-    kAnswered,    ///< Whole, and the caller's own.
-    kRefused,     ///< With a reason.
-    kLost,        ///< Without an answer or a refusal.
-    kWrong,       ///< Partial, mixed or another's answer taken for whole.
+    kAnswered,  ///< Whole, and the caller's own.
+    kRefused,   ///< With a reason.
+    kLost,      ///< Without an answer or a refusal.
+    kWrong,     ///< Partial, mixed or another's answer taken for whole.
   };
   end_type end = end_type::kLost;
   std::string reason;
-  bool not_run = false;          ///< Whether the refusal said so.
-  time_point due{};              ///< When it was due to be sent.
-  duration first{};              ///< From due until the first byte of the answer.
+  bool not_run = false;  ///< Whether the refusal said so.
+  time_point due{};      ///< When it was due to be sent.
+  duration first{};      ///< From due until the first byte of the answer.
   duration total{};
   std::string organisation;
   std::string key;
@@ -35,14 +35,15 @@
 
 /// Request to be made by a caller.
 struct caller_plan {
-  std::string entry;             ///< ip:port
+  std::string entry;  ///< ip:port
   std::string organisation;
   std::string service;
   bool is_plain = false;
   bool stream = true;
   int tokens = 16;
   std::string prompt;
-  std::string key;               ///< Idempotency key of plain calls that may not be repeated.
+  std::string
+      key;  ///< Idempotency key of plain calls that may not be repeated.
   milliseconds deadline{10000};
 };
 
@@ -50,11 +51,12 @@
 call_record MakeCall(const caller_plan& plan, time_point due);
 
 struct load_options {
-  std::vector<std::string> entries;        ///< Callers choose among them at random.
-  std::vector<std::string> organisations{"regatta", "harbour", "chapel", "florist"};
-  std::vector<double> shares;              ///< Of the organisations; empty for equal ones.
+  std::vector<std::string> entries;  ///< Callers choose among them at random.
+  std::vector<std::string> organisations{"regatta", "harbour", "chapel",
+                                         "florist"};
+  std::vector<double> shares;  ///< Of the organisations; empty for equal ones.
   std::string service = "assistant";
-  double rate = 50;                        ///< Requests per second, Poisson.
+  double rate = 50;  ///< Requests per second, Poisson.
   int tokens = 16;
   bool stream = true;
   milliseconds deadline{10000};
@@ -104,7 +106,9 @@
 };
 
 /// Sums up the records that were due in a span of time.
-load_summary Summarise(const std::vector<call_record>& records, time_point from, time_point to);
+load_summary Summarise(const std::vector<call_record>& records,
+                       time_point from,
+                       time_point to);
 
 }  // namespace fuchsiafall::harness
 
--- a/src/hash_func.cc
+++ b/src/hash_func.cc
@@ -34,42 +34,54 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
-std::vector<size_t> RendezvousRank(std::string_view key, const std::vector<std::string>& members,
+std::vector<size_t> RendezvousRank(std::string_view key,
+                                   const std::vector<std::string>& members,
                                    size_t most) {
   uint64_t seed = Hash64(key);
   std::vector<std::pair<uint64_t, size_t>> scored;
   scored.reserve(members.size());
-  for (size_t i = 0; i < members.size(); ++i) scored.emplace_back(Hash64(members[i], seed), i);
+  for (size_t i = 0; i < members.size(); ++i)
+    scored.emplace_back(Hash64(members[i], seed), i);
   size_t length = std::min(most, scored.size());
-  std::partial_sort(scored.begin(), scored.begin() + static_cast<ptrdiff_t>(length), scored.end(),
-                    std::greater<>());
+  std::partial_sort(scored.begin(),
+                    scored.begin() + static_cast<ptrdiff_t>(length),
+                    scored.end(), std::greater<>());
   std::vector<size_t> ranking;
   ranking.reserve(length);
-  for (size_t i = 0; i < length; ++i) ranking.push_back(scored[i].second);
+  for (size_t i = 0; i < length; ++i)
+    ranking.push_back(scored[i].second);
   return ranking;
 }
 
 std::vector<std::string> RingNeighbours(const std::vector<std::string>& members,
-                                        const std::string& self, size_t most) {
+                                        const std::string& self,
+                                        size_t most) {
   std::vector<std::pair<uint64_t, std::string>> ring;
   ring.reserve(members.size());
-  for (const std::string& member : members) ring.emplace_back(Hash64(member), member);
+  for (const std::string& member : members)
+    ring.emplace_back(Hash64(member), member);
   std::sort(ring.begin(), ring.end());
   auto own = std::find(ring.begin(), ring.end(), std::pair(Hash64(self), self));
-  if (own == ring.end()) return {};
+  if (own == ring.end())
+    return {};
 
   const size_t size = ring.size();
   const auto place = static_cast<size_t>(own - ring.begin());
   std::vector<std::string> neighbours;
   auto add = [&](size_t index) {
     const std::string& member = ring[index % size].second;
-    bool known = std::find(neighbours.begin(), neighbours.end(), member) != neighbours.end();
-    if (member != self && !known && neighbours.size() < most) neighbours.push_back(member);
+    bool known = std::find(neighbours.begin(), neighbours.end(), member) !=
+                 neighbours.end();
+    if (member != self && !known && neighbours.size() < most)
+      neighbours.push_back(member);
   };
-  // A wider base keeps the longest jumps within the allowed number on large rings.
+  // A wider base keeps the longest jumps within the allowed number on large
+  // rings.
   const size_t jumps = std::max<size_t>(1, most / 2);
-  const double base = std::max(2.0, std::pow(static_cast<double>(size) / 2, 1.0 / jumps));
-  for (double distance = 1; distance <= static_cast<double>(size) / 2; distance *= base) {
+  const double base =
+      std::max(2.0, std::pow(static_cast<double>(size) / 2, 1.0 / jumps));
+  for (double distance = 1; distance <= static_cast<double>(size) / 2;
+       distance *= base) {
     const auto step = static_cast<size_t>(std::lround(distance));
     add(place + step);
     add(place + size - step);
--- a/src/hash_func.h
+++ b/src/hash_func.h
@@ -24,10 +24,12 @@
 /// Hashes bytes to 64 bits; the same on all machines.
 uint64_t Hash64(std::string_view bytes, uint64_t seed = 0);
 
-/// Ranks members for a key by rendezvous hashing (Thaler and Ravishankar, 1998).
+/// Ranks members for a key by rendezvous hashing (Thaler and Ravishankar,
+/// 1998).
 /// @param most Length of the ranking that is needed.
 /// @return Indices into members, best first.
-std::vector<size_t> RendezvousRank(std::string_view key, const std::vector<std::string>& members,
+std::vector<size_t> RendezvousRank(std::string_view key,
+                                   const std::vector<std::string>& members,
                                    size_t most);
 
 /// Chooses the neighbours of a member on a ring in hash order, at distances of
@@ -36,7 +38,8 @@
 /// @param members All members, self among them or not.
 /// @param most Greatest number of neighbours.
 std::vector<std::string> RingNeighbours(const std::vector<std::string>& members,
-                                        const std::string& self, size_t most);
+                                        const std::string& self,
+                                        size_t most);
 
 }  // namespace fuchsiafall
 
--- a/src/inventory_check.cc
+++ b/src/inventory_check.cc
@@ -1,4 +1,5 @@
-/// @file inventory_check.cc Checks of an inventory drawn from the asset register.
+/// @file inventory_check.cc Checks of an inventory drawn from the asset
+/// register.
 #include <Poco/Net/IPAddress.h>
 
 #include <set>
@@ -10,7 +11,8 @@
 
 namespace {
 
-constexpr uint32_t kMostPort = 65533;  // Two more ports follow the control port.
+constexpr uint32_t kMostPort =
+    65533;  // Two more ports follow the control port.
 constexpr uint32_t kMostLimit = 100000;
 
 using id_set = std::set<std::string>;
@@ -20,13 +22,16 @@
   std::string text;
   size_t shown = 0;
   for (const std::string& id : ids) {
-    if (shown++ == kShown) return text + ", ...";
+    if (shown++ == kShown)
+      return text + ", ...";
     text += (text.empty() ? "" : ", ") + id;
   }
   return text.empty() ? "(none)" : text;
 }
 
-failure Refuse(const std::string& place, const std::string& found, const std::string& allowed) {
+failure Refuse(const std::string& place,
+               const std::string& found,
+               const std::string& allowed) {
   return failure{place + ": found '" + found + "', allowed is " + allowed};
 }
 
@@ -36,7 +41,8 @@
   id_set ids;
   for (int i = 0; i < items.size(); ++i) {
     std::string place = std::string(list) + "[" + std::to_string(i) + "].id";
-    if (items[i].id().empty()) return Refuse(place, "", "a non-empty id");
+    if (items[i].id().empty())
+      return Refuse(place, "", "a non-empty id");
     if (!ids.insert(items[i].id()).second) {
       return Refuse(place, items[i].id(), "an id that appears once");
     }
@@ -44,64 +50,81 @@
   return ids;
 }
 
-outcome<done> CheckReference(const std::string& place, const std::string& found,
+outcome<done> CheckReference(const std::string& place,
+                             const std::string& found,
                              const id_set& ids) {
-  if (ids.contains(found)) return done{};
+  if (ids.contains(found))
+    return done{};
   return Refuse(place, found, "one of " + JoinIds(ids));
 }
 
 outcome<done> CheckDigest(const std::string& place, const std::string& hex) {
   outcome<digest> read = DigestFromHex(hex);
-  if (!read) return failure{place + ": " + read.LastReason()};
+  if (!read)
+    return failure{place + ": " + read.LastReason()};
   return done{};
 }
 
 /// Checks the adapters of a model service against its version.
-outcome<done> CheckAdapters(const std::string& place, const proto::service& service,
-                            const proto::inventory& inventory, const id_set& adapters) {
+outcome<done> CheckAdapters(const std::string& place,
+                            const proto::service& service,
+                            const proto::inventory& inventory,
+                            const id_set& adapters) {
   for (const std::string& id : service.adapters()) {
     outcome<done> known = CheckReference(place + ".adapters", id, adapters);
-    if (!known) return known;
+    if (!known)
+      return known;
     for (const proto::adapter& adapter : inventory.adapters()) {
       if (adapter.id() == id && adapter.base_version() != service.version()) {
-        return Refuse(place + ".adapters", id,
-                      "an adapter whose baseVersion is '" + service.version() + "'");
+        return Refuse(
+            place + ".adapters", id,
+            "an adapter whose baseVersion is '" + service.version() + "'");
       }
     }
   }
   return done{};
 }
 
-outcome<done> CheckService(const std::string& place, const proto::service& service,
-                           const proto::inventory& inventory, const id_set& versions,
+outcome<done> CheckService(const std::string& place,
+                           const proto::service& service,
+                           const proto::inventory& inventory,
+                           const id_set& versions,
                            const id_set& adapters) {
   if (service.cold_limit() < 1 || service.cold_limit() > kMostLimit) {
     return Refuse(place + ".coldLimit", std::to_string(service.cold_limit()),
                   "a number from 1 to " + std::to_string(kMostLimit));
   }
-  if (service.most_limit() < service.cold_limit() || service.most_limit() > kMostLimit) {
+  if (service.most_limit() < service.cold_limit() ||
+      service.most_limit() > kMostLimit) {
     return Refuse(place + ".mostLimit", std::to_string(service.most_limit()),
                   "a number from coldLimit to " + std::to_string(kMostLimit));
   }
   switch (service.kind()) {
     case proto::service::MODEL: {
-      outcome<done> known = CheckReference(place + ".version", service.version(), versions);
-      if (!known) return known;
+      outcome<done> known =
+          CheckReference(place + ".version", service.version(), versions);
+      if (!known)
+        return known;
       return CheckAdapters(place, service, inventory, adapters);
     }
     case proto::service::PLAIN:
       if (!service.version().empty() || service.adapters_size() > 0) {
-        return Refuse(place + ".version", service.version(), "nothing for a PLAIN service");
+        return Refuse(place + ".version", service.version(),
+                      "nothing for a PLAIN service");
       }
       return done{};
-    default: return Refuse(place + ".kind", "UNSET", "MODEL or PLAIN");
+    default:
+      return Refuse(place + ".kind", "UNSET", "MODEL or PLAIN");
   }
 }
 
-outcome<done> CheckVm(const std::string& place, const proto::vm& vm, const id_set& domains,
+outcome<done> CheckVm(const std::string& place,
+                      const proto::vm& vm,
+                      const id_set& domains,
                       const id_set& services) {
   outcome<done> known = CheckReference(place + ".domain", vm.domain(), domains);
-  if (!known) return known;
+  if (!known)
+    return known;
   Poco::Net::IPAddress address;
   if (!Poco::Net::IPAddress::tryParse(vm.ip(), address)) {
     return Refuse(place + ".ip", vm.ip(), "an IP number");
@@ -112,22 +135,28 @@
   }
   switch (vm.role()) {
     case proto::vm::ENTRY:
-      if (vm.service().empty()) return done{};
+      if (vm.service().empty())
+        return done{};
       return Refuse(place + ".service", vm.service(), "nothing for an ENTRY");
-    case proto::vm::AGENT: return CheckReference(place + ".service", vm.service(), services);
-    default: return Refuse(place + ".role", "UNSET", "ENTRY or AGENT");
+    case proto::vm::AGENT:
+      return CheckReference(place + ".service", vm.service(), services);
+    default:
+      return Refuse(place + ".role", "UNSET", "ENTRY or AGENT");
   }
 }
 
 outcome<done> CheckOrganisations(const proto::inventory& inventory) {
   outcome<id_set> ids = CollectIds("organisations", inventory.organisations());
-  if (!ids) return failure{ids.LastReason()};
+  if (!ids)
+    return failure{ids.LastReason()};
   id_set tokens;
   for (int i = 0; i < inventory.organisations_size(); ++i) {
     std::string place = "organisations[" + std::to_string(i) + "].token";
     const std::string& token = inventory.organisations(i).token();
-    if (token.empty()) return Refuse(place, "", "a non-empty token");
-    if (!tokens.insert(token).second) return Refuse(place, "***", "a token that appears once");
+    if (token.empty())
+      return Refuse(place, "", "a non-empty token");
+    if (!tokens.insert(token).second)
+      return Refuse(place, "***", "a token that appears once");
   }
   return done{};
 }
@@ -136,39 +165,53 @@
 
 outcome<done> CheckInventory(const proto::inventory& inventory) {
   outcome<id_set> domains = CollectIds("domains", inventory.domains());
-  if (!domains) return failure{domains.LastReason()};
+  if (!domains)
+    return failure{domains.LastReason()};
   outcome<id_set> versions = CollectIds("versions", inventory.versions());
-  if (!versions) return failure{versions.LastReason()};
+  if (!versions)
+    return failure{versions.LastReason()};
   outcome<id_set> adapters = CollectIds("adapters", inventory.adapters());
-  if (!adapters) return failure{adapters.LastReason()};
+  if (!adapters)
+    return failure{adapters.LastReason()};
   outcome<id_set> services = CollectIds("services", inventory.services());
-  if (!services) return failure{services.LastReason()};
+  if (!services)
+    return failure{services.LastReason()};
   outcome<id_set> vms = CollectIds("vms", inventory.vms());
-  if (!vms) return failure{vms.LastReason()};
+  if (!vms)
+    return failure{vms.LastReason()};
 
   for (int i = 0; i < inventory.versions_size(); ++i) {
     std::string place = "versions[" + std::to_string(i) + "].manifestDigest";
-    outcome<done> checked = CheckDigest(place, inventory.versions(i).manifest_digest());
-    if (!checked) return checked;
+    outcome<done> checked =
+        CheckDigest(place, inventory.versions(i).manifest_digest());
+    if (!checked)
+      return checked;
   }
   for (int i = 0; i < inventory.adapters_size(); ++i) {
     std::string place = "adapters[" + std::to_string(i) + "]";
     const proto::adapter& adapter = inventory.adapters(i);
-    outcome<done> base = CheckReference(place + ".baseVersion", adapter.base_version(), *versions);
-    if (!base) return base;
-    outcome<done> checked = CheckDigest(place + ".manifestDigest", adapter.manifest_digest());
-    if (!checked) return checked;
+    outcome<done> base = CheckReference(place + ".baseVersion",
+                                        adapter.base_version(), *versions);
+    if (!base)
+      return base;
+    outcome<done> checked =
+        CheckDigest(place + ".manifestDigest", adapter.manifest_digest());
+    if (!checked)
+      return checked;
   }
   for (int i = 0; i < inventory.services_size(); ++i) {
     std::string place = "services[" + std::to_string(i) + "]";
-    outcome<done> checked =
-        CheckService(place, inventory.services(i), inventory, *versions, *adapters);
-    if (!checked) return checked;
+    outcome<done> checked = CheckService(place, inventory.services(i),
+                                         inventory, *versions, *adapters);
+    if (!checked)
+      return checked;
   }
   for (int i = 0; i < inventory.vms_size(); ++i) {
     std::string place = "vms[" + std::to_string(i) + "]";
-    outcome<done> checked = CheckVm(place, inventory.vms(i), *domains, *services);
-    if (!checked) return checked;
+    outcome<done> checked =
+        CheckVm(place, inventory.vms(i), *domains, *services);
+    if (!checked)
+      return checked;
   }
   return CheckOrganisations(inventory);
 }
--- a/src/manifest.cc
+++ b/src/manifest.cc
@@ -6,7 +6,8 @@
 
 namespace fuchsiafall {
 
-outcome<proto::manifest> MakeManifest(std::istream* weights, uint32_t chunk_bytes,
+outcome<proto::manifest> MakeManifest(std::istream* weights,
+                                      uint32_t chunk_bytes,
                                       const chunk_hook& on_chunk) {
   proto::manifest manifest;
   manifest.set_chunk_bytes(chunk_bytes);
@@ -15,16 +16,20 @@
   while (weights->good()) {
     weights->read(chunk.data(), chunk_bytes);
     const auto length = static_cast<size_t>(weights->gcount());
-    if (length == 0) break;
+    if (length == 0)
+      break;
     const std::string bytes = chunk.substr(0, length);
     whole.update(bytes.data(), bytes.size());
     const digest name = DigestOf(bytes);
     manifest.add_chunk_digests(name.value);
     manifest.set_total_bytes(manifest.total_bytes() + length);
-    if (on_chunk) on_chunk(name, bytes);
+    if (on_chunk)
+      on_chunk(name, bytes);
   }
-  if (weights->bad()) return failure{"the weights cannot be read"};
-  if (manifest.total_bytes() == 0) return failure{"the weights are empty"};
+  if (weights->bad())
+    return failure{"the weights cannot be read"};
+  if (manifest.total_bytes() == 0)
+    return failure{"the weights are empty"};
   const Poco::DigestEngine::Digest& sum = whole.digest();
   manifest.set_whole_digest(std::string(sum.begin(), sum.end()));
   return manifest;
--- a/src/manifest_func.h
+++ b/src/manifest_func.h
@@ -18,7 +18,8 @@
 
 /// Splits weights into chunks and lists their digests.
 /// @param on_chunk Called for each chunk in order; may be empty.
-outcome<proto::manifest> MakeManifest(std::istream* weights, uint32_t chunk_bytes,
+outcome<proto::manifest> MakeManifest(std::istream* weights,
+                                      uint32_t chunk_bytes,
                                       const chunk_hook& on_chunk);
 
 }  // namespace fuchsiafall
--- a/src/metrics_base.cc
+++ b/src/metrics_base.cc
@@ -24,11 +24,13 @@
 /// Reads a quantile as the upper edge of its bin, in ms.
 double Quantile(const histogram& h, double share) {
   double total = 0;
-  for (auto&& cell : bh::indexed(h, bh::coverage::all)) total += *cell;
+  for (auto&& cell : bh::indexed(h, bh::coverage::all))
+    total += *cell;
   double below = 0;
   for (auto&& cell : bh::indexed(h, bh::coverage::all)) {
     below += *cell;
-    if (below >= share * total) return cell.bin().upper();
+    if (below >= share * total)
+      return cell.bin().upper();
   }
   return kMostMs;
 }
@@ -77,8 +79,10 @@
 std::string metrics::Describe() const {
   std::lock_guard lock(mutex_);
   std::ostringstream text;
-  for (const auto& [name, value] : counters_) text << name << ' ' << value << '\n';
-  for (const auto& [name, value] : gauges_) text << name << ' ' << value << '\n';
+  for (const auto& [name, value] : counters_)
+    text << name << ' ' << value << '\n';
+  for (const auto& [name, value] : gauges_)
+    text << name << ' ' << value << '\n';
   for (size_t i = 1; i < kReasonCount; ++i) {
     text << "refused_" << kReasonTable[i].code << ' ' << refusals_[i] << '\n';
     text << "retried_" << kReasonTable[i].code << ' ' << retries_[i] << '\n';
--- a/src/metrics_base.h
+++ b/src/metrics_base.h
@@ -32,7 +32,8 @@
   void Time(const std::string& name, duration span);
 
   uint64_t Counter(const std::string& name) const;
-  /// Writes all values as lines of "name value", histograms by their quantiles in ms.
+  /// Writes all values as lines of "name value", histograms by their quantiles
+  /// in ms.
   std::string Describe() const;
 
  private:
