--- a/src/network/caller_http.cc
+++ b/src/network/caller_http.cc
@@ -1,5 +1,6 @@
 /// @file caller_http.cc Callers' HTTP requests and answers.
-/// Source of the completions API: OpenAI, "Completions" and server-sent events (WHATWG HTML).
+/// Source of the completions API: OpenAI, "Completions" and server-sent events
+/// (WHATWG HTML).
 #include "network/caller_http.h"
 
 #include <Poco/Exception.h>
@@ -28,7 +29,9 @@
 
 outcome<done> ReadCompletions(caller_request* request) {
   try {
-    auto object = Poco::JSON::Parser().parse(request->body).extract<Poco::JSON::Object::Ptr>();
+    auto object = Poco::JSON::Parser()
+                      .parse(request->body)
+                      .extract<Poco::JSON::Object::Ptr>();
     request->is_model_call = true;
     request->model = object->getValue<std::string>("model");
     request->stream = object->optValue<bool>("stream", false);
@@ -42,54 +45,64 @@
     request->prefix.resize(std::min(request->prefix.size(), kPrefixBytes));
     return done{};
   } catch (const Poco::Exception& e) {
-    return failure{"body: not a completions request in JSON with a 'model': " + e.displayText()};
+    return failure{"body: not a completions request in JSON with a 'model': " +
+                   e.displayText()};
   }
 }
 
-outcome<done> ReadServicePath(const std::string& path, caller_request* request) {
+outcome<done> ReadServicePath(const std::string& path,
+                              caller_request* request) {
   const std::string rest = path.substr(sizeof(kServices) - 1);
   const size_t slash = rest.find('/');
   request->model = rest.substr(0, slash);
   if (request->model.empty() || slash == std::string::npos) {
-    return failure{"path: found '" + path + "', allowed is /services/SERVICE/PATH"};
+    return failure{"path: found '" + path +
+                   "', allowed is /services/SERVICE/PATH"};
   }
   request->path = rest.substr(slash);
   return done{};
 }
 
-outcome<int> ReadNumber(const Poco::Net::HTTPServerRequest& request, const std::string& name,
+outcome<int> ReadNumber(const Poco::Net::HTTPServerRequest& request,
+                        const std::string& name,
                         int most) {
-  if (!request.has(name)) return 0;
+  if (!request.has(name))
+    return 0;
   int number = 0;
-  if (Poco::NumberParser::tryParse(request.get(name), number) && number >= 0 && number <= most) {
+  if (Poco::NumberParser::tryParse(request.get(name), number) && number >= 0 &&
+      number <= most) {
     return number;
   }
-  return failure{name + ": found '" + request.get(name) + "', allowed is 0 to " +
-                 std::to_string(most)};
+  return failure{name + ": found '" + request.get(name) +
+                 "', allowed is 0 to " + std::to_string(most)};
 }
 
-outcome<done> ReadHeaders(const Poco::Net::HTTPServerRequest& from, caller_request* request) {
+outcome<done> ReadHeaders(const Poco::Net::HTTPServerRequest& from,
+                          caller_request* request) {
   const std::string authorization = from.get("Authorization", "");
   if (authorization.starts_with(kBearer)) {
     request->token = authorization.substr(sizeof(kBearer) - 1);
   }
   request->idempotency_key = from.get("Idempotency-Key", "");
   if (request->idempotency_key.size() > kMostKeyBytes) {
-    return failure{"Idempotency-Key: allowed are " + std::to_string(kMostKeyBytes) + " bytes"};
+    return failure{"Idempotency-Key: allowed are " +
+                   std::to_string(kMostKeyBytes) + " bytes"};
   }
   outcome<int> deadline = ReadNumber(from, "X-Deadline-Ms", kMostDeadlineMs);
-  if (!deadline) return failure{deadline.LastReason()};
+  if (!deadline)
+    return failure{deadline.LastReason()};
   request->deadline = milliseconds(*deadline);
   outcome<int> priority = ReadNumber(from, "X-Priority", 9);
-  if (!priority) return failure{priority.LastReason()};
+  if (!priority)
+    return failure{priority.LastReason()};
   request->priority = static_cast<uint32_t>(*priority);
   return done{};
 }
 
 /// Ends a stream that has begun in a way that cannot be taken for its end.
 void WriteBreak(std::ostream* stream, const answer_refusal& refusal) {
-  *stream << "event: error\ndata: {\"error\":{\"code\":\"" << InfoOf(refusal.why).code
-          << "\",\"not_run\":false}}\n\n"
+  *stream << "event: error\ndata: {\"error\":{\"code\":\""
+          << InfoOf(refusal.why).code << "\",\"not_run\":false}}\n\n"
           << std::flush;
 }
 
@@ -109,34 +122,41 @@
   return event;
 }
 
-outcome<caller_request> ReadCallerRequest(Poco::Net::HTTPServerRequest* request) {
+outcome<caller_request> ReadCallerRequest(
+    Poco::Net::HTTPServerRequest* request) {
   caller_request result;
   result.method = request->getMethod();
   result.path = request->getURI();
   outcome<done> headers = ReadHeaders(*request, &result);
-  if (!headers) return failure{headers.LastReason()};
+  if (!headers)
+    return failure{headers.LastReason()};
   outcome<std::string> body = ReadBody(request, kMostBodyBytes);
-  if (!body) return failure{body.LastReason()};
+  if (!body)
+    return failure{body.LastReason()};
   result.body = std::move(*body);
-  outcome<done> read = failure{"path: found '" + result.path +
-                               "', allowed is /v1/completions, /v1/chat/completions or "
-                               "/services/SERVICE/PATH"};
+  outcome<done> read =
+      failure{"path: found '" + result.path +
+              "', allowed is /v1/completions, /v1/chat/completions or "
+              "/services/SERVICE/PATH"};
   if (IsCompletionsPath(result.path)) {
     read = ReadCompletions(&result);
   } else if (result.path.starts_with(kServices)) {
     read = ReadServicePath(std::string(result.path), &result);
   }
-  if (!read) return failure{read.LastReason()};
+  if (!read)
+    return failure{read.LastReason()};
   return result;
 }
 
-bool WriteAnswer(caller_channel* channel, Poco::Net::HTTPServerResponse* response) {
+bool WriteAnswer(caller_channel* channel,
+                 Poco::Net::HTTPServerResponse* response) {
   std::ostream* stream = nullptr;
   while (true) {
     caller_event event = channel->Pop();
     if (const auto* refusal = std::get_if<answer_refusal>(&event)) {
       if (stream == nullptr) {
-        WriteRefusal(response, *refusal, std::string(InfoOf(refusal->why).text));
+        WriteRefusal(response, *refusal,
+                     std::string(InfoOf(refusal->why).text));
       } else {
         WriteBreak(stream, *refusal);
       }
@@ -148,24 +168,30 @@
       return true;
     }
     if (stream == nullptr) {
-      response->setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(part.http_status));
+      response->setStatus(
+          static_cast<Poco::Net::HTTPResponse::HTTPStatus>(part.http_status));
       response->setContentType(part.content_type);
       response->setChunkedTransferEncoding(true);
       stream = &response->send();
     }
     *stream << part.data << std::flush;
-    if (!stream->good()) return false;
-    if (part.last) return true;
+    if (!stream->good())
+      return false;
+    if (part.last)
+      return true;
   }
 }
 
-void WriteRefusal(Poco::Net::HTTPServerResponse* response, const answer_refusal& refusal,
+void WriteRefusal(Poco::Net::HTTPServerResponse* response,
+                  const answer_refusal& refusal,
                   const std::string& detail) {
   const reason_info& info = InfoOf(refusal.why);
-  response->set("X-Request-Run", refusal.may_have_run ? "may-have-run" : "not-run");
+  response->set("X-Request-Run",
+                refusal.may_have_run ? "may-have-run" : "not-run");
   response->set("X-Refusal-Reason", std::string(info.code));
   if (refusal.retry_after.count() > 0) {
-    auto whole_seconds = std::chrono::ceil<seconds>(refusal.retry_after).count();
+    auto whole_seconds =
+        std::chrono::ceil<seconds>(refusal.retry_after).count();
     response->set("Retry-After", std::to_string(whole_seconds));
   }
   Poco::JSON::Object error;
--- a/src/network/caller_http.h
+++ b/src/network/caller_http.h
@@ -1,4 +1,5 @@
-/// @file caller_http.h Callers' HTTP requests, as the entry's state machine sees them.
+/// @file caller_http.h Callers' HTTP requests, as the entry's state machine
+/// sees them.
 #ifndef NETWORK_CALLER_HTTP_H_
 #define NETWORK_CALLER_HTTP_H_
 
@@ -18,7 +19,8 @@
 /// What the control thread answers to one caller.
 using caller_event = std::variant<answer_part, answer_refusal>;
 
-/// Carries the answer of one request from the control thread to its HTTP thread.
+/// Carries the answer of one request from the control thread to its HTTP
+/// thread.
 class caller_channel {
  public:
   void Push(caller_event event);
@@ -33,14 +35,17 @@
 
 /// Reads a caller's request.
 /// @return The request without its id, or what is wrong with it.
-outcome<caller_request> ReadCallerRequest(Poco::Net::HTTPServerRequest* request);
+outcome<caller_request> ReadCallerRequest(
+    Poco::Net::HTTPServerRequest* request);
 
 /// Writes the answer as it arrives.
 /// @return Whether the caller stayed until its end.
-bool WriteAnswer(caller_channel* channel, Poco::Net::HTTPServerResponse* response);
+bool WriteAnswer(caller_channel* channel,
+                 Poco::Net::HTTPServerResponse* response);
 
 /// Writes a refusal with its reason, and whether the request may have run.
-void WriteRefusal(Poco::Net::HTTPServerResponse* response, const answer_refusal& refusal,
+void WriteRefusal(Poco::Net::HTTPServerResponse* response,
+                  const answer_refusal& refusal,
                   const std::string& detail);
 
 }  // namespace fuchsiafall
--- a/src/network/control_loop.h
+++ b/src/network/control_loop.h
@@ -25,7 +25,9 @@
  public:
   using output_hook = std::function<void(std::vector<output>&&)>;
 
-  control_loop(control_loop_options options, Machine* machine, output_hook perform)
+  control_loop(control_loop_options options,
+               Machine* machine,
+               output_hook perform)
       : options_(options), machine_(machine), perform_(std::move(perform)) {}
 
   /// Queues an input; safe to call from all threads.
@@ -53,7 +55,8 @@
     return task->get_future().get();
   }
 
-  /// Takes input, advances the state, performs what came out; until the machine is drained.
+  /// Takes input, advances the state, performs what came out; until the machine
+  /// is drained.
   /// @param should_stop Asked after each round.
   void Run(const std::function<bool()>& should_stop) {
     time_point last_step = std::chrono::steady_clock::now();
@@ -63,15 +66,19 @@
       std::deque<std::function<void()>> questions;
       {
         std::unique_lock lock(mutex_);
-        wake_.wait_until(lock, next_tick,
-                         [this] { return !queue_.empty() || !questions_.empty(); });
+        wake_.wait_until(lock, next_tick, [this] {
+          return !queue_.empty() || !questions_.empty();
+        });
         inputs.swap(queue_);
         questions.swap(questions_);
       }
       time_point now = std::chrono::steady_clock::now();
-      if (now - last_step > options_.pause) Step(now, typename Machine::pause_input());
-      for (Input& input : inputs) Step(std::chrono::steady_clock::now(), input);
-      for (auto& question : questions) question();
+      if (now - last_step > options_.pause)
+        Step(now, typename Machine::pause_input());
+      for (Input& input : inputs)
+        Step(std::chrono::steady_clock::now(), input);
+      for (auto& question : questions)
+        question();
       now = std::chrono::steady_clock::now();
       if (now >= next_tick) {
         Step(now, typename Machine::tick_input());
@@ -81,13 +88,15 @@
     }
     std::lock_guard lock(mutex_);
     is_closed_ = true;
-    for (auto& question : questions_) question();
+    for (auto& question : questions_)
+      question();
   }
 
  private:
   void Step(time_point now, const Input& input) {
     output_list out = machine_->Step(now, input);
-    if (!out.Items().empty()) perform_(std::move(out.Items()));
+    if (!out.Items().empty())
+      perform_(std::move(out.Items()));
   }
 
   control_loop_options options_;
--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -22,7 +22,8 @@
 /// Hands a request to the handler; exceptions of a caller that left end here.
 class function_handler : public Poco::Net::HTTPRequestHandler {
  public:
-  explicit function_handler(http_handler handler) : handler_(std::move(handler)) {}
+  explicit function_handler(http_handler handler)
+      : handler_(std::move(handler)) {}
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
     try {
@@ -38,7 +39,8 @@
 
 class function_factory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  explicit function_factory(http_handler handler) : handler_(std::move(handler)) {}
+  explicit function_factory(http_handler handler)
+      : handler_(std::move(handler)) {}
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest&) override {
     return new function_handler(handler_);
@@ -50,10 +52,12 @@
 
 }  // namespace
 
-outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(const http_server_options& options,
-                                                                http_handler handler) {
+outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
+    const http_server_options& options,
+    http_handler handler) {
   try {
-    Poco::Net::SocketAddress address(options.ip, static_cast<uint16_t>(options.port));
+    Poco::Net::SocketAddress address(options.ip,
+                                     static_cast<uint16_t>(options.port));
     Poco::Net::ServerSocket socket;
     socket.bind(address, true);
     socket.listen(kBacklog);
@@ -61,25 +65,29 @@
     params->setMaxThreads(static_cast<int>(options.threads));
     params->setMaxQueued(kMostQueued);
     params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveS, 0));
-    // The server keeps threads of its own, so that one server cannot starve another.
+    // The server keeps threads of its own, so that one server cannot starve
+    // another.
     struct pooled_server {
       Poco::ThreadPool pool;
       Poco::Net::HTTPServer server;
-      pooled_server(const http_handler& h, int threads, const Poco::Net::ServerSocket& s,
+      pooled_server(const http_handler& h,
+                    int threads,
+                    const Poco::Net::ServerSocket& s,
                     const Poco::Net::HTTPServerParams::Ptr& p)
           : pool(2, threads + 2), server(new function_factory(h), pool, s, p) {}
     };
-    auto pooled = std::make_shared<pooled_server>(handler, static_cast<int>(options.threads),
-                                                  socket, params);
+    auto pooled = std::make_shared<pooled_server>(
+        handler, static_cast<int>(options.threads), socket, params);
     pooled->server.start();
     return std::shared_ptr<Poco::Net::HTTPServer>(pooled, &pooled->server);
   } catch (const Poco::Exception& e) {
-    return failure{"HTTP: cannot listen on " + options.ip + ":" + std::to_string(options.port) +
-                   ": " + e.displayText()};
+    return failure{"HTTP: cannot listen on " + options.ip + ":" +
+                   std::to_string(options.port) + ": " + e.displayText()};
   }
 }
 
-outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request, size_t most) {
+outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request,
+                              size_t most) {
   std::string body;
   std::string piece(16 * 1024, '\0');
   std::istream& stream = request->stream();
@@ -87,17 +95,22 @@
     stream.read(piece.data(), static_cast<std::streamsize>(piece.size()));
     body.append(piece, 0, static_cast<size_t>(stream.gcount()));
     if (body.size() > most) {
-      return failure{"body: found more than " + std::to_string(most) + " bytes"};
+      return failure{"body: found more than " + std::to_string(most) +
+                     " bytes"};
     }
   }
-  bool is_short = request->hasContentLength() &&
-                  static_cast<std::streamsize>(body.size()) != request->getContentLength();
-  if (is_short) return failure{"body: it ended early"};
+  bool is_short =
+      request->hasContentLength() &&
+      static_cast<std::streamsize>(body.size()) != request->getContentLength();
+  if (is_short)
+    return failure{"body: it ended early"};
   return body;
 }
 
-void AnswerHttp(Poco::Net::HTTPServerResponse* response, int status,
-                const std::string& content_type, const std::string& body) {
+void AnswerHttp(Poco::Net::HTTPServerResponse* response,
+                int status,
+                const std::string& content_type,
+                const std::string& body) {
   response->setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response->setContentType(content_type);
   response->sendBuffer(body.data(), body.size());
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -1,4 +1,5 @@
-/// @file http_server.h HTTP server of a process, with its requests given to one function.
+/// @file http_server.h HTTP server of a process, with its requests given to one
+/// function.
 #ifndef NETWORK_HTTP_SERVER_H_
 #define NETWORK_HTTP_SERVER_H_
 
@@ -16,8 +17,8 @@
 namespace fuchsiafall {
 
 /// Answers one request, in a thread of the server.
-using http_handler =
-    std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
+using http_handler = std::function<void(Poco::Net::HTTPServerRequest&,
+                                        Poco::Net::HTTPServerResponse&)>;
 
 struct http_server_options {
   std::string ip;
@@ -26,16 +27,20 @@
 };
 
 /// Listens and starts serving.
-outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(const http_server_options& options,
-                                                                http_handler handler);
+outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
+    const http_server_options& options,
+    http_handler handler);
 
 /// Reads the whole body of a request.
 /// @param most Longest body that is taken, in bytes.
-outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request, size_t most);
+outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request,
+                              size_t most);
 
 /// Answers with a status and a whole body.
-void AnswerHttp(Poco::Net::HTTPServerResponse* response, int status,
-                const std::string& content_type, const std::string& body);
+void AnswerHttp(Poco::Net::HTTPServerResponse* response,
+                int status,
+                const std::string& content_type,
+                const std::string& body);
 
 }  // namespace fuchsiafall
 
--- a/src/network/link_gate.cc
+++ b/src/network/link_gate.cc
@@ -10,22 +10,27 @@
 
 constexpr char kZapAddress[] = "inproc://zeromq.zap.01";
 constexpr int kPollMs = 100;
-constexpr size_t kKeyFrame = 6;      // Frame of a request that holds the client's key.
+constexpr size_t kKeyFrame =
+    6;  // Frame of a request that holds the client's key.
 constexpr size_t kRequestFrames = 7;
 constexpr size_t kZ85KeyBytes = 41;  // With its final zero.
 
 std::string ToZ85(const zmq::message_t& frame) {
   char text[kZ85KeyBytes] = {};
-  if (frame.size() != 32) return "";
+  if (frame.size() != 32)
+    return "";
   zmq_z85_encode(text, frame.data<uint8_t>(), frame.size());
   return text;
 }
 
-void Answer(zmq::socket_t* socket, const std::vector<zmq::message_t>& request, bool allowed) {
+void Answer(zmq::socket_t* socket,
+            const std::vector<zmq::message_t>& request,
+            bool allowed) {
   const std::string version = "1.0";
   const std::string id = request.size() > 1 ? request[1].to_string() : "";
   const std::string status = allowed ? "200" : "400";
-  for (const std::string& part : {version, id, status, std::string(), std::string()}) {
+  for (const std::string& part :
+       {version, id, status, std::string(), std::string()}) {
     socket->send(zmq::buffer(part), zmq::send_flags::sndmore);
   }
   socket->send(zmq::message_t(), zmq::send_flags::none);
@@ -33,10 +38,13 @@
 
 }  // namespace
 
-link_gate::link_gate(zmq::context_t* context, std::string fleet_key, metrics* counters)
+link_gate::link_gate(zmq::context_t* context,
+                     std::string fleet_key,
+                     metrics* counters)
     : context_(context), fleet_key_(std::move(fleet_key)), counters_(counters) {
   thread_ = std::thread([this] { Loop(); });
-  while (!is_bound_) std::this_thread::yield();
+  while (!is_bound_)
+    std::this_thread::yield();
 }
 
 link_gate::~link_gate() {
@@ -51,14 +59,18 @@
   is_bound_ = true;
   while (!is_stopping_) {
     zmq::pollitem_t item{socket.handle(), 0, ZMQ_POLLIN, 0};
-    if (zmq::poll(&item, 1, milliseconds(kPollMs)) == 0) continue;
+    if (zmq::poll(&item, 1, milliseconds(kPollMs)) == 0)
+      continue;
     std::vector<zmq::message_t> request;
     do {
       request.emplace_back();
-      if (!socket.recv(request.back())) break;
+      if (!socket.recv(request.back()))
+        break;
     } while (request.back().more());
-    bool allowed = request.size() >= kRequestFrames && ToZ85(request[kKeyFrame]) == fleet_key_;
-    if (!allowed) counters_->Count("peers_refused");
+    bool allowed = request.size() >= kRequestFrames &&
+                   ToZ85(request[kKeyFrame]) == fleet_key_;
+    if (!allowed)
+      counters_->Count("peers_refused");
     Answer(&socket, request, allowed);
   }
 }
--- a/src/network/message_link.cc
+++ b/src/network/message_link.cc
@@ -13,13 +13,13 @@
 
 namespace {
 
-constexpr int kHighWaterMark = 64;                   // Messages buffered for one peer.
-constexpr int kPingMs = 5000;                        // Between pings of an idle connection.
-constexpr int kPingTimeoutMs = 5000;                 // Without an answer to a ping.
+constexpr int kHighWaterMark = 64;    // Messages buffered for one peer.
+constexpr int kPingMs = 5000;         // Between pings of an idle connection.
+constexpr int kPingTimeoutMs = 5000;  // Without an answer to a ping.
 constexpr int kReconnectMs = 100;
 constexpr int kMostReconnectMs = 2000;
 constexpr int kMostFrameBytes = 80 * 1024 * 1024;
-constexpr milliseconds kRetryInterval{5};            // While a connection is being made.
+constexpr milliseconds kRetryInterval{5};  // While a connection is being made.
 constexpr seconds kIdleClose{60};
 constexpr int kMostPollMs = 200;
 
@@ -44,7 +44,8 @@
     time_point expires{};
   };
 
-  explicit state(zmq::context_t* c) : context(c), receiver(*c, zmq::socket_type::pull) {}
+  explicit state(zmq::context_t* c)
+      : context(c), receiver(*c, zmq::socket_type::pull) {}
 
   zmq::context_t* context;
   zmq::socket_t receiver;
@@ -54,8 +55,10 @@
   time_point last_idle_check{};
 };
 
-message_link::message_link(message_link_options options, zmq::context_t* context,
-                           metrics* counters, arrival_hook on_arrival)
+message_link::message_link(message_link_options options,
+                           zmq::context_t* context,
+                           metrics* counters,
+                           arrival_hook on_arrival)
     : options_(std::move(options)),
       counters_(counters),
       on_arrival_(std::move(on_arrival)),
@@ -63,7 +66,8 @@
 
 message_link::~message_link() {
   Stop();
-  if (state_->wake_fd >= 0) close(state_->wake_fd);
+  if (state_->wake_fd >= 0)
+    close(state_->wake_fd);
 }
 
 outcome<done> message_link::Start() {
@@ -73,19 +77,21 @@
     state_->receiver.set(zmq::sockopt::rcvhwm, kHighWaterMark * 16);
     if (!options_.keys.secret_key.empty()) {
       state_->receiver.set(zmq::sockopt::curve_server, true);
-      state_->receiver.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
+      state_->receiver.set(zmq::sockopt::curve_secretkey,
+                           options_.keys.secret_key);
     }
     state_->receiver.bind("tcp://" + options_.listen_address);
   } catch (const zmq::error_t& e) {
-    return failure{options_.name + " link: cannot listen on " + options_.listen_address + ": " +
-                   e.what()};
+    return failure{options_.name + " link: cannot listen on " +
+                   options_.listen_address + ": " + e.what()};
   }
   thread_ = std::thread([this] { Loop(); });
   return done{};
 }
 
 void message_link::Stop() {
-  if (!thread_.joinable()) return;
+  if (!thread_.joinable())
+    return;
   is_stopping_ = true;
   eventfd_write(state_->wake_fd, 1);
   thread_.join();
@@ -109,8 +115,10 @@
     } catch (const zmq::error_t&) {
       continue;  // Interrupted by a signal.
     }
-    if ((items[1].revents & ZMQ_POLLIN) != 0) TakeQueued();
-    if ((items[0].revents & ZMQ_POLLIN) != 0) Receive();
+    if ((items[1].revents & ZMQ_POLLIN) != 0)
+      TakeQueued();
+    if ((items[0].revents & ZMQ_POLLIN) != 0)
+      Receive();
     time_point now = std::chrono::steady_clock::now();
     SendDue(now);
     CloseIdle(now);
@@ -130,7 +138,8 @@
   const time_point now = std::chrono::steady_clock::now();
   for (send_message& message : taken) {
     const time_point at = std::max(message.send_at, now);
-    state_->due.emplace(at, state::waiting{std::move(message), at + options_.send_expiry});
+    state_->due.emplace(
+        at, state::waiting{std::move(message), at + options_.send_expiry});
   }
 }
 
@@ -139,14 +148,16 @@
   while (!state_->due.empty() && state_->due.begin()->first <= now) {
     state::waiting item = std::move(state_->due.begin()->second);
     state_->due.erase(state_->due.begin());
-    if (TrySend(now, item.message)) continue;
+    if (TrySend(now, item.message))
+      continue;
     if (now >= item.expires) {
       counters_->Count(options_.name + "_messages_unsent");
       continue;
     }
     unsent.push_back(std::move(item));
   }
-  for (state::waiting& item : unsent) state_->due.emplace(now + kRetryInterval, std::move(item));
+  for (state::waiting& item : unsent)
+    state_->due.emplace(now + kRetryInterval, std::move(item));
 }
 
 bool message_link::TrySend(time_point now, const send_message& message) {
@@ -165,10 +176,13 @@
         socket.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
       }
       socket.connect("tcp://" + MapAddress(message.address));
-      it = state_->connections.emplace(message.address, state::connection{std::move(socket)}).first;
+      it = state_->connections
+               .emplace(message.address, state::connection{std::move(socket)})
+               .first;
     }
     it->second.last_used = now;
-    if ((it->second.socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) == 0) return false;
+    if ((it->second.socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) == 0)
+      return false;
     std::string frame;
     if (message.attachment != nullptr) {
       proto::envelope with_data = message.message;
@@ -177,7 +191,8 @@
     } else {
       message.message.SerializeToString(&frame);
     }
-    if (!it->second.socket.send(zmq::buffer(frame), zmq::send_flags::dontwait)) return false;
+    if (!it->second.socket.send(zmq::buffer(frame), zmq::send_flags::dontwait))
+      return false;
     counters_->Count(options_.name + "_messages_sent");
     counters_->Count(options_.name + "_bytes_sent", frame.size());
     return true;
@@ -193,15 +208,18 @@
   for (int i = 0; i < kMostAtOnce; ++i) {
     zmq::message_t frame;
     try {
-      if (!state_->receiver.recv(frame, zmq::recv_flags::dontwait)) return;
+      if (!state_->receiver.recv(frame, zmq::recv_flags::dontwait))
+        return;
     } catch (const zmq::error_t&) {
       return;
     }
     counters_->Count(options_.name + "_messages_received");
     counters_->Count(options_.name + "_bytes_received", frame.size());
     proto::envelope message;
-    bool is_whole = message.ParseFromArray(frame.data(), static_cast<int>(frame.size())) &&
-                    message.body_case() != proto::envelope::BODY_NOT_SET && !message.vm().empty();
+    bool is_whole =
+        message.ParseFromArray(frame.data(), static_cast<int>(frame.size())) &&
+        message.body_case() != proto::envelope::BODY_NOT_SET &&
+        !message.vm().empty();
     if (!is_whole) {
       counters_->Count("messages_malformed");
       LogEvent(log_event::kMessageDropped, "plane=" + options_.name);
@@ -212,21 +230,26 @@
 }
 
 void message_link::CloseIdle(time_point now) {
-  if (now - state_->last_idle_check < seconds(5)) return;
+  if (now - state_->last_idle_check < seconds(5))
+    return;
   state_->last_idle_check = now;
-  std::erase_if(state_->connections,
-                [&](const auto& item) { return now - item.second.last_used > kIdleClose; });
+  std::erase_if(state_->connections, [&](const auto& item) {
+    return now - item.second.last_used > kIdleClose;
+  });
 }
 
 int message_link::PollTimeoutMs(time_point now) const {
-  if (state_->due.empty()) return kMostPollMs;
-  auto wait = std::chrono::ceil<milliseconds>(state_->due.begin()->first - now).count();
+  if (state_->due.empty())
+    return kMostPollMs;
+  auto wait =
+      std::chrono::ceil<milliseconds>(state_->due.begin()->first - now).count();
   return static_cast<int>(std::clamp<int64_t>(wait, 0, kMostPollMs));
 }
 
 std::string message_link::MapAddress(const std::string& address) const {
   for (const auto& [prefix, replacement] : options_.address_map) {
-    if (address.starts_with(prefix)) return replacement + address.substr(prefix.size());
+    if (address.starts_with(prefix))
+      return replacement + address.substr(prefix.size());
   }
   return address;
 }
--- a/src/network/message_link.h
+++ b/src/network/message_link.h
@@ -1,4 +1,5 @@
-/// @file message_link.h Messages between processes over ZeroMQ, on one socket for each plane.
+/// @file message_link.h Messages between processes over ZeroMQ, on one socket
+/// for each plane.
 #ifndef NETWORK_MESSAGE_LINK_H_
 #define NETWORK_MESSAGE_LINK_H_
 
@@ -21,7 +22,8 @@
 
 namespace fuchsiafall {
 
-/// Keys of the links between processes, in ZeroMQ's Z85 form; all empty for none.
+/// Keys of the links between processes, in ZeroMQ's Z85 form; all empty for
+/// none.
 struct link_keys {
   std::string public_key;
   std::string secret_key;
@@ -32,18 +34,22 @@
   std::string name;            ///< For metrics: control, bulk or traffic.
   std::string listen_address;  ///< ip:port
   link_keys keys;
-  std::map<std::string, std::string> address_map;  ///< Prefixes replaced before connecting.
-  milliseconds send_expiry{1000};  ///< Time after which an unsent message is dropped.
+  std::map<std::string, std::string>
+      address_map;  ///< Prefixes replaced before connecting.
+  milliseconds send_expiry{
+      1000};  ///< Time after which an unsent message is dropped.
 };
 
-/// Sends and receives messages in a thread of its own. Delivery is not certain; a peer
-/// that does not answer the transport's pings gets a new connection.
+/// Sends and receives messages in a thread of its own. Delivery is not certain;
+/// a peer that does not answer the transport's pings gets a new connection.
 class message_link {
  public:
   /// Takes one message, in the link's thread.
   using arrival_hook = std::function<void(proto::envelope&&)>;
 
-  message_link(message_link_options options, zmq::context_t* context, metrics* counters,
+  message_link(message_link_options options,
+               zmq::context_t* context,
+               metrics* counters,
                arrival_hook on_arrival);
   ~message_link();
   message_link(const message_link&) = delete;
@@ -76,7 +82,8 @@
   std::thread thread_;
 };
 
-/// Lets only peers in that present the fleet's key; one for each ZeroMQ context.
+/// Lets only peers in that present the fleet's key; one for each ZeroMQ
+/// context.
 class link_gate {
  public:
   link_gate(zmq::context_t* context, std::string fleet_key, metrics* counters);
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -1,4 +1,5 @@
-/// @file node_runtime.cc Links, the watch of the store, signals and common outputs.
+/// @file node_runtime.cc Links, the watch of the store, signals and common
+/// outputs.
 #include "network/node_runtime.h"
 
 #include <Poco/Exception.h>
@@ -20,8 +21,10 @@
 
 namespace {
 
-constexpr milliseconds kIdleWatch{200};        // Between looks at whether to watch the store.
-constexpr milliseconds kFirstStoreRead{1000};  // Time in which peers may give a configuration first.
+constexpr milliseconds kIdleWatch{
+    200};  // Between looks at whether to watch the store.
+constexpr milliseconds kFirstStoreRead{
+    1000};  // Time in which peers may give a configuration first.
 constexpr milliseconds kStoreBackoff{500};
 constexpr seconds kVmListInterval{3};
 constexpr long kSignalPollNs = 100000000;
@@ -29,7 +32,8 @@
 incarnation NewIncarnation() {
   auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return incarnation(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+          .count()));
 }
 
 /// Reads the memory that the process holds, in KiB.
@@ -43,11 +47,13 @@
 
 proto::vm_list ParseVmList(const std::string& body) {
   proto::vm_list list;
-  auto object = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
+  auto object =
+      Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
   list.set_index(object->getValue<Poco::UInt64>("index"));
   auto leaving = object->getArray("leaving");
   for (size_t i = 0; i < leaving->size(); ++i) {
-    list.add_leaving(leaving->getElement<std::string>(static_cast<unsigned>(i)));
+    list.add_leaving(
+        leaving->getElement<std::string>(static_cast<unsigned>(i)));
   }
   return list;
 }
@@ -86,29 +92,37 @@
 }
 
 outcome<done> node_runtime::Start() {
-  const link_keys keys{settings_.public_key, settings_.secret_key, settings_.fleet_key};
+  const link_keys keys{settings_.public_key, settings_.secret_key,
+                       settings_.fleet_key};
   if (keys.secret_key.empty()) {
-    LogEvent(log_event::kKeysMissing, "set keys.public, keys.secret and keys.fleet");
+    LogEvent(log_event::kKeysMissing,
+             "set keys.public, keys.secret and keys.fleet");
   } else {
-    gate_ = std::make_unique<link_gate>(context_.get(), keys.fleet_key, &metrics_);
+    gate_ =
+        std::make_unique<link_gate>(context_.get(), keys.fleet_key, &metrics_);
   }
-  auto make = [&](const char* name, plane where, int64_t offset, seconds expiry) {
+  auto make = [&](const char* name, plane where, int64_t offset,
+                  seconds expiry) {
     message_link_options options{
         .name = name,
-        .listen_address = settings_.ip + ":" + std::to_string(settings_.port + offset),
+        .listen_address =
+            settings_.ip + ":" + std::to_string(settings_.port + offset),
         .keys = keys,
         .address_map = settings_.address_map,
         .send_expiry = expiry};
     return std::make_unique<message_link>(
         options, context_.get(), &metrics_,
-        [this, where](proto::envelope&& message) { OnEnvelope(where, std::move(message)); });
+        [this, where](proto::envelope&& message) {
+          OnEnvelope(where, std::move(message));
+        });
   };
   control_ = make("control", plane::kControl, 0, seconds(1));
   bulk_ = make("bulk", plane::kBulk, 1, seconds(5));
   traffic_ = make("traffic", plane::kTraffic, 2, seconds(2));
   for (message_link* link : {control_.get(), bulk_.get(), traffic_.get()}) {
     outcome<done> started = link->Start();
-    if (!started) return started;
+    if (!started)
+      return started;
   }
   store_thread_ = std::thread([this] { WatchStore(); });
   signal_thread_ = std::thread([this] { WaitForSignal(); });
@@ -116,11 +130,15 @@
 }
 
 void node_runtime::Stop() {
-  if (is_stopping_.exchange(true)) return;
-  if (store_thread_.joinable()) store_thread_.join();
-  if (signal_thread_.joinable()) signal_thread_.join();
+  if (is_stopping_.exchange(true))
+    return;
+  if (store_thread_.joinable())
+    store_thread_.join();
+  if (signal_thread_.joinable())
+    signal_thread_.join();
   for (message_link* link : {traffic_.get(), bulk_.get(), control_.get()}) {
-    if (link != nullptr) link->Stop();
+    if (link != nullptr)
+      link->Stop();
   }
 }
 
@@ -154,10 +172,13 @@
 std::string node_runtime::DescribeMetrics() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
-  auto to_ms = [](const timeval& t) { return t.tv_sec * 1000 + t.tv_usec / 1000; };
+  auto to_ms = [](const timeval& t) {
+    return t.tv_sec * 1000 + t.tv_usec / 1000;
+  };
   metrics_.Set("process_cpu_ms", to_ms(usage.ru_utime) + to_ms(usage.ru_stime));
   metrics_.Set("process_resident_kb", ResidentKb());
-  metrics_.Set("configuration_revision", static_cast<int64_t>(own_revision_.load()));
+  metrics_.Set("configuration_revision",
+               static_cast<int64_t>(own_revision_.load()));
   return metrics_.Describe();
 }
 
@@ -166,7 +187,8 @@
     hooks_.on_message({where, std::move(message)});
     return;
   }
-  if (!hooks_.on_blob) return;
+  if (!hooks_.on_blob)
+    return;
   proto::blob_answer* answer = message.mutable_blob_answer();
   blob_arrival blob{.giver = vm_id(message.vm()),
                     .request_id = answer->request_id(),
@@ -179,14 +201,19 @@
       blob.bytes = std::move(bytes);
       break;
     }
-    case proto::blob_answer::BUSY: blob.status = blob_arrival::status_type::kBusy; break;
-    default: blob.status = blob_arrival::status_type::kNotHere; break;
+    case proto::blob_answer::BUSY:
+      blob.status = blob_arrival::status_type::kBusy;
+      break;
+    default:
+      blob.status = blob_arrival::status_type::kNotHere;
+      break;
   }
   hooks_.on_blob(std::move(blob));
 }
 
 void node_runtime::WatchStore() {
-  if (settings_.store.empty()) return;
+  if (settings_.store.empty())
+    return;
   Sleep(settings_.peers.empty() ? milliseconds(0) : kFirstStoreRead);
   uint64_t watch_index = 0;
   bool was_reachable = true;
@@ -202,23 +229,27 @@
         WatchHead(store_, watch_index, seconds(settings_.store_wait_s));
     if (static_cast<bool>(read) != was_reachable) {
       was_reachable = static_cast<bool>(read);
-      LogEvent(read ? log_event::kStoreReachable : log_event::kStoreUnreachable, settings_.store);
+      LogEvent(read ? log_event::kStoreReachable : log_event::kStoreUnreachable,
+               settings_.store);
     }
     if (!read) {
       metrics_.Count("store_unreachable");
-      if (own_revision_ == 0) LogEvent(log_event::kWaitingForConfiguration, read.LastReason());
+      if (own_revision_ == 0)
+        LogEvent(log_event::kWaitingForConfiguration, read.LastReason());
       watch_index = 0;
       Sleep(kStoreBackoff);
       continue;
     }
     watch_index = read->watch_index;
-    outcome<store_news> news = NewsSince(store_, read->head, revision(own_revision_));
+    outcome<store_news> news =
+        NewsSince(store_, read->head, revision(own_revision_));
     if (news) {
       hooks_.on_store(std::move(*news));
     } else {
       watch_index = 0;
     }
-    if (read->head.revision() == 0) Sleep(kIdleWatch);
+    if (read->head.revision() == 0)
+      Sleep(kIdleWatch);
     if (std::chrono::steady_clock::now() - last_vm_list >= kVmListInterval) {
       last_vm_list = std::chrono::steady_clock::now();
       ReadVmList();
@@ -227,11 +258,14 @@
 }
 
 void node_runtime::ReadVmList() {
-  if (settings_.vm_list.empty()) return;
-  http_result result = CallHttp({.address = settings_.vm_list,
-                                 .path = "/vms",
-                                 .timeout = milliseconds(settings_.store_timeout_ms)});
-  if (result.status != http_result::status_type::kAnswered) return;
+  if (settings_.vm_list.empty())
+    return;
+  http_result result =
+      CallHttp({.address = settings_.vm_list,
+                .path = "/vms",
+                .timeout = milliseconds(settings_.store_timeout_ms)});
+  if (result.status != http_result::status_type::kAnswered)
+    return;
   try {
     hooks_.on_vm_list(ParseVmList(result.body));
   } catch (const Poco::Exception&) {
@@ -246,13 +280,15 @@
   sigaddset(&signals, SIGINT);
   const timespec longest{0, kSignalPollNs};
   while (!is_stopping_) {
-    if (sigtimedwait(&signals, nullptr, &longest) > 0) hooks_.on_shutdown();
+    if (sigtimedwait(&signals, nullptr, &longest) > 0)
+      hooks_.on_shutdown();
   }
 }
 
 void node_runtime::Sleep(milliseconds span) {
   constexpr milliseconds kStep{50};
-  for (milliseconds passed{0}; passed < span && !is_stopping_; passed += kStep) {
+  for (milliseconds passed{0}; passed < span && !is_stopping_;
+       passed += kStep) {
     std::this_thread::sleep_for(kStep);
   }
 }
--- a/src/network/node_runtime.h
+++ b/src/network/node_runtime.h
@@ -1,5 +1,5 @@
-/// @file node_runtime.h What the processes of entries and agents have in common: links,
-/// the watch of the store, signals and the common outputs.
+/// @file node_runtime.h What the processes of entries and agents have in
+/// common: links, the watch of the store, signals and the common outputs.
 #ifndef NETWORK_NODE_RUNTIME_H_
 #define NETWORK_NODE_RUNTIME_H_
 
@@ -87,7 +87,8 @@
   std::thread signal_thread_;
 };
 
-/// Blocks the signals that order a graceful shutdown; call before any thread starts.
+/// Blocks the signals that order a graceful shutdown; call before any thread
+/// starts.
 void BlockSignals();
 
 /// Fills in the options that entries and agents have in common.
--- a/src/operator_cmd.h
+++ b/src/operator_cmd.h
@@ -14,11 +14,11 @@
   std::vector<std::string> arguments;  ///< Without the command's own name.
   std::string store;                   ///< ip:port of the platform's store.
   std::string author;                  ///< Name written into edits.
-  std::string edit_id;                 ///< Chosen by the caller; empty for a random one.
-  std::string output;                  ///< Folder that chunks are written to.
+  std::string edit_id;  ///< Chosen by the caller; empty for a random one.
+  std::string output;   ///< Folder that chunks are written to.
   uint32_t chunk_bytes = 0;
-  uint32_t wait_ms = 0;                ///< Time to wait for processes to answer.
-  std::string listen_ip;               ///< Address at which answers of processes arrive.
+  uint32_t wait_ms = 0;   ///< Time to wait for processes to answer.
+  std::string listen_ip;  ///< Address at which answers of processes arrive.
   link_keys keys;
   bool json = false;
   bool watch = false;
--- a/src/outcome_type.h
+++ b/src/outcome_type.h
@@ -1,4 +1,5 @@
-/// @file outcome_type.h Result of an operation: an optional value with the last reason.
+/// @file outcome_type.h Result of an operation: an optional value with the last
+/// reason.
 #ifndef OUTCOME_TYPE_H_
 #define OUTCOME_TYPE_H_
 
@@ -17,8 +18,8 @@
 template <typename T>
 class [[nodiscard]] outcome {
  public:
-  outcome(T value) : value_(std::move(value)) {}                      // NOLINT
-  outcome(failure why) : last_reason_(std::move(why.reason)) {}       // NOLINT
+  outcome(T value) : value_(std::move(value)) {}                 // NOLINT
+  outcome(failure why) : last_reason_(std::move(why.reason)) {}  // NOLINT
 
   explicit operator bool() const { return value_.has_value(); }
   const T& operator*() const { return *value_; }
--- a/src/output_type.h
+++ b/src/output_type.h
@@ -21,10 +21,11 @@
 /// Sends a message to another process.
 struct send_message {
   plane where = plane::kControl;
-  std::string address;       ///< ip:port
+  std::string address;  ///< ip:port
   proto::envelope message;
-  time_point send_at{};      ///< Not sent before this time, by which bulk is paced.
-  shared_bytes attachment;   ///< Put into the data of a blob answer just before sending.
+  time_point send_at{};  ///< Not sent before this time, by which bulk is paced.
+  shared_bytes
+      attachment;  ///< Put into the data of a blob answer just before sending.
 };
 
 /// Writes a numbered log event.
@@ -52,7 +53,7 @@
 
 /// Part of the weights that an engine loads.
 struct load_part {
-  std::string name;      ///< Id of the version or adapter.
+  std::string name;  ///< Id of the version or adapter.
   digest manifest;
 };
 
@@ -101,7 +102,8 @@
   bool last = false;
 };
 
-/// Ends a caller's request with a refusal, or breaks off an answer already begun.
+/// Ends a caller's request with a refusal, or breaks off an answer already
+/// begun.
 struct answer_refusal {
   uint64_t request = 0;
   reason why = reason::kNone;
@@ -109,16 +111,29 @@
   milliseconds retry_after{0};
 };
 
-using output = std::variant<send_message, log_line, count_event, count_reason, fetch_from_origin,
-                            order_load, start_call, cancel_call, create_record, release_record,
-                            answer_part, answer_refusal>;
+using output = std::variant<send_message,
+                            log_line,
+                            count_event,
+                            count_reason,
+                            fetch_from_origin,
+                            order_load,
+                            start_call,
+                            cancel_call,
+                            create_record,
+                            release_record,
+                            answer_part,
+                            answer_refusal>;
 
 /// Outputs of one step, in order.
 class output_list {
  public:
   void Add(output item) { items_.push_back(std::move(item)); }
-  void Log(log_event event, std::string detail) { Add(log_line{event, std::move(detail)}); }
-  void Count(std::string name, uint64_t amount = 1) { Add(count_event{std::move(name), amount}); }
+  void Log(log_event event, std::string detail) {
+    Add(log_line{event, std::move(detail)});
+  }
+  void Count(std::string name, uint64_t amount = 1) {
+    Add(count_event{std::move(name), amount});
+  }
   void CountRefusal(reason why) { Add(count_reason{why, false}); }
   void CountRetry(reason why) { Add(count_reason{why, true}); }
   void Send(plane where, std::string address, proto::envelope message) {
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -19,12 +19,14 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpServerError = 500;
-constexpr char kStreamEnd[] = "data: [DONE]";  // Last event of a completions stream.
+constexpr char kStreamEnd[] =
+    "data: [DONE]";  // Last event of a completions stream.
 constexpr char kEventStream[] = "text/event-stream";
 
 engine_report ParseReport(const std::string& body) {
   engine_report report;
-  auto object = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
+  auto object =
+      Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
   report.reachable = true;
   report.start_id = object->getValue<std::string>("start_id");
   const auto stage = object->optValue<std::string>("stage", "empty");
@@ -37,7 +39,8 @@
   for (size_t i = 0; !parts.isNull() && i < parts->size(); ++i) {
     Poco::JSON::Object::Ptr part = parts->getObject(static_cast<unsigned>(i));
     report.digests.push_back(part->getValue<std::string>("digest"));
-    if (i > 0) report.adapters.push_back(part->getValue<std::string>("name"));
+    if (i > 0)
+      report.adapters.push_back(part->getValue<std::string>("name"));
   }
   return report;
 }
@@ -49,10 +52,14 @@
 
 reason ReasonOf(http_result::status_type status) {
   switch (status) {
-    case http_result::status_type::kNotSent: return reason::kEngineUnreachable;
-    case http_result::status_type::kBrokenOff: return reason::kEngineCrashed;
-    case http_result::status_type::kStopped: return reason::kDeadline;
-    default: return reason::kEngineFailed;
+    case http_result::status_type::kNotSent:
+      return reason::kEngineUnreachable;
+    case http_result::status_type::kBrokenOff:
+      return reason::kEngineCrashed;
+    case http_result::status_type::kStopped:
+      return reason::kDeadline;
+    default:
+      return reason::kEngineFailed;
   }
 }
 
@@ -71,7 +78,8 @@
   http_result result = CallHttp({.address = options_.address,
                                  .path = "/admin/state",
                                  .timeout = options_.report_timeout});
-  if (result.status != http_result::status_type::kAnswered || result.http_status != kHttpOk) {
+  if (result.status != http_result::status_type::kAnswered ||
+      result.http_status != kHttpOk) {
     return {};
   }
   try {
@@ -81,7 +89,8 @@
   }
 }
 
-load_answer engine_client::Load(const order_load& order, time_point issued_at) const {
+load_answer engine_client::Load(const order_load& order,
+                                time_point issued_at) const {
   load_answer answer{.version = order.version};
   Poco::JSON::Object body;
   body.set("version", order.version);
@@ -126,7 +135,9 @@
     std::lock_guard lock(mutex_);
     running_[id] = is_cancelled;
   }
-  if (StartWork(pool_.get(), [this, call, is_cancelled] { RunCall(call, is_cancelled); })) return;
+  if (StartWork(pool_.get(),
+                [this, call, is_cancelled] { RunCall(call, is_cancelled); }))
+    return;
   Forget(id);
   on_part_({.id = id, .last = true, .why = reason::kEngineUnreachable});
 }
@@ -134,22 +145,28 @@
 void engine_client::Cancel(const call_id& id) {
   std::lock_guard lock(mutex_);
   auto it = running_.find(id);
-  if (it != running_.end()) *it->second = true;
+  if (it != running_.end())
+    *it->second = true;
 }
 
 void engine_client::JoinAll() {
   pool_->joinAll();
 }
 
-void engine_client::RunCall(const start_call& call,
-                            const std::shared_ptr<std::atomic<bool>>& is_cancelled) {
+void engine_client::RunCall(
+    const start_call& call,
+    const std::shared_ptr<std::atomic<bool>>& is_cancelled) {
   const call_id id{call.entry, call.attempt};
   std::string tail;
   bool is_stream = false;
   auto on_piece = [&](const http_result& head, const std::string& piece) {
     is_stream = head.content_type.starts_with(kEventStream);
-    if (head.http_status >= kHttpServerError) return !*is_cancelled;
-    tail = (tail + piece).substr(tail.size() + piece.size() > 64 ? tail.size() + piece.size() - 64 : 0);
+    if (head.http_status >= kHttpServerError)
+      return !*is_cancelled;
+    tail = (tail + piece)
+               .substr(tail.size() + piece.size() > 64
+                           ? tail.size() + piece.size() - 64
+                           : 0);
     on_part_({.id = id,
               .data = piece,
               .http_status = head.http_status,
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -1,4 +1,5 @@
-/// @file engine_client.h Adapter of the backend server: model engines and plain services.
+/// @file engine_client.h Adapter of the backend server: model engines and plain
+/// services.
 #ifndef PLATFORM_ENGINE_CLIENT_H_
 #define PLATFORM_ENGINE_CLIENT_H_
 
@@ -19,12 +20,14 @@
 namespace fuchsiafall {
 
 struct engine_client_options {
-  std::string address;         ///< ip:port of the backend server.
-  std::string weights_address; ///< ip:port at which it fetches weights from the agent.
+  std::string address;  ///< ip:port of the backend server.
+  std::string
+      weights_address;  ///< ip:port at which it fetches weights from the agent.
   bool is_plain = false;
   milliseconds report_timeout{1000};
   milliseconds call_timeout{15000};  ///< Longest silence of a call.
-  milliseconds order_freshness{1000};///< Age above which an order is dropped unsent.
+  milliseconds order_freshness{
+      1000};  ///< Age above which an order is dropped unsent.
   int most_threads = 256;
 };
 
@@ -50,14 +53,16 @@
   void JoinAll();
 
  private:
-  void RunCall(const start_call& call, const std::shared_ptr<std::atomic<bool>>& is_cancelled);
+  void RunCall(const start_call& call,
+               const std::shared_ptr<std::atomic<bool>>& is_cancelled);
   void Forget(const call_id& id);
 
   engine_client_options options_;
   part_hook on_part_;
   std::unique_ptr<Poco::ThreadPool> pool_;
   std::mutex mutex_;
-  std::map<call_id, std::shared_ptr<std::atomic<bool>>> running_;  ///< With whether cancelled.
+  std::map<call_id, std::shared_ptr<std::atomic<bool>>>
+      running_;  ///< With whether cancelled.
 };
 
 }  // namespace fuchsiafall
--- a/src/platform/http_call.cc
+++ b/src/platform/http_call.cc
@@ -21,16 +21,21 @@
 /// Reads what has arrived, waiting for one byte at least.
 std::string ReadPiece(std::istream* body, std::vector<char>* buffer) {
   int first = body->get();
-  if (first == std::char_traits<char>::eof()) return "";
+  if (first == std::char_traits<char>::eof())
+    return "";
   std::string piece(1, static_cast<char>(first));
-  std::streamsize more = body->readsome(buffer->data(), static_cast<std::streamsize>(kPieceBytes));
-  if (more > 0) piece.append(buffer->data(), static_cast<size_t>(more));
+  std::streamsize more =
+      body->readsome(buffer->data(), static_cast<std::streamsize>(kPieceBytes));
+  if (more > 0)
+    piece.append(buffer->data(), static_cast<size_t>(more));
   return piece;
 }
 
 /// Reads the whole body and checks its length where one was announced.
-http_result::status_type ReadBody(std::istream* body, std::streamsize announced,
-                                  const body_hook& on_piece, http_result* result) {
+http_result::status_type ReadBody(std::istream* body,
+                                  std::streamsize announced,
+                                  const body_hook& on_piece,
+                                  http_result* result) {
   std::vector<char> buffer(kPieceBytes);
   std::streamsize length = 0;
   for (std::string piece = ReadPiece(body, &buffer); !piece.empty();
@@ -43,7 +48,8 @@
     }
   }
   bool is_short = announced >= 0 && length != announced;
-  return is_short ? http_result::status_type::kBrokenOff : http_result::status_type::kAnswered;
+  return is_short ? http_result::status_type::kBrokenOff
+                  : http_result::status_type::kAnswered;
 }
 
 }  // namespace
@@ -54,15 +60,18 @@
   try {
     Poco::Net::SocketAddress address(call.address);
     Poco::Net::StreamSocket socket;
-    const Poco::Timespan timeout(call.timeout.count() * Poco::Timespan::MILLISECONDS);
+    const Poco::Timespan timeout(call.timeout.count() *
+                                 Poco::Timespan::MILLISECONDS);
     socket.connect(address, timeout);
     socket.setNoDelay(true);
     Poco::Net::HTTPClientSession session(socket);
     session.setTimeout(timeout);
     session.setKeepAlive(false);
-    Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    Poco::Net::HTTPRequest request(call.method, call.path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
     request.setHost(address.host().toString(), address.port());
-    for (const auto& [name, value] : call.headers) request.set(name, value);
+    for (const auto& [name, value] : call.headers)
+      request.set(name, value);
     if (!call.body.empty() || call.method != "GET") {
       request.setContentType(call.content_type);
       request.setContentLength(static_cast<std::streamsize>(call.body.size()));
@@ -73,7 +82,8 @@
     std::istream& body = session.receiveResponse(response);
     result.http_status = response.getStatus();
     result.content_type = response.getContentType();
-    for (const auto& [name, value] : response) result.headers[name] = value;
+    for (const auto& [name, value] : response)
+      result.headers[name] = value;
     const std::streamsize announced =
         response.hasContentLength() ? response.getContentLength() : -1;
     result.status = ReadBody(&body, announced, on_piece, &result);
--- a/src/platform/http_call.h
+++ b/src/platform/http_call.h
@@ -1,4 +1,5 @@
-/// @file http_call.h One HTTP call of an outside system, with its outcome as a value.
+/// @file http_call.h One HTTP call of an outside system, with its outcome as a
+/// value.
 #ifndef PLATFORM_HTTP_CALL_H_
 #define PLATFORM_HTTP_CALL_H_
 
@@ -25,10 +26,10 @@
 struct http_result {
   enum class status_type {
     kAnswered,
-    kNotSent,     ///< No connection could be made.
-    kBrokenOff,   ///< The connection ended, or the answer was cut short.
-    kTimedOut,    ///< The connection went silent.
-    kStopped,     ///< The hook wanted no more.
+    kNotSent,    ///< No connection could be made.
+    kBrokenOff,  ///< The connection ended, or the answer was cut short.
+    kTimedOut,   ///< The connection went silent.
+    kStopped,    ///< The hook wanted no more.
   };
   status_type status = status_type::kNotSent;
   int http_status = 0;
@@ -39,11 +40,13 @@
 
 /// Takes a piece of the body as it arrives.
 /// @return Whether more is wanted.
-using body_hook = std::function<bool(const http_result& head, const std::string& piece)>;
+using body_hook =
+    std::function<bool(const http_result& head, const std::string& piece)>;
 
 /// Makes the call on a connection of its own, and waits for the whole answer.
 /// @param on_piece Takes the body in pieces; without it, the body is collected.
-http_result CallHttp(const http_call& call, const body_hook& on_piece = nullptr);
+http_result CallHttp(const http_call& call,
+                     const body_hook& on_piece = nullptr);
 
 }  // namespace fuchsiafall
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -1,4 +1,5 @@
-/// @file store_client.h The platform's key-value store, as hooks, and its HTTP adapter.
+/// @file store_client.h The platform's key-value store, as hooks, and its HTTP
+/// adapter.
 #ifndef PLATFORM_STORE_CLIENT_H_
 #define PLATFORM_STORE_CLIENT_H_
 
@@ -9,7 +10,8 @@
 
 namespace fuchsiafall {
 
-/// Value of a key with the index of its last change, which is 0 while it does not exist.
+/// Value of a key with the index of its last change, which is 0 while it does
+/// not exist.
 struct store_value {
   enum class status_type { kFound, kAbsent, kUnreachable };
   status_type status = status_type::kUnreachable;
@@ -29,15 +31,20 @@
 /// Calls of the store. Each blocks for no longer than its timeout.
 struct store_client {
   std::function<store_value(const std::string& key)> read;
-  /// Waits until the key has changed since watch_index, for no longer than the wait.
-  std::function<store_value(const std::string& key, uint64_t watch_index, milliseconds wait)>
+  /// Waits until the key has changed since watch_index, for no longer than the
+  /// wait.
+  std::function<store_value(const std::string& key,
+                            uint64_t watch_index,
+                            milliseconds wait)>
       watch;
   /// Writes if the key still has this modify_index; 0 creates it.
-  std::function<store_write(const std::string& key, const std::string& value,
+  std::function<store_write(const std::string& key,
+                            const std::string& value,
                             uint64_t modify_index)>
       write;
   /// Deletes if the key still has this modify_index.
-  std::function<store_write(const std::string& key, uint64_t modify_index)> remove;
+  std::function<store_write(const std::string& key, uint64_t modify_index)>
+      remove;
 };
 
 /// Makes a client of a store that speaks Consul's KV protocol over HTTP.
--- a/src/reason_type.h
+++ b/src/reason_type.h
@@ -36,9 +36,11 @@
   return kReasonTable[static_cast<size_t>(why)];
 }
 
-/// Converts a number from another process; numbers out of range count as a failed engine.
+/// Converts a number from another process; numbers out of range count as a
+/// failed engine.
 constexpr reason ReasonFromNumber(uint32_t number) {
-  return number < kReasonCount ? static_cast<reason>(number) : reason::kEngineFailed;
+  return number < kReasonCount ? static_cast<reason>(number)
+                               : reason::kEngineFailed;
 }
 
 }  // namespace fuchsiafall
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -11,19 +11,24 @@
 
 constexpr double kMostRetryTokens = 100;  // Retries saved up at the most.
 constexpr uint32_t kMostAttempts = 6;
-constexpr uint32_t kMostFullRefusals = 3;   // Full servers tried before the request is shed.
+constexpr uint32_t kMostFullRefusals =
+    3;  // Full servers tried before the request is shed.
 constexpr milliseconds kRetryAfter{1000};
-constexpr size_t kAffinityBytes = 256;      // Length of the prompt's prefix that is hashed.
+constexpr size_t kAffinityBytes =
+    256;  // Length of the prompt's prefix that is hashed.
 
-/// Whether a refusal only tells that the entry's view of a server was out of date.
+/// Whether a refusal only tells that the entry's view of a server was out of
+/// date.
 bool IsStaleView(reason why) {
   switch (why) {
     case reason::kDomainOut:
     case reason::kServerLeaving:
     case reason::kServerLoading:
     case reason::kWrongVersion:
-    case reason::kShuttingDown: return true;
-    default: return false;
+    case reason::kShuttingDown:
+      return true;
+    default:
+      return false;
   }
 }
 
@@ -34,29 +39,37 @@
     case reason::kEngineCrashed:
     case reason::kEngineFailed:
     case reason::kAnswerIncomplete:
-    case reason::kAttemptSilent: return true;
-    default: return false;
+    case reason::kAttemptSilent:
+      return true;
+    default:
+      return false;
   }
 }
 
 }  // namespace
 
-request_table::request_table(request_table_options options, router* routes, gossip* members)
+request_table::request_table(request_table_options options,
+                             router* routes,
+                             gossip* members)
     : options_(std::move(options)),
       routes_(routes),
       members_(members),
       retry_tokens_(kMostRetryTokens) {
   // Attempts of an earlier process on this VM must not be taken for ours.
-  next_attempt_ = Hash64(options_.self.value, options_.own_incarnation.value) | 1;
+  next_attempt_ =
+      Hash64(options_.self.value, options_.own_incarnation.value) | 1;
 }
 
-void request_table::OnRequest(time_point now, const caller_request& from, output_list* out) {
+void request_table::OnRequest(time_point now,
+                              const caller_request& from,
+                              output_list* out) {
   out->Count("requests");
   request item;
   item.id = from.id;
   item.received_at = now;
   item.last_progress = now;
-  item.deadline = now + (from.deadline.count() > 0 ? from.deadline : options_.deadline);
+  item.deadline =
+      now + (from.deadline.count() > 0 ? from.deadline : options_.deadline);
   item.park_until = std::min<time_point>(item.deadline, now + options_.park);
   std::optional<reason> refused = Resolve(from, &item);
   if (refused) {
@@ -69,18 +82,23 @@
 
 void request_table::OnGone(time_point now, uint64_t id, output_list* out) {
   auto it = requests_.find(id);
-  if (it == requests_.end()) return;
+  if (it == requests_.end())
+    return;
   out->Count("callers_gone");
   CancelAttempt(&it->second, out);
   EndAttempt(now, &it->second, false, out);
   requests_.erase(it);
 }
 
-void request_table::OnPart(time_point now, const vm_id& from, const proto::call_part& part,
+void request_table::OnPart(time_point now,
+                           const vm_id& from,
+                           const proto::call_part& part,
                            output_list* out) {
-  if (part.has_state()) routes_->OnState(now, from, part.state());
+  if (part.has_state())
+    routes_->OnState(now, from, part.state());
   auto attempt = attempts_.find(attempt_id(part.attempt_id()));
-  auto it = attempt == attempts_.end() ? requests_.end() : requests_.find(attempt->second);
+  auto it = attempt == attempts_.end() ? requests_.end()
+                                       : requests_.find(attempt->second);
   if (it == requests_.end() || it->second.server != from) {
     out->Count("parts_late");
     return;
@@ -89,10 +107,12 @@
   item.last_progress = now;
   if (part.last() && part.reason() != 0) {
     item.retry_after = milliseconds(part.retry_after_ms());
-    OnFailedAttempt(now, &item, ReasonFromNumber(part.reason()), part.may_have_run(), out);
+    OnFailedAttempt(now, &item, ReasonFromNumber(part.reason()),
+                    part.may_have_run(), out);
     return;
   }
-  if (!part.last() && part.data().empty()) return;  // Says only that the call goes on.
+  if (!part.last() && part.data().empty())
+    return;  // Says only that the call goes on.
   if (part.sequence() != item.next_sequence) {
     CancelAttempt(&item, out);
     OnFailedAttempt(now, &item, reason::kAnswerIncomplete, true, out);
@@ -104,14 +124,17 @@
 void request_table::Step(time_point now, output_list* out) {
   std::vector<uint64_t> ids;
   ids.reserve(requests_.size());
-  for (const auto& [id, item] : requests_) ids.push_back(id);
+  for (const auto& [id, item] : requests_)
+    ids.push_back(id);
   for (uint64_t id : ids) {
     auto it = requests_.find(id);
-    if (it == requests_.end()) continue;
+    if (it == requests_.end())
+      continue;
     request& item = it->second;
     const bool is_waiting = item.attempt.value == 0;
     if (now >= item.deadline || (is_waiting && now >= item.park_until)) {
-      if (!is_waiting) item.may_have_run = true;
+      if (!is_waiting)
+        item.may_have_run = true;
       CancelAttempt(&item, out);
       EndAttempt(now, &item, false, out);
       Refuse(&item, is_waiting ? item.last_reason : reason::kDeadline, out);
@@ -124,18 +147,24 @@
   }
 }
 
-std::optional<reason> request_table::Resolve(const caller_request& from, request* item) const {
-  if (is_shutting_down_) return reason::kShuttingDown;
+std::optional<reason> request_table::Resolve(const caller_request& from,
+                                             request* item) const {
+  if (is_shutting_down_)
+    return reason::kShuttingDown;
   const world& where = *members_->World();
-  const proto::organisation* organisation = where.FindOrganisationByToken(from.token);
-  if (organisation == nullptr) return reason::kUnknownOrganisation;
+  const proto::organisation* organisation =
+      where.FindOrganisationByToken(from.token);
+  if (organisation == nullptr)
+    return reason::kUnknownOrganisation;
   if (from.is_model_call) {
-    if (!ResolveModel(from.model, item)) return reason::kUnknownService;
+    if (!ResolveModel(from.model, item))
+      return reason::kUnknownService;
   } else {
     item->query.service = from.model;
   }
   const proto::service* service = where.FindService(item->query.service);
-  if (service == nullptr) return reason::kUnknownService;
+  if (service == nullptr)
+    return reason::kUnknownService;
   if ((service->kind() == proto::service::MODEL) != from.is_model_call) {
     return reason::kUnknownService;
   }
@@ -148,13 +177,17 @@
   call.set_body(from.body);
   call.set_idempotent(where.IsIdempotent(*service, from.method, from.path));
   call.set_idempotency_key(from.idempotency_key);
-  call.set_fingerprint(Hash64(from.path + "\n" + from.body, Hash64(service->id())));
+  call.set_fingerprint(
+      Hash64(from.path + "\n" + from.body, Hash64(service->id())));
   call.set_priority(from.priority);
   call.set_stream(from.stream);
   if (!call.idempotent()) {
-    if (from.idempotency_key.empty()) return reason::kKeyMissing;
-    // The same key goes to the same server while it can, which still has the answer.
-    item->query.affinity = Hash64(organisation->id() + "\n" + from.idempotency_key) | 1;
+    if (from.idempotency_key.empty())
+      return reason::kKeyMissing;
+    // The same key goes to the same server while it can, which still has the
+    // answer.
+    item->query.affinity =
+        Hash64(organisation->id() + "\n" + from.idempotency_key) | 1;
     item->query.is_sticky = true;
   } else if (from.is_model_call && !from.prefix.empty()) {
     item->query.affinity = Hash64(from.prefix.substr(0, kAffinityBytes)) | 1;
@@ -165,21 +198,27 @@
 bool request_table::ResolveModel(const std::string& name, request* item) const {
   const world& where = *members_->World();
   for (const auto& service : where.Configuration().inventory().services()) {
-    if (service.kind() != proto::service::MODEL) continue;
+    if (service.kind() != proto::service::MODEL)
+      continue;
     const proto::version* version = where.FindVersion(service.version());
     const auto& adapters = service.adapters();
-    bool is_adapter = std::find(adapters.begin(), adapters.end(), name) != adapters.end();
-    if (service.id() != name && version->model() != name && !is_adapter) continue;
+    bool is_adapter =
+        std::find(adapters.begin(), adapters.end(), name) != adapters.end();
+    if (service.id() != name && version->model() != name && !is_adapter)
+      continue;
     item->query.service = service.id();
-    if (is_adapter) item->query.adapter = name;
+    if (is_adapter)
+      item->query.adapter = name;
     return true;
   }
   return false;
 }
 
 void request_table::TryNext(time_point now, request* item, output_list* out) {
-  const uint32_t crashes = members_->CrashesOf(now, fingerprint(item->call.fingerprint()));
-  const uint32_t most = members_->World()->Configuration().rules().quarantine_crashes();
+  const uint32_t crashes =
+      members_->CrashesOf(now, fingerprint(item->call.fingerprint()));
+  const uint32_t most =
+      members_->World()->Configuration().rules().quarantine_crashes();
   if (most > 0 && crashes >= most) {
     out->Log(log_event::kRequestQuarantined,
              "fingerprint=" + std::to_string(item->call.fingerprint()));
@@ -195,11 +234,15 @@
     SendAttempt(now, item, *server, out);
     return;
   }
-  // A server that refused while others were full may be tried again a moment later.
-  if (!item->tried.empty()) item->tried.clear();
+  // A server that refused while others were full may be tried again a moment
+  // later.
+  if (!item->tried.empty())
+    item->tried.clear();
 }
 
-void request_table::SendAttempt(time_point now, request* item, const vm_id& server,
+void request_table::SendAttempt(time_point now,
+                                request* item,
+                                const vm_id& server,
                                 output_list* out) {
   const backend_server* chosen = routes_->Find(server);
   item->attempt = attempt_id(next_attempt_++);
@@ -223,13 +266,18 @@
   call->set_revision(members_->World()->Revision().value);
   message.set_reply_address(options_.own_traffic_address);
   const proto::vm* vm = members_->World()->FindVm(server);
-  out->Send(plane::kTraffic, world::AddressOf(*vm, plane::kTraffic), std::move(message));
+  out->Send(plane::kTraffic, world::AddressOf(*vm, plane::kTraffic),
+            std::move(message));
 }
 
-void request_table::OnFailedAttempt(time_point now, request* item, reason why, bool may_have_run,
+void request_table::OnFailedAttempt(time_point now,
+                                    request* item,
+                                    reason why,
+                                    bool may_have_run,
                                     output_list* out) {
   item->last_reason = why;
-  if (may_have_run) item->may_have_run = true;
+  if (may_have_run)
+    item->may_have_run = true;
   if (why == reason::kEngineCrashed) {
     members_->AddCrash(now, fingerprint(item->call.fingerprint()), 1);
   }
@@ -248,29 +296,39 @@
 }
 
 bool request_table::MayRetry(const request& item, reason why) const {
-  if (item.has_answered || item.attempts >= kMostAttempts) return false;
-  if (item.may_have_run && !item.call.idempotent()) return false;
+  if (item.has_answered || item.attempts >= kMostAttempts)
+    return false;
+  if (item.may_have_run && !item.call.idempotent())
+    return false;
   switch (why) {
     case reason::kServerFull:
-    case reason::kQueueDeadline: return item.attempts < kMostFullRefusals;
+    case reason::kQueueDeadline:
+      return item.attempts < kMostFullRefusals;
     case reason::kKeyUsed:
     case reason::kKeyMissing:
     case reason::kBadRequest:
     case reason::kUnknownService:
-    case reason::kDeadline: return false;
-    default: return true;
+    case reason::kDeadline:
+      return false;
+    default:
+      return true;
   }
 }
 
 bool request_table::PayForRetry(reason why) {
-  // The refusal itself has put the view right, so that these cannot repeat without end.
-  if (IsStaleView(why)) return true;
-  if (retry_tokens_ < 1) return false;
+  // The refusal itself has put the view right, so that these cannot repeat
+  // without end.
+  if (IsStaleView(why))
+    return true;
+  if (retry_tokens_ < 1)
+    return false;
   retry_tokens_ -= 1;
   return true;
 }
 
-void request_table::TakePart(time_point now, request* item, const proto::call_part& part,
+void request_table::TakePart(time_point now,
+                             request* item,
+                             const proto::call_part& part,
                              output_list* out) {
   ++item->next_sequence;
   item->bytes += part.data().size();
@@ -284,7 +342,8 @@
   }
   if (!item->call.stream()) {
     item->buffered += part.data();
-    if (part.last()) Finish(now, item, out);
+    if (part.last())
+      Finish(now, item, out);
     return;
   }
   out->Add(answer_part{.request = item->id,
@@ -294,7 +353,8 @@
                        .first = !item->has_answered,
                        .last = part.last()});
   item->has_answered = true;
-  if (part.last()) Finish(now, item, out);
+  if (part.last())
+    Finish(now, item, out);
 }
 
 void request_table::Finish(time_point now, request* item, output_list* out) {
@@ -307,7 +367,8 @@
                          .last = true});
   }
   out->Count("requests_answered");
-  retry_tokens_ = std::min(kMostRetryTokens, retry_tokens_ + options_.retry_share);
+  retry_tokens_ =
+      std::min(kMostRetryTokens, retry_tokens_ + options_.retry_share);
   members_->ForgetCrash(fingerprint(item->call.fingerprint()));
   EndAttempt(now, item, false, out);
   requests_.erase(item->id);
@@ -316,28 +377,38 @@
 void request_table::Refuse(request* item, reason why, output_list* out) {
   out->CountRefusal(why);
   milliseconds retry_after = item->retry_after;
-  if (retry_after.count() == 0 && InfoOf(why).http_status >= 429) retry_after = kRetryAfter;
-  out->Add(answer_refusal{.request = item->id,
-                          .why = why,
-                          .may_have_run = item->may_have_run || !InfoOf(why).proves_not_run,
-                          .retry_after = retry_after});
+  if (retry_after.count() == 0 && InfoOf(why).http_status >= 429)
+    retry_after = kRetryAfter;
+  out->Add(answer_refusal{
+      .request = item->id,
+      .why = why,
+      .may_have_run = item->may_have_run || !InfoOf(why).proves_not_run,
+      .retry_after = retry_after});
   requests_.erase(item->id);
 }
 
 void request_table::CancelAttempt(request* item, output_list* out) {
-  if (item->attempt.value == 0) return;
+  if (item->attempt.value == 0)
+    return;
   const proto::vm* vm = members_->World()->FindVm(item->server);
-  if (vm == nullptr) return;
+  if (vm == nullptr)
+    return;
   proto::envelope message = NewMessage();
   message.mutable_cancel()->set_attempt_id(item->attempt.value);
-  out->Send(plane::kTraffic, world::AddressOf(*vm, plane::kTraffic), std::move(message));
+  out->Send(plane::kTraffic, world::AddressOf(*vm, plane::kTraffic),
+            std::move(message));
 }
 
-void request_table::EndAttempt(time_point now, request* item, bool failed, output_list* out) {
-  if (item->attempt.value == 0) return;
+void request_table::EndAttempt(time_point now,
+                               request* item,
+                               bool failed,
+                               output_list* out) {
+  if (item->attempt.value == 0)
+    return;
   attempts_.erase(item->attempt);
   item->attempt = attempt_id(0);
-  if (!routes_->OnEnd(now, item->server, failed)) return;
+  if (!routes_->OnEnd(now, item->server, failed))
+    return;
   out->Count("servers_ejected");
   out->Log(log_event::kServerEjected, "server=" + item->server.value);
 }
--- a/src/request_table_base.h
+++ b/src/request_table_base.h
@@ -1,4 +1,5 @@
-/// @file request_table_base.h Callers' requests at one entry: attempts, retries and answers.
+/// @file request_table_base.h Callers' requests at one entry: attempts, retries
+/// and answers.
 #ifndef REQUEST_TABLE_BASE_H_
 #define REQUEST_TABLE_BASE_H_
 
@@ -17,23 +18,23 @@
   incarnation own_incarnation;
   std::string own_traffic_address;
   milliseconds deadline{30000};  ///< Of requests that name none.
-  milliseconds progress{5000};   ///< Silence after which an attempt is given up.
-  milliseconds park{3000};       ///< Longest wait for a server to be ready.
-  double retry_share = 0.2;      ///< Retries allowed per request answered.
+  milliseconds progress{5000};  ///< Silence after which an attempt is given up.
+  milliseconds park{3000};      ///< Longest wait for a server to be ready.
+  double retry_share = 0.2;     ///< Retries allowed per request answered.
 };
 
 /// Request of a caller, as the HTTP thread read it.
 struct caller_request {
-  uint64_t id = 0;              ///< Chosen by the HTTP thread, unique in this process.
-  std::string token;            ///< Bearer token of the organisation.
-  std::string model;            ///< Model, adapter or service that is asked for.
-  bool is_model_call = false;   ///< Whether it came in on the completions path.
+  uint64_t id = 0;    ///< Chosen by the HTTP thread, unique in this process.
+  std::string token;  ///< Bearer token of the organisation.
+  std::string model;  ///< Model, adapter or service that is asked for.
+  bool is_model_call = false;  ///< Whether it came in on the completions path.
   std::string method;
   std::string path;
   std::string body;
-  std::string prefix;           ///< Start of the prompt, for affinity.
+  std::string prefix;  ///< Start of the prompt, for affinity.
   std::string idempotency_key;
-  milliseconds deadline{0};     ///< 0 when the caller names none.
+  milliseconds deadline{0};  ///< 0 when the caller names none.
   uint32_t priority = 0;
   bool stream = false;
 };
@@ -43,15 +44,20 @@
   uint64_t id = 0;
 };
 
-/// Routes requests and gives each caller the whole answer to its own request, or one
-/// refusal. "Not run" is said only while no attempt may have run.
+/// Routes requests and gives each caller the whole answer to its own request,
+/// or one refusal. "Not run" is said only while no attempt may have run.
 class request_table {
  public:
   request_table(request_table_options options, router* routes, gossip* members);
 
-  void OnRequest(time_point now, const caller_request& request, output_list* out);
+  void OnRequest(time_point now,
+                 const caller_request& request,
+                 output_list* out);
   void OnGone(time_point now, uint64_t id, output_list* out);
-  void OnPart(time_point now, const vm_id& from, const proto::call_part& part, output_list* out);
+  void OnPart(time_point now,
+              const vm_id& from,
+              const proto::call_part& part,
+              output_list* out);
   void Step(time_point now, output_list* out);
   /// Refuses every new request from now on.
   void ShutDown() { is_shutting_down_ = true; }
@@ -61,36 +67,47 @@
   /// Request that has not been answered yet.
   struct request {
     uint64_t id = 0;
-    proto::call_request call;         ///< As sent in each attempt.
+    proto::call_request call;  ///< As sent in each attempt.
     route_query query;
     std::set<vm_id> tried;
     time_point received_at{};
     time_point deadline{};
     time_point park_until{};
     time_point last_progress{};
-    attempt_id attempt;               ///< 0 while none is on its way.
-    vm_id server;                     ///< Of the present attempt.
+    attempt_id attempt;  ///< 0 while none is on its way.
+    vm_id server;        ///< Of the present attempt.
     uint32_t next_sequence = 0;
     uint64_t bytes = 0;
-    std::string buffered;             ///< Answer so far, of requests that are not streamed.
+    std::string
+        buffered;  ///< Answer so far, of requests that are not streamed.
     int http_status = 200;
     std::string content_type;
-    bool has_answered = false;        ///< Whether the caller has had a part.
-    bool may_have_run = false;        ///< Whether any attempt so far may have run.
+    bool has_answered = false;  ///< Whether the caller has had a part.
+    bool may_have_run = false;  ///< Whether any attempt so far may have run.
     uint32_t attempts = 0;
     reason last_reason = reason::kNoServerReady;
     milliseconds retry_after{0};
   };
 
-  std::optional<reason> Resolve(const caller_request& from, request* item) const;
+  std::optional<reason> Resolve(const caller_request& from,
+                                request* item) const;
   bool ResolveModel(const std::string& name, request* item) const;
   void TryNext(time_point now, request* item, output_list* out);
-  void SendAttempt(time_point now, request* item, const vm_id& server, output_list* out);
-  void OnFailedAttempt(time_point now, request* item, reason why, bool may_have_run,
+  void SendAttempt(time_point now,
+                   request* item,
+                   const vm_id& server,
+                   output_list* out);
+  void OnFailedAttempt(time_point now,
+                       request* item,
+                       reason why,
+                       bool may_have_run,
                        output_list* out);
   bool MayRetry(const request& item, reason why) const;
   bool PayForRetry(reason why);
-  void TakePart(time_point now, request* item, const proto::call_part& part, output_list* out);
+  void TakePart(time_point now,
+                request* item,
+                const proto::call_part& part,
+                output_list* out);
   void Finish(time_point now, request* item, output_list* out);
   void Refuse(request* item, reason why, output_list* out);
   void CancelAttempt(request* item, output_list* out);
--- a/src/router.cc
+++ b/src/router.cc
@@ -12,24 +12,30 @@
 constexpr uint32_t kFailuresToEject = 3;
 constexpr milliseconds kFirstEjection{2000};
 constexpr uint32_t kMostDoublings = 4;
-constexpr double kSpillLoad = 1.0;        // Load from which a farther domain is preferred.
-constexpr double kAffinityFactor = 1.25;  // Load allowed over the average for affinity.
-constexpr double kFirstShare = 0.1;       // Share that a domain gets at once when it returns.
+constexpr double kSpillLoad =
+    1.0;  // Load from which a farther domain is preferred.
+constexpr double kAffinityFactor =
+    1.25;  // Load allowed over the average for affinity.
+constexpr double kFirstShare =
+    0.1;  // Share that a domain gets at once when it returns.
 
 }  // namespace
 
 double backend_server::Load() const {
   const double limit = std::max(1U, state.limit());
-  return static_cast<double>(std::max<size_t>(state.in_flight(), outstanding)) / limit;
+  return static_cast<double>(std::max<size_t>(state.in_flight(), outstanding)) /
+         limit;
 }
 
-router::router(router_options options) : options_(std::move(options)), random_(options_.seed) {}
+router::router(router_options options)
+    : options_(std::move(options)), random_(options_.seed) {}
 
 void router::SetWorld(time_point now, const world_ptr& where) {
   if (world_ != nullptr) {
     for (const auto& [id, domain] : where->Domains()) {
       const failure_domain* before = world_->FindDomain(id);
-      if (before != nullptr && !before->in_service && domain.in_service) returned_at_[id] = now;
+      if (before != nullptr && !before->in_service && domain.in_service)
+        returned_at_[id] = now;
     }
   }
   world_ = where;
@@ -41,7 +47,8 @@
   }
   for (auto& [id, server] : servers_) {
     auto it = known.find(id);
-    if (it == known.end()) continue;
+    if (it == known.end())
+      continue;
     size_t distance = server.distance;
     server = it->second;
     server.distance = distance;
@@ -50,13 +57,17 @@
 
 std::set<vm_id> router::Watched() const {
   std::set<vm_id> watched;
-  for (const auto& [id, server] : servers_) watched.insert(id);
+  for (const auto& [id, server] : servers_)
+    watched.insert(id);
   return watched;
 }
 
-void router::OnState(time_point now, const vm_id& id, const proto::server_state& state) {
+void router::OnState(time_point now,
+                     const vm_id& id,
+                     const proto::server_state& state) {
   auto it = servers_.find(id);
-  if (it == servers_.end()) return;
+  if (it == servers_.end())
+    return;
   it->second.state = state;
   it->second.state_at = now;
   it->second.has_state = true;
@@ -64,48 +75,64 @@
 
 void router::OnSent(const vm_id& id) {
   auto it = servers_.find(id);
-  if (it != servers_.end()) ++it->second.outstanding;
+  if (it != servers_.end())
+    ++it->second.outstanding;
 }
 
 bool router::OnEnd(time_point now, const vm_id& id, bool failed) {
   auto it = servers_.find(id);
-  if (it == servers_.end()) return false;
+  if (it == servers_.end())
+    return false;
   backend_server& server = it->second;
-  if (server.outstanding > 0) --server.outstanding;
+  if (server.outstanding > 0)
+    --server.outstanding;
   if (!failed) {
     server.failures = 0;
     server.ejections = 0;
     return false;
   }
-  if (++server.failures < kFailuresToEject) return false;
+  if (++server.failures < kFailuresToEject)
+    return false;
   const std::vector<vm_id>& peers = by_service_[server.state.service()];
-  auto ejected = std::count_if(peers.begin(), peers.end(), [&](const vm_id& other) {
-    return servers_.at(other).ejected_until > now;
-  });
-  if (static_cast<size_t>(ejected + 1) * 2 > peers.size()) return false;
+  auto ejected =
+      std::count_if(peers.begin(), peers.end(), [&](const vm_id& other) {
+        return servers_.at(other).ejected_until > now;
+      });
+  if (static_cast<size_t>(ejected + 1) * 2 > peers.size())
+    return false;
   server.failures = 0;
-  server.ejected_until = now + kFirstEjection * (1 << std::min(server.ejections, kMostDoublings));
+  server.ejected_until =
+      now + kFirstEjection * (1 << std::min(server.ejections, kMostDoublings));
   ++server.ejections;
   return true;
 }
 
-std::optional<vm_id> router::Choose(time_point now, const route_query& query,
+std::optional<vm_id> router::Choose(time_point now,
+                                    const route_query& query,
                                     const avoid_hook& avoid) {
   candidate_list candidates = Candidates(now, query, avoid);
-  if (candidates.empty()) return std::nullopt;
+  if (candidates.empty())
+    return std::nullopt;
   const backend_server* chosen = nullptr;
-  if (query.affinity != 0 && query.is_sticky) chosen = ChooseByAffinity(candidates, query);
+  if (query.affinity != 0 && query.is_sticky)
+    chosen = ChooseByAffinity(candidates, query);
   for (size_t distance = 0; chosen == nullptr && distance <= 2; ++distance) {
     candidate_list near;
     for (const backend_server* server : candidates) {
-      if (server->distance != distance || server->Load() >= kSpillLoad) continue;
-      if (!IsHeldBack(now, *server)) near.push_back(server);
+      if (server->distance != distance || server->Load() >= kSpillLoad)
+        continue;
+      if (!IsHeldBack(now, *server))
+        near.push_back(server);
     }
-    if (near.empty()) continue;
-    if (query.affinity != 0) chosen = ChooseByAffinity(near, query);
-    if (chosen == nullptr) chosen = ChooseOfTwo(near);
+    if (near.empty())
+      continue;
+    if (query.affinity != 0)
+      chosen = ChooseByAffinity(near, query);
+    if (chosen == nullptr)
+      chosen = ChooseOfTwo(near);
   }
-  if (chosen == nullptr) chosen = ChooseOfTwo(candidates);
+  if (chosen == nullptr)
+    chosen = ChooseOfTwo(candidates);
   return chosen->id;
 }
 
@@ -121,14 +148,17 @@
   std::vector<std::string> far;
   for (const auto& [id, domain] : world_->Domains()) {
     auto it = domain.servers.find(service);
-    if (it == domain.servers.end()) continue;
+    if (it == domain.servers.end())
+      continue;
     std::vector<std::string>& list = id == options_.domain.value ? near : far;
     list.insert(list.end(), it->second.begin(), it->second.end());
   }
   auto add = [&](const std::vector<std::string>& from, size_t most) {
-    for (size_t i : RendezvousRank("subset " + options_.self.value, from, most)) {
+    for (size_t i :
+         RendezvousRank("subset " + options_.self.value, from, most)) {
       const proto::vm* vm = world_->FindVm(vm_id(from[i]));
-      backend_server server{.id = vm_id(vm->id()), .domain = domain_id(vm->domain())};
+      backend_server server{.id = vm_id(vm->id()),
+                            .domain = domain_id(vm->domain())};
       const failure_domain* domain = world_->FindDomain(vm->domain());
       if (vm->domain() != options_.domain.value) {
         server.distance = domain->region == region ? 1 : 2;
@@ -137,42 +167,54 @@
       servers_.emplace(server.id, std::move(server));
     }
   };
-  // Half of the subset lies elsewhere, so that a lost domain leaves enough of it.
+  // Half of the subset lies elsewhere, so that a lost domain leaves enough of
+  // it.
   size_t elsewhere = std::min(far.size(), options_.subset / 2);
   add(near, options_.subset - elsewhere);
-  add(far, options_.subset - std::min(near.size(), options_.subset - elsewhere));
+  add(far,
+      options_.subset - std::min(near.size(), options_.subset - elsewhere));
 }
 
-bool router::IsCandidate(time_point now, const backend_server& server, const route_query& query,
+bool router::IsCandidate(time_point now,
+                         const backend_server& server,
+                         const route_query& query,
                          const avoid_hook& avoid) const {
-  if (!server.has_state || !server.state.accepting()) return false;
-  if (now - server.state_at > options_.stale || now < server.ejected_until) return false;
+  if (!server.has_state || !server.state.accepting())
+    return false;
+  if (now - server.state_at > options_.stale || now < server.ejected_until)
+    return false;
   const failure_domain* domain = world_->FindDomain(server.domain.value);
-  if (domain == nullptr || !domain->in_service) return false;
-  if (query.excluded != nullptr && query.excluded->contains(server.id)) return false;
+  if (domain == nullptr || !domain->in_service)
+    return false;
+  if (query.excluded != nullptr && query.excluded->contains(server.id))
+    return false;
   const auto& adapters = server.state.adapters();
-  if (!query.adapter.empty() &&
-      std::find(adapters.begin(), adapters.end(), query.adapter) == adapters.end()) {
+  if (!query.adapter.empty() && std::find(adapters.begin(), adapters.end(),
+                                          query.adapter) == adapters.end()) {
     return false;
   }
   return !avoid(server.id);
 }
 
-router::candidate_list router::Candidates(time_point now, const route_query& query,
+router::candidate_list router::Candidates(time_point now,
+                                          const route_query& query,
                                           const avoid_hook& avoid) {
   candidate_list candidates;
   auto it = by_service_.find(query.service);
-  if (it == by_service_.end()) return candidates;
+  if (it == by_service_.end())
+    return candidates;
   for (const vm_id& id : it->second) {
     const backend_server& server = servers_.at(id);
-    if (IsCandidate(now, server, query, avoid)) candidates.push_back(&server);
+    if (IsCandidate(now, server, query, avoid))
+      candidates.push_back(&server);
   }
   return candidates;
 }
 
 bool router::IsHeldBack(time_point now, const backend_server& server) {
   auto it = returned_at_.find(server.domain.value);
-  if (it == returned_at_.end() || now - it->second >= options_.ramp) return false;
+  if (it == returned_at_.end() || now - it->second >= options_.ramp)
+    return false;
   const double passed = ToSeconds(now - it->second) / ToSeconds(options_.ramp);
   const double share = kFirstShare + (1 - kFirstShare) * passed;
   return std::uniform_real_distribution<double>(0, 1)(random_) > share;
@@ -181,15 +223,19 @@
 const backend_server* router::ChooseByAffinity(const candidate_list& among,
                                                const route_query& query) {
   double total = 0;
-  for (const backend_server* server : among) total += server->Load();
-  const double allowed = kAffinityFactor * total / static_cast<double>(among.size()) +
-                         1.0 / std::max(1U, among.front()->state.limit());
+  for (const backend_server* server : among)
+    total += server->Load();
+  const double allowed =
+      kAffinityFactor * total / static_cast<double>(among.size()) +
+      1.0 / std::max(1U, among.front()->state.limit());
   const backend_server* best = nullptr;
   uint64_t best_score = 0;
   for (const backend_server* server : among) {
-    if (!query.is_sticky && server->Load() > allowed) continue;
+    if (!query.is_sticky && server->Load() > allowed)
+      continue;
     uint64_t score = Hash64(server->id.value, query.affinity);
-    if (best != nullptr && score <= best_score) continue;
+    if (best != nullptr && score <= best_score)
+      continue;
     best = server;
     best_score = score;
   }
--- a/src/server_control.cc
+++ b/src/server_control.cc
@@ -7,9 +7,11 @@
 
 namespace fuchsiafall {
 
-server_control::server_control(server_control_options options) : options_(std::move(options)) {}
+server_control::server_control(server_control_options options)
+    : options_(std::move(options)) {}
 
-void server_control::SetTarget(time_point now, const world_ptr& where,
+void server_control::SetTarget(time_point now,
+                               const world_ptr& where,
                                const proto::service& service,
                                const std::vector<load_part>& parts) {
   std::string before = TargetKey();
@@ -25,16 +27,20 @@
   for (size_t i : RendezvousRank(TargetKey(), members, members.size())) {
     turn_order_.push_back(members[i]);
   }
-  if (TargetKey() == before) return;
+  if (TargetKey() == before)
+    return;
   loaded_.clear();
   was_ordered_ = false;
   had_weights_ = false;
   last_reason_.clear();
   weights_since_ = now;
-  if (stage_ == server_stage::kDraining) stage_ = server_stage::kServing;
+  if (stage_ == server_stage::kDraining)
+    stage_ = server_stage::kServing;
 }
 
-void server_control::OnEngine(time_point now, const engine_report& report, output_list* out) {
+void server_control::OnEngine(time_point now,
+                              const engine_report& report,
+                              output_list* out) {
   bool restarted = !engine_.start_id.empty() && !report.start_id.empty() &&
                    report.start_id != engine_.start_id;
   if (restarted) {
@@ -42,9 +48,13 @@
     out->Log(log_event::kEngineRestarted, "start=" + report.start_id);
     was_ordered_ = false;
   }
+  // Reports from before it was loaded may still come in as the newest.
+  if (restarted || !engine_.reachable || engine_.stage != report.stage)
+    cold_since_ = now;
   std::string known_start = engine_.start_id;
   engine_ = report;
-  if (engine_.start_id.empty()) engine_.start_id = known_start;
+  if (engine_.start_id.empty())
+    engine_.start_id = known_start;
   if (!report.reachable) {
     stage_ = server_stage::kUnknown;
     return;
@@ -54,45 +64,63 @@
     return;
   }
   switch (report.stage) {
-    case engine_report::load_stage::kEmpty: stage_ = server_stage::kEmpty; break;
-    case engine_report::load_stage::kLoading: stage_ = server_stage::kLoading; break;
+    case engine_report::load_stage::kEmpty:
+      stage_ = server_stage::kEmpty;
+      break;
+    case engine_report::load_stage::kLoading:
+      stage_ = server_stage::kLoading;
+      break;
     case engine_report::load_stage::kReady:
       if (was_ordered_ && HasTarget()) {
         was_ordered_ = false;
         loaded_.insert(options_.self.value);
         out->Count("versions_loaded");
-        out->Log(log_event::kServing, "version=" + report.version + " after_ms=" +
-                                          std::to_string(ToMs(now - ordered_at_)));
+        out->Log(log_event::kServing,
+                 "version=" + report.version +
+                     " after_ms=" + std::to_string(ToMs(now - ordered_at_)));
       }
-      if (HasTarget()) loaded_.insert(options_.self.value);
-      if (stage_ != server_stage::kDraining || HasTarget()) stage_ = server_stage::kServing;
+      if (HasTarget())
+        loaded_.insert(options_.self.value);
+      if (stage_ != server_stage::kDraining || HasTarget())
+        stage_ = server_stage::kServing;
       break;
   }
 }
 
-void server_control::OnLoadAnswer(time_point now, const load_answer& answer, output_list* out) {
-  if (answer.version != service_.version()) return;
+void server_control::OnLoadAnswer(time_point now,
+                                  const load_answer& answer,
+                                  output_list* out) {
+  if (answer.version != service_.version())
+    return;
   switch (answer.status) {
-    case load_answer::status_type::kTaken: return;
-    case load_answer::status_type::kStale: was_ordered_ = false; return;
+    case load_answer::status_type::kTaken:
+      return;
+    case load_answer::status_type::kStale:
+      was_ordered_ = false;
+      return;
     case load_answer::status_type::kRefused:
     case load_answer::status_type::kUnreachable:
       last_reason_ = "engine: " + answer.reason;
       // Repeated after the usual time, since the cause may pass.
       ordered_at_ = now;
-      if (stage_ == server_stage::kDraining) stage_ = server_stage::kServing;
+      if (stage_ == server_stage::kDraining)
+        stage_ = server_stage::kServing;
       out->Count("load_orders_refused");
-      out->Log(log_event::kRolloutFailed, "version=" + answer.version + " " + last_reason_);
+      out->Log(log_event::kRolloutFailed,
+               "version=" + answer.version + " " + last_reason_);
       return;
   }
 }
 
 bool server_control::OnLoadedMap(const proto::loaded_map& map) {
-  if (map.target() != TargetKey()) return false;
+  if (map.target() != TargetKey())
+    return false;
   bool changed = false;
   for (const std::string& vm : map.vms()) {
-    bool is_member = std::find(turn_order_.begin(), turn_order_.end(), vm) != turn_order_.end();
-    if (is_member && loaded_.insert(vm).second) changed = true;
+    bool is_member = std::find(turn_order_.begin(), turn_order_.end(), vm) !=
+                     turn_order_.end();
+    if (is_member && loaded_.insert(vm).second)
+      changed = true;
   }
   return changed;
 }
@@ -102,8 +130,11 @@
   paused_at_ = now;
 }
 
-void server_control::Step(time_point now, const server_context& context, output_list* out) {
-  if (IsPlain() || world_ == nullptr || !engine_.reachable || HasTarget()) return;
+void server_control::Step(time_point now,
+                          const server_context& context,
+                          output_list* out) {
+  if (IsPlain() || world_ == nullptr || !engine_.reachable || HasTarget())
+    return;
   if (!context.weights_complete) {
     had_weights_ = false;
     return;
@@ -112,26 +143,38 @@
     had_weights_ = true;
     weights_since_ = now;
   }
-  if (was_ordered_ && now - ordered_at_ < options_.order_retry) return;
-  if (!IsConfirmed(now, context)) return;
+  if (was_ordered_ && now - ordered_at_ < options_.order_retry)
+    return;
+  if (!IsConfirmed(now, context))
+    return;
   was_paused_ = false;
   switch (stage_) {
-    case server_stage::kEmpty: Order(now, out); return;
+    case server_stage::kEmpty:
+      Order(now, out);
+      return;
     case server_stage::kServing:
-      if (HasTurn(now)) stage_ = server_stage::kDraining;
+      if (HasTurn(now))
+        stage_ = server_stage::kDraining;
       return;
     case server_stage::kDraining:
-      if (context.running_calls == 0) Order(now, out);
+      if (context.running_calls == 0)
+        Order(now, out);
+      return;
+    default:
       return;
-    default: return;
   }
 }
 
 bool server_control::Accepts() const {
-  if (stage_ != server_stage::kServing) return false;
+  if (stage_ != server_stage::kServing)
+    return false;
   return IsPlain() || !engine_.version.empty();
 }
 
+bool server_control::IsWarm(time_point now) const {
+  return engine_.is_warm && now - cold_since_ > options_.report_lag;
+}
+
 std::string server_control::ServedVersion() const {
   return Accepts() && !IsPlain() ? engine_.version : "";
 }
@@ -139,51 +182,65 @@
 proto::loaded_map server_control::LoadedMap() const {
   proto::loaded_map map;
   map.set_target(TargetKey());
-  for (const std::string& vm : loaded_) map.add_vms(vm);
+  for (const std::string& vm : loaded_)
+    map.add_vms(vm);
   return map;
 }
 
 bool server_control::HasTarget() const {
-  if (engine_.stage != engine_report::load_stage::kReady) return false;
-  if (engine_.version != service_.version()) return false;
+  if (engine_.stage != engine_report::load_stage::kReady)
+    return false;
+  if (engine_.version != service_.version())
+    return false;
   return std::all_of(parts_.begin(), parts_.end(), [&](const load_part& part) {
     return std::find(engine_.digests.begin(), engine_.digests.end(),
                      ToHex(part.manifest.value)) != engine_.digests.end();
   });
 }
 
-bool server_control::IsConfirmed(time_point now, const server_context& context) const {
-  if (!was_paused_ || context.last_confirmed > paused_at_) return true;
+bool server_control::IsConfirmed(time_point now,
+                                 const server_context& context) const {
+  if (!was_paused_ || context.last_confirmed > paused_at_)
+    return true;
   // Cut off from all peers and the store, it goes on with what it last knew.
   return now - paused_at_ > options_.recheck_longest;
 }
 
 bool server_control::HasTurn(time_point now) const {
-  const uint64_t share = world_->Configuration().rules().loading_share_percent();
+  const uint64_t share =
+      world_->Configuration().rules().loading_share_percent();
   const size_t slots = std::max<size_t>(1, turn_order_.size() * share / 100);
   size_t ahead = 0;
   for (const std::string& vm : turn_order_) {
-    if (vm == options_.self.value) break;
-    if (!loaded_.contains(vm)) ++ahead;
+    if (vm == options_.self.value)
+      break;
+    if (!loaded_.contains(vm))
+      ++ahead;
   }
-  if (ahead < slots) return true;
-  // Servers ahead that never report are passed over, one group of slots at a time.
-  return now - weights_since_ > static_cast<int>(ahead / slots) * options_.turn_patience;
+  if (ahead < slots)
+    return true;
+  // Servers ahead that never report are passed over, one group of slots at a
+  // time.
+  return now - weights_since_ >
+         static_cast<int>(ahead / slots) * options_.turn_patience;
 }
 
 void server_control::Order(time_point now, output_list* out) {
   was_ordered_ = true;
   ordered_at_ = now;
   out->Count("load_orders");
-  out->Log(log_event::kLoadOrdered, "version=" + service_.version() + " fence=" +
-                                        std::to_string(world_->Revision().value) + "/" +
-                                        std::to_string(options_.own_incarnation.value));
-  out->Add(order_load{service_.version(), parts_, world_->Revision(), options_.own_incarnation});
+  out->Log(log_event::kLoadOrdered,
+           "version=" + service_.version() +
+               " fence=" + std::to_string(world_->Revision().value) + "/" +
+               std::to_string(options_.own_incarnation.value));
+  out->Add(order_load{service_.version(), parts_, world_->Revision(),
+                      options_.own_incarnation});
 }
 
 std::string server_control::TargetKey() const {
   std::string key = service_.id() + " " + service_.version();
-  for (const load_part& part : parts_) key += " " + ToHex(part.manifest.value);
+  for (const load_part& part : parts_)
+    key += " " + ToHex(part.manifest.value);
   return key;
 }
 
--- a/src/settings_base.cc
+++ b/src/settings_base.cc
@@ -16,7 +16,8 @@
 
 constexpr std::string_view kAddressMapSection = "address_map";
 
-/// Finds the line of the INI file on which a setting stands, for error messages.
+/// Finds the line of the INI file on which a setting stands, for error
+/// messages.
 int LineOf(const std::string& path, const std::string& name) {
   size_t dot = name.find('.');
   std::string section = "[" + name.substr(0, dot) + "]";
@@ -25,49 +26,64 @@
   std::string line;
   bool inside = false;
   for (int number = 1; std::getline(file, line); ++number) {
-    if (line.starts_with("[")) inside = line.starts_with(section);
-    if (inside && line.starts_with(key)) return number;
+    if (line.starts_with("["))
+      inside = line.starts_with(section);
+    if (inside && line.starts_with(key))
+      return number;
   }
   return 0;
 }
 
-failure Refuse(const std::string& path, const std::string& name, const std::string& what) {
-  return failure{path + ":" + std::to_string(LineOf(path, name)) + ": " + name + ": " + what};
+failure Refuse(const std::string& path,
+               const std::string& name,
+               const std::string& what) {
+  return failure{path + ":" + std::to_string(LineOf(path, name)) + ": " + name +
+                 ": " + what};
 }
 
 /// Collects the full names of all keys below a section.
-void CollectKeys(const Poco::Util::AbstractConfiguration& file, const std::string& prefix,
+void CollectKeys(const Poco::Util::AbstractConfiguration& file,
+                 const std::string& prefix,
                  std::set<std::string>* names) {
   Poco::Util::AbstractConfiguration::Keys keys;
   file.keys(prefix, keys);
-  if (keys.empty() && !prefix.empty()) names->insert(prefix);
+  if (keys.empty() && !prefix.empty())
+    names->insert(prefix);
   for (const std::string& key : keys) {
     CollectKeys(file, prefix.empty() ? key : prefix + "." + key, names);
   }
 }
 
 /// Reads one whole number within its bounds.
-outcome<int64_t> ReadNumber(const std::string& text, int64_t least, int64_t most,
+outcome<int64_t> ReadNumber(const std::string& text,
+                            int64_t least,
+                            int64_t most,
                             const char* unit) {
   Poco::Int64 number = 0;
-  if (Poco::NumberParser::tryParse64(text, number) && number >= least && number <= most) {
+  if (Poco::NumberParser::tryParse64(text, number) && number >= least &&
+      number <= most) {
     return static_cast<int64_t>(number);
   }
   return failure{"found '" + text + "', allowed is a whole number from " +
-                 std::to_string(least) + " to " + std::to_string(most) + " " + unit};
+                 std::to_string(least) + " to " + std::to_string(most) + " " +
+                 unit};
 }
 
 /// Takes the known settings out of the file; the names that remain are unknown.
 outcome<settings> TakeKnown(const Poco::Util::AbstractConfiguration& file,
-                            const std::string& path, std::set<std::string>* names) {
+                            const std::string& path,
+                            std::set<std::string>* names) {
   settings result;
 #define SETTING_TEXT(member, name, def, help) \
-  if (names->erase(name) > 0) result.member = file.getRawString(name);
-#define SETTING_NUMBER(member, name, def, least, most, unit, help)                       \
-  if (names->erase(name) > 0) {                                                          \
-    outcome<int64_t> number = ReadNumber(file.getRawString(name), least, most, unit);    \
-    if (!number) return Refuse(path, name, number.LastReason());                         \
-    result.member = *number;                                                             \
+  if (names->erase(name) > 0)                 \
+    result.member = file.getRawString(name);
+#define SETTING_NUMBER(member, name, def, least, most, unit, help) \
+  if (names->erase(name) > 0) {                                    \
+    outcome<int64_t> number =                                      \
+        ReadNumber(file.getRawString(name), least, most, unit);    \
+    if (!number)                                                   \
+      return Refuse(path, name, number.LastReason());              \
+    result.member = *number;                                       \
   }
 #include "table/settings.h"
 #undef SETTING_TEXT
@@ -87,12 +103,16 @@
   std::set<std::string> names;
   CollectKeys(*file, "", &names);
   outcome<settings> result = TakeKnown(*file, path, &names);
-  if (!result) return result;
+  if (!result)
+    return result;
   for (const std::string& name : names) {
     if (!name.starts_with(kAddressMapSection)) {
-      return Refuse(path, name, "unknown setting; 'fuchsiafall agent --help' lists those allowed");
+      return Refuse(
+          path, name,
+          "unknown setting; 'fuchsiafall agent --help' lists those allowed");
     }
-    result->address_map[name.substr(kAddressMapSection.size() + 1)] = file->getRawString(name);
+    result->address_map[name.substr(kAddressMapSection.size() + 1)] =
+        file->getRawString(name);
   }
   return result;
 }
@@ -101,9 +121,10 @@
   std::string text;
 #define SETTING_TEXT(member, name, def, help) \
   text += std::string("  ") + name + " = '" + def + "': " + help + "\n";
-#define SETTING_NUMBER(member, name, def, least, most, unit, help)                          \
-  text += std::string("  ") + name + " = " + std::to_string(def) + " " + unit + " (" +      \
-          std::to_string(least) + " to " + std::to_string(most) + "): " + help + "\n";
+#define SETTING_NUMBER(member, name, def, least, most, unit, help)       \
+  text += std::string("  ") + name + " = " + std::to_string(def) + " " + \
+          unit + " (" + std::to_string(least) + " to " +                 \
+          std::to_string(most) + "): " + help + "\n";
 #include "table/settings.h"
 #undef SETTING_TEXT
 #undef SETTING_NUMBER
@@ -111,8 +132,9 @@
 }
 
 std::vector<std::string> SplitList(const std::string& text) {
-  Poco::StringTokenizer parts(
-      text, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  Poco::StringTokenizer parts(text, ",",
+                              Poco::StringTokenizer::TOK_TRIM |
+                                  Poco::StringTokenizer::TOK_IGNORE_EMPTY);
   return {parts.begin(), parts.end()};
 }
 
--- a/src/settings_base.h
+++ b/src/settings_base.h
@@ -1,4 +1,5 @@
-/// @file settings_base.h Settings of a process, read from an INI file and checked by a table.
+/// @file settings_base.h Settings of a process, read from an INI file and
+/// checked by a table.
 #ifndef SETTINGS_BASE_H_
 #define SETTINGS_BASE_H_
 
@@ -11,10 +12,12 @@
 
 namespace fuchsiafall {
 
-/// Settings of an entry or agent; the table in table/settings.h says what each is.
+/// Settings of an entry or agent; the table in table/settings.h says what each
+/// is.
 struct settings {
 #define SETTING_TEXT(member, name, def, help) std::string member = def;
-#define SETTING_NUMBER(member, name, def, least, most, unit, help) int64_t member = def;
+#define SETTING_NUMBER(member, name, def, least, most, unit, help) \
+  int64_t member = def;
 #include "table/settings.h"
 #undef SETTING_TEXT
 #undef SETTING_NUMBER
@@ -24,7 +27,8 @@
 };
 
 /// Reads settings from an INI file.
-/// @return The settings, or one error with file, line, what was found and what is allowed.
+/// @return The settings, or one error with file, line, what was found and what
+/// is allowed.
 outcome<settings> ReadSettings(const std::string& path);
 
 /// Lists all settings with default, bounds and unit, for --help.
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -1,5 +1,6 @@
-/// @file engine_standin.cc Stand-in of a model engine: loads weights that it checks itself,
-/// is cold at first and crashes above its cold limit, streams tokens, reports with a lag.
+/// @file engine_standin.cc Stand-in of a model engine: loads weights that it
+/// checks itself, is cold at first and crashes above its cold limit, streams
+/// tokens, reports with a lag.
 #include <Poco/Crypto/DigestEngine.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -24,25 +25,31 @@
 using response_type = Poco::Net::HTTPServerResponse;
 
 constexpr int kThreads = 96;
-constexpr milliseconds kDowntime{400};     // After a crash.
-constexpr milliseconds kColdGrace{1500};   // For running calls when it turns cold by itself.
-constexpr char kPoison[] = "POISON";       // Prompt that crashes it.
+constexpr milliseconds kDowntime{400};  // After a crash.
+constexpr milliseconds kColdGrace{
+    1500};  // For running calls when it turns cold by itself.
+constexpr char kPoison[] = "POISON";  // Prompt that crashes it.
 
 class engine_standin {
  public:
   engine_standin(const standin_options& options, std::string address)
       : options_(options), address_(std::move(address)) {}
   ~engine_standin() {
-    if (loader_.joinable()) loader_.join();
+    if (loader_.joinable())
+      loader_.join();
   }
 
   void Answer(request_type& request, response_type& response) {
     query_map query;
     const std::string path = SplitQuery(request.getURI(), &query);
-    if (path.starts_with("/control/")) return AnswerControl(path, &response);
-    if (IsDown()) return BreakConnection(&request);
-    if (path == "/admin/state") return AnswerState(&response);
-    if (path == "/admin/load") return AnswerLoad(&request, &response);
+    if (path.starts_with("/control/"))
+      return AnswerControl(path, &response);
+    if (IsDown())
+      return BreakConnection(&request);
+    if (path == "/admin/state")
+      return AnswerState(&response);
+    if (path == "/admin/load")
+      return AnswerLoad(&request, &response);
     AnswerCompletion(&request, &response);
   }
 
@@ -68,7 +75,8 @@
     std::lock_guard lock(mutex_);
     const time_point now = std::chrono::steady_clock::now();
     reports_.push_back({now, IsWarm()});
-    while (reports_.size() > 1 && now - reports_[1].at >= milliseconds(options_.lag_ms)) {
+    while (reports_.size() > 1 &&
+           now - reports_[1].at >= milliseconds(options_.lag_ms)) {
       reports_.pop_front();
     }
     Poco::JSON::Object body;
@@ -81,7 +89,8 @@
       Poco::JSON::Object object;
       object.set("name", item.name);
       object.set("digest", item.digest);
-      if (stage_ == "ready") parts.add(object);
+      if (stage_ == "ready")
+        parts.add(object);
     }
     body.set("parts", parts);
     std::ostringstream text;
@@ -91,10 +100,13 @@
 
   void AnswerLoad(request_type* request, response_type* response) {
     outcome<std::string> body = ReadBody(request, 1 << 20);
-    if (!body) return;
-    auto order = Poco::JSON::Parser().parse(*body).extract<Poco::JSON::Object::Ptr>();
-    const std::pair<uint64_t, uint64_t> fence{order->getValue<Poco::UInt64>("fence_revision"),
-                                              order->getValue<Poco::UInt64>("fence_incarnation")};
+    if (!body)
+      return;
+    auto order =
+        Poco::JSON::Parser().parse(*body).extract<Poco::JSON::Object::Ptr>();
+    const std::pair<uint64_t, uint64_t> fence{
+        order->getValue<Poco::UInt64>("fence_revision"),
+        order->getValue<Poco::UInt64>("fence_incarnation")};
     std::lock_guard lock(mutex_);
     ++counts_["orders"];
     if (fence < last_fence_) {
@@ -104,28 +116,38 @@
       }
     }
     last_fence_ = std::max(last_fence_, fence);
-    if (stage_ == "loading") return AnswerHttp(response, 409, "text/plain", "loading already");
-    if (running_ > 0) ++counts_["loads_while_running"];
+    if (stage_ == "loading")
+      return AnswerHttp(response, 409, "text/plain", "loading already");
+    if (running_ > 0)
+      ++counts_["loads_while_running"];
     std::vector<part> parts;
     auto list = order->getArray("parts");
     for (size_t i = 0; i < list->size(); ++i) {
       auto item = list->getObject(static_cast<unsigned>(i));
-      parts.push_back({item->getValue<std::string>("name"), item->getValue<std::string>("digest"),
+      parts.push_back({item->getValue<std::string>("name"),
+                       item->getValue<std::string>("digest"),
                        item->getValue<std::string>("url")});
     }
     stage_ = "loading";
     const std::string version = order->getValue<std::string>("version");
-    if (loader_.joinable()) loader_.join();
-    loader_ = std::thread([this, version, parts, start = starts_] { Load(version, parts, start); });
+    if (loader_.joinable())
+      loader_.join();
+    loader_ = std::thread([this, version, parts, start = starts_] {
+      Load(version, parts, start);
+    });
     AnswerHttp(response, 202, "text/plain", "taken");
   }
 
-  void Load(const std::string& version, const std::vector<part>& parts, uint64_t start) {
+  void Load(const std::string& version,
+            const std::vector<part>& parts,
+            uint64_t start) {
     bool good = true;
-    for (const part& item : parts) good = good && FetchAndCheck(item);
+    for (const part& item : parts)
+      good = good && FetchAndCheck(item);
     std::this_thread::sleep_for(milliseconds(options_.load_ms));
     std::lock_guard lock(mutex_);
-    if (start != starts_) return;  // It crashed meanwhile.
+    if (start != starts_)
+      return;  // It crashed meanwhile.
     if (!good) {
       ++counts_["bad_loads"];
       stage_ = "empty";
@@ -142,12 +164,16 @@
   /// Fetches a part and checks it against the manifest of the ordered digest.
   static bool FetchAndCheck(const part& item) {
     Poco::URI url(item.url);
-    const std::string address = url.getHost() + ":" + std::to_string(url.getPort());
-    http_result manifest_bytes = CallHttp(
-        {.address = address, .path = "/manifests/" + item.digest, .timeout = seconds(10)});
+    const std::string address =
+        url.getHost() + ":" + std::to_string(url.getPort());
+    http_result manifest_bytes = CallHttp({.address = address,
+                                           .path = "/manifests/" + item.digest,
+                                           .timeout = seconds(10)});
     proto::manifest manifest;
-    if (ToHex(DigestOf(manifest_bytes.body).value) != item.digest) return false;
-    if (!manifest.ParseFromString(manifest_bytes.body)) return false;
+    if (ToHex(DigestOf(manifest_bytes.body).value) != item.digest)
+      return false;
+    if (!manifest.ParseFromString(manifest_bytes.body))
+      return false;
     Poco::Crypto::DigestEngine whole("SHA256");
     http_result result = CallHttp(
         {.address = address, .path = url.getPath(), .timeout = seconds(30)},
@@ -156,7 +182,8 @@
           return true;
         });
     const Poco::DigestEngine::Digest& sum = whole.digest();
-    return result.status == http_result::status_type::kAnswered && result.http_status == 200 &&
+    return result.status == http_result::status_type::kAnswered &&
+           result.http_status == 200 &&
            std::string(sum.begin(), sum.end()) == manifest.whole_digest();
   }
 
@@ -170,9 +197,12 @@
       return std::nullopt;
     }
     bool is_poison = body.find(kPoison) != std::string::npos;
-    bool is_over = !IsWarm() && running_ >= options_.cold_limit && now - cold_since_ > grace_;
-    if (is_over) ++counts_["cold_limit_exceeded"];
-    if (is_poison) ++counts_["poison_runs"];
+    bool is_over = !IsWarm() && running_ >= options_.cold_limit &&
+                   now - cold_since_ > grace_;
+    if (is_over)
+      ++counts_["cold_limit_exceeded"];
+    if (is_poison)
+      ++counts_["poison_runs"];
     if (is_over || is_poison) {
       Crash();
       return std::nullopt;
@@ -202,7 +232,8 @@
 
   void Leave(uint64_t start) {
     std::lock_guard lock(mutex_);
-    if (start != starts_) return;
+    if (start != starts_)
+      return;
     --running_;
     ++answered_since_cold_;
   }
@@ -215,19 +246,24 @@
 
   void AnswerCompletion(request_type* request, response_type* response) {
     outcome<std::string> body = ReadBody(request, 4 << 20);
-    if (!body) return;
+    if (!body)
+      return;
     Poco::JSON::Object::Ptr object;
     try {
-      object = Poco::JSON::Parser().parse(*body).extract<Poco::JSON::Object::Ptr>();
+      object =
+          Poco::JSON::Parser().parse(*body).extract<Poco::JSON::Object::Ptr>();
     } catch (const Poco::Exception&) {
       return AnswerHttp(response, 400, "text/plain", "not JSON");
     }
     std::optional<uint64_t> start = Enter(*body);
-    if (!start) return BreakConnection(request);
+    if (!start)
+      return BreakConnection(request);
     const int tokens = object->optValue<int>("max_tokens", 16);
-    // The answer names the prompt, so that the caller can tell it from another's.
-    const std::string tag = ToHex(DigestOf(object->optValue<std::string>("prompt", "")).value)
-                                .substr(0, 16);
+    // The answer names the prompt, so that the caller can tell it from
+    // another's.
+    const std::string tag =
+        ToHex(DigestOf(object->optValue<std::string>("prompt", "")).value)
+            .substr(0, 16);
     if (object->optValue<bool>("stream", false)) {
       Stream(*start, tokens, tag, request, response);
     } else {
@@ -236,32 +272,44 @@
     Leave(*start);
   }
 
-  void Stream(uint64_t start, int tokens, const std::string& tag, request_type* request,
+  void Stream(uint64_t start,
+              int tokens,
+              const std::string& tag,
+              request_type* request,
               response_type* response) {
     response->setContentType("text/event-stream");
     response->setChunkedTransferEncoding(true);
     std::ostream& stream = response->send();
     std::this_thread::sleep_for(milliseconds(options_.prefill_ms));
     for (int i = 0; i < tokens; ++i) {
-      if (i > 0) std::this_thread::sleep_for(milliseconds(options_.token_ms));
-      if (!IsAlive(start)) return BreakConnection(request);
+      if (i > 0)
+        std::this_thread::sleep_for(milliseconds(options_.token_ms));
+      if (!IsAlive(start))
+        return BreakConnection(request);
       stream << TokenEvent(tag, i) << std::flush;
-      if (!stream.good()) return;
+      if (!stream.good())
+        return;
     }
     stream << "data: [DONE]\n\n" << std::flush;
   }
 
-  void AnswerWhole(uint64_t start, int tokens, const std::string& tag, request_type* request,
+  void AnswerWhole(uint64_t start,
+                   int tokens,
+                   const std::string& tag,
+                   request_type* request,
                    response_type* response) {
     std::string version;
     {
       std::lock_guard lock(mutex_);
       version = version_;
     }
-    std::this_thread::sleep_for(milliseconds(options_.prefill_ms + tokens * options_.token_ms));
-    if (!IsAlive(start)) return BreakConnection(request);
+    std::this_thread::sleep_for(
+        milliseconds(options_.prefill_ms + tokens * options_.token_ms));
+    if (!IsAlive(start))
+      return BreakConnection(request);
     std::string text;
-    for (int i = 0; i < tokens; ++i) text += tag + "-" + std::to_string(i) + " ";
+    for (int i = 0; i < tokens; ++i)
+      text += tag + "-" + std::to_string(i) + " ";
     Poco::JSON::Object choice;
     choice.set("text", text);
     Poco::JSON::Array choices;
@@ -277,7 +325,8 @@
   void AnswerControl(const std::string& path, response_type* response) {
     std::lock_guard lock(mutex_);
     const time_point now = std::chrono::steady_clock::now();
-    if (path == "/control/crash") Crash();
+    if (path == "/control/crash")
+      Crash();
     if (path == "/control/cold") {
       answered_since_cold_ = 0;
       cold_since_ = now;
@@ -285,14 +334,17 @@
       ++counts_["turned_cold"];
     }
     Poco::JSON::Object body;
-    for (const auto& [name, count] : counts_) body.set(name, count);
+    for (const auto& [name, count] : counts_)
+      body.set(name, count);
     body.set("running", running_);
     body.set("most_running", most_running_);
     body.set("version", stage_ == "ready" ? version_ : "");
     const bool was_called = last_call_at_ != time_point{};
     body.set("ms_since_call",
-             was_called ? std::chrono::duration_cast<milliseconds>(now - last_call_at_).count()
-                        : -1);
+             was_called
+                 ? std::chrono::duration_cast<milliseconds>(now - last_call_at_)
+                       .count()
+                 : -1);
     std::ostringstream text;
     body.stringify(text);
     AnswerHttp(response, 200, "application/json", text.str());
@@ -326,13 +378,15 @@
   for (const std::string& address : options.listen) {
     engines.push_back(std::make_unique<engine_standin>(options, address));
     engine_standin* engine = engines.back().get();
-    servers.push_back(Serve(address, kThreads, [engine](auto& request, auto& response) {
-      engine->Answer(request, response);
-    }));
+    servers.push_back(
+        Serve(address, kThreads, [engine](auto& request, auto& response) {
+          engine->Answer(request, response);
+        }));
   }
   std::cout << "ready" << std::endl;
   WaitForEnd();
-  for (auto& server : servers) server->stopAll(true);
+  for (auto& server : servers)
+    server->stopAll(true);
   return 0;
 }
 
--- a/src/standins/origin_standin.cc
+++ b/src/standins/origin_standin.cc
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr int kThreads = 512;
-constexpr size_t kSliceBytes = 16 * 1024;  // Sent at once, so that connections share the rate.
+constexpr size_t kSliceBytes =
+    16 * 1024;  // Sent at once, so that connections share the rate.
 
 class origin_standin {
  public:
@@ -31,27 +32,34 @@
     const auto bytes = std::stoull(parts[1]);
     std::mt19937_64 random(std::stoull(parts[3]));
     std::string weights(bytes, '\0');
-    for (char& byte : weights) byte = static_cast<char>(random());
+    for (char& byte : weights)
+      byte = static_cast<char>(random());
     std::istringstream stream(weights);
-    auto manifest = MakeManifest(&stream, static_cast<uint32_t>(std::stoul(parts[2])),
-                                 [this](const digest& name, const std::string& chunk) {
-                                   blobs_[ToHex(name.value)] = chunk;
-                                 });
+    auto manifest =
+        MakeManifest(&stream, static_cast<uint32_t>(std::stoul(parts[2])),
+                     [this](const digest& name, const std::string& chunk) {
+                       blobs_[ToHex(name.value)] = chunk;
+                     });
     const std::string text = manifest->SerializeAsString();
     const std::string name = ToHex(DigestOf(text).value);
     blobs_[name] = text;
     std::cout << "weights " << parts[0] << ' ' << name << std::endl;
   }
 
-  void Answer(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) {
+  void Answer(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
     query_map query;
     const std::string path = SplitQuery(request.getURI(), &query);
-    if (path.starts_with("/control/")) return AnswerControl(query, &response);
+    if (path.starts_with("/control/"))
+      return AnswerControl(query, &response);
     constexpr std::string_view kBlobs = "/blobs/";
-    if (IsDown()) return BreakConnection(&request);
-    if (!path.starts_with(kBlobs)) return AnswerHttp(&response, 404, "text/plain", "");
+    if (IsDown())
+      return BreakConnection(&request);
+    if (!path.starts_with(kBlobs))
+      return AnswerHttp(&response, 404, "text/plain", "");
     std::optional<std::string> blob = Find(path.substr(kBlobs.size()));
-    if (!blob) return AnswerHttp(&response, 404, "text/plain", "no such blob\n");
+    if (!blob)
+      return AnswerHttp(&response, 404, "text/plain", "no such blob\n");
     MaybeCorrupt(&*blob);
     response.setContentType("application/octet-stream");
     response.setContentLength(static_cast<std::streamsize>(blob->size()));
@@ -59,7 +67,8 @@
     for (size_t sent = 0; sent < blob->size(); sent += kSliceBytes) {
       const size_t length = std::min(kSliceBytes, blob->size() - sent);
       std::this_thread::sleep_until(Reserve(length));
-      if (IsDown()) return BreakConnection(&request);
+      if (IsDown())
+        return BreakConnection(&request);
       stream.write(blob->data() + sent, static_cast<std::streamsize>(length));
       stream.flush();
     }
@@ -68,10 +77,13 @@
  private:
   std::optional<std::string> Find(const std::string& name) const {
     auto it = blobs_.find(name);
-    if (it != blobs_.end()) return it->second;
-    if (folder_.empty() || name.find('/') != std::string::npos) return std::nullopt;
+    if (it != blobs_.end())
+      return it->second;
+    if (folder_.empty() || name.find('/') != std::string::npos)
+      return std::nullopt;
     std::ifstream file(folder_ + "/" + name, std::ios::binary);
-    if (!file) return std::nullopt;
+    if (!file)
+      return std::nullopt;
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
@@ -91,16 +103,20 @@
   void MaybeCorrupt(std::string* blob) {
     std::lock_guard lock(mutex_);
     ++requests_;
-    if (std::uniform_real_distribution<double>(0, 1)(random_) >= corrupt_share_) return;
-    (*blob)[blob->size() / 2] = static_cast<char>((*blob)[blob->size() / 2] ^ 1);
+    if (std::uniform_real_distribution<double>(0, 1)(random_) >= corrupt_share_)
+      return;
+    (*blob)[blob->size() / 2] =
+        static_cast<char>((*blob)[blob->size() / 2] ^ 1);
     ++corrupted_;
   }
 
-  void AnswerControl(const query_map& query, Poco::Net::HTTPServerResponse* response) {
+  void AnswerControl(const query_map& query,
+                     Poco::Net::HTTPServerResponse* response) {
     std::lock_guard lock(mutex_);
     is_down_ = IntOf(query, "down", is_down_ ? 1 : 0) != 0;
     corrupt_share_ = DoubleOf(query, "corrupt", corrupt_share_);
-    if (query.contains("reset")) sent_bytes_ = 0;
+    if (query.contains("reset"))
+      sent_bytes_ = 0;
     Poco::JSON::Object body;
     body.set("sent_bytes", sent_bytes_);
     body.set("requests", requests_);
@@ -126,12 +142,14 @@
 
 int RunOrigin(const standin_options& options) {
   origin_standin origin(options);
-  for (const std::string& spec : options.weights) origin.MakeWeights(spec);
+  for (const std::string& spec : options.weights)
+    origin.MakeWeights(spec);
   std::vector<std::shared_ptr<Poco::Net::HTTPServer>> servers;
   for (const std::string& address : options.listen) {
-    servers.push_back(Serve(address, kThreads, [&](auto& request, auto& response) {
-      origin.Answer(request, response);
-    }));
+    servers.push_back(
+        Serve(address, kThreads, [&](auto& request, auto& response) {
+          origin.Answer(request, response);
+        }));
   }
   std::cout << "ready" << std::endl;
   WaitForEnd();
--- a/src/standins/plain_standin.cc
+++ b/src/standins/plain_standin.cc
@@ -1,4 +1,5 @@
-/// @file plain_standin.cc Stand-in of a plain service that records every run by its key.
+/// @file plain_standin.cc Stand-in of a plain service that records every run by
+/// its key.
 #include <Poco/JSON/Object.h>
 
 #include <iostream>
@@ -15,23 +16,29 @@
 
 constexpr int kThreads = 128;
 
-/// Record of all runs; instances of the service share it, as they would a database.
+/// Record of all runs; instances of the service share it, as they would a
+/// database.
 class plain_standin {
  public:
   explicit plain_standin(const standin_options& options) : options_(options) {}
 
-  void Answer(const std::string& address, Poco::Net::HTTPServerRequest& request,
+  void Answer(const std::string& address,
+              Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& response) {
     query_map query;
     const std::string path = SplitQuery(request.getURI(), &query);
-    if (path == "/control/runs") return AnswerRuns(&response);
-    if (path.starts_with("/control/")) return AnswerControl(query, &response);
+    if (path == "/control/runs")
+      return AnswerRuns(&response);
+    if (path.starts_with("/control/"))
+      return AnswerControl(query, &response);
     if (path == "/admin/state") {
       return AnswerHttp(&response, 200, "application/json",
-                        "{\"start_id\":\"" + address + "\",\"stage\":\"ready\",\"warm\":true}");
+                        "{\"start_id\":\"" + address +
+                            "\",\"stage\":\"ready\",\"warm\":true}");
     }
     outcome<std::string> body = ReadBody(&request, 4 << 20);
-    if (!body) return;
+    if (!body)
+      return;
     const std::string key = request.get("Idempotency-Key", "");
     uint64_t run = 0;
     int service_ms = 0;
@@ -50,15 +57,18 @@
   void AnswerRuns(Poco::Net::HTTPServerResponse* response) {
     std::lock_guard lock(mutex_);
     std::string text;
-    for (const auto& [key, count] : runs_) text += key + " " + std::to_string(count) + "\n";
+    for (const auto& [key, count] : runs_)
+      text += key + " " + std::to_string(count) + "\n";
     AnswerHttp(response, 200, "text/plain", text);
   }
 
-  void AnswerControl(const query_map& query, Poco::Net::HTTPServerResponse* response) {
+  void AnswerControl(const query_map& query,
+                     Poco::Net::HTTPServerResponse* response) {
     std::lock_guard lock(mutex_);
     service_ms_ = IntOf(query, "service_ms", service_ms_);
     uint64_t duplicates = 0;
-    for (const auto& [key, count] : runs_) duplicates += count > 1 ? 1 : 0;
+    for (const auto& [key, count] : runs_)
+      duplicates += count > 1 ? 1 : 0;
     Poco::JSON::Object body;
     body.set("keys", runs_.size());
     body.set("duplicates", duplicates);
@@ -81,9 +91,10 @@
   plain_standin plain(options);
   std::vector<std::shared_ptr<Poco::Net::HTTPServer>> servers;
   for (const std::string& address : options.listen) {
-    servers.push_back(Serve(address, kThreads, [&plain, address](auto& request, auto& response) {
-      plain.Answer(address, request, response);
-    }));
+    servers.push_back(Serve(address, kThreads,
+                            [&plain, address](auto& request, auto& response) {
+                              plain.Answer(address, request, response);
+                            }));
   }
   std::cout << "ready" << std::endl;
   WaitForEnd();
--- a/src/standins/platform_standin.cc
+++ b/src/standins/platform_standin.cc
@@ -1,5 +1,6 @@
-/// @file platform_standin.cc Stand-in of the platform: store with compare-and-swap, leases
-/// and watches (a part of Consul's KV and session API), and the lagging list of VMs.
+/// @file platform_standin.cc Stand-in of the platform: store with
+/// compare-and-swap, leases and watches (a part of Consul's KV and session
+/// API), and the lagging list of VMs.
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Object.h>
 
@@ -35,19 +36,26 @@
 
 class platform_standin {
  public:
-  explicit platform_standin(const standin_options& options) : options_(options) {}
+  explicit platform_standin(const standin_options& options)
+      : options_(options) {}
 
   void Answer(request_type& request, response_type& response) {
     query_map query;
     const std::string path = SplitQuery(request.getURI(), &query);
-    if (path.starts_with("/control/")) return AnswerControl(path, query, &response);
-    if (!PassFaults(&request)) return;
-    if (path == "/vms") return AnswerVms(&response);
+    if (path.starts_with("/control/"))
+      return AnswerControl(path, query, &response);
+    if (!PassFaults(&request))
+      return;
+    if (path == "/vms")
+      return AnswerVms(&response);
     constexpr std::string_view kKv = "/v1/kv/";
-    if (path.starts_with("/v1/session/")) return AnswerSession(request, path, &response);
-    if (!path.starts_with(kKv)) return AnswerHttp(&response, 404, "text/plain", "");
+    if (path.starts_with("/v1/session/"))
+      return AnswerSession(request, path, &response);
+    if (!path.starts_with(kKv))
+      return AnswerHttp(&response, 404, "text/plain", "");
     const std::string key = path.substr(kKv.size());
-    if (request.getMethod() == "GET") return AnswerRead(key, query, &response);
+    if (request.getMethod() == "GET")
+      return AnswerRead(key, query, &response);
     AnswerChange(&request, key, query, &response);
   }
 
@@ -76,14 +84,18 @@
       BreakConnection(request);
       return false;
     }
-    if (slow_ms > 0) std::this_thread::sleep_for(milliseconds(slow_ms));
+    if (slow_ms > 0)
+      std::this_thread::sleep_for(milliseconds(slow_ms));
     return true;
   }
 
-  void AnswerRead(const std::string& key, const query_map& query, response_type* response) {
+  void AnswerRead(const std::string& key,
+                  const query_map& query,
+                  response_type* response) {
     std::unique_lock lock(mutex_);
     ExpireLeases();
-    const bool is_watch = query.contains("index") && IntOf(query, "index", 0) > 0;
+    const bool is_watch =
+        query.contains("index") && IntOf(query, "index", 0) > 0;
     ++counts_[is_watch ? "watches" : "reads"];
     if (is_watch) {
       const auto index = static_cast<uint64_t>(std::stoull(query.at("index")));
@@ -91,23 +103,28 @@
       changed_.wait_for(lock, milliseconds(wait),
                         [&] { return IndexOf(key) > index || is_down_; });
     }
-    response->set("X-Consul-Index", std::to_string(std::max<uint64_t>(1, IndexOf(key))));
+    response->set("X-Consul-Index",
+                  std::to_string(std::max<uint64_t>(1, IndexOf(key))));
     auto it = values_.find(key);
     if (it == values_.end()) {
       lock.unlock();
       return AnswerHttp(response, 404, "application/json", "");
     }
-    const std::string body = "[{\"Key\":\"" + key + "\",\"Value\":\"" +
-                             EncodeBase64(it->second.value) + "\",\"ModifyIndex\":" +
-                             std::to_string(it->second.modify_index) + "}]";
+    const std::string body =
+        "[{\"Key\":\"" + key + "\",\"Value\":\"" +
+        EncodeBase64(it->second.value) +
+        "\",\"ModifyIndex\":" + std::to_string(it->second.modify_index) + "}]";
     lock.unlock();
     AnswerHttp(response, 200, "application/json", body);
   }
 
-  void AnswerChange(request_type* request, const std::string& key, const query_map& query,
+  void AnswerChange(request_type* request,
+                    const std::string& key,
+                    const query_map& query,
                     response_type* response) {
     outcome<std::string> body = ReadBody(request, kMostValueBytes);
-    if (!body) return AnswerHttp(response, 413, "text/plain", body.LastReason());
+    if (!body)
+      return AnswerHttp(response, 413, "text/plain", body.LastReason());
     bool done = false;
     bool is_lost = false;
     {
@@ -115,23 +132,31 @@
       ExpireLeases();
       ++counts_["writes"];
       done = Change(request->getMethod(), key, *body, query);
-      is_lost = std::uniform_real_distribution<double>(0, 1)(random_) < lose_share_;
-      if (is_lost) ++counts_["answers_lost"];
+      is_lost =
+          std::uniform_real_distribution<double>(0, 1)(random_) < lose_share_;
+      if (is_lost)
+        ++counts_["answers_lost"];
     }
     changed_.notify_all();
-    if (is_lost) return BreakConnection(request);
+    if (is_lost)
+      return BreakConnection(request);
     AnswerHttp(response, 200, "application/json", done ? "true" : "false");
   }
 
-  bool Change(const std::string& method, const std::string& key, const std::string& body,
+  bool Change(const std::string& method,
+              const std::string& key,
+              const std::string& body,
               const query_map& query) {
     auto it = values_.find(key);
     const uint64_t present = it == values_.end() ? 0 : it->second.modify_index;
-    if (query.contains("cas") && std::stoull(query.at("cas")) != present) return false;
+    if (query.contains("cas") && std::stoull(query.at("cas")) != present)
+      return false;
     if (query.contains("acquire")) {
       const std::string& session = query.at("acquire");
-      if (!leases_.contains(session)) return false;
-      if (it != values_.end() && !it->second.session.empty() && it->second.session != session) {
+      if (!leases_.contains(session))
+        return false;
+      if (it != values_.end() && !it->second.session.empty() &&
+          it->second.session != session) {
         return false;
       }
     }
@@ -144,12 +169,16 @@
     entry_value& value = values_[key];
     value.value = body;
     value.modify_index = index_;
-    if (query.contains("acquire")) value.session = query.at("acquire");
-    if (query.contains("release")) value.session.clear();
+    if (query.contains("acquire"))
+      value.session = query.at("acquire");
+    if (query.contains("release"))
+      value.session.clear();
     return true;
   }
 
-  void AnswerSession(request_type& request, const std::string& path, response_type* response) {
+  void AnswerSession(request_type& request,
+                     const std::string& path,
+                     response_type* response) {
     outcome<std::string> body = ReadBody(&request, kMostValueBytes);
     std::lock_guard lock(mutex_);
     ExpireLeases();
@@ -157,24 +186,31 @@
     const time_point now = std::chrono::steady_clock::now();
     if (path == "/v1/session/create") {
       const std::string id = "lease-" + std::to_string(++last_lease_);
-      const milliseconds ttl(body && !body->empty() ? std::atoi(body->c_str()) : 10000);
+      const milliseconds ttl(body && !body->empty() ? std::atoi(body->c_str())
+                                                    : 10000);
       leases_[id] = {ttl, now + ttl};
-      return AnswerHttp(response, 200, "application/json", "{\"ID\":\"" + id + "\"}");
+      return AnswerHttp(response, 200, "application/json",
+                        "{\"ID\":\"" + id + "\"}");
     }
     const std::string id = path.substr(path.rfind('/') + 1);
     auto it = leases_.find(id);
-    if (it == leases_.end()) return AnswerHttp(response, 404, "text/plain", "");
-    if (path.starts_with("/v1/session/renew/")) it->second.expires = now + it->second.ttl;
-    if (path.starts_with("/v1/session/destroy/")) it->second.expires = now;
+    if (it == leases_.end())
+      return AnswerHttp(response, 404, "text/plain", "");
+    if (path.starts_with("/v1/session/renew/"))
+      it->second.expires = now + it->second.ttl;
+    if (path.starts_with("/v1/session/destroy/"))
+      it->second.expires = now;
     ExpireLeases();
     AnswerHttp(response, 200, "application/json", "true");
   }
 
   void ExpireLeases() {
     const time_point now = std::chrono::steady_clock::now();
-    std::erase_if(leases_, [&](const auto& item) { return now >= item.second.expires; });
+    std::erase_if(leases_,
+                  [&](const auto& item) { return now >= item.second.expires; });
     for (auto& [key, value] : values_) {
-      if (value.session.empty() || leases_.contains(value.session)) continue;
+      if (value.session.empty() || leases_.contains(value.session))
+        continue;
       value.session.clear();
       value.modify_index = ++index_;
     }
@@ -183,7 +219,8 @@
   /// Index of the last change of a key, its deletion among them.
   uint64_t IndexOf(const std::string& key) const {
     auto it = values_.find(key);
-    if (it != values_.end()) return it->second.modify_index;
+    if (it != values_.end())
+      return it->second.modify_index;
     auto deleted = deleted_.find(key);
     return deleted == deleted_.end() ? 0 : deleted->second;
   }
@@ -191,12 +228,15 @@
   void AnswerVms(response_type* response) {
     std::lock_guard lock(mutex_);
     ++counts_["vm_lists"];
-    const time_point seen = std::chrono::steady_clock::now() - milliseconds(options_.lag_ms);
+    const time_point seen =
+        std::chrono::steady_clock::now() - milliseconds(options_.lag_ms);
     Poco::JSON::Array leaving;
     uint64_t index = 0;
     for (const auto& [vm, since] : leaving_) {
-      if (since.first <= seen) index = std::max(index, since.second);
-      if (since.first <= seen && is_leaving_[vm]) leaving.add(vm);
+      if (since.first <= seen)
+        index = std::max(index, since.second);
+      if (since.first <= seen && is_leaving_[vm])
+        leaving.add(vm);
     }
     Poco::JSON::Object body;
     body.set("index", index);
@@ -206,7 +246,9 @@
     AnswerHttp(response, 200, "application/json", text.str());
   }
 
-  void AnswerControl(const std::string& path, const query_map& query, response_type* response) {
+  void AnswerControl(const std::string& path,
+                     const query_map& query,
+                     response_type* response) {
     std::lock_guard lock(mutex_);
     if (path == "/control/faults") {
       is_down_ = IntOf(query, "down", is_down_ ? 1 : 0) != 0;
@@ -219,7 +261,8 @@
       leaving_[vm] = {std::chrono::steady_clock::now(), ++vm_index_};
     }
     Poco::JSON::Object body;
-    for (const auto& [name, count] : counts_) body.set(name, count);
+    for (const auto& [name, count] : counts_)
+      body.set(name, count);
     std::ostringstream text;
     body.stringify(text);
     AnswerHttp(response, 200, "application/json", text.str());
@@ -231,7 +274,8 @@
   std::map<std::string, entry_value> values_;
   std::map<std::string, uint64_t> deleted_;
   std::map<std::string, lease> leases_;
-  std::map<std::string, std::pair<time_point, uint64_t>> leaving_;  ///< Last change, index.
+  std::map<std::string, std::pair<time_point, uint64_t>>
+      leaving_;  ///< Last change, index.
   std::map<std::string, bool> is_leaving_;
   std::map<std::string, uint64_t> counts_;
   std::mt19937_64 random_{1};
@@ -249,9 +293,10 @@
   platform_standin platform(options);
   std::vector<std::shared_ptr<Poco::Net::HTTPServer>> servers;
   for (const std::string& address : options.listen) {
-    servers.push_back(Serve(address, kThreads, [&](auto& request, auto& response) {
-      platform.Answer(request, response);
-    }));
+    servers.push_back(
+        Serve(address, kThreads, [&](auto& request, auto& response) {
+          platform.Answer(request, response);
+        }));
   }
   std::cout << "ready" << std::endl;
   WaitForEnd();
--- a/src/standins/proxy_standin.cc
+++ b/src/standins/proxy_standin.cc
@@ -1,4 +1,5 @@
-/// @file proxy_standin.cc Fault-injecting proxy for TCP: delay, rate, cut, silence, corruption.
+/// @file proxy_standin.cc Fault-injecting proxy for TCP: delay, rate, cut,
+/// silence, corruption.
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
@@ -25,7 +26,8 @@
 using Poco::Net::ServerSocket;
 using Poco::Net::StreamSocket;
 
-constexpr size_t kMostQueuedBytes = 256 * 1024;  // Read ahead of the rate, each way.
+constexpr size_t kMostQueuedBytes =
+    256 * 1024;  // Read ahead of the rate, each way.
 constexpr int kReadBytes = 32 * 1024;
 constexpr int kBusyPollUs = 1000;
 constexpr int kIdlePollUs = 20000;
@@ -38,9 +40,9 @@
   double corrupt_share = 0;  ///< Of the pieces read.
   rate_pacer pacer{1e9};
   rate_pacer back_pacer{1e9};
-  uint64_t bytes = 0;        ///< From the side that connected.
+  uint64_t bytes = 0;  ///< From the side that connected.
   uint64_t back_bytes = 0;
-  uint64_t epoch = 0;        ///< Connections of older epochs stay silent for good.
+  uint64_t epoch = 0;  ///< Connections of older epochs stay silent for good.
 };
 
 struct piece {
@@ -73,7 +75,8 @@
 class proxy_standin {
  public:
   explicit proxy_standin(const standin_options& options) : options_(options) {
-    for (const std::string& link : options.links) AddLink(link);
+    for (const std::string& link : options.links)
+      AddLink(link);
   }
 
   void Run(const std::atomic<bool>& is_stopping) {
@@ -90,13 +93,16 @@
     }
   }
 
-  void Answer(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) {
+  void Answer(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
     query_map query;
     const std::string path = SplitQuery(request.getURI(), &query);
     std::lock_guard lock(mutex_);
     for (auto& [name, group] : groups_) {
-      bool is_meant = query.contains("group") && Matches(name, query.at("group"));
-      if (path == "/control/set" && is_meant) Set(query, &group);
+      bool is_meant =
+          query.contains("group") && Matches(name, query.at("group"));
+      if (path == "/control/set" && is_meant)
+        Set(query, &group);
     }
     Poco::JSON::Object body;
     for (const auto& [name, group] : groups_) {
@@ -113,8 +119,10 @@
  private:
   /// Whether a group is meant: by its name, or by "*" with a beginning or end.
   static bool Matches(const std::string& name, const std::string& pattern) {
-    if (pattern.ends_with("*")) return name.starts_with(pattern.substr(0, pattern.size() - 1));
-    if (pattern.starts_with("*")) return name.ends_with(pattern.substr(1));
+    if (pattern.ends_with("*"))
+      return name.starts_with(pattern.substr(0, pattern.size() - 1));
+    if (pattern.starts_with("*"))
+      return name.ends_with(pattern.substr(1));
     return name == pattern;
   }
 
@@ -131,7 +139,9 @@
     listener item;
     item.target = link.substr(arrow + 1);
     item.group = &groups_[name];
-    item.socket.bind(Poco::Net::SocketAddress(link.substr(equals + 1, arrow - equals - 1)), true);
+    item.socket.bind(
+        Poco::Net::SocketAddress(link.substr(equals + 1, arrow - equals - 1)),
+        true);
     item.socket.listen(128);
     item.socket.setBlocking(false);
     poll_.add(item.socket, PollSet::POLL_READ);
@@ -146,19 +156,22 @@
                                      : link_group::mode_type::kOpen;
     }
     // Open connections go silent for good, while new ones work.
-    if (query.contains("silence")) ++group->epoch;
+    if (query.contains("silence"))
+      ++group->epoch;
     group->delay_ms = IntOf(query, "delay_ms", group->delay_ms);
     group->corrupt_share = DoubleOf(query, "corrupt", group->corrupt_share);
     if (query.contains("rate")) {
       group->pacer = rate_pacer(DoubleOf(query, "rate", options_.rate));
       group->back_pacer = rate_pacer(DoubleOf(query, "rate", options_.rate));
     }
-    if (query.contains("reset")) group->bytes = group->back_bytes = 0;
+    if (query.contains("reset"))
+      group->bytes = group->back_bytes = 0;
   }
 
   void AcceptAll() {
     for (listener& item : listeners_) {
-      if (!polled_.contains(item.socket)) continue;
+      if (!polled_.contains(item.socket))
+        continue;
       try {
         StreamSocket client = item.socket.acceptConnection();
         if (item.group->mode == link_group::mode_type::kCut) {
@@ -191,9 +204,11 @@
 
   void ReadAll() {
     for (proxied& connection : connections_) {
-      if (connection.is_closed || IsSilent(connection)) continue;
+      if (connection.is_closed || IsSilent(connection))
+        continue;
       for (direction& way : connection.ways) {
-        if (polled_.contains(way.from) && way.queued < kMostQueuedBytes) Read(&connection, &way);
+        if (polled_.contains(way.from) && way.queued < kMostQueuedBytes)
+          Read(&connection, &way);
       }
     }
   }
@@ -207,17 +222,21 @@
       connection->is_closed = true;
       return;
     }
-    if (length == 0) connection->is_closed = true;
-    if (length <= 0) return;
+    if (length == 0)
+      connection->is_closed = true;
+    if (length <= 0)
+      return;
     bytes.resize(static_cast<size_t>(length));
     link_group& group = *connection->group;
-    if (std::uniform_real_distribution<double>(0, 1)(random_) < group.corrupt_share) {
+    if (std::uniform_real_distribution<double>(0, 1)(random_) <
+        group.corrupt_share) {
       bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 1);
     }
     rate_pacer& pacer = way->is_forward ? group.pacer : group.back_pacer;
     (way->is_forward ? group.bytes : group.back_bytes) += bytes.size();
-    const time_point due = pacer.Reserve(std::chrono::steady_clock::now(), bytes.size()) +
-                           milliseconds(group.delay_ms);
+    const time_point due =
+        pacer.Reserve(std::chrono::steady_clock::now(), bytes.size()) +
+        milliseconds(group.delay_ms);
     way->queued += bytes.size();
     way->pieces.push_back({due, std::move(bytes)});
   }
@@ -227,9 +246,11 @@
   bool MoveAll() {
     bool is_busy = false;
     for (auto it = connections_.begin(); it != connections_.end();) {
-      if (it->group->mode == link_group::mode_type::kCut) it->is_closed = true;
+      if (it->group->mode == link_group::mode_type::kCut)
+        it->is_closed = true;
       if (!it->is_closed && !IsSilent(*it)) {
-        for (direction& way : it->ways) Write(&*it, &way);
+        for (direction& way : it->ways)
+          Write(&*it, &way);
       }
       is_busy = is_busy || it->ways[0].queued > 0 || it->ways[1].queued > 0;
       if (!it->is_closed) {
@@ -250,16 +271,20 @@
     while (!way->pieces.empty() && way->pieces.front().due <= now) {
       piece& next = way->pieces.front();
       try {
-        int sent = way->to.sendBytes(next.bytes.data(), static_cast<int>(next.bytes.size()));
-        if (sent <= 0) return;
+        int sent = way->to.sendBytes(next.bytes.data(),
+                                     static_cast<int>(next.bytes.size()));
+        if (sent <= 0)
+          return;
         way->queued -= static_cast<size_t>(sent);
         next.bytes.erase(0, static_cast<size_t>(sent));
-        if (!next.bytes.empty()) return;
+        if (!next.bytes.empty())
+          return;
         way->pieces.pop_front();
       } catch (const Poco::TimeoutException&) {
         return;
       } catch (const Poco::Net::NetException& e) {
-        if (e.code() == EAGAIN || e.code() == ENOTCONN) return;
+        if (e.code() == EAGAIN || e.code() == ENOTCONN)
+          return;
         connection->is_closed = true;
         return;
       } catch (const Poco::Exception&) {
@@ -283,9 +308,10 @@
 
 int RunProxy(const standin_options& options) {
   proxy_standin proxy(options);
-  auto server = Serve(options.control, 4, [&proxy](auto& request, auto& response) {
-    proxy.Answer(request, response);
-  });
+  auto server =
+      Serve(options.control, 4, [&proxy](auto& request, auto& response) {
+        proxy.Answer(request, response);
+      });
   std::cout << "ready" << std::endl;
   std::atomic<bool> is_stopping{false};
   std::thread loop([&] { proxy.Run(is_stopping); });
--- a/src/standins/standin_func.cc
+++ b/src/standins/standin_func.cc
@@ -13,7 +13,8 @@
 
 std::string SplitQuery(const std::string& uri, query_map* query) {
   Poco::URI parsed(uri);
-  for (const auto& [name, value] : parsed.getQueryParameters()) (*query)[name] = value;
+  for (const auto& [name, value] : parsed.getQueryParameters())
+    (*query)[name] = value;
   return parsed.getPath();
 }
 
@@ -22,7 +23,9 @@
   return it == query.end() ? otherwise : std::atoi(it->second.c_str());
 }
 
-double DoubleOf(const query_map& query, const std::string& name, double otherwise) {
+double DoubleOf(const query_map& query,
+                const std::string& name,
+                double otherwise) {
   auto it = query.find(name);
   return it == query.end() ? otherwise : std::atof(it->second.c_str());
 }
@@ -33,7 +36,8 @@
   impl.socket().close();
 }
 
-std::shared_ptr<Poco::Net::HTTPServer> Serve(const std::string& address, int threads,
+std::shared_ptr<Poco::Net::HTTPServer> Serve(const std::string& address,
+                                             int threads,
                                              http_handler handler) {
   Poco::Net::SocketAddress parsed(address);
   auto server = StartHttpServer(
--- a/src/standins/standin_func.h
+++ b/src/standins/standin_func.h
@@ -1,4 +1,5 @@
-/// @file standin_func.h Small stand-ins of the systems outside the project, for tests only.
+/// @file standin_func.h Small stand-ins of the systems outside the project, for
+/// tests only.
 #ifndef STANDINS_STANDIN_FUNC_H_
 #define STANDINS_STANDIN_FUNC_H_
 
@@ -21,17 +22,18 @@
   std::vector<std::string> links;    ///< Proxy: GROUP=LISTEN>TARGET.
   std::string control;               ///< Proxy: ip:port of its control page.
   std::string folder;                ///< Origin: blobs to serve.
-  double rate = 1e9;                 ///< Origin and proxy groups: bytes per second.
-  int lag_ms = 300;                  ///< VM list and load reports: age of what they say.
-  int cold_limit = 2;                ///< Engine: calls that it bears while cold.
-  int most_limit = 16;               ///< Engine: calls that it bears while warm.
-  int warm_after = 8;                ///< Engine: calls after which it is warm.
-  int load_ms = 200;                 ///< Engine: time to load weights that have arrived.
-  int prefill_ms = 10;               ///< Engine: time to the first token.
-  int token_ms = 5;                  ///< Engine: time between tokens.
-  int service_ms = 10;               ///< Plain service: time of a call.
-  int delay_ms = 0;                  ///< Proxy: one-way delay.
-  bool checks_fencing = false;       ///< Engine: refuses orders with an old fencing number.
+  double rate = 1e9;    ///< Origin and proxy groups: bytes per second.
+  int lag_ms = 300;     ///< VM list and load reports: age of what they say.
+  int cold_limit = 2;   ///< Engine: calls that it bears while cold.
+  int most_limit = 16;  ///< Engine: calls that it bears while warm.
+  int warm_after = 8;   ///< Engine: calls after which it is warm.
+  int load_ms = 200;    ///< Engine: time to load weights that have arrived.
+  int prefill_ms = 10;  ///< Engine: time to the first token.
+  int token_ms = 5;     ///< Engine: time between tokens.
+  int service_ms = 10;  ///< Plain service: time of a call.
+  int delay_ms = 0;     ///< Proxy: one-way delay.
+  bool checks_fencing =
+      false;  ///< Engine: refuses orders with an old fencing number.
 };
 
 int RunPlatform(const standin_options& options);
@@ -43,13 +45,16 @@
 /// Splits a path from its query.
 std::string SplitQuery(const std::string& uri, query_map* query);
 int IntOf(const query_map& query, const std::string& name, int otherwise);
-double DoubleOf(const query_map& query, const std::string& name, double otherwise);
+double DoubleOf(const query_map& query,
+                const std::string& name,
+                double otherwise);
 
 /// Ends a connection without an answer, as a crash would.
 void BreakConnection(Poco::Net::HTTPServerRequest* request);
 
 /// Opens an HTTP server at ip:port; the process ends when it cannot.
-std::shared_ptr<Poco::Net::HTTPServer> Serve(const std::string& address, int threads,
+std::shared_ptr<Poco::Net::HTTPServer> Serve(const std::string& address,
+                                             int threads,
                                              http_handler handler);
 
 /// Waits for a signal to stop.
--- a/src/standins/standin_main.cc
+++ b/src/standins/standin_main.cc
@@ -12,43 +12,59 @@
   fuchsiafall::BlockSignals();
   standin_options options;
   std::string kind;
-  po::options_description described("Usage: fuchsiafall-standins KIND [OPTIONS]\n"
-                                    "KIND is platform, origin, engines, plain or proxy");
+  po::options_description described(
+      "Usage: fuchsiafall-standins KIND [OPTIONS]\n"
+      "KIND is platform, origin, engines, plain or proxy");
   auto add = described.add_options();
   add("help", "shows this help");
   add("kind", po::value(&kind), "kind of stand-in");
-  add("listen", po::value(&options.listen)->composing(), "ip:port, one an instance");
-  add("weights", po::value(&options.weights)->composing(), "NAME:BYTES:CHUNK_BYTES:SEED");
+  add("listen", po::value(&options.listen)->composing(),
+      "ip:port, one an instance");
+  add("weights", po::value(&options.weights)->composing(),
+      "NAME:BYTES:CHUNK_BYTES:SEED");
   add("link", po::value(&options.links)->composing(), "GROUP=LISTEN>TARGET");
-  add("control", po::value(&options.control), "ip:port of the proxy's control page");
+  add("control", po::value(&options.control),
+      "ip:port of the proxy's control page");
   add("folder", po::value(&options.folder), "folder of blobs");
   add("rate", po::value(&options.rate), "bytes per second");
   add("lag-ms", po::value(&options.lag_ms), "age of reports");
-  add("cold-limit", po::value(&options.cold_limit), "calls that a cold engine bears");
-  add("most-limit", po::value(&options.most_limit), "calls that a warm engine bears");
-  add("warm-after", po::value(&options.warm_after), "calls after which it is warm");
+  add("cold-limit", po::value(&options.cold_limit),
+      "calls that a cold engine bears");
+  add("most-limit", po::value(&options.most_limit),
+      "calls that a warm engine bears");
+  add("warm-after", po::value(&options.warm_after),
+      "calls after which it is warm");
   add("load-ms", po::value(&options.load_ms), "time to load");
   add("prefill-ms", po::value(&options.prefill_ms), "time to the first token");
   add("token-ms", po::value(&options.token_ms), "time between tokens");
   add("service-ms", po::value(&options.service_ms), "time of a plain call");
   add("delay-ms", po::value(&options.delay_ms), "one-way delay of the proxy");
-  add("checks-fencing", po::bool_switch(&options.checks_fencing), "refuses old fencing numbers");
+  add("checks-fencing", po::bool_switch(&options.checks_fencing),
+      "refuses old fencing numbers");
   po::positional_options_description positional;
   positional.add("kind", 1);
   po::variables_map values;
   try {
-    po::store(po::command_line_parser(argc, argv).options(described).positional(positional).run(),
+    po::store(po::command_line_parser(argc, argv)
+                  .options(described)
+                  .positional(positional)
+                  .run(),
               values);
     po::notify(values);
   } catch (const po::error& e) {
     std::cerr << "stand-in: " << e.what() << '\n';
     return 2;
   }
-  if (kind == "platform") return RunPlatform(options);
-  if (kind == "origin") return RunOrigin(options);
-  if (kind == "engines") return RunEngines(options);
-  if (kind == "plain") return RunPlain(options);
-  if (kind == "proxy") return RunProxy(options);
+  if (kind == "platform")
+    return RunPlatform(options);
+  if (kind == "origin")
+    return RunOrigin(options);
+  if (kind == "engines")
+    return RunEngines(options);
+  if (kind == "plain")
+    return RunPlain(options);
+  if (kind == "proxy")
+    return RunProxy(options);
   std::cout << described;
   return values.contains("help") ? 0 : 2;
 }
--- a/src/status_cmd.cc
+++ b/src/status_cmd.cc
@@ -1,4 +1,5 @@
-/// @file status_cmd.cc The operators' commands that show what all processes say of themselves.
+/// @file status_cmd.cc The operators' commands that show what all processes say
+/// of themselves.
 #include <Poco/JSON/Object.h>
 
 #include <algorithm>
@@ -17,7 +18,8 @@
 
 constexpr milliseconds kStoreTimeout{3000};
 constexpr milliseconds kWatchInterval{1000};
-constexpr int kFirstListenPort = 52000;  // Ports tried for the answers of processes.
+constexpr int kFirstListenPort =
+    52000;  // Ports tried for the answers of processes.
 constexpr int kListenPorts = 2000;
 
 /// What one VM answered.
@@ -35,40 +37,51 @@
 
   outcome<answer_map> Run(const proto::configuration& configuration) {
     answer_map answers;
-    for (const auto& vm : configuration.inventory().vms()) answers[vm.id()] = {};
+    for (const auto& vm : configuration.inventory().vms())
+      answers[vm.id()] = {};
     std::mutex mutex;
     std::condition_variable wake;
     size_t missing = answers.size();
-    outcome<std::unique_ptr<message_link>> link = Listen([&](proto::envelope&& message) {
-      std::lock_guard lock(mutex);
-      auto it = answers.find(message.vm());
-      if (it == answers.end() || !message.has_heartbeat()) return;
-      if (!it->second.answered) --missing;
-      it->second = {true, message.heartbeat()};
-      wake.notify_one();
-    });
-    if (!link) return failure{link.LastReason()};
-    for (const auto& vm : configuration.inventory().vms()) Ask(link->get(), vm);
+    outcome<std::unique_ptr<message_link>> link =
+        Listen([&](proto::envelope&& message) {
+          std::lock_guard lock(mutex);
+          auto it = answers.find(message.vm());
+          if (it == answers.end() || !message.has_heartbeat())
+            return;
+          if (!it->second.answered)
+            --missing;
+          it->second = {true, message.heartbeat()};
+          wake.notify_one();
+        });
+    if (!link)
+      return failure{link.LastReason()};
+    for (const auto& vm : configuration.inventory().vms())
+      Ask(link->get(), vm);
     {
       std::unique_lock lock(mutex);
-      wake.wait_for(lock, milliseconds(line_.wait_ms), [&] { return missing == 0; });
+      wake.wait_for(lock, milliseconds(line_.wait_ms),
+                    [&] { return missing == 0; });
     }
     (*link)->Stop();
     return answers;
   }
 
  private:
-  outcome<std::unique_ptr<message_link>> Listen(const message_link::arrival_hook& on_arrival) {
-    const int first = static_cast<int>(std::hash<std::string>()(NewEditId()) % kListenPorts);
+  outcome<std::unique_ptr<message_link>> Listen(
+      const message_link::arrival_hook& on_arrival) {
+    const int first =
+        static_cast<int>(std::hash<std::string>()(NewEditId()) % kListenPorts);
     std::string why;
     for (int i = 0; i < kListenPorts; i += 97) {
       address_ = line_.listen_ip + ":" +
                  std::to_string(kFirstListenPort + (first + i) % kListenPorts);
       auto link = std::make_unique<message_link>(
-          message_link_options{.name = "survey", .listen_address = address_, .keys = line_.keys},
+          message_link_options{
+              .name = "survey", .listen_address = address_, .keys = line_.keys},
           &context_, &metrics_, on_arrival);
       outcome<done> started = link->Start();
-      if (started) return link;
+      if (started)
+        return link;
       why = started.LastReason();
     }
     return failure{why};
@@ -96,39 +109,52 @@
 outcome<proto::configuration> ReadCurrent(const command_line& line) {
   store_client store = MakeStoreClient(line.store, kStoreTimeout);
   outcome<stored_head> head = ReadHead(store);
-  if (!head) return failure{head.LastReason()};
+  if (!head)
+    return failure{head.LastReason()};
   return ReadConfiguration(store, head->head);
 }
 
 std::string StateText(const proto::vm& vm, const vm_answer& answer) {
-  if (!answer.answered) return "no answer";
-  if (vm.role() == proto::vm::ENTRY) return "answers";
-  if (answer.heartbeat.state().accepting()) return "serving";
+  if (!answer.answered)
+    return "no answer";
+  if (vm.role() == proto::vm::ENTRY)
+    return "answers";
+  if (answer.heartbeat.state().accepting())
+    return "serving";
   return "not serving";
 }
 
-void PrintStatusTable(const proto::configuration& configuration, const answer_map& answers) {
+void PrintStatusTable(const proto::configuration& configuration,
+                      const answer_map& answers) {
   std::cout << "revision " << configuration.revision() << ", out of service:";
-  if (configuration.domains_out().empty()) std::cout << " none";
-  for (const std::string& domain : configuration.domains_out()) std::cout << ' ' << domain;
+  if (configuration.domains_out().empty())
+    std::cout << " none";
+  for (const std::string& domain : configuration.domains_out())
+    std::cout << ' ' << domain;
   std::cout << "\n\n"
-            << std::left << std::setw(20) << "VM" << std::setw(14) << "DOMAIN" << std::setw(7)
-            << "ROLE" << std::setw(10) << "REVISION" << std::setw(13) << "STATE" << std::setw(16)
-            << "VERSION" << "LOAD\n";
+            << std::left << std::setw(20) << "VM" << std::setw(14) << "DOMAIN"
+            << std::setw(7) << "ROLE" << std::setw(10) << "REVISION"
+            << std::setw(13) << "STATE" << std::setw(16) << "VERSION"
+            << "LOAD\n";
   for (const auto& vm : configuration.inventory().vms()) {
     const vm_answer& answer = answers.at(vm.id());
     const proto::server_state& state = answer.heartbeat.state();
-    std::cout << std::setw(20) << vm.id() << std::setw(14) << vm.domain() << std::setw(7)
-              << (vm.role() == proto::vm::ENTRY ? "entry" : "agent") << std::setw(10)
-              << (answer.answered ? std::to_string(answer.heartbeat.revision()) : "-")
+    std::cout << std::setw(20) << vm.id() << std::setw(14) << vm.domain()
+              << std::setw(7)
+              << (vm.role() == proto::vm::ENTRY ? "entry" : "agent")
+              << std::setw(10)
+              << (answer.answered ? std::to_string(answer.heartbeat.revision())
+                                  : "-")
               << std::setw(13) << StateText(vm, answer) << std::setw(16)
               << (state.version().empty() ? "-" : state.version());
-    if (vm.role() == proto::vm::AGENT) std::cout << state.in_flight() << '/' << state.limit();
+    if (vm.role() == proto::vm::AGENT)
+      std::cout << state.in_flight() << '/' << state.limit();
     std::cout << '\n';
   }
 }
 
-void PrintStatusJson(const proto::configuration& configuration, const answer_map& answers) {
+void PrintStatusJson(const proto::configuration& configuration,
+                     const answer_map& answers) {
   Poco::JSON::Array vms;
   for (const auto& vm : configuration.inventory().vms()) {
     const vm_answer& answer = answers.at(vm.id());
@@ -171,7 +197,8 @@
   const world where(configuration);
   for (const auto& vm : configuration.inventory().vms()) {
     const proto::service* service = where.FindService(vm.service());
-    if (service == nullptr || service->kind() != proto::service::MODEL) continue;
+    if (service == nullptr || service->kind() != proto::service::MODEL)
+      continue;
     rollout_row& row = rows[{service->id(), vm.domain()}];
     row.service = service->id();
     row.domain = vm.domain();
@@ -184,15 +211,18 @@
       continue;
     }
     row.progress_sum += state.progress_percent();
-    if (state.progress_percent() == 100) ++row.with_weights;
-    if (state.version() == service->version()) ++row.serving;
+    if (state.progress_percent() == 100)
+      ++row.with_weights;
+    if (state.version() == service->version())
+      ++row.serving;
     if (!state.last_reason().empty()) {
       ++row.failed;
       row.last_reason = vm.id() + ": " + state.last_reason();
     }
   }
   std::vector<rollout_row> list;
-  for (auto& [key, row] : rows) list.push_back(std::move(row));
+  for (auto& [key, row] : rows)
+    list.push_back(std::move(row));
   return list;
 }
 
@@ -201,15 +231,18 @@
 }
 
 void PrintRolloutTable(const std::vector<rollout_row>& rows) {
-  std::cout << std::left << std::setw(16) << "SERVICE" << std::setw(14) << "DOMAIN"
-            << std::setw(16) << "VERSION" << std::setw(9) << "SERVERS" << std::setw(9)
-            << "WEIGHTS" << std::setw(9) << "SERVING" << std::setw(8) << "FAILED" << std::setw(8)
-            << "SILENT" << std::setw(9) << "PROGRESS" << "LAST REASON\n";
+  std::cout << std::left << std::setw(16) << "SERVICE" << std::setw(14)
+            << "DOMAIN" << std::setw(16) << "VERSION" << std::setw(9)
+            << "SERVERS" << std::setw(9) << "WEIGHTS" << std::setw(9)
+            << "SERVING" << std::setw(8) << "FAILED" << std::setw(8) << "SILENT"
+            << std::setw(9) << "PROGRESS"
+            << "LAST REASON\n";
   for (const rollout_row& row : rows) {
-    std::cout << std::setw(16) << row.service << std::setw(14) << row.domain << std::setw(16)
-              << row.version << std::setw(9) << row.servers << std::setw(9) << row.with_weights
-              << std::setw(9) << row.serving << std::setw(8) << row.failed << std::setw(8)
-              << row.silent << std::setw(9) << (std::to_string(Progress(row)) + "%")
+    std::cout << std::setw(16) << row.service << std::setw(14) << row.domain
+              << std::setw(16) << row.version << std::setw(9) << row.servers
+              << std::setw(9) << row.with_weights << std::setw(9) << row.serving
+              << std::setw(8) << row.failed << std::setw(8) << row.silent
+              << std::setw(9) << (std::to_string(Progress(row)) + "%")
               << row.last_reason << '\n';
   }
 }
@@ -235,17 +268,20 @@
 }
 
 bool IsFinished(const std::vector<rollout_row>& rows) {
-  return std::all_of(rows.begin(), rows.end(),
-                     [](const rollout_row& row) { return row.serving == row.servers; });
+  return std::all_of(rows.begin(), rows.end(), [](const rollout_row& row) {
+    return row.serving == row.servers;
+  });
 }
 
 }  // namespace
 
 exit_code RunStatus(const command_line& line) {
   outcome<proto::configuration> current = ReadCurrent(line);
-  if (!current) return PrintError(exit_code::kUnreachable, current.LastReason());
+  if (!current)
+    return PrintError(exit_code::kUnreachable, current.LastReason());
   outcome<answer_map> answers = survey(line).Run(*current);
-  if (!answers) return PrintError(exit_code::kFailed, answers.LastReason());
+  if (!answers)
+    return PrintError(exit_code::kFailed, answers.LastReason());
   if (line.json) {
     PrintStatusJson(*current, *answers);
   } else {
@@ -256,21 +292,26 @@
 
 exit_code RunRollout(const command_line& line) {
   if (line.arguments != std::vector<std::string>{"status"}) {
-    return PrintError(exit_code::kUsage, "arguments: allowed is 'rollout status'");
+    return PrintError(exit_code::kUsage,
+                      "arguments: allowed is 'rollout status'");
   }
   while (true) {
     outcome<proto::configuration> current = ReadCurrent(line);
-    if (!current) return PrintError(exit_code::kUnreachable, current.LastReason());
+    if (!current)
+      return PrintError(exit_code::kUnreachable, current.LastReason());
     outcome<answer_map> answers = survey(line).Run(*current);
-    if (!answers) return PrintError(exit_code::kFailed, answers.LastReason());
+    if (!answers)
+      return PrintError(exit_code::kFailed, answers.LastReason());
     std::vector<rollout_row> rows = CountRollout(*current, *answers);
     if (line.json) {
       PrintRolloutJson(rows);
     } else {
-      if (line.watch) std::cout << "\033[2J\033[H";
+      if (line.watch)
+        std::cout << "\033[2J\033[H";
       PrintRolloutTable(rows);
     }
-    if (!line.watch || IsFinished(rows)) return exit_code::kOk;
+    if (!line.watch || IsFinished(rows))
+      return exit_code::kOk;
     std::this_thread::sleep_for(kWatchInterval);
   }
 }
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -6,12 +6,18 @@
 LOG_EVENT(kProcessStopped, 102, Info, "process stopped")
 LOG_EVENT(kSettingsRefused, 103, Error, "settings refused")
 LOG_EVENT(kPauseNoticed, 104, Warning, "the process was paused")
-LOG_EVENT(kKeysMissing, 105, Warning, "links between processes run WITHOUT keys")
+LOG_EVENT(kKeysMissing,
+          105,
+          Warning,
+          "links between processes run WITHOUT keys")
 LOG_EVENT(kConfigurationAdopted, 200, Info, "configuration adopted")
 LOG_EVENT(kConfigurationRefused, 201, Warning, "configuration refused")
 LOG_EVENT(kStoreUnreachable, 202, Warning, "platform store unreachable")
 LOG_EVENT(kStoreReachable, 203, Info, "platform store reachable")
-LOG_EVENT(kWaitingForConfiguration, 204, Warning, "no configuration from the store or any peer yet")
+LOG_EVENT(kWaitingForConfiguration,
+          204,
+          Warning,
+          "no configuration from the store or any peer yet")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
@@ -20,7 +26,10 @@
 LOG_EVENT(kServing, 305, Info, "engine serves the version")
 LOG_EVENT(kRolloutFailed, 306, Error, "rollout cannot finish on this server")
 LOG_EVENT(kEngineRestarted, 307, Warning, "engine restarted")
-LOG_EVENT(kTakeOver, 308, Info, "fetches from outside in place of another server")
+LOG_EVENT(kTakeOver,
+          308,
+          Info,
+          "fetches from outside in place of another server")
 LOG_EVENT(kLimitLowered, 400, Warning, "admission limit lowered")
 LOG_EVENT(kRequestQuarantined, 401, Warning, "request quarantined")
 LOG_EVENT(kServerEjected, 402, Info, "server ejected from routing")
--- a/src/table/rules.h
+++ b/src/table/rules.h
@@ -1,5 +1,18 @@
 /// @file rules.h Table of the operators' rules.
-/// Columns: field of the rules message, name in the INI file, default, least, most, unit, help.
+/// Columns: field of the rules message, name in the INI file, default, least,
+/// most, unit, help.
 
-RULE(loading_share_percent, "loading.share", 34, 1, 100, "%", "servers of a service and domain that load at once")
-RULE(quarantine_crashes, "quarantine.crashes", 2, 1, 100, "crashes", "crashes after which a request is quarantined")
+RULE(loading_share_percent,
+     "loading.share",
+     34,
+     1,
+     100,
+     "%",
+     "servers of a service and domain that load at once")
+RULE(quarantine_crashes,
+     "quarantine.crashes",
+     2,
+     1,
+     100,
+     "crashes",
+     "crashes after which a request is quarantined")
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -1,38 +1,183 @@
 /// @file settings.h Table of the settings.
-/// Columns: member, name in the INI file, kind, default, least, most, unit, help.
-/// Text settings have no bounds.
+/// Columns: member, name in the INI file, kind, default, least, most, unit,
+/// help. Text settings have no bounds.
 
 SETTING_TEXT(vm, "node.vm", "", "id of this VM in the inventory")
 SETTING_TEXT(domain, "node.domain", "", "failure domain of this VM")
 SETTING_TEXT(region, "node.region", "", "region of the failure domain")
 SETTING_TEXT(ip, "node.ip", "127.0.0.1", "address to listen on")
-SETTING_NUMBER(port, "node.port", 7000, 1, 65533, "port", "control port; bulk and traffic follow it")
-SETTING_TEXT(http_ip, "http.ip", "127.0.0.1", "address of the HTTP page, and of callers' requests on an entry")
+SETTING_NUMBER(port,
+               "node.port",
+               7000,
+               1,
+               65533,
+               "port",
+               "control port; bulk and traffic follow it")
+SETTING_TEXT(http_ip,
+             "http.ip",
+             "127.0.0.1",
+             "address of the HTTP page, and of callers' requests on an entry")
 SETTING_NUMBER(http_port, "http.port", 8080, 1, 65535, "port", "HTTP port")
-SETTING_NUMBER(http_threads, "http.threads", 8, 2, 512, "threads", "threads that serve HTTP")
+SETTING_NUMBER(http_threads,
+               "http.threads",
+               8,
+               2,
+               512,
+               "threads",
+               "threads that serve HTTP")
 SETTING_TEXT(log_file, "log.file", "", "log file; empty for standard output")
-SETTING_TEXT(store, "platform.store", "", "address of the platform's store, ip:port")
-SETTING_TEXT(vm_list, "platform.vm_list", "", "address of the platform's VM list, ip:port")
-SETTING_TEXT(origin, "platform.origin", "", "address of the weight origin, ip:port")
-SETTING_TEXT(engine, "engine.address", "", "address of the backend server, ip:port; agents only")
-SETTING_TEXT(peers, "peers.first", "", "addresses asked for a configuration at start, ip:port,...")
-SETTING_TEXT(public_key, "keys.public", "", "public key (Z85) of this process; empty for links without keys")
+SETTING_TEXT(store,
+             "platform.store",
+             "",
+             "address of the platform's store, ip:port")
+SETTING_TEXT(vm_list,
+             "platform.vm_list",
+             "",
+             "address of the platform's VM list, ip:port")
+SETTING_TEXT(origin,
+             "platform.origin",
+             "",
+             "address of the weight origin, ip:port")
+SETTING_TEXT(engine,
+             "engine.address",
+             "",
+             "address of the backend server, ip:port; agents only")
+SETTING_NUMBER(report_lag_ms,
+               "engine.report_lag",
+               2000,
+               0,
+               60000,
+               "ms",
+               "age that the engine's reports may have")
+SETTING_TEXT(peers,
+             "peers.first",
+             "",
+             "addresses asked for a configuration at start, ip:port,...")
+SETTING_TEXT(public_key,
+             "keys.public",
+             "",
+             "public key (Z85) of this process; empty for links without keys")
 SETTING_TEXT(secret_key, "keys.secret", "", "secret key (Z85) of this process")
-SETTING_TEXT(fleet_key, "keys.fleet", "", "public key (Z85) that all processes accept")
-SETTING_NUMBER(heartbeat_ms, "control.heartbeat", 2000, 50, 60000, "ms", "time between heartbeats to a neighbour")
-SETTING_NUMBER(suspect_ms, "control.suspect", 6000, 100, 120000, "ms", "silence after which a neighbour is suspected")
-SETTING_NUMBER(neighbours, "control.neighbours", 8, 2, 64, "VMs", "neighbours in the own failure domain")
-SETTING_NUMBER(pause_ms, "control.pause", 1500, 100, 60000, "ms", "gap between control steps that counts as a pause")
-SETTING_NUMBER(store_timeout_ms, "store.timeout", 2000, 50, 60000, "ms", "time to wait for the store's answer")
-SETTING_NUMBER(store_wait_s, "store.wait", 30, 1, 300, "s", "time that one watch of the store waits")
-SETTING_NUMBER(chunk_timeout_ms, "weights.chunk_timeout", 2500, 100, 120000, "ms", "time without an answer after which a chunk is asked elsewhere")
-SETTING_NUMBER(bulk_rate, "weights.rate", 8388608, 1024, 10000000000, "bytes/s", "rate at which weights are sent, and received")
-SETTING_NUMBER(staging_mb, "weights.staging", 65536, 1, 4194304, "MiB", "memory for staged weights")
-SETTING_NUMBER(swarm_neighbours, "weights.neighbours", 10, 2, 64, "VMs", "servers that weights are exchanged with")
-SETTING_NUMBER(upload_queue, "weights.upload_queue", 4, 1, 64, "chunks", "chunks queued for sending before others are refused")
-SETTING_NUMBER(queue_length, "admission.queue", 16, 0, 10000, "requests", "requests queued at a full server")
-SETTING_NUMBER(deadline_ms, "request.deadline", 30000, 100, 600000, "ms", "deadline of a request that names none")
-SETTING_NUMBER(progress_ms, "request.progress", 5000, 100, 600000, "ms", "silence after which an attempt is given up")
-SETTING_NUMBER(retry_percent, "request.retry_budget", 20, 0, 100, "%", "retries allowed per request answered")
-SETTING_NUMBER(subset, "routing.subset", 24, 1, 4096, "servers", "servers of a service that an entry knows in detail")
-SETTING_NUMBER(drain_s, "shutdown.drain", 60, 1, 3600, "s", "longest time for requests to finish at shutdown")
+SETTING_TEXT(fleet_key,
+             "keys.fleet",
+             "",
+             "public key (Z85) that all processes accept")
+SETTING_NUMBER(heartbeat_ms,
+               "control.heartbeat",
+               2000,
+               50,
+               60000,
+               "ms",
+               "time between heartbeats to a neighbour")
+SETTING_NUMBER(suspect_ms,
+               "control.suspect",
+               6000,
+               100,
+               120000,
+               "ms",
+               "silence after which a neighbour is suspected")
+SETTING_NUMBER(neighbours,
+               "control.neighbours",
+               8,
+               2,
+               64,
+               "VMs",
+               "neighbours in the own failure domain")
+SETTING_NUMBER(pause_ms,
+               "control.pause",
+               1500,
+               100,
+               60000,
+               "ms",
+               "gap between control steps that counts as a pause")
+SETTING_NUMBER(store_timeout_ms,
+               "store.timeout",
+               2000,
+               50,
+               60000,
+               "ms",
+               "time to wait for the store's answer")
+SETTING_NUMBER(store_wait_s,
+               "store.wait",
+               4,
+               1,
+               300,
+               "s",
+               "time that one watch of the store waits")
+SETTING_NUMBER(chunk_timeout_ms,
+               "weights.chunk_timeout",
+               2500,
+               100,
+               120000,
+               "ms",
+               "time without an answer after which a chunk is asked elsewhere")
+SETTING_NUMBER(bulk_rate,
+               "weights.rate",
+               8388608,
+               1024,
+               10000000000,
+               "bytes/s",
+               "rate at which weights are sent, and received")
+SETTING_NUMBER(staging_mb,
+               "weights.staging",
+               65536,
+               1,
+               4194304,
+               "MiB",
+               "memory for staged weights")
+SETTING_NUMBER(swarm_neighbours,
+               "weights.neighbours",
+               10,
+               2,
+               64,
+               "VMs",
+               "servers that weights are exchanged with")
+SETTING_NUMBER(upload_queue,
+               "weights.upload_queue",
+               4,
+               1,
+               64,
+               "chunks",
+               "chunks queued for sending before others are refused")
+SETTING_NUMBER(queue_length,
+               "admission.queue",
+               16,
+               0,
+               10000,
+               "requests",
+               "requests queued at a full server")
+SETTING_NUMBER(deadline_ms,
+               "request.deadline",
+               30000,
+               100,
+               600000,
+               "ms",
+               "deadline of a request that names none")
+SETTING_NUMBER(progress_ms,
+               "request.progress",
+               5000,
+               100,
+               600000,
+               "ms",
+               "silence after which an attempt is given up")
+SETTING_NUMBER(retry_percent,
+               "request.retry_budget",
+               20,
+               0,
+               100,
+               "%",
+               "retries allowed per request answered")
+SETTING_NUMBER(subset,
+               "routing.subset",
+               24,
+               1,
+               4096,
+               "servers",
+               "servers of a service that an entry knows in detail")
+SETTING_NUMBER(drain_s,
+               "shutdown.drain",
+               60,
+               1,
+               3600,
+               "s",
+               "longest time for requests to finish at shutdown")
--- a/src/time_type.h
+++ b/src/time_type.h
@@ -1,4 +1,5 @@
-/// @file time_type.h Clock types; decisions take the present time as an argument.
+/// @file time_type.h Clock types; decisions take the present time as an
+/// argument.
 #ifndef TIME_TYPE_H_
 #define TIME_TYPE_H_
 
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -1,4 +1,5 @@
-/// @file weight_exchange.cc Have-maps, and the sending of chunks to other servers.
+/// @file weight_exchange.cc Have-maps, and the sending of chunks to other
+/// servers.
 #include <algorithm>
 
 #include "weight_transfer_base.h"
@@ -7,54 +8,72 @@
 
 namespace {
 
-constexpr milliseconds kMapInterval{100};   // Between have-maps to the same neighbours.
-constexpr milliseconds kMapRefresh{1500};   // Between have-maps that make up for lost ones.
-constexpr milliseconds kLeastQueue{50};     // Shortest send queue that is refused as busy.
+constexpr milliseconds kMapInterval{
+    100};  // Between have-maps to the same neighbours.
+constexpr milliseconds kMapRefresh{
+    1500};  // Between have-maps that make up for lost ones.
+constexpr milliseconds kLeastQueue{
+    50};  // Shortest send queue that is refused as busy.
 
 std::string PackBits(const std::vector<bool>& bits) {
   std::string bytes((bits.size() + 7) / 8, '\0');
   for (size_t i = 0; i < bits.size(); ++i) {
-    if (bits[i]) bytes[i / 8] = static_cast<char>(bytes[i / 8] | (1 << (i % 8)));
+    if (bits[i])
+      bytes[i / 8] = static_cast<char>(bytes[i / 8] | (1 << (i % 8)));
   }
   return bytes;
 }
 
 }  // namespace
 
-void weight_transfer::OnHaveMap(time_point now, const vm_id& from, const proto::have_map& map,
+void weight_transfer::OnHaveMap(time_point now,
+                                const vm_id& from,
+                                const proto::have_map& map,
                                 output_list* out) {
   artifact* item = FindArtifact(map.manifest_digest());
   if (item == nullptr) {
     // Says that it is alive but holds nothing of this.
-    if (map.reply_wanted()) SendMap(digest(map.manifest_digest()), {}, from, false, out);
+    if (map.reply_wanted())
+      SendMap(digest(map.manifest_digest()), {}, from, false, out);
     return;
   }
   holder& who = item->holders[from];
   who.was_asked = false;
+  who.was_heard = true;
   who.has_manifest = map.count() > 0;
   const size_t count = item->chunks.size();
   std::vector<bool> before = std::move(who.chunks);
   before.resize(count, false);
-  who.chunks.assign(item->stage == transfer_stage::kManifest ? map.count() : count, false);
+  who.chunks.assign(
+      item->stage == transfer_stage::kManifest ? map.count() : count, false);
   who.count = 0;
   for (size_t i = 0; i < who.chunks.size() && i / 8 < map.bits().size(); ++i) {
-    bool has = (static_cast<unsigned char>(map.bits()[i / 8]) >> (i % 8) & 1) != 0;
+    bool has =
+        (static_cast<unsigned char>(map.bits()[i / 8]) >> (i % 8) & 1) != 0;
     who.chunks[i] = has;
     who.count += has ? 1 : 0;
   }
   for (size_t i = 0; i < count && who.is_neighbour; ++i) {
-    if (who.chunks[i] && !before[i]) ++item->rarity[i];
-    if (!who.chunks[i] && before[i] && item->rarity[i] > 0) --item->rarity[i];
+    if (who.chunks[i] && !before[i])
+      ++item->rarity[i];
+    if (!who.chunks[i] && before[i] && item->rarity[i] > 0)
+      --item->rarity[i];
   }
-  if (map.reply_wanted()) SendMap(item->part.manifest, item->have, from, false, out);
-  if (item->stage != transfer_stage::kComplete) Step(now, out);
+  if (map.reply_wanted())
+    SendMap(item->part.manifest, item->have, from, false, out);
+  if (item->stage != transfer_stage::kComplete)
+    Step(now, out);
 }
 
-void weight_transfer::OnBlobRequest(time_point now, const vm_id& from,
-                                    const proto::blob_request& request, output_list* out) {
+void weight_transfer::OnBlobRequest(time_point now,
+                                    const vm_id& from,
+                                    const proto::blob_request& request,
+                                    output_list* out) {
   std::string address = AddressOf(from, plane::kBulk);
-  if (address.empty()) return;
-  send_message answer{.where = plane::kBulk, .address = address, .message = NewMessage()};
+  if (address.empty())
+    return;
+  send_message answer{
+      .where = plane::kBulk, .address = address, .message = NewMessage()};
   proto::blob_answer* body = answer.message.mutable_blob_answer();
   body->set_digest(request.digest());
   body->set_request_id(request.request_id());
@@ -64,7 +83,8 @@
     out->Add(std::move(answer));
     return;
   }
-  duration longest = static_cast<int>(options_.upload_queue) * upload_.TimeFor(bytes->size());
+  duration longest =
+      static_cast<int>(options_.upload_queue) * upload_.TimeFor(bytes->size());
   if (upload_.Backlog(now) > std::max<duration>(longest, kLeastQueue)) {
     body->set_status(proto::blob_answer::BUSY);
     out->Count("uploads_refused");
@@ -77,26 +97,36 @@
   out->Add(std::move(answer));
 }
 
-void weight_transfer::SendMaps(time_point now, artifact* item, output_list* out) {
+void weight_transfer::SendMaps(time_point now,
+                               artifact* item,
+                               output_list* out) {
   bool is_due = item->map_changed && now - item->last_map_sent >= kMapInterval;
-  bool is_refresh =
-      item->stage != transfer_stage::kComplete && now - item->last_map_sent >= kMapRefresh;
-  if (!is_due && !is_refresh) return;
+  bool is_refresh = item->stage != transfer_stage::kComplete &&
+                    now - item->last_map_sent >= kMapRefresh;
+  if (!is_due && !is_refresh)
+    return;
   item->last_map_sent = now;
   item->map_changed = false;
   for (auto& [id, who] : item->holders) {
-    if (!who.is_neighbour) continue;
+    if (!who.is_neighbour)
+      continue;
     bool is_done = !item->chunks.empty() && who.count == item->chunks.size();
-    if (is_done && item->stage != transfer_stage::kComplete) continue;
-    if (is_refresh) MarkAsked(now, &who);
+    if (is_done && item->stage != transfer_stage::kComplete)
+      continue;
+    if (is_refresh)
+      MarkAsked(now, &who);
     SendMap(item->part.manifest, item->have, id, is_refresh, out);
   }
 }
 
-void weight_transfer::SendMap(const digest& manifest, const std::vector<bool>& have,
-                              const vm_id& to, bool reply_wanted, output_list* out) {
+void weight_transfer::SendMap(const digest& manifest,
+                              const std::vector<bool>& have,
+                              const vm_id& to,
+                              bool reply_wanted,
+                              output_list* out) {
   std::string address = AddressOf(to, plane::kControl);
-  if (address.empty()) return;
+  if (address.empty())
+    return;
   proto::envelope message = NewMessage();
   proto::have_map* map = message.mutable_have();
   map->set_manifest_digest(manifest.value);
@@ -106,18 +136,24 @@
   out->Send(plane::kControl, address, std::move(message));
 }
 
-void weight_transfer::Probe(time_point now, artifact* item, const vm_id& id,
-                            milliseconds interval, output_list* out) {
-  if (id == options_.self) return;
+void weight_transfer::Probe(time_point now,
+                            artifact* item,
+                            const vm_id& id,
+                            milliseconds interval,
+                            output_list* out) {
+  if (id == options_.self)
+    return;
   holder& who = item->holders[id];
-  if (now - who.last_probe < interval) return;
+  if (now - who.last_probe < interval)
+    return;
   who.last_probe = now;
   MarkAsked(now, &who);
   SendMap(item->part.manifest, item->have, id, true, out);
 }
 
 void weight_transfer::MarkAsked(time_point now, holder* who) {
-  if (who->was_asked) return;
+  if (who->was_asked)
+    return;
   who->was_asked = true;
   who->asked_since = now;
 }
