--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -8,17 +8,24 @@
 
 namespace {
 
-constexpr size_t kMostPending = 16;         // Requests to peers on their way.
-constexpr size_t kMostPerHolder = 2;        // Of them to one server.
-constexpr size_t kMostOriginPending = 2;    // Fetches from the origin on their way.
-constexpr size_t kMostOutsidePending = 6;   // Imports on their way, the origin's among them.
-constexpr size_t kChunksAhead = 3;          // Chunks for which the own link is booked ahead.
-constexpr milliseconds kLeastAhead{60};     // Least time for which it is booked ahead.
-constexpr milliseconds kOutsideProbe{250};  // Between probes of holders in other domains.
-constexpr milliseconds kChainProbe{1000};   // Between probes of importers ahead in the order.
+constexpr size_t kMostPending = 16;   // Requests to peers on their way.
+constexpr size_t kMostPerHolder = 2;  // Of them to one server.
+constexpr size_t kMostOriginPending =
+    2;  // Fetches from the origin on their way.
+constexpr size_t kMostOutsidePending =
+    6;  // Imports on their way, the origin's among them.
+constexpr size_t kChunksAhead =
+    3;  // Chunks for which the own link is booked ahead.
+constexpr milliseconds kLeastAhead{
+    60};  // Least time for which it is booked ahead.
+constexpr milliseconds kOutsideProbe{
+    250};  // Between probes of holders in other domains.
+constexpr milliseconds kChainProbe{
+    1000};  // Between probes of importers ahead in the order.
 constexpr seconds kOriginDeadline{120};
 constexpr int kPatienceFactor = 3;
-constexpr uint64_t kManifestBytes = 4096;   // Booked for a manifest, whose size is not known.
+constexpr uint64_t kManifestBytes =
+    4096;  // Booked for a manifest, whose size is not known.
 
 }  // namespace
 
@@ -27,12 +34,15 @@
   for (size_t i = 0; i < artifacts_.size(); ++i) {
     artifact& item = artifacts_[i];
     switch (item.stage) {
-      case transfer_stage::kManifest: RequestManifest(now, i, out); break;
+      case transfer_stage::kManifest:
+        RequestManifest(now, i, out);
+        break;
       case transfer_stage::kChunks:
         RequestImports(now, i, out);
         RequestFromNeighbours(now, i, out);
         break;
-      default: break;
+      default:
+        break;
     }
     SendMaps(now, &item, out);
   }
@@ -43,8 +53,8 @@
 }
 
 bool weight_transfer::IsUsable(time_point now, const holder& who) const {
-  return now >= who.busy_until && now >= who.avoided_until && who.outstanding < kMostPerHolder &&
-         !IsSilent(now, who);
+  return now >= who.busy_until && now >= who.avoided_until &&
+         who.outstanding < kMostPerHolder && !IsSilent(now, who);
 }
 
 milliseconds weight_transfer::Patience(const artifact& item) const {
@@ -53,48 +63,68 @@
   return kPatienceFactor * options_.chunk_timeout + 2 * transfer;
 }
 
-bool weight_transfer::ActsAsImporter(time_point now, artifact* item,
-                                     const std::vector<vm_id>& order, size_t place) {
+bool weight_transfer::ActsAsImporter(time_point now,
+                                     artifact* item,
+                                     const std::vector<vm_id>& order,
+                                     size_t place) {
   if (place == 0) {
-    // A replaced server first looks for what its domain already has.
-    bool swarm_started = std::any_of(item->holders.begin(), item->holders.end(), [](auto& entry) {
-      return entry.second.is_neighbour && entry.second.count > 0;
-    });
-    return !item->is_late || !swarm_started || now - item->since > 2 * options_.chunk_timeout;
+    // A replaced server first hears what its domain already has.
+    return !item->is_late ||
+           std::all_of(item->holders.begin(), item->holders.end(),
+                       [&](const auto& entry) {
+                         const holder& who = entry.second;
+                         return !who.is_neighbour || who.was_heard ||
+                                IsSilent(now, who);
+                       });
   }
-  if (now - item->since > static_cast<int>(place) * Patience(*item)) return true;
-  return std::all_of(order.begin(), order.begin() + static_cast<ptrdiff_t>(place),
-                     [&](const vm_id& id) { return IsSilent(now, item->holders[id]); });
+  if (now - item->since > static_cast<int>(place) * Patience(*item))
+    return true;
+  return std::all_of(
+      order.begin(), order.begin() + static_cast<ptrdiff_t>(place),
+      [&](const vm_id& id) { return IsSilent(now, item->holders[id]); });
 }
 
 std::optional<weight_transfer::outside_source> weight_transfer::ChooseOutside(
-    time_point now, artifact* item, const digest& blob, std::optional<size_t> chunk) {
+    time_point now,
+    artifact* item,
+    const digest& blob,
+    std::optional<size_t> chunk) {
   std::vector<std::string> domains;
-  for (const auto& [id, chain] : item->chains) domains.push_back(id);
+  for (const auto& [id, chain] : item->chains)
+    domains.push_back(id);
   const bool is_patient = now - item->since <= Patience(*item);
   for (size_t d : RendezvousRank(blob.value, domains, domains.size())) {
     if (domains[d] == options_.domain.value) {
-      if (now >= origin_avoided_until_) return outside_source{};
+      if (now >= origin_avoided_until_)
+        return outside_source{};
       continue;
     }
     std::vector<vm_id> order = ImportOrder(*item, domains[d], blob);
     for (size_t i = 0; i < std::min<size_t>(2, order.size()); ++i) {
       holder& who = item->holders[order[i]];
-      if (IsSilent(now, who) || now < who.avoided_until) continue;
+      if (IsSilent(now, who) || now < who.avoided_until)
+        continue;
       bool has_it = chunk ? who.Has(*chunk) : who.has_manifest;
-      if (has_it && IsUsable(now, who)) return outside_source{order[i]};
-      // It is alive and will have the chunk, so that no second copy need be drawn.
-      if (has_it || is_patient) return std::nullopt;
+      if (has_it && IsUsable(now, who))
+        return outside_source{order[i]};
+      // It is alive and will have the chunk, so that no second copy need be
+      // drawn.
+      if (has_it || is_patient)
+        return std::nullopt;
     }
   }
   return std::nullopt;
 }
 
-void weight_transfer::RequestManifest(time_point now, size_t index, output_list* out) {
+void weight_transfer::RequestManifest(time_point now,
+                                      size_t index,
+                                      output_list* out) {
   artifact& item = artifacts_[index];
-  if (origin_pending_.contains(item.part.manifest)) return;
+  if (origin_pending_.contains(item.part.manifest))
+    return;
   for (const auto& [id, request] : pending_) {
-    if (request.artifact_index == index) return;
+    if (request.artifact_index == index)
+      return;
   }
   for (auto& [id, who] : item.holders) {
     if (who.is_neighbour && who.has_manifest && IsUsable(now, who)) {
@@ -103,16 +133,21 @@
     }
   }
   auto chain = item.chains.find(options_.domain.value);
-  if (chain == item.chains.end()) return;
+  if (chain == item.chains.end())
+    return;
   std::vector<vm_id> order =
       ImportOrder(item, options_.domain.value, item.part.manifest);
   auto own = std::find(order.begin(), order.end(), options_.self);
-  if (own == order.end()) return;
+  if (own == order.end())
+    return;
   const auto place = static_cast<size_t>(own - order.begin());
-  for (size_t i = 0; i < place; ++i) Probe(now, &item, order[i], kChainProbe, out);
-  if (!ActsAsImporter(now, &item, order, place)) return;
+  for (size_t i = 0; i < place; ++i)
+    Probe(now, &item, order[i], kChainProbe, out);
+  if (!ActsAsImporter(now, &item, order, place))
+    return;
   for (const auto& [id, other] : item.chains) {
-    if (id == options_.domain.value) continue;
+    if (id == options_.domain.value)
+      continue;
     std::vector<vm_id> there = ImportOrder(item, id, item.part.manifest);
     for (size_t i = 0; i < std::min<size_t>(2, there.size()); ++i) {
       Probe(now, &item, there[i], kOutsideProbe, out);
@@ -120,10 +155,13 @@
   }
   std::optional<outside_source> source =
       ChooseOutside(now, &item, item.part.manifest, std::nullopt);
-  if (source) Request(now, index, std::nullopt, source->giver, out);
+  if (source)
+    Request(now, index, std::nullopt, source->giver, out);
 }
 
-void weight_transfer::RequestImports(time_point now, size_t index, output_list* out) {
+void weight_transfer::RequestImports(time_point now,
+                                     size_t index,
+                                     output_list* out) {
   artifact& item = artifacts_[index];
   size_t outside = origin_pending_.size();
   for (const auto& [id, request] : pending_) {
@@ -131,73 +169,102 @@
   }
   std::set<vm_id> probed;
   auto probe = [&](const vm_id& id, milliseconds interval) {
-    if (probed.insert(id).second) Probe(now, &item, id, interval, out);
+    if (probed.insert(id).second)
+      Probe(now, &item, id, interval, out);
   };
   for (const auto& [chunk, place] : item.import_place) {
-    if (item.have[chunk] || item.in_flight[chunk] || item.rarity[chunk] > 0) continue;
-    std::vector<vm_id> order = ImportOrder(item, options_.domain.value, item.chunks[chunk]);
-    for (size_t i = 0; i < place; ++i) probe(order[i], kChainProbe);
-    if (!ActsAsImporter(now, &item, order, place)) continue;
+    if (item.have[chunk] || item.in_flight[chunk] || item.rarity[chunk] > 0)
+      continue;
+    std::vector<vm_id> order =
+        ImportOrder(item, options_.domain.value, item.chunks[chunk]);
+    for (size_t i = 0; i < place; ++i)
+      probe(order[i], kChainProbe);
+    if (!ActsAsImporter(now, &item, order, place))
+      continue;
     for (const auto& [id, chain] : item.chains) {
-      if (id == options_.domain.value) continue;
+      if (id == options_.domain.value)
+        continue;
       std::vector<vm_id> there = ImportOrder(item, id, item.chunks[chunk]);
       for (size_t i = 0; i < std::min<size_t>(2, there.size()); ++i) {
         probe(there[i], kOutsideProbe);
       }
     }
-    if (outside >= kMostOutsidePending || !HasRoom(now)) continue;
-    std::optional<outside_source> source = ChooseOutside(now, &item, item.chunks[chunk], chunk);
-    if (!source) continue;
-    if (!source->giver && origin_pending_.size() >= kMostOriginPending) continue;
+    if (outside >= kMostOutsidePending || !HasRoom(now))
+      continue;
+    std::optional<outside_source> source =
+        ChooseOutside(now, &item, item.chunks[chunk], chunk);
+    if (!source)
+      continue;
+    if (!source->giver && origin_pending_.size() >= kMostOriginPending)
+      continue;
     if (place > 0) {
       out->Count("imports_taken_over");
-      out->Log(log_event::kTakeOver, "part=" + item.part.name + " chunk=" + std::to_string(chunk));
+      out->Log(log_event::kTakeOver,
+               "part=" + item.part.name + " chunk=" + std::to_string(chunk));
     }
     Request(now, index, chunk, source->giver, out);
     ++outside;
   }
 }
 
-void weight_transfer::RequestFromNeighbours(time_point now, size_t index, output_list* out) {
+void weight_transfer::RequestFromNeighbours(time_point now,
+                                            size_t index,
+                                            output_list* out) {
   artifact& item = artifacts_[index];
   while (HasRoom(now) && pending_.size() < kMostPending) {
     std::optional<size_t> chunk = RarestChunk(now, item);
-    if (!chunk) return;
+    if (!chunk)
+      return;
     vm_id giver;
-    if (LeastUsedNeighbour(now, &item, *chunk, &giver) == nullptr) return;
+    if (LeastUsedNeighbour(now, &item, *chunk, &giver) == nullptr)
+      return;
     Request(now, index, chunk, giver, out);
   }
 }
 
-std::optional<size_t> weight_transfer::RarestChunk(time_point now, const artifact& item) {
+std::optional<size_t> weight_transfer::RarestChunk(time_point now,
+                                                   const artifact& item) {
   std::vector<const holder*> usable;
   for (const auto& [id, who] : item.holders) {
-    if (who.is_neighbour && IsUsable(now, who)) usable.push_back(&who);
+    if (who.is_neighbour && IsUsable(now, who))
+      usable.push_back(&who);
   }
   std::optional<size_t> rarest;
   uint64_t equals = 0;
   for (size_t i = 0; i < item.chunks.size(); ++i) {
-    if (item.have[i] || item.in_flight[i] || item.rarity[i] == 0) continue;
-    if (rarest && item.rarity[i] > item.rarity[*rarest]) continue;
-    bool can_be_had = std::any_of(usable.begin(), usable.end(),
-                                  [&](const holder* who) { return who->Has(i); });
-    if (!can_be_had) continue;
+    if (item.have[i] || item.in_flight[i] || item.rarity[i] == 0)
+      continue;
+    if (rarest && item.rarity[i] > item.rarity[*rarest])
+      continue;
+    bool can_be_had =
+        std::any_of(usable.begin(), usable.end(),
+                    [&](const holder* who) { return who->Has(i); });
+    if (!can_be_had)
+      continue;
     equals = rarest && item.rarity[i] == item.rarity[*rarest] ? equals + 1 : 1;
     // Each of the equally rare chunks is kept with the same chance.
-    if (equals == 1 || random_() % equals == 0) rarest = i;
+    if (equals == 1 || random_() % equals == 0)
+      rarest = i;
   }
   return rarest;
 }
 
-holder* weight_transfer::LeastUsedNeighbour(time_point now, artifact* item, size_t chunk,
+holder* weight_transfer::LeastUsedNeighbour(time_point now,
+                                            artifact* item,
+                                            size_t chunk,
                                             vm_id* id) {
   holder* best = nullptr;
   uint64_t equals = 0;
   for (auto& [other, who] : item->holders) {
-    if (!who.is_neighbour || !who.Has(chunk) || !IsUsable(now, who)) continue;
-    if (best != nullptr && who.outstanding > best->outstanding) continue;
-    equals = best != nullptr && who.outstanding == best->outstanding ? equals + 1 : 1;
-    if (equals > 1 && random_() % equals != 0) continue;
+    if (!who.is_neighbour || !who.Has(chunk) || !IsUsable(now, who))
+      continue;
+    if (best != nullptr && who.outstanding > best->outstanding)
+      continue;
+    equals = best != nullptr && who.outstanding == best->outstanding
+                 ? equals + 1
+                 : 1;
+    if (equals > 1 && random_() % equals != 0)
+      continue;
     best = &who;
     *id = other;
   }
@@ -213,14 +280,18 @@
   return download_.Backlog(now) < std::max<duration>(ahead, kLeastAhead);
 }
 
-void weight_transfer::Request(time_point now, size_t index, std::optional<size_t> chunk,
-                              const std::optional<vm_id>& giver, output_list* out) {
+void weight_transfer::Request(time_point now,
+                              size_t index,
+                              std::optional<size_t> chunk,
+                              const std::optional<vm_id>& giver,
+                              output_list* out) {
   artifact& item = artifacts_[index];
   pending request{.artifact_index = index, .chunk = chunk, .giver = giver};
   request.bytes = chunk ? item.manifest.chunk_bytes() : kManifestBytes;
   download_.Reserve(now, request.bytes);
   const digest& wanted = chunk ? item.chunks[*chunk] : item.part.manifest;
-  if (chunk) item.in_flight[*chunk] = true;
+  if (chunk)
+    item.in_flight[*chunk] = true;
   if (!giver) {
     request.deadline = now + kOriginDeadline;
     origin_pending_[wanted] = request;
@@ -230,7 +301,8 @@
   holder& who = item.holders[*giver];
   ++who.outstanding;
   MarkAsked(now, &who);
-  duration queued = static_cast<int>(options_.upload_queue + 1) * upload_.TimeFor(request.bytes);
+  duration queued = static_cast<int>(options_.upload_queue + 1) *
+                    upload_.TimeFor(request.bytes);
   request.deadline = now + options_.chunk_timeout + queued;
   proto::envelope message = NewMessage();
   message.mutable_blob_request()->set_digest(wanted.value);
@@ -246,7 +318,8 @@
       continue;
     }
     out->Count("blobs_timed_out");
-    holder& giver = artifacts_[it->second.artifact_index].holders[*it->second.giver];
+    holder& giver =
+        artifacts_[it->second.artifact_index].holders[*it->second.giver];
     giver.avoided_until = now + 2 * options_.chunk_timeout;
     Release(it->second, true);
     it = pending_.erase(it);
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -8,8 +8,10 @@
 
 namespace {
 
-constexpr size_t kImporters = 4;       // Servers of a domain that share the fetching from outside.
-constexpr size_t kStandbys = 2;        // Servers that stand in when all importers are silent.
+constexpr size_t kImporters =
+    4;  // Servers of a domain that share the fetching from outside.
+constexpr size_t kStandbys =
+    2;  // Servers that stand in when all importers are silent.
 constexpr uint64_t kMostChunks = 1U << 20;
 constexpr uint32_t kMostChunkBytes = 64U << 20;
 constexpr seconds kCorruptAvoidance{60};
@@ -20,15 +22,19 @@
 /// Checks the shape of a manifest before it is trusted with sizes.
 outcome<done> CheckManifest(const proto::manifest& manifest) {
   if (manifest.chunk_bytes() == 0 || manifest.chunk_bytes() > kMostChunkBytes) {
-    return failure{"manifest: chunk size " + std::to_string(manifest.chunk_bytes()) +
-                   " is out of range"};
+    return failure{"manifest: chunk size " +
+                   std::to_string(manifest.chunk_bytes()) + " is out of range"};
   }
-  if (manifest.total_bytes() == 0) return failure{"manifest: names no bytes"};
-  uint64_t chunks =
-      (manifest.total_bytes() + manifest.chunk_bytes() - 1) / manifest.chunk_bytes();
-  if (chunks > kMostChunks || chunks != static_cast<uint64_t>(manifest.chunk_digests_size())) {
-    return failure{"manifest: " + std::to_string(manifest.chunk_digests_size()) +
-                   " chunks do not make " + std::to_string(manifest.total_bytes()) + " bytes"};
+  if (manifest.total_bytes() == 0)
+    return failure{"manifest: names no bytes"};
+  uint64_t chunks = (manifest.total_bytes() + manifest.chunk_bytes() - 1) /
+                    manifest.chunk_bytes();
+  if (chunks > kMostChunks ||
+      chunks != static_cast<uint64_t>(manifest.chunk_digests_size())) {
+    return failure{
+        "manifest: " + std::to_string(manifest.chunk_digests_size()) +
+        " chunks do not make " + std::to_string(manifest.total_bytes()) +
+        " bytes"};
   }
   return done{};
 }
@@ -43,9 +49,11 @@
       upload_(options_.rate),
       download_(options_.rate) {}
 
-void weight_transfer::SetTarget(time_point now, const world_ptr& where,
+void weight_transfer::SetTarget(time_point now,
+                                const world_ptr& where,
                                 const std::string& service,
-                                const std::vector<load_part>& parts, bool is_first,
+                                const std::vector<load_part>& parts,
+                                bool is_first,
                                 output_list* out) {
   world_ = where;
   service_ = service;
@@ -70,10 +78,12 @@
   origin_pending_.clear();
   for (artifact& item : artifacts_) {
     std::fill(item.in_flight.begin(), item.in_flight.end(), false);
-    for (auto& [id, who] : item.holders) who.outstanding = 0;
-    BuildNeighbours(&item);
+    for (auto& [id, who] : item.holders)
+      who.outstanding = 0;
     BuildChains(&item);
-    if (item.stage != transfer_stage::kManifest) BuildImportPlaces(&item);
+    BuildNeighbours(&item);
+    if (item.stage != transfer_stage::kManifest)
+      BuildImportPlaces(&item);
     CountRarity(&item);
     shared_bytes manifest = blobs_->Find(item.part.manifest);
     if (item.stage == transfer_stage::kManifest && manifest != nullptr) {
@@ -82,14 +92,17 @@
   }
 }
 
-void weight_transfer::OnBlob(time_point now, const blob_arrival& blob, output_list* out) {
+void weight_transfer::OnBlob(time_point now,
+                             const blob_arrival& blob,
+                             output_list* out) {
   std::optional<pending> request = TakePending(blob);
   if (!request) {
     out->Count("blobs_unexpected");
     return;
   }
   artifact& item = artifacts_[request->artifact_index];
-  if (request->giver) item.holders[*request->giver].was_asked = false;
+  if (request->giver)
+    item.holders[*request->giver].was_asked = false;
   Release(*request, blob.status != blob_arrival::status_type::kOk);
   if (blob.status != blob_arrival::status_type::kOk) {
     OnRefusedBlob(now, *request, blob, out);
@@ -101,15 +114,18 @@
   }
   CountSource(*request, blob.bytes->size(), out);
   blobs_->Put(blob.wanted, blob.bytes);
-  if (!request->giver) origin_backoff_ = milliseconds(0);
+  if (!request->giver)
+    origin_backoff_ = milliseconds(0);
   if (!request->chunk) {
     AdoptManifest(now, &item, blob.bytes, out);
     return;
   }
-  if (item.have[*request->chunk]) return;
+  if (item.have[*request->chunk])
+    return;
   item.have[*request->chunk] = true;
   item.map_changed = true;
-  if (++item.have_count < item.chunks.size()) return;
+  if (++item.have_count < item.chunks.size())
+    return;
   item.stage = transfer_stage::kComplete;
   item.last_reason.clear();
   out->Count("weights_completed");
@@ -118,14 +134,16 @@
 
 bool weight_transfer::IsComplete() const {
   return !artifacts_.empty() &&
-         std::all_of(artifacts_.begin(), artifacts_.end(), [](const artifact& item) {
-           return item.stage == transfer_stage::kComplete;
-         });
+         std::all_of(artifacts_.begin(), artifacts_.end(),
+                     [](const artifact& item) {
+                       return item.stage == transfer_stage::kComplete;
+                     });
 }
 
 std::string weight_transfer::LastReason() const {
   for (const artifact& item : artifacts_) {
-    if (!item.last_reason.empty()) return item.part.name + ": " + item.last_reason;
+    if (!item.last_reason.empty())
+      return item.part.name + ": " + item.last_reason;
   }
   return "";
 }
@@ -136,23 +154,30 @@
   for (const artifact& item : artifacts_) {
     have += item.have_count;
     all += std::max<size_t>(1, item.chunks.size());
-    if (item.chunks.empty() && item.stage == transfer_stage::kComplete) ++have;
+    if (item.chunks.empty() && item.stage == transfer_stage::kComplete)
+      ++have;
   }
   return all == 0 ? 0 : static_cast<uint32_t>(100 * have / all);
 }
 
-std::vector<shared_bytes> weight_transfer::Weights(const digest& manifest) const {
+std::vector<shared_bytes> weight_transfer::Weights(
+    const digest& manifest) const {
   std::vector<shared_bytes> weights;
   for (const artifact& item : artifacts_) {
-    if (item.part.manifest != manifest || item.stage != transfer_stage::kComplete) continue;
-    for (const digest& chunk : item.chunks) weights.push_back(blobs_->Find(chunk));
+    if (item.part.manifest != manifest ||
+        item.stage != transfer_stage::kComplete)
+      continue;
+    for (const digest& chunk : item.chunks)
+      weights.push_back(blobs_->Find(chunk));
   }
   return weights;
 }
 
-const proto::manifest* weight_transfer::FindManifest(const digest& manifest) const {
+const proto::manifest* weight_transfer::FindManifest(
+    const digest& manifest) const {
   for (const artifact& item : artifacts_) {
-    if (item.part.manifest == manifest && item.stage == transfer_stage::kComplete) {
+    if (item.part.manifest == manifest &&
+        item.stage == transfer_stage::kComplete) {
       return &item.manifest;
     }
   }
@@ -160,15 +185,23 @@
 }
 
 void weight_transfer::BuildNeighbours(artifact* item) {
-  for (auto& [id, who] : item->holders) who.is_neighbour = false;
+  for (auto& [id, who] : item->holders)
+    who.is_neighbour = false;
   const failure_domain* own = world_->FindDomain(options_.domain.value);
-  if (own == nullptr) return;
+  if (own == nullptr)
+    return;
   auto servers = own->servers.find(service_);
-  if (servers == own->servers.end()) return;
-  for (const std::string& id :
-       RingNeighbours(servers->second, options_.self.value, options_.neighbours)) {
+  if (servers == own->servers.end())
+    return;
+  for (const std::string& id : RingNeighbours(
+           servers->second, options_.self.value, options_.neighbours)) {
     item->holders[vm_id(id)].is_neighbour = true;
   }
+  // One that may be late asks the importers too, which have the most.
+  for (const vm_id& id : item->chains[options_.domain.value]) {
+    if (item->is_late && id != options_.self)
+      item->holders[id].is_neighbour = true;
+  }
   std::erase_if(item->holders, [&](const auto& entry) {
     return world_->FindVm(entry.first) == nullptr;
   });
@@ -178,18 +211,22 @@
   item->chains.clear();
   for (const auto& [id, domain] : world_->Domains()) {
     auto servers = domain.servers.find(service_);
-    if (servers == domain.servers.end()) continue;
+    if (servers == domain.servers.end())
+      continue;
     std::string key = "import " + item->part.manifest.value;
-    for (size_t i : RendezvousRank(key, servers->second, kImporters + kStandbys)) {
+    for (size_t i :
+         RendezvousRank(key, servers->second, kImporters + kStandbys)) {
       item->chains[id].emplace_back(servers->second[i]);
     }
   }
 }
 
-std::vector<vm_id> weight_transfer::ImportOrder(const artifact& item, const std::string& domain,
+std::vector<vm_id> weight_transfer::ImportOrder(const artifact& item,
+                                                const std::string& domain,
                                                 const digest& chunk) const {
   auto chain = item.chains.find(domain);
-  if (chain == item.chains.end()) return {};
+  if (chain == item.chains.end())
+    return {};
   std::vector<std::string> importers;
   for (size_t i = 0; i < std::min(kImporters, chain->second.size()); ++i) {
     importers.push_back(chain->second[i].value);
@@ -198,21 +235,26 @@
   for (size_t i : RendezvousRank(chunk.value, importers, importers.size())) {
     order.emplace_back(importers[i]);
   }
-  for (size_t i = kImporters; i < chain->second.size(); ++i) order.push_back(chain->second[i]);
+  for (size_t i = kImporters; i < chain->second.size(); ++i)
+    order.push_back(chain->second[i]);
   return order;
 }
 
-void weight_transfer::AdoptManifest(time_point now, artifact* item, const shared_bytes& bytes,
+void weight_transfer::AdoptManifest(time_point now,
+                                    artifact* item,
+                                    const shared_bytes& bytes,
                                     output_list* out) {
   proto::manifest manifest;
-  outcome<done> checked = manifest.ParseFromString(*bytes)
-                              ? CheckManifest(manifest)
-                              : outcome<done>(failure{"manifest: cannot be parsed"});
+  outcome<done> checked =
+      manifest.ParseFromString(*bytes)
+          ? CheckManifest(manifest)
+          : outcome<done>(failure{"manifest: cannot be parsed"});
   if (!checked) {
     item->stage = transfer_stage::kFailed;
     item->last_reason = checked.LastReason();
     out->Count("rollouts_failed");
-    out->Log(log_event::kRolloutFailed, item->part.name + " " + item->last_reason);
+    out->Log(log_event::kRolloutFailed,
+             item->part.name + " " + item->last_reason);
     return;
   }
   blobs_->Put(item->part.manifest, bytes);
@@ -223,45 +265,58 @@
   item->have.assign(count, false);
   item->in_flight.assign(count, false);
   item->rarity.assign(count, 0);
-  for (auto& [id, who] : item->holders) who.chunks.resize(count, false);
+  for (auto& [id, who] : item->holders)
+    who.chunks.resize(count, false);
   CountRarity(item);
   for (const std::string& chunk : item->manifest.chunk_digests()) {
     item->chunks.emplace_back(chunk);
-    if (blobs_->Find(item->chunks.back()) == nullptr) continue;
-    item->have[item->chunks.size() - 1] = true;  // Shared with a version already held.
+    if (blobs_->Find(item->chunks.back()) == nullptr)
+      continue;
+    item->have[item->chunks.size() - 1] =
+        true;  // Shared with a version already held.
     ++item->have_count;
   }
   item->map_changed = true;
   item->since = now;
   out->Log(log_event::kManifestVerified, "part=" + item->part.name);
   CheckMemory(item, out);
-  if (item->stage != transfer_stage::kChunks) return;
-  if (item->have_count == count) item->stage = transfer_stage::kComplete;
+  if (item->stage != transfer_stage::kChunks)
+    return;
+  if (item->have_count == count)
+    item->stage = transfer_stage::kComplete;
   BuildImportPlaces(item);
   DropUnneeded();
 }
 
 void weight_transfer::CheckMemory(artifact* item, output_list* out) {
   uint64_t needed = 0;
-  for (const artifact& each : artifacts_) needed += each.manifest.total_bytes();
-  if (needed <= options_.staging_bytes) return;
+  for (const artifact& each : artifacts_)
+    needed += each.manifest.total_bytes();
+  if (needed <= options_.staging_bytes)
+    return;
   item->stage = transfer_stage::kFailed;
-  item->last_reason = "memory: " + std::to_string(needed) + " bytes do not fit the " +
-                      std::to_string(options_.staging_bytes) + " of weights.staging";
+  item->last_reason =
+      "memory: " + std::to_string(needed) + " bytes do not fit the " +
+      std::to_string(options_.staging_bytes) + " of weights.staging";
   out->Count("rollouts_failed");
-  out->Log(log_event::kRolloutFailed, item->part.name + " " + item->last_reason);
+  out->Log(log_event::kRolloutFailed,
+           item->part.name + " " + item->last_reason);
 }
 
 void weight_transfer::BuildImportPlaces(artifact* item) {
   item->import_place.clear();
   auto chain = item->chains.find(options_.domain.value);
-  if (chain == item->chains.end()) return;
+  if (chain == item->chains.end())
+    return;
   const std::vector<vm_id>& own = chain->second;
-  if (std::find(own.begin(), own.end(), options_.self) == own.end()) return;
+  if (std::find(own.begin(), own.end(), options_.self) == own.end())
+    return;
   for (size_t i = 0; i < item->chunks.size(); ++i) {
-    std::vector<vm_id> order = ImportOrder(*item, options_.domain.value, item->chunks[i]);
+    std::vector<vm_id> order =
+        ImportOrder(*item, options_.domain.value, item->chunks[i]);
     auto place = std::find(order.begin(), order.end(), options_.self);
-    if (place != order.end()) item->import_place[i] = static_cast<size_t>(place - order.begin());
+    if (place != order.end())
+      item->import_place[i] = static_cast<size_t>(place - order.begin());
   }
 }
 
@@ -277,27 +332,33 @@
 void weight_transfer::DropUnneeded() {
   std::set<digest> needed;
   for (const artifact& item : artifacts_) {
-    if (item.stage == transfer_stage::kManifest) return;  // It may share chunks not known yet.
+    if (item.stage == transfer_stage::kManifest)
+      return;  // It may share chunks not known yet.
     needed.insert(item.part.manifest);
     needed.insert(item.chunks.begin(), item.chunks.end());
   }
   blobs_->KeepOnly(needed);
 }
 
-std::optional<weight_transfer::pending> weight_transfer::TakePending(const blob_arrival& blob) {
+std::optional<weight_transfer::pending> weight_transfer::TakePending(
+    const blob_arrival& blob) {
   std::optional<pending> request;
   if (!blob.giver) {
     auto it = origin_pending_.find(blob.wanted);
-    if (it == origin_pending_.end()) return request;
+    if (it == origin_pending_.end())
+      return request;
     request = it->second;
     origin_pending_.erase(it);
     return request;
   }
   auto it = pending_.find(blob.request_id);
-  if (it == pending_.end() || it->second.giver != blob.giver) return request;
+  if (it == pending_.end() || it->second.giver != blob.giver)
+    return request;
   const artifact& item = artifacts_[it->second.artifact_index];
-  const digest& asked = it->second.chunk ? item.chunks[*it->second.chunk] : item.part.manifest;
-  if (asked != blob.wanted) return request;
+  const digest& asked =
+      it->second.chunk ? item.chunks[*it->second.chunk] : item.part.manifest;
+  if (asked != blob.wanted)
+    return request;
   request = it->second;
   pending_.erase(it);
   return request;
@@ -305,24 +366,31 @@
 
 void weight_transfer::Release(const pending& request, bool refund) {
   artifact& item = artifacts_[request.artifact_index];
-  if (request.chunk) item.in_flight[*request.chunk] = false;
+  if (request.chunk)
+    item.in_flight[*request.chunk] = false;
   if (request.giver) {
     holder& giver = item.holders[*request.giver];
-    if (giver.outstanding > 0) --giver.outstanding;
+    if (giver.outstanding > 0)
+      --giver.outstanding;
   }
-  if (refund) download_.Refund(request.bytes);
+  if (refund)
+    download_.Refund(request.bytes);
 }
 
-void weight_transfer::OnRefusedBlob(time_point now, const pending& request,
-                                    const blob_arrival& blob, output_list* out) {
+void weight_transfer::OnRefusedBlob(time_point now,
+                                    const pending& request,
+                                    const blob_arrival& blob,
+                                    output_list* out) {
   artifact& item = artifacts_[request.artifact_index];
   if (request.giver) {
     holder& giver = item.holders[*request.giver];
     giver.busy_until = now + kBusyPause;
-    bool is_gone = blob.status == blob_arrival::status_type::kNotHere && request.chunk;
+    bool is_gone =
+        blob.status == blob_arrival::status_type::kNotHere && request.chunk;
     if (is_gone && giver.Has(*request.chunk)) {
       giver.chunks[*request.chunk] = false;
-      if (giver.is_neighbour && item.rarity[*request.chunk] > 0) --item.rarity[*request.chunk];
+      if (giver.is_neighbour && item.rarity[*request.chunk] > 0)
+        --item.rarity[*request.chunk];
     }
     out->Count(is_gone ? "blobs_not_here" : "blobs_busy");
     return;
@@ -330,43 +398,55 @@
   AvoidOrigin(now);
   bool is_missing = blob.status == blob_arrival::status_type::kNotHere;
   out->Count(is_missing ? "origin_not_found" : "origin_unreachable");
-  item.last_reason = is_missing ? "the origin does not have " + ToHex(blob.wanted.value)
-                                : "the origin cannot be reached";
-  if (is_missing) out->Log(log_event::kRolloutFailed, item.part.name + " " + item.last_reason);
+  item.last_reason =
+      is_missing ? "the origin does not have " + ToHex(blob.wanted.value)
+                 : "the origin cannot be reached";
+  if (is_missing)
+    out->Log(log_event::kRolloutFailed,
+             item.part.name + " " + item.last_reason);
 }
 
-void weight_transfer::OnCorruptBlob(time_point now, const pending& request, output_list* out) {
+void weight_transfer::OnCorruptBlob(time_point now,
+                                    const pending& request,
+                                    output_list* out) {
   artifact& item = artifacts_[request.artifact_index];
   std::string giver = request.giver ? request.giver->value : "origin";
   out->Count("blobs_corrupt");
   out->Count("blobs_corrupt_from_" + giver);
-  out->Log(log_event::kChunkCorrupt, "part=" + item.part.name + " giver=" + giver);
+  out->Log(log_event::kChunkCorrupt,
+           "part=" + item.part.name + " giver=" + giver);
   if (request.giver) {
     item.holders[*request.giver].avoided_until = now + kCorruptAvoidance;
     return;
   }
   AvoidOrigin(now);
-  if (!request.chunk) item.last_reason = "the origin's manifest does not match its digest";
+  if (!request.chunk)
+    item.last_reason = "the origin's manifest does not match its digest";
 }
 
 void weight_transfer::AvoidOrigin(time_point now) {
-  origin_backoff_ = std::clamp(origin_backoff_ * 2, kLeastOriginBackoff, kMostOriginBackoff);
+  origin_backoff_ =
+      std::clamp(origin_backoff_ * 2, kLeastOriginBackoff, kMostOriginBackoff);
   origin_avoided_until_ = now + origin_backoff_;
 }
 
-void weight_transfer::CountSource(const pending& request, uint64_t bytes, output_list* out) {
+void weight_transfer::CountSource(const pending& request,
+                                  uint64_t bytes,
+                                  output_list* out) {
   if (!request.giver) {
     out->Count("bytes_from_origin", bytes);
     return;
   }
   const proto::vm* giver = world_->FindVm(*request.giver);
   bool is_own = giver != nullptr && giver->domain() == options_.domain.value;
-  out->Count(is_own ? "bytes_from_own_domain" : "bytes_from_other_domains", bytes);
+  out->Count(is_own ? "bytes_from_own_domain" : "bytes_from_other_domains",
+             bytes);
 }
 
 artifact* weight_transfer::FindArtifact(const std::string& manifest) {
   for (artifact& item : artifacts_) {
-    if (item.part.manifest.value == manifest) return &item;
+    if (item.part.manifest.value == manifest)
+      return &item;
   }
   return nullptr;
 }
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -1,4 +1,5 @@
-/// @file weight_transfer_base.h Transfer of weights: from whom each chunk is fetched, and to whom it is sent.
+/// @file weight_transfer_base.h Transfer of weights: from whom each chunk is
+/// fetched, and to whom it is sent.
 #ifndef WEIGHT_TRANSFER_BASE_H_
 #define WEIGHT_TRANSFER_BASE_H_
 
@@ -20,12 +21,15 @@
   vm_id self;
   domain_id domain;
   incarnation own_incarnation;
-  double rate = 8388608;             ///< Of the VM's link each way, in bytes per second.
-  milliseconds chunk_timeout{2500};  ///< Silence after which a holder is passed over.
-  size_t upload_queue = 4;           ///< Chunks queued for sending before others are refused.
+  double rate = 8388608;  ///< Of the VM's link each way, in bytes per second.
+  milliseconds chunk_timeout{
+      2500};  ///< Silence after which a holder is passed over.
+  size_t upload_queue =
+      4;  ///< Chunks queued for sending before others are refused.
   uint64_t staging_bytes = 1ULL << 36;
-  size_t neighbours = 10;            ///< Servers of the own domain to exchange chunks with.
-  uint64_t seed = 1;                 ///< Of the random choices among equals.
+  size_t neighbours =
+      10;             ///< Servers of the own domain to exchange chunks with.
+  uint64_t seed = 1;  ///< Of the random choices among equals.
 };
 
 /// Blob that arrived from a peer or from the origin.
@@ -34,25 +38,29 @@
   std::optional<vm_id> giver;  ///< Empty for the origin.
   uint64_t request_id = 0;     ///< Of requests to peers.
   digest wanted;
-  digest actual;               ///< Computed from the bytes by the thread that received them.
+  digest actual;  ///< Computed from the bytes by the thread that received them.
   status_type status = status_type::kOk;
-  shared_bytes bytes;          ///< Null unless the status is kOk.
+  shared_bytes bytes;  ///< Null unless the status is kOk.
 };
 
 /// What is known of another server that may hold chunks of one artifact.
 struct holder {
-  std::vector<bool> chunks;    ///< Empty while it has no manifest.
-  size_t count = 0;            ///< Chunks that it has.
+  std::vector<bool> chunks;  ///< Empty while it has no manifest.
+  size_t count = 0;          ///< Chunks that it has.
   bool has_manifest = false;
-  bool is_neighbour = false;   ///< Exchanges chunks of any index with us.
-  bool was_asked = false;      ///< Whether something has gone unanswered since asked_since.
+  bool is_neighbour = false;  ///< Exchanges chunks of any index with us.
+  bool was_heard = false;     ///< Whether it has said what it holds.
+  bool was_asked =
+      false;  ///< Whether something has gone unanswered since asked_since.
   time_point asked_since{};
   time_point last_probe{};
   time_point busy_until{};
   time_point avoided_until{};
-  size_t outstanding = 0;      ///< Requests on their way.
+  size_t outstanding = 0;  ///< Requests on their way.
 
-  bool Has(size_t chunk) const { return chunk < chunks.size() && chunks[chunk]; }
+  bool Has(size_t chunk) const {
+    return chunk < chunks.size() && chunks[chunk];
+  }
 };
 
 /// Stages of the transfer of one artifact.
@@ -62,35 +70,48 @@
 struct artifact {
   load_part part;
   transfer_stage stage = transfer_stage::kManifest;
-  std::string last_reason;              ///< Why it cannot go on.
+  std::string last_reason;  ///< Why it cannot go on.
   proto::manifest manifest;
-  std::vector<digest> chunks;           ///< Digests from the manifest.
+  std::vector<digest> chunks;  ///< Digests from the manifest.
   std::vector<bool> have;
   std::vector<bool> in_flight;
   size_t have_count = 0;
-  std::vector<uint16_t> rarity;         ///< Neighbours that have each chunk.
+  std::vector<uint16_t> rarity;  ///< Neighbours that have each chunk.
   std::map<vm_id, holder> holders;
-  std::map<std::string, std::vector<vm_id>> chains;  ///< Importers by domain, in order.
-  std::map<size_t, size_t> import_place;  ///< Own place in the order for each chunk.
-  time_point since{};                   ///< When it became a target.
-  bool is_late = false;                 ///< Joined a swarm that was under way.
+  std::map<std::string, std::vector<vm_id>>
+      chains;  ///< Importers by domain, in order.
+  std::map<size_t, size_t>
+      import_place;      ///< Own place in the order for each chunk.
+  time_point since{};    ///< When it became a target.
+  bool is_late = false;  ///< May have joined a swarm that was under way.
   bool map_changed = true;
   time_point last_map_sent{};
   time_point next_manifest_try{};
   milliseconds manifest_backoff{0};
 };
 
-/// Fetches the chunks of the target, verified, and serves them to other servers.
+/// Fetches the chunks of the target, verified, and serves them to other
+/// servers.
 class weight_transfer {
  public:
-  weight_transfer(weight_transfer_options options, std::shared_ptr<blob_store> blobs);
+  weight_transfer(weight_transfer_options options,
+                  std::shared_ptr<blob_store> blobs);
 
   /// Sets what should be held; what the old target had in common is kept.
   /// @param is_first Whether this process has just started.
-  void SetTarget(time_point now, const world_ptr& where, const std::string& service,
-                 const std::vector<load_part>& parts, bool is_first, output_list* out);
-  void OnHaveMap(time_point now, const vm_id& from, const proto::have_map& map, output_list* out);
-  void OnBlobRequest(time_point now, const vm_id& from, const proto::blob_request& request,
+  void SetTarget(time_point now,
+                 const world_ptr& where,
+                 const std::string& service,
+                 const std::vector<load_part>& parts,
+                 bool is_first,
+                 output_list* out);
+  void OnHaveMap(time_point now,
+                 const vm_id& from,
+                 const proto::have_map& map,
+                 output_list* out);
+  void OnBlobRequest(time_point now,
+                     const vm_id& from,
+                     const proto::blob_request& request,
                      output_list* out);
   void OnBlob(time_point now, const blob_arrival& blob, output_list* out);
   void Step(time_point now, output_list* out);
@@ -101,7 +122,8 @@
   std::string LastReason() const;
   uint32_t ProgressPercent() const;
   const std::vector<load_part>& Target() const { return target_; }
-  /// Collects the chunks of a complete artifact, in order; empty when it is not complete.
+  /// Collects the chunks of a complete artifact, in order; empty when it is not
+  /// complete.
   std::vector<shared_bytes> Weights(const digest& manifest) const;
   const proto::manifest* FindManifest(const digest& manifest) const;
 
@@ -112,7 +134,7 @@
     std::optional<size_t> chunk;  ///< Empty for the manifest.
     std::optional<vm_id> giver;   ///< Empty for the origin.
     time_point deadline{};
-    uint64_t bytes = 0;           ///< Booked on the link.
+    uint64_t bytes = 0;  ///< Booked on the link.
   };
   /// Where a chunk can be had from outside the domain.
   struct outside_source {
@@ -121,36 +143,52 @@
 
   void BuildChains(artifact* item);
   void BuildNeighbours(artifact* item);
-  void AdoptManifest(time_point now, artifact* item, const shared_bytes& bytes, output_list* out);
+  void AdoptManifest(time_point now,
+                     artifact* item,
+                     const shared_bytes& bytes,
+                     output_list* out);
   void BuildImportPlaces(artifact* item);
   static void CountRarity(artifact* item);
   void DropUnneeded();
   void CheckMemory(artifact* item, output_list* out);
-  std::vector<vm_id> ImportOrder(const artifact& item, const std::string& domain,
+  std::vector<vm_id> ImportOrder(const artifact& item,
+                                 const std::string& domain,
                                  const digest& chunk) const;
 
   // Choice of sources.
   bool IsSilent(time_point now, const holder& who) const;
   bool IsUsable(time_point now, const holder& who) const;
-  bool ActsAsImporter(time_point now, artifact* item, const std::vector<vm_id>& order,
+  bool ActsAsImporter(time_point now,
+                      artifact* item,
+                      const std::vector<vm_id>& order,
                       size_t place);
-  std::optional<outside_source> ChooseOutside(time_point now, artifact* item, const digest& blob,
+  std::optional<outside_source> ChooseOutside(time_point now,
+                                              artifact* item,
+                                              const digest& blob,
                                               std::optional<size_t> chunk);
   milliseconds Patience(const artifact& item) const;
   void RequestManifest(time_point now, size_t index, output_list* out);
   void RequestImports(time_point now, size_t index, output_list* out);
   void RequestFromNeighbours(time_point now, size_t index, output_list* out);
   std::optional<size_t> RarestChunk(time_point now, const artifact& item);
-  holder* LeastUsedNeighbour(time_point now, artifact* item, size_t chunk, vm_id* id);
+  holder* LeastUsedNeighbour(time_point now,
+                             artifact* item,
+                             size_t chunk,
+                             vm_id* id);
   bool HasRoom(time_point now) const;
-  void Request(time_point now, size_t index, std::optional<size_t> chunk,
-               const std::optional<vm_id>& giver, output_list* out);
+  void Request(time_point now,
+               size_t index,
+               std::optional<size_t> chunk,
+               const std::optional<vm_id>& giver,
+               output_list* out);
   void Expire(time_point now, output_list* out);
   void Release(const pending& request, bool refund);
   std::optional<pending> TakePending(const blob_arrival& blob);
 
   // Arrivals.
-  void OnRefusedBlob(time_point now, const pending& request, const blob_arrival& blob,
+  void OnRefusedBlob(time_point now,
+                     const pending& request,
+                     const blob_arrival& blob,
                      output_list* out);
   void OnCorruptBlob(time_point now, const pending& request, output_list* out);
   void AvoidOrigin(time_point now);
@@ -158,9 +196,15 @@
 
   // Have-maps.
   void SendMaps(time_point now, artifact* item, output_list* out);
-  void SendMap(const digest& manifest, const std::vector<bool>& have, const vm_id& to,
-               bool reply_wanted, output_list* out);
-  void Probe(time_point now, artifact* item, const vm_id& id, milliseconds interval,
+  void SendMap(const digest& manifest,
+               const std::vector<bool>& have,
+               const vm_id& to,
+               bool reply_wanted,
+               output_list* out);
+  void Probe(time_point now,
+             artifact* item,
+             const vm_id& id,
+             milliseconds interval,
              output_list* out);
   void MarkAsked(time_point now, holder* who);
 
@@ -175,8 +219,8 @@
   std::string service_;
   std::vector<load_part> target_;
   std::vector<artifact> artifacts_;
-  std::map<uint64_t, pending> pending_;        ///< Requests to peers, by request id.
-  std::map<digest, pending> origin_pending_;   ///< Fetches from the origin.
+  std::map<uint64_t, pending> pending_;  ///< Requests to peers, by request id.
+  std::map<digest, pending> origin_pending_;  ///< Fetches from the origin.
   uint64_t next_request_id_ = 1;
   rate_pacer upload_;
   rate_pacer download_;
--- a/src/world.cc
+++ b/src/world.cc
@@ -8,33 +8,43 @@
 namespace {
 
 template <typename Map>
-auto FindIn(const Map& map, const std::string& id) -> typename Map::mapped_type {
+auto FindIn(const Map& map, const std::string& id) ->
+    typename Map::mapped_type {
   auto it = map.find(id);
   return it == map.end() ? nullptr : it->second;
 }
 
 }  // namespace
 
-world::world(proto::configuration configuration) : configuration_(std::move(configuration)) {
+world::world(proto::configuration configuration)
+    : configuration_(std::move(configuration)) {
   const proto::inventory& inventory = configuration_.inventory();
   for (const auto& domain : inventory.domains()) {
-    domains_[domain.id()] = {.id = domain_id(domain.id()), .region = domain.region()};
+    domains_[domain.id()] = {.id = domain_id(domain.id()),
+                             .region = domain.region()};
   }
   for (const std::string& id : configuration_.domains_out()) {
     auto it = domains_.find(id);
-    if (it != domains_.end()) it->second.in_service = false;
+    if (it != domains_.end())
+      it->second.in_service = false;
   }
   for (const auto& vm : inventory.vms()) {
     vms_[vm.id()] = &vm;
     failure_domain& domain = domains_[vm.domain()];
     domain.vms.push_back(vm.id());
-    if (vm.role() == proto::vm::ENTRY) domain.entries.push_back(vm.id());
-    if (vm.role() == proto::vm::AGENT) domain.servers[vm.service()].push_back(vm.id());
+    if (vm.role() == proto::vm::ENTRY)
+      domain.entries.push_back(vm.id());
+    if (vm.role() == proto::vm::AGENT)
+      domain.servers[vm.service()].push_back(vm.id());
   }
-  for (const auto& service : inventory.services()) services_[service.id()] = &service;
-  for (const auto& version : inventory.versions()) versions_[version.id()] = &version;
-  for (const auto& adapter : inventory.adapters()) adapters_[adapter.id()] = &adapter;
-  for (const auto& item : inventory.organisations()) tokens_[item.token()] = &item;
+  for (const auto& service : inventory.services())
+    services_[service.id()] = &service;
+  for (const auto& version : inventory.versions())
+    versions_[version.id()] = &version;
+  for (const auto& adapter : inventory.adapters())
+    adapters_[adapter.id()] = &adapter;
+  for (const auto& item : inventory.organisations())
+    tokens_[item.token()] = &item;
 }
 
 const proto::vm* world::FindVm(const vm_id& id) const {
@@ -53,7 +63,8 @@
   return FindIn(adapters_, id);
 }
 
-const proto::organisation* world::FindOrganisationByToken(const std::string& token) const {
+const proto::organisation* world::FindOrganisationByToken(
+    const std::string& token) const {
   return FindIn(tokens_, token);
 }
 
@@ -67,16 +78,21 @@
   return domain != nullptr && domain->in_service;
 }
 
-bool world::IsIdempotent(const proto::service& service, const std::string& method,
+bool world::IsIdempotent(const proto::service& service,
+                         const std::string& method,
                          const std::string& path) const {
-  if (service.kind() == proto::service::MODEL) return true;
-  if (method == "GET" || method == "HEAD") return true;
+  if (service.kind() == proto::service::MODEL)
+    return true;
+  if (method == "GET" || method == "HEAD")
+    return true;
   const auto& paths = service.idempotent_paths();
   return std::find(paths.begin(), paths.end(), path) != paths.end();
 }
 
 std::string world::AddressOf(const proto::vm& vm, plane where) {
-  uint32_t offset = where == plane::kControl ? 0 : where == plane::kBulk ? 1 : 2;
+  uint32_t offset = where == plane::kControl ? 0
+                    : where == plane::kBulk  ? 1
+                                             : 2;
   return vm.ip() + ":" + std::to_string(vm.port() + offset);
 }
 
--- a/src/world_base.h
+++ b/src/world_base.h
@@ -1,4 +1,5 @@
-/// @file world_base.h The machines, zones and services of one configuration, indexed.
+/// @file world_base.h The machines, zones and services of one configuration,
+/// indexed.
 #ifndef WORLD_BASE_H_
 #define WORLD_BASE_H_
 
@@ -23,7 +24,8 @@
   bool in_service = true;
   std::vector<std::string> vms;      ///< Ids of all VMs.
   std::vector<std::string> entries;  ///< Ids of the entry VMs.
-  std::map<std::string, std::vector<std::string>> servers;  ///< Agents' VM ids, by service.
+  std::map<std::string, std::vector<std::string>>
+      servers;  ///< Agents' VM ids, by service.
 };
 
 /// View of a configuration that is never changed once built.
@@ -38,14 +40,18 @@
   const proto::service* FindService(const std::string& id) const;
   const proto::version* FindVersion(const std::string& id) const;
   const proto::adapter* FindAdapter(const std::string& id) const;
-  const proto::organisation* FindOrganisationByToken(const std::string& token) const;
+  const proto::organisation* FindOrganisationByToken(
+      const std::string& token) const;
   const failure_domain* FindDomain(const std::string& id) const;
-  const std::map<std::string, failure_domain>& Domains() const { return domains_; }
+  const std::map<std::string, failure_domain>& Domains() const {
+    return domains_;
+  }
 
   /// Whether operators have the VM's failure domain in service.
   bool IsInService(const proto::vm& vm) const;
   /// Whether a call may be repeated without harm.
-  bool IsIdempotent(const proto::service& service, const std::string& method,
+  bool IsIdempotent(const proto::service& service,
+                    const std::string& method,
                     const std::string& path) const;
   /// Writes a VM's address on one plane, as ip:port.
   static std::string AddressOf(const proto::vm& vm, plane where);
