Feature: Bench of rollouts, with real processes behind the proxy

Cause: the time until N replicas hold the weights has to be measured against the lower bound of the rates that are enforced. Change: scripts/bench rollout; the proxy passes on what it has read before it passes on the end of a connection, without which short answers were lost.

--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -38,6 +38,7 @@
                      .staging_bytes = static_cast<uint64_t>(from.staging_mb)
                                       << 20,
                      .neighbours = static_cast<size_t>(from.swarm_neighbours),
+                     .is_direct = from.direct != 0,
                      .seed = own.value};
   options.server = {.self = self,
                     .domain = domain,
@@ -198,15 +199,16 @@
                                    .path = "/blobs/" + ToHex(wanted.value),
                                    .timeout = kOriginSilence});
     blob_arrival blob{.wanted = wanted};
-    if (result.status != http_result::status_type::kAnswered) {
-      blob.status = blob_arrival::status_type::kUnreachable;
-    } else if (result.http_status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
-      blob.status = blob_arrival::status_type::kNotHere;
-    } else if (result.http_status != Poco::Net::HTTPResponse::HTTP_OK) {
-      blob.status = blob_arrival::status_type::kUnreachable;
-    } else {
+    const bool is_answered =
+        result.status == http_result::status_type::kAnswered;
+    if (is_answered && result.http_status == Poco::Net::HTTPResponse::HTTP_OK) {
       blob.actual = DigestOf(result.body);
       blob.bytes = std::make_shared<std::string>(std::move(result.body));
+    } else if (is_answered &&
+               result.http_status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
+      blob.status = blob_arrival::status_type::kNotHere;
+    } else {
+      blob.status = blob_arrival::status_type::kUnreachable;
     }
     loop_.Post(std::move(blob));
   }
--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -51,6 +51,7 @@
 using bench_arguments = std::vector<std::string>;
 
 void RunQuickstart(const bench_arguments& arguments, report* result);
+void RunRolloutBench(const bench_arguments& arguments, report* result);
 
 }  // namespace fuchsiafall::bench
 
--- a/src/bench/bench_main.cc
+++ b/src/bench/bench_main.cc
@@ -24,6 +24,9 @@
 constexpr bench_info kBenches[] = {
     {"quickstart", "a small fleet from nothing to a rollout under load",
      RunQuickstart},
+    {"rollout",
+     "time until N replicas hold the weights, with and without faults",
+     RunRolloutBench},
 };
 
 std::string Verdict(const figure& item) {
--- a/src/configuration_file.cc
+++ b/src/configuration_file.cc
@@ -50,8 +50,9 @@
   for (const std::string& section : sections) {
     Poco::Util::AbstractConfiguration::Keys keys;
     file->keys(section, keys);
-    for (const std::string& key : keys)
-      names.insert(section + "." + key);
+    for (const std::string& key : keys) {
+      names.insert(std::string(section).append(".").append(key));
+    }
   }
   std::string allowed;
 #define RULE(field, name, def, least, most, unit, help)                       \
--- a/src/harness/child_process.cc
+++ b/src/harness/child_process.cc
@@ -11,8 +11,6 @@
 
 #include "harness/fleet.h"
 
-extern char** environ;
-
 namespace fuchsiafall::harness {
 
 child_process::child_process(std::vector<std::string> arguments,
--- a/src/harness/fleet.cc
+++ b/src/harness/fleet.cc
@@ -449,13 +449,14 @@
       continue;
     if (named++ == 3)
       break;
-    peers += other.vm.ip() + ":" + std::to_string(other.vm.port()) + ",";
+    peers += (named > 1 ? "," : "") + other.vm.ip();
+    peers += ":" + std::to_string(other.vm.port());
   }
   values["peers.first"] = peers;
   for (const auto& [name, value] : options_.settings)
     values[name] = value;
 
-  const std::string path = folder_ + "/" + vm.vm.id() + ".ini";
+  std::string path = folder_ + "/" + vm.vm.id() + ".ini";
   std::ofstream file(path);
   std::string section;
   for (const auto& [name, value] : values) {
--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -54,7 +54,7 @@
 
 outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
     const http_server_options& options,
-    http_handler handler) {
+    const http_handler& handler) {
   try {
     Poco::Net::SocketAddress address(options.ip,
                                      static_cast<uint16_t>(options.port));
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -29,7 +29,7 @@
 /// Listens and starts serving.
 outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
     const http_server_options& options,
-    http_handler handler);
+    const http_handler& handler);
 
 /// Reads the whole body of a request.
 /// @param most Longest body that is taken, in bytes.
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -231,11 +231,12 @@
       was_reachable = static_cast<bool>(read);
       LogEvent(read ? log_event::kStoreReachable : log_event::kStoreUnreachable,
                settings_.store);
+      if (!read && own_revision_ == 0)
+        LogEvent(log_event::kWaitingForConfiguration, settings_.peers);
     }
     if (!read) {
       metrics_.Count("store_unreachable");
-      if (own_revision_ == 0)
-        LogEvent(log_event::kWaitingForConfiguration, read.LastReason());
+
       watch_index = 0;
       Sleep(kStoreBackoff);
       continue;
--- a/src/network/pool_work.cc
+++ b/src/network/pool_work.cc
@@ -30,7 +30,7 @@
   auto task = std::make_unique<pool_work>(std::move(work));
   try {
     pool->start(*task);
-    task.release();
+    static_cast<void>(task.release());  // It deletes itself.
     return true;
   } catch (const Poco::NoThreadAvailableException&) {
     return false;
--- a/src/settings_base.cc
+++ b/src/settings_base.cc
@@ -50,7 +50,10 @@
   if (keys.empty() && !prefix.empty())
     names->insert(prefix);
   for (const std::string& key : keys) {
-    CollectKeys(file, prefix.empty() ? key : prefix + "." + key, names);
+    CollectKeys(
+        file,
+        prefix.empty() ? key : std::string(prefix).append(".").append(key),
+        names);
   }
 }
 
--- a/src/standins/proxy_standin.cc
+++ b/src/standins/proxy_standin.cc
@@ -57,6 +57,8 @@
   std::deque<piece> pieces;
   size_t queued = 0;
   bool is_forward = true;
+  bool has_ended = false;  ///< Nothing more will be read.
+  bool is_shut = false;    ///< The end was passed on.
 };
 
 struct proxied {
@@ -207,7 +209,9 @@
       if (connection.is_closed || IsSilent(connection))
         continue;
       for (direction& way : connection.ways) {
-        if (polled_.contains(way.from) && way.queued < kMostQueuedBytes)
+        if (way.has_ended || way.queued >= kMostQueuedBytes)
+          continue;
+        if (polled_.contains(way.from))
           Read(&connection, &way);
       }
     }
@@ -222,8 +226,10 @@
       connection->is_closed = true;
       return;
     }
-    if (length == 0)
-      connection->is_closed = true;
+    if (length == 0) {
+      way->has_ended = true;
+      poll_.remove(way->from);
+    }
     if (length <= 0)
       return;
     bytes.resize(static_cast<size_t>(length));
@@ -252,13 +258,16 @@
         for (direction& way : it->ways)
           Write(&*it, &way);
       }
+      if (it->ways[0].is_shut && it->ways[1].is_shut)
+        it->is_closed = true;
       is_busy = is_busy || it->ways[0].queued > 0 || it->ways[1].queued > 0;
       if (!it->is_closed) {
         ++it;
         continue;
       }
       for (direction& way : it->ways) {
-        poll_.remove(way.from);
+        if (!way.has_ended)
+          poll_.remove(way.from);
         way.from.close();
       }
       it = connections_.erase(it);
@@ -292,6 +301,14 @@
         return;
       }
     }
+    if (!way->has_ended || way->is_shut || !way->pieces.empty())
+      return;
+    way->is_shut = true;
+    try {
+      way->to.shutdownSend();
+    } catch (const Poco::Exception&) {
+      connection->is_closed = true;
+    }
   }
 
   standin_options options_;
--- a/src/status_cmd.cc
+++ b/src/status_cmd.cc
@@ -221,6 +221,7 @@
     }
   }
   std::vector<rollout_row> list;
+  list.reserve(rows.size());
   for (auto& [key, row] : rows)
     list.push_back(std::move(row));
   return list;
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -125,6 +125,13 @@
                4194304,
                "MiB",
                "memory for staged weights")
+SETTING_NUMBER(direct,
+               "weights.direct",
+               0,
+               0,
+               1,
+               "",
+               "1: draws everything from the origin by itself, for comparison")
 SETTING_NUMBER(swarm_neighbours,
                "weights.neighbours",
                10,
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -209,6 +209,10 @@
 
 void weight_transfer::BuildChains(artifact* item) {
   item->chains.clear();
+  if (options_.is_direct) {
+    item->chains[options_.domain.value] = {options_.self};
+    return;
+  }
   for (const auto& [id, domain] : world_->Domains()) {
     auto servers = domain.servers.find(service_);
     if (servers == domain.servers.end())
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -28,8 +28,9 @@
       4;  ///< Chunks queued for sending before others are refused.
   uint64_t staging_bytes = 1ULL << 36;
   size_t neighbours =
-      10;             ///< Servers of the own domain to exchange chunks with.
-  uint64_t seed = 1;  ///< Of the random choices among equals.
+      10;  ///< Servers of the own domain to exchange chunks with.
+  bool is_direct = false;  ///< Draws everything from the origin by itself.
+  uint64_t seed = 1;       ///< Of the random choices among equals.
 };
 
 /// Blob that arrived from a peer or from the origin.
