Change: Ask full servers for a free place before queueing at one

Cause: with 18 entries the load that each knows of a server is a second old, so that requests queued at full servers while others had free places: with a domain out, the first token's p95 was 535.69 ms against 134.36 ms before. Change: the first three attempts of a request are refused at once by a full server, and only the fourth queues; after a full server all distances count alike. Ruled out: fresher reports, which would cost each entry more control traffic than its 2 KB/s at the target size.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -33,7 +33,7 @@
     result.kind = admission_result::kind_type::kStarted;
     return result;
   }
-  if (options_.queue_length == 0)
+  if (options_.queue_length == 0 || !request.may_queue)
     return result;
   if (queued_ >= options_.queue_length) {
     result.displaced = Displace(request.organisation);
--- a/src/admission_base.h
+++ b/src/admission_base.h
@@ -34,6 +34,7 @@
   uint32_t weight = 1;    ///< Share of its organisation.
   uint32_t priority = 0;  ///< Lower ones go first.
   time_point deadline{};
+  bool may_queue = true;  ///< Whether to wait at a full server.
 };
 
 /// Result of asking for admission.
--- a/src/bench/service_bench.cc
+++ b/src/bench/service_bench.cc
@@ -7,6 +7,7 @@
 #include "bench/bench.h"
 #include "harness/fleet.h"
 #include "harness/load.h"
+#include "reason_type.h"
 
 namespace fuchsiafall::bench {
 
@@ -239,14 +240,18 @@
         record.end == call_record::end_type::kRefused && record.not_run;
     may_have_run += is_not_run ? 0 : 1;
   }
-  // Retried attempts run more often than there are answers, never less.
-  const int64_t retried =
-      system->SumMetrics(system->VmsOf(proto::vm::ENTRY), "attempts") -
-      system->SumMetrics(system->VmsOf(proto::vm::ENTRY), "requests");
+  int64_t retried = 0;
+  for (const reason_info& info : kReasonTable) {
+    if (info.proves_not_run)
+      continue;
+    retried += system->SumMetrics(system->VmsOf(proto::vm::ENTRY),
+                                  "retried_" + std::string(info.code));
+  }
   const int64_t runs = system->SumEngines("calls");
+  result->Add(name + "runs", static_cast<double>(runs), "runs");
   result->AddMost(
-      name + "runs beyond answers, unknown ends and retries",
-      static_cast<double>(runs - may_have_run - std::max<int64_t>(0, retried)),
+      name + "runs of requests told \"not run\"",
+      static_cast<double>(std::max<int64_t>(0, runs - may_have_run - retried)),
       "runs", 0);
 }
 
--- a/src/call_table.cc
+++ b/src/call_table.cc
@@ -52,7 +52,8 @@
                         .organisation = request.organisation(),
                         .weight = context.weight,
                         .priority = request.priority(),
-                        .deadline = item.deadline});
+                        .deadline = item.deadline,
+                        .may_queue = request.may_queue()});
   if (result.displaced)
     RefuseAndForget(*result.displaced, reason::kServerFull, out);
   if (result.kind == admission_result::kind_type::kRefused) {
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -227,6 +227,7 @@
     return;
   }
   item->query.excluded = &item->tried;
+  item->query.is_wide = item->last_reason == reason::kServerFull;
   auto avoid = [&](const vm_id& id) {
     return members_->IsLeaving(id) || members_->IsSuspect(now, id);
   };
@@ -262,6 +263,9 @@
   proto::call_request* call = message.mutable_call();
   *call = item->call;
   call->set_attempt_id(item->attempt.value);
+  // Loads known here are old, so that the first servers are asked for a free
+  // place only.
+  call->set_may_queue(item->attempts >= kMostFullRefusals);
   call->set_version(chosen->state.version());
   call->set_deadline_ms(static_cast<uint32_t>(ToMs(item->deadline - now)));
   call->set_revision(members_->World()->Revision().value);
@@ -319,7 +323,7 @@
 bool request_table::PayForRetry(reason why) {
   // The refusal itself has put the view right, so that these cannot repeat
   // without end.
-  if (IsStaleView(why))
+  if (IsStaleView(why) || why == reason::kServerFull)
     return true;
   if (retry_tokens_ < 1)
     return false;
--- a/src/router.cc
+++ b/src/router.cc
@@ -121,7 +121,8 @@
   for (size_t distance = 0; chosen == nullptr && distance <= 2; ++distance) {
     candidate_list near;
     for (const backend_server* server : candidates) {
-      if (server->distance != distance || server->Load() >= kSpillLoad)
+      if ((!query.is_wide && server->distance != distance) ||
+          server->Load() >= kSpillLoad)
         continue;
       if (!IsHeldBack(now, *server))
         near.push_back(server);
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -52,6 +52,8 @@
   std::string adapter;     ///< Empty when none is needed.
   uint64_t affinity = 0;   ///< Hash of the prompt's prefix; 0 for none.
   bool is_sticky = false;  ///< Whether affinity goes before load.
+  bool is_wide =
+      false;  ///< Whether all distances count alike, as near servers are full.
   const std::set<vm_id>* excluded = nullptr;
 };
 
--- a/src/tests/admission_test.cc
+++ b/src/tests/admission_test.cc
@@ -90,6 +90,15 @@
   BOOST_TEST((gate.Admit(RequestOf(10, "large")).kind == kind_type::kRefused));
 }
 
+BOOST_AUTO_TEST_CASE(call_that_may_not_queue_is_refused_by_a_full_server) {
+  admission gate({.queue_length = 4, .cold_limit = 1, .most_limit = 1});
+  gate.Admit(RequestOf(0, "a"));
+  admission_request hurried = RequestOf(1, "a");
+  hurried.may_queue = false;
+  BOOST_TEST((gate.Admit(hurried).kind == kind_type::kRefused));
+  BOOST_TEST((gate.Admit(RequestOf(2, "a")).kind == kind_type::kQueued));
+}
+
 BOOST_AUTO_TEST_CASE(queued_calls_expire_and_lower_numbers_go_first) {
   admission gate({.queue_length = 4, .cold_limit = 1, .most_limit = 1});
   gate.Admit(RequestOf(0, "a"));
