Change: Spend less control traffic on watched servers and on edits

Cause: an idle entry spent 5207.52 B/s on control in a fleet of 200, most of it on heartbeats with the 24 servers that it watches each two seconds; each edit was sent to neighbours that had it already. Change: watched servers are asked each ten seconds, since load rides on answers and changes of state are told at once; six neighbours at three seconds; edits leave after up to 0.2 s by hash, in which some hear of them elsewhere; an attempt without a sign of life ejects its server at once. Also: the entry and the agent share one process shell, status shows bytes by source, strangers are bounded.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -97,6 +97,10 @@
   for (const std::string& adapter : server_.Engine().adapters)
     state.add_adapters(adapter);
   state.set_progress_percent(weights_.ProgressPercent());
+  state.set_bytes_from_origin(weights_.Sources().origin);
+  state.set_bytes_from_own_domain(weights_.Sources().own_domain);
+  state.set_bytes_from_other_domains(weights_.Sources().other_domains);
+  state.set_target_bytes(weights_.TargetBytes());
   if (!weights_.Target().empty())
     state.set_loading_version(weights_.Target().front().name);
   std::string last_reason = weights_.LastReason();
@@ -148,6 +152,7 @@
     out->Count("calls_without_address");
     return;
   }
+  gossip_.NoteWatcher(now, vm_id(message.vm()));
   const proto::vm* own = where.FindVm(options_.self);
   call_context context;
   context.service =
--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -8,9 +8,8 @@
 
 #include "call_record_func.h"
 #include "hash_func.h"
-#include "network/control_loop.h"
-#include "network/http_server.h"
 #include "network/pool_work.h"
+#include "network/role_process.h"
 #include "platform/engine_client.h"
 #include "platform/http_call.h"
 
@@ -23,6 +22,8 @@
 constexpr int kOriginThreads = 4;
 constexpr int kRecordThreads = 16;
 constexpr seconds kOriginSilence{10};
+constexpr milliseconds kLastAnswers{
+    300};  // For the last answers to leave with the links.
 
 agent_options OptionsOf(const settings& from, incarnation own) {
   const vm_id self(from.vm);
@@ -56,99 +57,67 @@
  public:
   explicit agent_process(const settings& from)
       : settings_(from),
-        runtime_(from, Hooks()),
-        machine_(OptionsOf(from, runtime_.OwnIncarnation()), blobs_),
-        loop_(
-            {.pause = milliseconds(from.pause_ms)},
-            &machine_,
-            [this](std::vector<output>&& items) { Perform(std::move(items)); }),
+        process_(from, Hooks()),
         engine_({.address = from.engine,
                  .weights_address =
                      from.http_ip + ":" + std::to_string(from.http_port)},
-                [this](engine_part part) { loop_.Post(std::move(part)); }) {}
+                [this](engine_part part) { process_.Post(std::move(part)); }) {}
 
-  exit_code Run() {
-    outcome<done> started = runtime_.Start();
-    if (!started)
-      return Fail(started.LastReason());
-    auto server = StartHttpServer(
-        {settings_.http_ip, settings_.http_port, settings_.http_threads},
-        [this](auto& request, auto& response) { Answer(&request, &response); });
-    if (!server)
-      return Fail(server.LastReason());
-    LogEvent(log_event::kProcessStarted, "role=agent vm=" + settings_.vm);
-    std::thread reports([this] { WatchEngine(); });
-    loop_.Run([this] { return IsFinished(); });
-    is_stopping_ = true;
-    reports.join();
-    runtime_.Stop();
-    (*server)->stopAll(true);
-    engine_.JoinAll();
-    origin_pool_.joinAll();
-    record_pool_.joinAll();
-    LogEvent(log_event::kProcessStopped, "role=agent vm=" + settings_.vm);
-    return exit_code::kOk;
-  }
+  exit_code Run() { return process_.Run(); }
 
  private:
-  node_hooks Hooks() {
-    return {
-        .on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
-        .on_blob = [this](blob_arrival b) { loop_.Post(std::move(b)); },
-        .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
-        .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
-        .on_shutdown =
-            [this] {
-              LogEvent(log_event::kProcessStopping,
-                       "role=agent vm=" + settings_.vm);
-              loop_.Post(shutdown_order());
-            }};
-  }
-
-  static exit_code Fail(const std::string& why) {
-    std::cerr << "fuchsiafall: " << why << "\n";
-    return exit_code::kFailed;
-  }
-
-  bool IsFinished() {
-    const time_point now = std::chrono::steady_clock::now();
-    runtime_.SetWatch(machine_.Gossip().World()->Revision(),
-                      machine_.Gossip().WatchesStore(now));
-    if (!machine_.IsShuttingDown())
-      return false;
-    if (!drain_until_)
-      drain_until_ = now + seconds(settings_.drain_s);
-    // The last answers leave with the links, which are closed a moment later.
-    if (!machine_.IsDrained() || machine_.Calls().Queued() > 0)
-      return now > *drain_until_;
-    if (!drained_at_)
-      drained_at_ = now;
-    return now - *drained_at_ > milliseconds(300);
+  role_hooks<agent> Hooks() {
+    role_hooks<agent> hooks;
+    hooks.role = "agent";
+    hooks.make_machine = [this](incarnation own) {
+      return std::make_unique<agent>(OptionsOf(settings_, own), blobs_);
+    };
+    hooks.perform = [this](output* item) { Perform(item); };
+    hooks.is_ready = [](const agent& machine) {
+      return machine.State().accepting();
+    };
+    hooks.answer = [this](auto* request, auto* response) {
+      Answer(request, response);
+    };
+    hooks.is_finished = [this](const agent& machine, duration passed) {
+      if (!machine.IsDrained() || machine.Calls().Queued() > 0)
+        return false;
+      if (!drained_after_)
+        drained_after_ = passed;
+      return passed - *drained_after_ > kLastAnswers;
+    };
+    hooks.on_started = [this] {
+      reports_ = std::thread([this] { WatchEngine(); });
+    };
+    hooks.on_stopped = [this] {
+      is_stopping_ = true;
+      reports_.join();
+      engine_.JoinAll();
+      origin_pool_.joinAll();
+      record_pool_.joinAll();
+    };
+    return hooks;
   }
 
-  void Perform(std::vector<output>&& items) {
-    for (output& item : items) {
-      if (runtime_.Perform(&item))
-        continue;
-      if (const auto* fetch = std::get_if<fetch_from_origin>(&item)) {
-        StartWork(&origin_pool_,
-                  [this, wanted = fetch->wanted] { FetchFromOrigin(wanted); });
-      } else if (const auto* order = std::get_if<order_load>(&item)) {
-        const time_point issued_at = std::chrono::steady_clock::now();
-        StartWork(&record_pool_, [this, copy = *order, issued_at] {
-          loop_.Post(engine_.Load(copy, issued_at));
-        });
-      } else if (const auto* call = std::get_if<start_call>(&item)) {
-        engine_.Start(*call);
-      } else if (const auto* cancel = std::get_if<cancel_call>(&item)) {
-        engine_.Cancel({cancel->entry, cancel->attempt});
-      } else if (const auto* record = std::get_if<create_record>(&item)) {
-        StartRecord(*record);
-      } else if (const auto* release = std::get_if<release_record>(&item)) {
-        StartWork(&record_pool_, [this, copy = *release] {
-          ReleaseRecordIn(runtime_.Store(), copy);
-        });
-      }
+  void Perform(output* item) {
+    if (const auto* fetch = std::get_if<fetch_from_origin>(item)) {
+      StartWork(&origin_pool_,
+                [this, wanted = fetch->wanted] { FetchFromOrigin(wanted); });
+    } else if (const auto* order = std::get_if<order_load>(item)) {
+      const time_point issued_at = std::chrono::steady_clock::now();
+      StartWork(&record_pool_, [this, copy = *order, issued_at] {
+        process_.Post(engine_.Load(copy, issued_at));
+      });
+    } else if (const auto* call = std::get_if<start_call>(item)) {
+      engine_.Start(*call);
+    } else if (const auto* cancel = std::get_if<cancel_call>(item)) {
+      engine_.Cancel({cancel->entry, cancel->attempt});
+    } else if (const auto* record = std::get_if<create_record>(item)) {
+      StartRecord(*record);
+    } else if (const auto* release = std::get_if<release_record>(item)) {
+      StartWork(&record_pool_, [this, copy = *release] {
+        ReleaseRecordIn(process_.Runtime().Store(), copy);
+      });
     }
   }
 
@@ -157,13 +126,14 @@
     bool started = StartWork(&record_pool_, [this, record, id] {
       const time_point begun = std::chrono::steady_clock::now();
       record_result::status_type status =
-          CreateRecordIn(runtime_.Store(), record);
-      runtime_.Metrics().Time("record_create",
-                              std::chrono::steady_clock::now() - begun);
-      loop_.Post(record_result{id, status});
+          CreateRecordIn(process_.Runtime().Store(), record);
+      process_.Runtime().Metrics().Time(
+          "record_create", std::chrono::steady_clock::now() - begun);
+      process_.Post(record_result{id, status});
     });
     if (!started)
-      loop_.Post(record_result{id, record_result::status_type::kUnavailable});
+      process_.Post(
+          record_result{id, record_result::status_type::kUnavailable});
   }
 
   void FetchFromOrigin(const digest& wanted) {
@@ -182,12 +152,12 @@
     } else {
       blob.status = blob_arrival::status_type::kUnreachable;
     }
-    loop_.Post(std::move(blob));
+    process_.Post(std::move(blob));
   }
 
   void WatchEngine() {
     while (!is_stopping_) {
-      loop_.Post(engine_.Report());
+      process_.Post(engine_.Report());
       std::this_thread::sleep_for(kReportInterval);
     }
   }
@@ -201,25 +171,17 @@
       AnswerWeights(path.substr(kWeights.size()), response);
     } else if (path.starts_with(kManifests)) {
       AnswerManifest(path.substr(kManifests.size()), response);
-    } else if (path == "/metrics") {
-      AnswerHttp(response, 200, "text/plain", runtime_.DescribeMetrics());
-    } else if (path == "/healthz") {
-      AnswerHttp(response, 200, "text/plain", "ok\n");
-    } else if (path == "/readyz") {
-      bool ready =
-          loop_.Ask([](const agent& a) { return a.State().accepting(); });
-      AnswerHttp(response, ready ? 200 : 503, "text/plain",
-                 ready ? "ready\n" : "not ready\n");
     } else if (path == "/status") {
       AnswerStatus(response);
     } else {
-      AnswerHttp(response, 404, "text/plain", "not found\n");
+      AnswerHttp(response, Poco::Net::HTTPResponse::HTTP_NOT_FOUND,
+                 "text/plain", "not found\n");
     }
   }
 
   void AnswerStatus(Poco::Net::HTTPServerResponse* response) {
     std::string text;
-    auto state = loop_.Ask([](const agent& a) { return a.State(); });
+    auto state = process_.Loop().Ask([](const agent& a) { return a.State(); });
     google::protobuf::util::JsonPrintOptions print;
     print.always_print_primitive_fields = true;
     auto written =
@@ -245,7 +207,7 @@
       AnswerHttp(response, 400, "text/plain", manifest.LastReason() + "\n");
       return;
     }
-    auto chunks = loop_.Ask(
+    auto chunks = process_.Loop().Ask(
         [&manifest](const agent& a) { return a.Weights().Weights(*manifest); });
     if (chunks.empty()) {
       AnswerHttp(response, 404, "text/plain",
@@ -264,15 +226,13 @@
 
   settings settings_;
   std::shared_ptr<blob_store> blobs_ = std::make_shared<blob_store>();
-  node_runtime runtime_;
-  agent machine_;
-  control_loop<agent, agent_input> loop_;
-  engine_client engine_;
+  std::atomic<bool> is_stopping_{false};
+  std::optional<duration> drained_after_;
+  std::thread reports_;
   Poco::ThreadPool origin_pool_{1, kOriginThreads};
   Poco::ThreadPool record_pool_{1, kRecordThreads};
-  std::atomic<bool> is_stopping_{false};
-  std::optional<time_point> drain_until_;
-  std::optional<time_point> drained_at_;
+  role_process<agent, agent_input> process_;
+  engine_client engine_;
 };
 
 }  // namespace
--- a/src/bench/once_bench.cc
+++ b/src/bench/once_bench.cc
@@ -255,6 +255,7 @@
       {.id = "booking", .is_plain = true, .servers = 2, .cold_limit = 16}};
   options.has_proxy = true;
   options.settings = {{"control.heartbeat", "500"},
+                      {"control.watch", "1000"},
                       {"control.suspect", "2000"},
                       {"request.progress", "2500"}};
   fleet system(options);
--- /dev/null
+++ b/src/bench/recovery_bench.cc
@@ -0,0 +1,137 @@
+/// @file recovery_bench.cc A third of all processes replaced at once.
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+#include "bench/bench.h"
+#include "harness/fleet.h"
+#include "harness/load.h"
+
+namespace fuchsiafall::bench {
+
+namespace {
+
+using harness::fleet;
+using harness::fleet_vm;
+
+constexpr double kRate = 40;  // Requests per second.
+constexpr seconds kBefore{6};
+constexpr seconds kLongest{60};
+
+harness::fleet_options OptionsOf() {
+  harness::fleet_options options;
+  options.folder = harness::NewFolder("recovery");
+  options.entries = 3;
+  options.services = {{.id = "assistant", .servers = 6, .most_limit = 8}};
+  options.weights = {"v1:4194304:131072:1"};
+  options.has_proxy = true;
+  return options;
+}
+
+bool IsUseful(fleet* system, const fleet_vm* vm) {
+  return system->Control(vm->http, "/readyz") == "ready\n";
+}
+
+bool StartServing(fleet* system) {
+  outcome<done> started = system->Start();
+  system->SetVersion("assistant", "v1");
+  if (started)
+    started = system->Apply();
+  if (!started)
+    Progress(started.LastReason());
+  return started &&
+         harness::WaitUntil(
+             [&] {
+               return std::all_of(
+                   system->Vms().begin(), system->Vms().end(),
+                   [&](const fleet_vm& vm) { return IsUseful(system, &vm); });
+             },
+             kLongest);
+}
+
+/// Kills processes, empties their engines, and starts them anew.
+void Replace(fleet* system, const std::vector<fleet_vm*>& replaced) {
+  for (fleet_vm* vm : replaced) {
+    vm->process->Signal(SIGKILL);
+    if (!vm->engine.empty())
+      system->Control(vm->engine, "/control/crash");
+  }
+  for (fleet_vm* vm : replaced)
+    system->Restart(vm);
+}
+
+/// Waits until replaced processes are useful again.
+/// @return The times that it took, of those that are.
+std::vector<duration> WaitForUse(fleet* system,
+                                 std::vector<fleet_vm*> replaced,
+                                 time_point begun) {
+  std::vector<duration> times;
+  harness::WaitUntil(
+      [&] {
+        std::erase_if(replaced, [&](fleet_vm* vm) {
+          if (!IsUseful(system, vm))
+            return false;
+          times.push_back(std::chrono::steady_clock::now() - begun);
+          return true;
+        });
+        return replaced.empty();
+      },
+      kLongest);
+  return times;
+}
+
+void MeasureRecovery(bool is_store_down, report* result) {
+  const std::string name = is_store_down ? "store down: " : "store up: ";
+  Progress(name + "a third of the processes replaced at once");
+  fleet system(OptionsOf());
+  if (!StartServing(&system)) {
+    result->AddMost(name + "fleet that did not serve", 1, "", 0);
+    return;
+  }
+  std::vector<fleet_vm*> replaced;
+  std::vector<std::string> kept_entries;
+  for (size_t i = 0; i < system.Vms().size(); ++i) {
+    fleet_vm* vm = &system.Vms()[i];
+    if (i % 3 == 0) {
+      replaced.push_back(vm);
+    } else if (vm->engine.empty()) {
+      kept_entries.push_back(vm->http);
+    }
+  }
+  harness::load load({.entries = kept_entries, .rate = kRate, .threads = 96});
+  load.Start();
+  std::this_thread::sleep_for(kBefore);
+  if (is_store_down)
+    system.ControlPlatform("/control/faults?down=1");
+  const time_point begun = std::chrono::steady_clock::now();
+  Replace(&system, replaced);
+  std::vector<duration> times = WaitForUse(&system, replaced, begun);
+  load.Stop();
+  harness::load_summary all =
+      Summarise(load.Records(), begun, time_point::max());
+  size_t refused = 0;
+  for (const auto& [reason, count] : all.refused)
+    refused += count;
+  result->AddMost(name + "processes not useful again",
+                  static_cast<double>(replaced.size() - times.size()),
+                  "processes", 0);
+  result->Add(name + "useful again p50", harness::QuantileMs(times, 0.5) / 1000,
+              "s");
+  result->Add(name + "useful again, last", harness::QuantileMs(times, 1) / 1000,
+              "s");
+  result->Add(name + "requests meanwhile", static_cast<double>(all.all),
+              "requests");
+  result->Add(name + "refused", static_cast<double>(refused), "requests");
+  result->AddMost(name + "lost without an answer, or wrong",
+                  static_cast<double>(all.lost + all.wrong), "requests", 0);
+  system.Stop();
+}
+
+}  // namespace
+
+void RunRecoveryBench(const bench_arguments&, report* result) {
+  for (bool is_store_down : {false, true})
+    MeasureRecovery(is_store_down, result);
+}
+
+}  // namespace fuchsiafall::bench
--- a/src/entry_process.cc
+++ b/src/entry_process.cc
@@ -1,13 +1,11 @@
 /// @file entry_process.cc Threads and sockets around the entry's state machine.
 #include "entry_process.h"
 
-#include <iostream>
 #include <map>
 
 #include "entry_base.h"
 #include "network/caller_http.h"
-#include "network/control_loop.h"
-#include "network/http_server.h"
+#include "network/role_process.h"
 
 namespace fuchsiafall {
 
@@ -42,75 +40,35 @@
 class entry_process {
  public:
   explicit entry_process(const settings& from)
-      : settings_(from),
-        runtime_(from, Hooks()),
-        machine_(OptionsOf(from, runtime_.OwnIncarnation())),
-        loop_({.pause = milliseconds(from.pause_ms)},
-              &machine_,
-              [this](std::vector<output>&& items) {
-                Perform(std::move(items));
-              }) {}
-
-  exit_code Run() {
-    outcome<done> started = runtime_.Start();
-    if (!started)
-      return Fail(started.LastReason());
-    auto server = StartHttpServer(
-        {settings_.http_ip, settings_.http_port, settings_.http_threads},
-        [this](auto& request, auto& response) { Answer(&request, &response); });
-    if (!server)
-      return Fail(server.LastReason());
-    LogEvent(log_event::kProcessStarted, "role=entry vm=" + settings_.vm);
-    loop_.Run([this] { return IsFinished(); });
-    RefuseOpen();
-    (*server)->stopAll(true);
-    runtime_.Stop();
-    LogEvent(log_event::kProcessStopped, "role=entry vm=" + settings_.vm);
-    return exit_code::kOk;
-  }
-
- private:
-  node_hooks Hooks() {
-    return {
-        .on_message = [this](message_arrival m) { loop_.Post(std::move(m)); },
-        .on_store = [this](store_news n) { loop_.Post(std::move(n)); },
-        .on_vm_list = [this](proto::vm_list l) { loop_.Post(std::move(l)); },
-        .on_shutdown =
-            [this] {
-              LogEvent(log_event::kProcessStopping,
-                       "role=entry vm=" + settings_.vm);
-              loop_.Post(shutdown_order());
-            }};
-  }
+      : settings_(from), process_(from, Hooks()) {}
 
-  static exit_code Fail(const std::string& why) {
-    std::cerr << "fuchsiafall: " << why << "\n";
-    return exit_code::kFailed;
-  }
+  exit_code Run() { return process_.Run(); }
 
-  bool IsFinished() {
-    const time_point now = std::chrono::steady_clock::now();
-    runtime_.SetWatch(machine_.Gossip().World()->Revision(),
-                      machine_.Gossip().WatchesStore(now));
-    if (!machine_.IsShuttingDown())
-      return false;
-    if (!stop_begun_)
-      stop_begun_ = now;
-    const duration passed = now - *stop_begun_;
-    if (passed > seconds(settings_.drain_s))
-      return true;
-    return machine_.IsDrained() && passed > kReadinessLead;
+ private:
+  role_hooks<entry> Hooks() {
+    role_hooks<entry> hooks;
+    hooks.role = "entry";
+    hooks.make_machine = [this](incarnation own) {
+      return std::make_unique<entry>(OptionsOf(settings_, own));
+    };
+    hooks.perform = [this](output* item) { Perform(item); };
+    hooks.is_ready = [](const entry& machine) { return machine.IsReady(); };
+    hooks.answer = [this](auto* request, auto* response) {
+      AnswerCaller(request, response);
+    };
+    hooks.is_finished = [](const entry& machine, duration passed) {
+      return machine.IsDrained() && passed > kReadinessLead;
+    };
+    hooks.on_started = [] {};
+    hooks.on_stopped = [this] { RefuseOpen(); };
+    return hooks;
   }
 
-  void Perform(std::vector<output>&& items) {
-    for (output& item : items) {
-      if (runtime_.Perform(&item))
-        continue;
-      if (auto* part = std::get_if<answer_part>(&item)) {
-        Deliver(part->request, std::move(*part));
-      } else if (auto* refusal = std::get_if<answer_refusal>(&item)) {
-        Deliver(refusal->request, *refusal);
-      }
+  void Perform(output* item) {
+    if (auto* part = std::get_if<answer_part>(item)) {
+      Deliver(part->request, std::move(*part));
+    } else if (auto* refusal = std::get_if<answer_refusal>(item)) {
+      Deliver(refusal->request, *refusal);
     }
   }
 
@@ -131,27 +89,11 @@
       it->second->Push(std::move(event));
   }
 
-  void Answer(Poco::Net::HTTPServerRequest* request,
-              Poco::Net::HTTPServerResponse* response) {
-    const std::string& path = request->getURI();
-    if (path == "/metrics") {
-      AnswerHttp(response, 200, "text/plain", runtime_.DescribeMetrics());
-    } else if (path == "/healthz") {
-      AnswerHttp(response, 200, "text/plain", "ok\n");
-    } else if (path == "/readyz") {
-      bool ready = loop_.Ask([](const entry& e) { return e.IsReady(); });
-      AnswerHttp(response, ready ? 200 : 503, "text/plain",
-                 ready ? "ready\n" : "not ready\n");
-    } else {
-      AnswerCaller(request, response);
-    }
-  }
-
   void AnswerCaller(Poco::Net::HTTPServerRequest* request,
                     Poco::Net::HTTPServerResponse* response) {
     outcome<caller_request> read = ReadCallerRequest(request);
     if (!read) {
-      runtime_.Metrics().CountRefusal(reason::kBadRequest);
+      process_.Runtime().Metrics().CountRefusal(reason::kBadRequest);
       WriteRefusal(response, {.why = reason::kBadRequest}, read.LastReason());
       return;
     }
@@ -169,7 +111,7 @@
       channels_[read->id] = channel;
     }
     const uint64_t id = read->id;
-    loop_.Post(std::move(*read));
+    process_.Post(std::move(*read));
     bool stayed = false;
     try {
       stayed = WriteAnswer(channel.get(), response);
@@ -177,23 +119,20 @@
       stayed = false;
     }
     if (!stayed)
-      loop_.Post(caller_gone{id});
-    runtime_.Metrics().Time("request",
-                            std::chrono::steady_clock::now() - begun);
+      process_.Post(caller_gone{id});
+    process_.Runtime().Metrics().Time("request",
+                                      std::chrono::steady_clock::now() - begun);
     std::lock_guard lock(mutex_);
     channels_.erase(id);
   }
 
   settings settings_;
-  node_runtime runtime_;
-  entry machine_;
-  control_loop<entry, entry_input> loop_;
   std::mutex mutex_;
   std::map<uint64_t, std::shared_ptr<caller_channel>>
       channels_;  ///< By request id.
   uint64_t next_request_ = 1;
   bool is_closed_ = false;  ///< Whether the control thread has ended.
-  std::optional<time_point> stop_begun_;
+  role_process<entry, entry_input> process_;
 };
 
 }  // namespace
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -13,12 +13,18 @@
 constexpr size_t kWatchers = 2;  // VMs of a domain that watch the store.
 constexpr size_t kWatcherCandidates =
     5;  // VMs that stand in for silent watchers, in order.
+constexpr size_t kMostFarPushes =
+    2;  // Watched servers elsewhere that are told at once.
+constexpr uint64_t kMostPushDelayMs =
+    200;  // Spread, so that some hear it elsewhere first.
+constexpr size_t kMostStrangers =
+    256;  // Senders that the inventory does not have.
 constexpr size_t kMostCrashesSent = 16;
 constexpr size_t kMostCrashesHeld = 4096;
 constexpr seconds kCrashSpread{
     60};  // Time for which a crash record is passed on.
 constexpr seconds kCrashMemory{600};  // Time for which a crash record counts.
-constexpr seconds kWatchMemory{20};   // Time for which a wish to watch lasts.
+constexpr seconds kWatchMemory{40};   // Time for which a wish to watch lasts.
 
 std::vector<std::string> RankedBridges(const failure_domain& from,
                                        const failure_domain& to) {
@@ -36,23 +42,36 @@
 void gossip::Step(time_point now, output_list* out) {
   if (World()->Revision().value == 0)
     AskFirstPeers(now, out);
-  auto is_due = [&](const vm_id& id) {
-    return now - peers_[id].last_sent >= options_.heartbeat;
+  if (push_at_ && now >= *push_at_)
+    PushUpdates(out);
+  auto is_due = [&](const vm_id& id, milliseconds interval) {
+    return now - peers_[id].last_sent >= interval;
   };
   for (const vm_id& id : neighbours_) {
-    if (is_due(id))
+    if (is_due(id, options_.heartbeat))
       SendHeartbeat(now, id, out);
   }
   for (const vm_id& id : extra_) {
-    if (!neighbours_.contains(id) && is_due(id))
+    const bool is_watched = !neighbours_.contains(id);
+    if (is_watched && is_due(id, options_.watch))
       SendHeartbeat(now, id, out);
   }
 }
 
+bool gossip::MayKnow(const vm_id& id) const {
+  if (peers_.contains(id) || World()->FindVm(id) != nullptr)
+    return true;
+  return peers_.size() < World()->Vms() + kMostStrangers;
+}
+
 bool gossip::OnMessage(time_point now,
                        const proto::envelope& message,
                        output_list* out) {
   const vm_id from(message.vm());
+  if (!MayKnow(from)) {
+    out->Count("strangers_dropped");
+    return false;
+  }
   peer& sender = peers_[from];
   sender.last_heard = now;
   sender.was_heard = true;
@@ -133,6 +152,13 @@
   extra_with_state_ = with_state;
 }
 
+void gossip::NoteWatcher(time_point now, const vm_id& id) {
+  if (World()->FindVm(id) == nullptr)
+    return;
+  peers_[id].watches = true;
+  peers_[id].watched_at = now;
+}
+
 bool gossip::WatchesStore(time_point now) const {
   size_t alive = 0;
   for (const vm_id& id : watchers_) {
@@ -319,29 +345,37 @@
   out->Log(log_event::kConfigurationAdopted,
            "revision=" + std::to_string(log_.Revision().value));
   RebuildNeighbours();
-  PushUpdates(out);
+  const uint64_t mix = Hash64(options_.self.value, log_.Revision().value);
+  push_at_ = now + milliseconds(mix % kMostPushDelayMs);
   return true;
 }
 
 void gossip::PushUpdates(output_list* out) {
-  auto push = [&](const vm_id& id) {
-    auto it = peers_.find(id);
-    // Peers not heard yet say in their first heartbeat which revision they
-    // need.
-    if (it == peers_.end() || !it->second.was_heard)
-      return;
-    if (it->second.known_revision >= log_.Revision())
-      return;
-    SendUpdate(id, it->second.known_revision, AddressOf(id), out);
-  };
+  push_at_.reset();
   for (const vm_id& id : neighbours_)
-    push(id);
+    PushTo(id, out);
+  size_t far = 0;
   for (const vm_id& id : extra_) {
-    if (!neighbours_.contains(id))
-      push(id);
+    const proto::vm* vm = World()->FindVm(id);
+    const bool is_far = vm != nullptr && vm->domain() != options_.domain.value;
+    if (!is_far || neighbours_.contains(id))
+      continue;
+    if (far++ == kMostFarPushes)
+      return;
+    PushTo(id, out);
   }
 }
 
+void gossip::PushTo(const vm_id& id, output_list* out) {
+  auto it = peers_.find(id);
+  // Peers not heard yet say in their first heartbeat which revision they need.
+  if (it == peers_.end() || !it->second.was_heard)
+    return;
+  if (it->second.known_revision >= log_.Revision())
+    return;
+  SendUpdate(id, it->second.known_revision, AddressOf(id), out);
+}
+
 void gossip::SendUpdate(const vm_id& id,
                         revision from,
                         const std::string& address,
--- a/src/gossip_base.h
+++ b/src/gossip_base.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,9 +21,10 @@
   std::string
       own_address;  ///< Control address, for peers without a configuration.
   std::vector<std::string> first_peers;  ///< Control addresses asked at start.
-  milliseconds heartbeat{2000};  ///< Time between heartbeats to a neighbour.
-  milliseconds suspect{6000};    ///< Silence after which a peer is suspected.
-  size_t neighbours = 8;         ///< Neighbours in the own failure domain.
+  milliseconds watch{10000};  ///< Time between heartbeats to a watched server.
+  milliseconds heartbeat{3000};  ///< Time between heartbeats to a neighbour.
+  milliseconds suspect{9000};    ///< Silence after which a peer is suspected.
+  size_t neighbours = 6;         ///< Neighbours in the own failure domain.
 };
 
 /// What direct evidence says of another process.
@@ -82,6 +84,9 @@
   /// @param with_state Whether their state is wanted.
   void SetExtraPeers(std::set<vm_id> extra, bool with_state);
 
+  /// Notes that another process routes to this one, and wants its state.
+  void NoteWatcher(time_point now, const vm_id& id);
+
   /// Whether this process is one of the two of its domain that watch the store.
   bool WatchesStore(time_point now) const;
   /// Whether a VM was asked and stayed silent for longer than the given time.
@@ -100,6 +105,7 @@
   time_point LastConfirmed() const { return last_confirmed_; }
 
  private:
+  bool MayKnow(const vm_id& id) const;
   void RebuildNeighbours();
   void AddBridges(const failure_domain& own);
   void AddWatchers(const failure_domain& own);
@@ -114,6 +120,7 @@
                    output_list* out);
   bool Adopt(time_point now, outcome<bool> adopted, output_list* out);
   void PushUpdates(output_list* out);
+  void PushTo(const vm_id& id, output_list* out);
   void SendUpdate(const vm_id& id,
                   revision from,
                   const std::string& address,
@@ -134,6 +141,7 @@
   std::map<fingerprint, crash_memory> crashes_;
   time_point last_asked_first_{};
   time_point last_confirmed_{};
+  std::optional<time_point> push_at_;  ///< When the newest revision goes out.
 };
 
 }  // namespace fuchsiafall
--- a/src/harness/fleet.cc
+++ b/src/harness/fleet.cc
@@ -427,7 +427,6 @@
   std::map<std::string, std::string> values{
       {"node.vm", vm.vm.id()},
       {"node.domain", vm.vm.domain()},
-      {"node.region", vm.vm.domain() + "-region"},
       {"node.ip", vm.vm.ip()},
       {"node.port", std::to_string(vm.vm.port())},
       {"http.ip", vm.vm.ip()},
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -75,6 +75,7 @@
           .own_incarnation = own,
           .own_address = from.ip + ":" + std::to_string(from.port),
           .first_peers = SplitList(from.peers),
+          .watch = milliseconds(from.watch_ms),
           .heartbeat = milliseconds(from.heartbeat_ms),
           .suspect = milliseconds(from.suspect_ms),
           .neighbours = static_cast<size_t>(from.neighbours)};
--- /dev/null
+++ b/src/network/role_process.h
@@ -0,0 +1,151 @@
+/// @file role_process.h What the processes of all roles do around their state
+/// machine.
+#ifndef NETWORK_ROLE_PROCESS_H_
+#define NETWORK_ROLE_PROCESS_H_
+
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "network/control_loop.h"
+#include "network/http_server.h"
+#include "network/node_runtime.h"
+
+namespace fuchsiafall {
+
+/// What differs between the roles.
+template <typename Machine>
+struct role_hooks {
+  std::string role;  ///< For logs.
+  std::function<std::unique_ptr<Machine>(incarnation)> make_machine;
+  std::function<void(output*)> perform;  ///< Outputs that only this role has.
+  std::function<bool(const Machine&)> is_ready;
+  /// Answers pages that only this role has.
+  std::function<void(Poco::Net::HTTPServerRequest*,
+                     Poco::Net::HTTPServerResponse*)>
+      answer;
+  /// Tells whether the shutdown is complete, given how long it has lasted.
+  std::function<bool(const Machine&, duration)> is_finished;
+  std::function<void()> on_started;
+  std::function<void()>
+      on_stopped;  ///< After the control thread, before the servers.
+};
+
+/// State machine with its control thread, links and HTTP pages.
+template <typename Machine, typename Input>
+class role_process {
+ public:
+  role_process(const settings& from, role_hooks<Machine> hooks)
+      : settings_(from),
+        hooks_(std::move(hooks)),
+        runtime_(from, NodeHooks()),
+        machine_(hooks_.make_machine(runtime_.OwnIncarnation())),
+        loop_({.pause = milliseconds(from.pause_ms)},
+              machine_.get(),
+              [this](std::vector<output>&& items) {
+                Perform(std::move(items));
+              }) {}
+
+  /// Runs until a graceful shutdown is complete.
+  exit_code Run() {
+    outcome<done> started = runtime_.Start();
+    if (!started)
+      return Fail(started.LastReason());
+    auto server = StartHttpServer(
+        {settings_.http_ip, settings_.http_port, settings_.http_threads},
+        [this](auto& request, auto& response) { Answer(&request, &response); });
+    if (!server)
+      return Fail(server.LastReason());
+    LogEvent(log_event::kProcessStarted, Name());
+    hooks_.on_started();
+    loop_.Run([this] { return IsFinished(); });
+    hooks_.on_stopped();
+    runtime_.Stop();
+    (*server)->stopAll(true);
+    LogEvent(log_event::kProcessStopped, Name());
+    return exit_code::kOk;
+  }
+
+  /// Queues an input for the control thread.
+  void Post(Input input) { loop_.Post(std::move(input)); }
+  control_loop<Machine, Input>& Loop() { return loop_; }
+  node_runtime& Runtime() { return runtime_; }
+
+ private:
+  node_hooks NodeHooks() {
+    node_hooks hooks;
+    hooks.on_message = [this](message_arrival m) { Post(std::move(m)); };
+    hooks.on_store = [this](store_news n) { Post(std::move(n)); };
+    hooks.on_vm_list = [this](proto::vm_list l) { Post(std::move(l)); };
+    if constexpr (std::is_constructible_v<Input, blob_arrival>) {
+      hooks.on_blob = [this](blob_arrival b) { Post(std::move(b)); };
+    }
+    hooks.on_shutdown = [this] {
+      LogEvent(log_event::kProcessStopping, Name());
+      Post(shutdown_order());
+    };
+    return hooks;
+  }
+
+  static exit_code Fail(const std::string& why) {
+    std::cerr << "fuchsiafall: " << why << "\n";
+    return exit_code::kFailed;
+  }
+
+  std::string Name() const {
+    return "role=" + hooks_.role + " vm=" + settings_.vm;
+  }
+
+  bool IsFinished() {
+    const time_point now = std::chrono::steady_clock::now();
+    const gossip& members = machine_->Gossip();
+    runtime_.SetWatch(members.World()->Revision(), members.WatchesStore(now));
+    if (!machine_->IsShuttingDown())
+      return false;
+    if (!stop_begun_)
+      stop_begun_ = now;
+    const duration passed = now - *stop_begun_;
+    return passed > seconds(settings_.drain_s) ||
+           hooks_.is_finished(*machine_, passed);
+  }
+
+  void Perform(std::vector<output>&& items) {
+    for (output& item : items) {
+      if (!runtime_.Perform(&item))
+        hooks_.perform(&item);
+    }
+  }
+
+  void Answer(Poco::Net::HTTPServerRequest* request,
+              Poco::Net::HTTPServerResponse* response) {
+    const std::string& path = request->getURI();
+    if (path == "/metrics") {
+      AnswerHttp(response, Poco::Net::HTTPResponse::HTTP_OK, "text/plain",
+                 runtime_.DescribeMetrics());
+    } else if (path == "/healthz") {
+      AnswerHttp(response, Poco::Net::HTTPResponse::HTTP_OK, "text/plain",
+                 "ok\n");
+    } else if (path == "/readyz") {
+      const bool ready = loop_.Ask(hooks_.is_ready);
+      AnswerHttp(response,
+                 ready ? Poco::Net::HTTPResponse::HTTP_OK
+                       : Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                 "text/plain", ready ? "ready\n" : "not ready\n");
+    } else {
+      hooks_.answer(request, response);
+    }
+  }
+
+  settings settings_;
+  role_hooks<Machine> hooks_;
+  node_runtime runtime_;
+  std::unique_ptr<Machine> machine_;
+  control_loop<Machine, Input> loop_;
+  std::optional<time_point> stop_begun_;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_ROLE_PROCESS_H_
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -422,7 +422,8 @@
     return;
   attempts_.erase(item->attempt);
   item->attempt = attempt_id(0);
-  if (!routes_->OnEnd(now, item->server, failed))
+  const bool was_silent = failed && item->last_reason == reason::kAttemptSilent;
+  if (!routes_->OnEnd(now, item->server, failed, was_silent))
     return;
   out->Count("servers_ejected");
   out->Log(log_event::kServerEjected, "server=" + item->server.value);
--- a/src/router.cc
+++ b/src/router.cc
@@ -79,7 +79,10 @@
     ++it->second.outstanding;
 }
 
-bool router::OnEnd(time_point now, const vm_id& id, bool failed) {
+bool router::OnEnd(time_point now,
+                   const vm_id& id,
+                   bool failed,
+                   bool was_silent) {
   auto it = servers_.find(id);
   if (it == servers_.end())
     return false;
@@ -91,7 +94,7 @@
     server.ejections = 0;
     return false;
   }
-  if (++server.failures < kFailuresToEject)
+  if (++server.failures < kFailuresToEject && !was_silent)
     return false;
   const std::vector<vm_id>& peers = by_service_[server.state.service()];
   auto ejected =
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -26,7 +26,7 @@
   milliseconds ramp{
       10000};  ///< Time over which a returned domain gets its full share.
   milliseconds stale{
-      15000};  ///< Age after which a server's state no longer counts.
+      35000};  ///< Age after which a server's state no longer counts.
 };
 
 /// Backend server as an entry sees it.
@@ -52,8 +52,7 @@
   std::string adapter;     ///< Empty when none is needed.
   uint64_t affinity = 0;   ///< Hash of the prompt's prefix; 0 for none.
   bool is_sticky = false;  ///< Whether affinity goes before load.
-  bool is_wide =
-      false;  ///< Whether all distances count alike, as near servers are full.
+  bool is_wide = false;    ///< Whether near servers go before others no more.
   const std::set<vm_id>* excluded = nullptr;
 };
 
@@ -74,8 +73,12 @@
   void OnSent(const vm_id& id);
   /// Takes the end of an attempt.
   /// @param failed Whether it speaks against the server.
+  /// @param was_silent Whether nothing was heard of it, which ejects at once.
   /// @return Whether the server was ejected.
-  bool OnEnd(time_point now, const vm_id& id, bool failed);
+  bool OnEnd(time_point now,
+             const vm_id& id,
+             bool failed,
+             bool was_silent = false);
   std::optional<vm_id> Choose(time_point now,
                               const route_query& query,
                               const avoid_hook& avoid);
--- a/src/status_cmd.cc
+++ b/src/status_cmd.cc
@@ -188,6 +188,9 @@
   size_t failed = 0;
   size_t silent = 0;
   uint64_t progress_sum = 0;
+  uint64_t from_origin = 0;         ///< Bytes.
+  uint64_t from_own_domain = 0;     ///< Bytes.
+  uint64_t from_other_domains = 0;  ///< Bytes.
   std::string last_reason;
 };
 
@@ -211,6 +214,9 @@
       continue;
     }
     row.progress_sum += state.progress_percent();
+    row.from_origin += state.bytes_from_origin();
+    row.from_own_domain += state.bytes_from_own_domain();
+    row.from_other_domains += state.bytes_from_other_domains();
     if (state.progress_percent() == 100)
       ++row.with_weights;
     if (state.version() == service->version())
@@ -231,12 +237,18 @@
   return row.servers == 0 ? 0 : row.progress_sum / row.servers;
 }
 
+/// Writes bytes as whole MiB.
+std::string MiBOf(uint64_t bytes) {
+  return std::to_string(bytes >> 20) + "M";
+}
+
 void PrintRolloutTable(const std::vector<rollout_row>& rows) {
   std::cout << std::left << std::setw(16) << "SERVICE" << std::setw(14)
             << "DOMAIN" << std::setw(16) << "VERSION" << std::setw(9)
             << "SERVERS" << std::setw(9) << "WEIGHTS" << std::setw(9)
             << "SERVING" << std::setw(8) << "FAILED" << std::setw(8) << "SILENT"
-            << std::setw(9) << "PROGRESS"
+            << std::setw(9) << "PROGRESS" << std::setw(8) << "ORIGIN"
+            << std::setw(8) << "OWN" << std::setw(8) << "OTHER"
             << "LAST REASON\n";
   for (const rollout_row& row : rows) {
     std::cout << std::setw(16) << row.service << std::setw(14) << row.domain
@@ -244,7 +256,9 @@
               << std::setw(9) << row.with_weights << std::setw(9) << row.serving
               << std::setw(8) << row.failed << std::setw(8) << row.silent
               << std::setw(9) << (std::to_string(Progress(row)) + "%")
-              << row.last_reason << '\n';
+              << std::setw(8) << MiBOf(row.from_origin) << std::setw(8)
+              << MiBOf(row.from_own_domain) << std::setw(8)
+              << MiBOf(row.from_other_domains) << row.last_reason << '\n';
   }
 }
 
@@ -261,6 +275,9 @@
     item.set("failed", row.failed);
     item.set("silent", row.silent);
     item.set("progress_percent", Progress(row));
+    item.set("bytes_from_origin", row.from_origin);
+    item.set("bytes_from_own_domain", row.from_own_domain);
+    item.set("bytes_from_other_domains", row.from_other_domains);
     item.set("last_reason", row.last_reason);
     list.add(item);
   }
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -4,7 +4,6 @@
 
 SETTING_TEXT(vm, "node.vm", "", "id of this VM in the inventory")
 SETTING_TEXT(domain, "node.domain", "", "failure domain of this VM")
-SETTING_TEXT(region, "node.region", "", "region of the failure domain")
 SETTING_TEXT(ip, "node.ip", "127.0.0.1", "address to listen on")
 SETTING_NUMBER(port,
                "node.port",
@@ -62,23 +61,22 @@
              "keys.fleet",
              "",
              "public key (Z85) that all processes accept")
-SETTING_NUMBER(heartbeat_ms,
-               "control.heartbeat",
-               2000,
+SETTING_NUMBER(watch_ms, "control.watch", 10000, 50, 60000, "ms", "time between heartbeats to a server that an entry watches")
+SETTING_NUMBER(heartbeat_ms, "control.heartbeat", 3000,
                50,
                60000,
                "ms",
                "time between heartbeats to a neighbour")
 SETTING_NUMBER(suspect_ms,
                "control.suspect",
-               6000,
+               9000,
                100,
                120000,
                "ms",
                "silence after which a neighbour is suspected")
 SETTING_NUMBER(neighbours,
                "control.neighbours",
-               8,
+               6,
                2,
                64,
                "VMs",
--- a/src/tests/process_test.cc
+++ b/src/tests/process_test.cc
@@ -25,6 +25,7 @@
   options.weights = {"v1:1048576:65536:1", "v2:1048576:65536:2"};
   options.has_proxy = true;
   options.settings = {{"control.heartbeat", "500"},
+                      {"control.watch", "1000"},
                       {"control.suspect", "2000"}};
   return options;
 }
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -71,6 +71,15 @@
     item.is_late = is_first;
     kept.push_back(std::move(item));
   }
+  const bool is_same =
+      std::equal(parts.begin(), parts.end(), target_.begin(), target_.end(),
+                 [](const load_part& a, const load_part& b) {
+                   return a.manifest == b.manifest;
+                 });
+  if (!is_same) {
+    sources_ = {};
+    target_since_ = now;
+  }
   target_ = parts;
   artifacts_ = std::move(kept);
   // Answers to requests of the older target are no longer expected.
@@ -162,6 +171,13 @@
   return all == 0 ? 0 : static_cast<uint32_t>(100 * have / all);
 }
 
+uint64_t weight_transfer::TargetBytes() const {
+  uint64_t sum = 0;
+  for (const artifact& item : artifacts_)
+    sum += item.manifest.total_bytes();
+  return sum;
+}
+
 std::vector<shared_bytes> weight_transfer::Weights(
     const digest& manifest) const {
   std::vector<shared_bytes> weights;
@@ -439,14 +455,18 @@
 void weight_transfer::CountSource(const pending& request,
                                   uint64_t bytes,
                                   output_list* out) {
+  const proto::vm* giver =
+      request.giver ? world_->FindVm(*request.giver) : nullptr;
   if (!request.giver) {
+    sources_.origin += bytes;
     out->Count("bytes_from_origin", bytes);
-    return;
+  } else if (giver != nullptr && giver->domain() == options_.domain.value) {
+    sources_.own_domain += bytes;
+    out->Count("bytes_from_own_domain", bytes);
+  } else {
+    sources_.other_domains += bytes;
+    out->Count("bytes_from_other_domains", bytes);
   }
-  const proto::vm* giver = world_->FindVm(*request.giver);
-  bool is_own = giver != nullptr && giver->domain() == options_.domain.value;
-  out->Count(is_own ? "bytes_from_own_domain" : "bytes_from_other_domains",
-             bytes);
 }
 
 artifact* weight_transfer::FindArtifact(const std::string& manifest) {
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -92,8 +92,14 @@
   milliseconds manifest_backoff{0};
 };
 
-/// Fetches the chunks of the target, verified, and serves them to other
-/// servers.
+/// Bytes of weights taken in for the present target, by source.
+struct source_bytes {
+  uint64_t origin = 0;
+  uint64_t own_domain = 0;
+  uint64_t other_domains = 0;
+};
+
+/// Fetches the chunks of the target, verified, and serves them to others.
 class weight_transfer {
  public:
   weight_transfer(weight_transfer_options options,
@@ -123,6 +129,10 @@
   /// Why the transfer cannot finish at present; empty when it can.
   std::string LastReason() const;
   uint32_t ProgressPercent() const;
+  const source_bytes& Sources() const { return sources_; }
+  /// Sums the sizes of the target's parts whose manifests are known, in bytes.
+  uint64_t TargetBytes() const;
+  time_point TargetSince() const { return target_since_; }
   const std::vector<load_part>& Target() const { return target_; }
   /// Collects the chunks of a complete artifact, in order; empty when it is not
   /// complete.
@@ -228,6 +238,8 @@
   std::vector<artifact> artifacts_;
   std::map<uint64_t, pending> pending_;  ///< Requests to peers, by request id.
   std::map<digest, pending> origin_pending_;  ///< Fetches from the origin.
+  source_bytes sources_;
+  time_point target_since_{};
   uint64_t next_request_id_ = 1;
   rate_pacer upload_;
   rate_pacer download_;
--- a/src/world_base.h
+++ b/src/world_base.h
@@ -37,6 +37,7 @@
   revision Revision() const { return revision(configuration_.revision()); }
 
   const proto::vm* FindVm(const vm_id& id) const;
+  size_t Vms() const { return vms_.size(); }
   const proto::service* FindService(const std::string& id) const;
   const proto::version* FindVersion(const std::string& id) const;
   const proto::adapter* FindAdapter(const std::string& id) const;
