Fix: Ask five full servers for a free place before queueing at the sixth

A full server's report kept it from being chosen long after it was free. Change: five attempts ask for a free place, the sixth queues; reports fade to half their weight within a second; watched servers are asked each 14 s.

--- a/src/bench/config_bench.cc
+++ b/src/bench/config_bench.cc
@@ -385,6 +385,8 @@
     // 12,000 changes a day are one in 7.2 seconds.
     ReportUse(n + "agent under changes: ",
               MeasureRole(&system, proto::vm::AGENT, seconds(14), 2), result);
+    ReportUse(n + "entry under changes: ",
+              MeasureRole(&system, proto::vm::ENTRY, seconds(14), 2), result);
     system.Stop();
   }
   result->AddMost("agent: control traffic at 200 over that at 50",
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -24,7 +24,7 @@
 constexpr seconds kCrashSpread{
     60};  // Time for which a crash record is passed on.
 constexpr seconds kCrashMemory{600};  // Time for which a crash record counts.
-constexpr seconds kWatchMemory{40};   // Time for which a wish to watch lasts.
+constexpr seconds kWatchMemory{60};   // Time for which a wish to watch lasts.
 
 std::vector<std::string> RankedBridges(const failure_domain& from,
                                        const failure_domain& to) {
--- a/src/gossip_base.h
+++ b/src/gossip_base.h
@@ -21,7 +21,7 @@
   std::string
       own_address;  ///< Control address, for peers without a configuration.
   std::vector<std::string> first_peers;  ///< Control addresses asked at start.
-  milliseconds watch{10000};  ///< Time between heartbeats to a watched server.
+  milliseconds watch{14000};  ///< Time between heartbeats to a watched server.
   milliseconds heartbeat{3000};  ///< Time between heartbeats to a neighbour.
   milliseconds suspect{9000};    ///< Silence after which a peer is suspected.
   size_t neighbours = 6;         ///< Neighbours in the own failure domain.
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -10,9 +10,8 @@
 namespace {
 
 constexpr double kMostRetryTokens = 100;  // Retries saved up at the most.
-constexpr uint32_t kMostAttempts = 6;
-constexpr uint32_t kMostFullRefusals =
-    3;  // Full servers tried before the request is shed.
+constexpr uint32_t kMostAttempts = 8;
+constexpr uint32_t kMostFullRefusals = 6;  // The last one queues.
 constexpr milliseconds kRetryAfter{1000};
 constexpr size_t kAffinityBytes =
     256;  // Length of the prompt's prefix that is hashed.
--- a/src/router.cc
+++ b/src/router.cc
@@ -16,15 +16,22 @@
     1.0;  // Load from which a farther domain is preferred.
 constexpr double kAffinityFactor =
     1.25;  // Load allowed over the average for affinity.
+constexpr milliseconds kLoadFade{
+    1000};  // Age at which a report says little of the present.
+constexpr double kLeastTrust = 0.5;  // Weight of older reports.
 constexpr double kFirstShare =
     0.1;  // Share that a domain gets at once when it returns.
 
 }  // namespace
 
-double backend_server::Load() const {
+double backend_server::Load(time_point now) const {
   const double limit = std::max(1U, state.limit());
-  return static_cast<double>(std::max<size_t>(state.in_flight(), outstanding)) /
-         limit;
+  // Calls last some tenths of a second, so that a full server may be free again
+  // by now.
+  const double age = ToSeconds(now - state_at) / ToSeconds(kLoadFade);
+  const double trust = std::clamp(1.25 - age, kLeastTrust, 1.0);
+  const double reported = trust * state.in_flight();
+  return std::max(reported, static_cast<double>(outstanding)) / limit;
 }
 
 router::router(router_options options)
@@ -120,12 +127,12 @@
     return candidates[random_() % candidates.size()]->id;
   const backend_server* chosen = nullptr;
   if (query.affinity != 0 && query.is_sticky)
-    chosen = ChooseByAffinity(candidates, query);
+    chosen = ChooseByAffinity(now, candidates, query);
   for (size_t distance = 0; chosen == nullptr && distance <= 2; ++distance) {
     candidate_list near;
     for (const backend_server* server : candidates) {
       if ((!query.is_wide && server->distance != distance) ||
-          server->Load() >= kSpillLoad)
+          server->Load(now) >= kSpillLoad)
         continue;
       if (!IsHeldBack(now, *server))
         near.push_back(server);
@@ -133,12 +140,12 @@
     if (near.empty())
       continue;
     if (query.affinity != 0)
-      chosen = ChooseByAffinity(near, query);
+      chosen = ChooseByAffinity(now, near, query);
     if (chosen == nullptr)
-      chosen = ChooseOfTwo(near);
+      chosen = ChooseOfTwo(now, near);
   }
   if (chosen == nullptr)
-    chosen = ChooseOfTwo(candidates);
+    chosen = ChooseOfTwo(now, candidates);
   return chosen->id;
 }
 
@@ -226,18 +233,19 @@
   return std::uniform_real_distribution<double>(0, 1)(random_) > share;
 }
 
-const backend_server* router::ChooseByAffinity(const candidate_list& among,
+const backend_server* router::ChooseByAffinity(time_point now,
+                                               const candidate_list& among,
                                                const route_query& query) {
   double total = 0;
   for (const backend_server* server : among)
-    total += server->Load();
+    total += server->Load(now);
   const double allowed =
       kAffinityFactor * total / static_cast<double>(among.size()) +
       1.0 / std::max(1U, among.front()->state.limit());
   const backend_server* best = nullptr;
   uint64_t best_score = 0;
   for (const backend_server* server : among) {
-    if (!query.is_sticky && server->Load() > allowed)
+    if (!query.is_sticky && server->Load(now) > allowed)
       continue;
     uint64_t score = Hash64(server->id.value, query.affinity);
     if (best != nullptr && score <= best_score)
@@ -248,10 +256,11 @@
   return best;
 }
 
-const backend_server* router::ChooseOfTwo(const candidate_list& among) {
+const backend_server* router::ChooseOfTwo(time_point now,
+                                          const candidate_list& among) {
   const backend_server* one = among[random_() % among.size()];
   const backend_server* two = among[random_() % among.size()];
-  return one->Load() <= two->Load() ? one : two;
+  return one->Load(now) <= two->Load(now) ? one : two;
 }
 
 }  // namespace fuchsiafall
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -42,8 +42,9 @@
   uint32_t ejections = 0;  ///< Without a success since.
   time_point ejected_until{};
 
-  /// Estimates its load as a share of its limit.
-  double Load() const;
+  /// Estimates its load as a share of its limit; what it reported fades with
+  /// age.
+  double Load(time_point now) const;
 };
 
 /// What a request needs of a server.
@@ -97,9 +98,11 @@
                             const route_query& query,
                             const avoid_hook& avoid);
   bool IsHeldBack(time_point now, const backend_server& server);
-  const backend_server* ChooseByAffinity(const candidate_list& among,
+  const backend_server* ChooseByAffinity(time_point now,
+                                         const candidate_list& among,
                                          const route_query& query);
-  const backend_server* ChooseOfTwo(const candidate_list& among);
+  const backend_server* ChooseOfTwo(time_point now,
+                                    const candidate_list& among);
 
   router_options options_;
   std::mt19937_64 random_;
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -61,8 +61,16 @@
              "keys.fleet",
              "",
              "public key (Z85) that all processes accept")
-SETTING_NUMBER(watch_ms, "control.watch", 10000, 50, 60000, "ms", "time between heartbeats to a server that an entry watches")
-SETTING_NUMBER(heartbeat_ms, "control.heartbeat", 3000,
+SETTING_NUMBER(watch_ms,
+               "control.watch",
+               14000,
+               50,
+               60000,
+               "ms",
+               "time between heartbeats to a server that an entry watches")
+SETTING_NUMBER(heartbeat_ms,
+               "control.heartbeat",
+               3000,
                50,
                60000,
                "ms",
--- a/src/tests/golden_test.cc
+++ b/src/tests/golden_test.cc
@@ -172,13 +172,13 @@
   blob_arrival corrupt = blob(digest(manifest.chunk_digests(0)));
   corrupt.actual = DigestOf("something else");
   s.Step("corrupt chunk from the origin", milliseconds(5), corrupt);
-  for (int i = 1; i < manifest.chunk_digests_size(); ++i) {
-    s.Step("chunk from the origin", milliseconds(5),
-           blob(digest(manifest.chunk_digests(i))));
-  }
+  s.Step("chunk from the origin", milliseconds(5),
+         blob(digest(manifest.chunk_digests(1))));
   s.Step("tick after the origin's pause", milliseconds(600), tick());
   s.Step("chunk from the origin", milliseconds(5),
          blob(digest(manifest.chunk_digests(0))));
+  s.Step("last chunk from the origin", milliseconds(5),
+         blob(digest(manifest.chunk_digests(2))));
   s.Step("tick", milliseconds(20), tick());
   s.Step("call while loading", milliseconds(1),
          CallOf(1, "assistant", "v1", ""));
