--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -8,10 +8,10 @@
 
 #include "call_record_func.h"
 #include "hash_func.h"
+#include "network/engine_client.h"
+#include "network/http_call.h"
 #include "network/pool_work.h"
 #include "network/role_process.h"
-#include "platform/engine_client.h"
-#include "platform/http_call.h"
 
 namespace fuchsiafall {
 
--- a/src/call_record_func.h
+++ b/src/call_record_func.h
@@ -4,7 +4,7 @@
 #define CALL_RECORD_FUNC_H_
 
 #include "call_table_base.h"
-#include "platform/store_client.h"
+#include "network/store_client.h"
 
 namespace fuchsiafall {
 
--- a/src/configuration_store.h
+++ b/src/configuration_store.h
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "agent_base.h"
+#include "network/store_client.h"
 #include "outcome_type.h"
-#include "platform/store_client.h"
 #include "proto/fuchsiafall.pb.h"
 
 namespace fuchsiafall {
--- a/src/harness/fleet.cc
+++ b/src/harness/fleet.cc
@@ -13,7 +13,7 @@
 #include <sstream>
 #include <thread>
 
-#include "platform/http_call.h"
+#include "network/http_call.h"
 
 namespace fuchsiafall::harness {
 
--- a/src/harness/load.cc
+++ b/src/harness/load.cc
@@ -10,7 +10,7 @@
 #include <sstream>
 
 #include "hash_func.h"
-#include "platform/http_call.h"
+#include "network/http_call.h"
 
 namespace fuchsiafall::harness {
 
--- a/src/platform/engine_client.cc
+++ b/src/network/engine_client.cc
@@ -1,5 +1,5 @@
 /// @file engine_client.cc Adapter of the backend server over HTTP.
-#include "platform/engine_client.h"
+#include "network/engine_client.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
@@ -10,8 +10,8 @@
 #include <sstream>
 
 #include "hash_func.h"
+#include "network/http_call.h"
 #include "network/pool_work.h"
-#include "platform/http_call.h"
 
 namespace fuchsiafall {
 
--- a/src/platform/engine_client.h
+++ b/src/network/engine_client.h
@@ -1,7 +1,7 @@
 /// @file engine_client.h Adapter of the backend server: model engines and plain
 /// services.
-#ifndef PLATFORM_ENGINE_CLIENT_H_
-#define PLATFORM_ENGINE_CLIENT_H_
+#ifndef NETWORK_ENGINE_CLIENT_H_
+#define NETWORK_ENGINE_CLIENT_H_
 
 #include <functional>
 #include <map>
@@ -67,4 +67,4 @@
 
 }  // namespace fuchsiafall
 
-#endif  // PLATFORM_ENGINE_CLIENT_H_
+#endif  // NETWORK_ENGINE_CLIENT_H_
--- a/src/platform/http_call.cc
+++ b/src/network/http_call.cc
@@ -1,5 +1,5 @@
 /// @file http_call.cc HTTP calls through Poco's client.
-#include "platform/http_call.h"
+#include "network/http_call.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/platform/http_call.h
+++ b/src/network/http_call.h
@@ -1,7 +1,7 @@
 /// @file http_call.h One HTTP call of an outside system, with its outcome as a
 /// value.
-#ifndef PLATFORM_HTTP_CALL_H_
-#define PLATFORM_HTTP_CALL_H_
+#ifndef NETWORK_HTTP_CALL_H_
+#define NETWORK_HTTP_CALL_H_
 
 #include <functional>
 #include <map>
@@ -50,4 +50,4 @@
 
 }  // namespace fuchsiafall
 
-#endif  // PLATFORM_HTTP_CALL_H_
+#endif  // NETWORK_HTTP_CALL_H_
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -15,7 +15,7 @@
 
 #include "configuration_store.h"
 #include "hash_func.h"
-#include "platform/http_call.h"
+#include "network/http_call.h"
 
 namespace fuchsiafall {
 
--- a/src/network/node_runtime.h
+++ b/src/network/node_runtime.h
@@ -12,7 +12,7 @@
 #include "agent_base.h"
 #include "metrics_base.h"
 #include "network/message_link.h"
-#include "platform/store_client.h"
+#include "network/store_client.h"
 #include "settings_base.h"
 
 namespace fuchsiafall {
--- a/src/platform/store_client.cc
+++ b/src/network/store_client.cc
@@ -1,7 +1,7 @@
 /// @file store_client.cc Adapter of the platform's store: Consul's KV API over
 /// HTTP. Source of the protocol: HashiCorp, "KV Store HTTP API" and "Blocking
 /// Queries".
-#include "platform/store_client.h"
+#include "network/store_client.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Exception.h>
@@ -10,7 +10,7 @@
 
 #include <sstream>
 
-#include "platform/http_call.h"
+#include "network/http_call.h"
 
 namespace fuchsiafall {
 
--- a/src/platform/store_client.h
+++ b/src/network/store_client.h
@@ -1,7 +1,7 @@
 /// @file store_client.h The platform's key-value store, as hooks, and its HTTP
 /// adapter.
-#ifndef PLATFORM_STORE_CLIENT_H_
-#define PLATFORM_STORE_CLIENT_H_
+#ifndef NETWORK_STORE_CLIENT_H_
+#define NETWORK_STORE_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -53,4 +53,4 @@
 
 }  // namespace fuchsiafall
 
-#endif  // PLATFORM_STORE_CLIENT_H_
+#endif  // NETWORK_STORE_CLIENT_H_
--- a/src/standins/engine_standin.cc
+++ b/src/standins/engine_standin.cc
@@ -13,7 +13,7 @@
 #include <thread>
 
 #include "hash_func.h"
-#include "platform/http_call.h"
+#include "network/http_call.h"
 #include "proto/fuchsiafall.pb.h"
 #include "standins/standin_func.h"
 
--- a/src/tests/fake_network.h
+++ b/src/tests/fake_network.h
@@ -15,7 +15,7 @@
 #include "agent_base.h"
 #include "configuration_store.h"
 #include "entry_base.h"
-#include "platform/store_client.h"
+#include "network/store_client.h"
 #include "rate_pacer_base.h"
 
 namespace fuchsiafall::tests {
