--- /dev/null
+++ b/src/call_dispatch.cc
@@ -0,0 +1,541 @@
+/// @file call_dispatch.cc Callers' requests at a hosted entry.
+#include "call_dispatch_base.h"
+
+#include <algorithm>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr milliseconds kDefaultTimeLeft{30000};  // Of callers that name none.
+/// An attempt with less time left than this ends before its answer is here.
+constexpr milliseconds kLeastTimeLeft{20};
+
+constexpr std::string_view kRefusalTexts[] = {
+    "no configuration yet", "belief too old", "no route",
+    "unknown key",          "no server",      "no place in time",
+    "timed out",            "server failed",  "bad request",
+};
+
+bool IsSuccess(int status) {
+  return status / 100 == 2;
+}
+
+}  // namespace
+
+std::string_view TextOf(call_refusal why) {
+  return kRefusalTexts[static_cast<size_t>(why)];
+}
+
+call_dispatch::call_dispatch(call_dispatch_options options,
+                             call_dispatch_hooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      random_(options_.seed),
+      board_(options_.board),
+      budget_(options_.budget) {}
+
+void call_dispatch::SetIndex(time_point now, const site_index* index) {
+  index_ = index;
+  board_.SetIndex(now, index);
+}
+
+bool call_dispatch::IsSound(time_point now) const {
+  return index_ != nullptr &&
+         now - sound_at_ < options_.revoke - options_.revoke_margin;
+}
+
+server_query call_dispatch::QueryOf(const call& item) const {
+  return {.service = item.service,
+          .route_regions = &item.route.regions,
+          .tenant_regions = &item.tenant_regions,
+          .model = item.is_model ? item.request.model : std::string(),
+          .tried = &item.tried};
+}
+
+std::string call_dispatch::Describe(time_point now, const call& item) const {
+  return "id=" + item.request.id + " route=" + item.route.name +
+         " service=" + item.service + " server=" + item.server.id +
+         " attempt=" + std::to_string(item.attempt) +
+         " asks=" + std::to_string(item.asks) +
+         " after_ms=" + std::to_string(ToMs(now - item.arrived_at)) +
+         " left_ms=" + std::to_string(ToMs(item.deadline - now)) +
+         " config=" +
+         std::to_string(index_ == nullptr
+                            ? 0
+                            : index_->View().configuration.version) +
+         " sound_ms=" + std::to_string(ToMs(now - sound_at_));
+}
+
+void call_dispatch::OnRequest(time_point now,
+                              uint64_t id,
+                              const caller_call& request,
+                              const std::string& target,
+                              time_point arrived_at) {
+  call& item = calls_[id];
+  item.id = id;
+  item.request = request;
+  item.arrived_at = arrived_at;
+  item.deadline = arrived_at + request.time_left.value_or(kDefaultTimeLeft);
+  item.last_event = request.last_event;
+  hooks_.count("requests");
+  if (index_ == nullptr || index_->View().configuration.version == 0)
+    return Refuse(now, &item, call_refusal::kNoConfiguration);
+  const site_route* route = index_->FindRoute(request.host, target);
+  if (route == nullptr)
+    return Refuse(now, &item, call_refusal::kNoRoute);
+  item.route = *route;
+  item.kind = route->kind;
+  if (!route->is_anonymous && !index_->View().configuration.tenants.empty()) {
+    const site_tenant* tenant = index_->FindTenant(request.key);
+    if (tenant == nullptr) {
+      return Refuse(now, &item,
+                    IsSound(now) ? call_refusal::kUnknownKey
+                                 : call_refusal::kBeliefTooOld);
+    }
+    if (!IsSound(now))
+      return Refuse(now, &item, call_refusal::kBeliefTooOld);
+    item.tenant = tenant->name;
+    item.tenant_regions = tenant->regions;
+    item.has_key = true;
+  }
+  if (route->timeout > milliseconds(0))
+    item.deadline = std::min(item.deadline, arrived_at + route->timeout);
+  // A caller that comes back after a refusal has less time than the route
+  // gives, and its target has passed meanwhile.
+  const duration spent =
+      route->timeout > milliseconds(0) && request.time_left
+          ? std::max<duration>(duration(0), route->timeout - *request.time_left)
+          : duration(0);
+  item.on_time_until = arrived_at + route->target_latency - spent;
+  item.service = ChooseTarget(*route, Random());
+  const site_service* service = index_->FindService(item.service);
+  item.is_model = service != nullptr && service->engine.has_value() &&
+                  !request.model.empty();
+  budget_.OnRequest(now);
+  Place(now, &item);
+}
+
+void call_dispatch::Place(time_point now, call* item) {
+  if (item->deadline - now < kLeastTimeLeft)
+    return Refuse(now, item, call_refusal::kTimedOut);
+  if (item->has_key && !IsSound(now))
+    return Refuse(now, item, call_refusal::kBeliefTooOld);
+  item->at = stage::kAsking;
+  item->has_place = false;
+  if (item->is_model) {
+    PlaceModelCall(now, item);
+  } else {
+    PlacePlainCall(now, item);
+  }
+}
+
+void call_dispatch::PlaceModelCall(time_point now, call* item) {
+  const auto ranked = board_.Rank(now, QueryOf(*item));
+  if (ranked.empty())
+    return Refuse(now, item, call_refusal::kNoServer);
+  if (item->asks >= options_.most_asks)
+    return Refuse(now, item, call_refusal::kNoPlace);
+  for (const site_server* server : ranked) {
+    if (item->asked.contains(server->id))
+      continue;
+    const server_note& note = board_.Note(server->id);
+    if (note.silent_asks > 1 && note.in_flight < options_.most_unasked &&
+        server->cold_left == milliseconds(0)) {
+      // Its agent is away; the server itself may well be there.
+      item->server = *server;
+      return Send(now, item);
+    }
+    if (note.silent_asks > 1 && now - note.silent_since < seconds(1))
+      continue;
+    item->server = *server;
+    item->asked.insert(server->id);
+    ++item->asks;
+    item->step_at = now + options_.ask_timeout;
+    item->question = next_question_++;
+    questions_[item->question] = item->id;
+    place_ask ask{.call = item->question,
+                  .prompt_tokens = item->request.prompt_tokens,
+                  .is_resumed = item->is_streaming};
+    ask.patience = std::chrono::duration_cast<milliseconds>(
+        std::max<duration>(duration(0), item->on_time_until - now));
+    ask.time_left =
+        std::chrono::duration_cast<milliseconds>(item->deadline - now);
+    hooks_.ask(item->server, ask);
+    return;
+  }
+  Refuse(now, item, call_refusal::kNoPlace);
+}
+
+void call_dispatch::PlacePlainCall(time_point now, call* item) {
+  const auto ranked = board_.Rank(now, QueryOf(*item));
+  if (ranked.empty())
+    return Refuse(now, item, call_refusal::kNoServer);
+  item->server = *ranked.front();
+  Send(now, item);
+}
+
+void call_dispatch::OnPlace(time_point now,
+                            uint64_t question,
+                            const place_reply& reply) {
+  auto known = questions_.find(question);
+  if (known == questions_.end())
+    return;  // Given back when the question was given up.
+  call& item = calls_.at(known->second);
+  questions_.erase(known);
+  board_.OnAskAnswered(item.server.id);
+  board_.OnLoad(now, item.server.id, reply.load, reply.slots);
+  if (reply.is_granted) {
+    item.has_place = true;
+    Send(now, &item);
+    return;
+  }
+  board_.OnFull(now, item.server.id, reply.free_after);
+  if (reply.slots > 0 &&
+      (!item.free_after || reply.free_after < *item.free_after)) {
+    item.free_after = reply.free_after;
+  }
+  hooks_.count("place_denied");
+  Place(now, &item);
+}
+
+void call_dispatch::Send(time_point now, call* item) {
+  ++item->attempt;
+  item->at = stage::kSent;
+  item->has_head = false;
+  item->body.clear();
+  item->events.Clear();
+  item->tried.insert(item->server.id);
+  board_.OnSent(item->server.id);
+  ++item->sends;
+  duration limit = item->deadline - now;
+  if (item->kind == call_kind::kStream) {
+    limit = std::min<duration>(limit, options_.stream_silence);
+  } else if (item->kind == call_kind::kIdempotent &&
+             item->sends < item->route.attempts) {
+    limit = std::min<duration>(
+        limit, std::max<duration>(
+                   options_.attempt_targets * item->route.target_latency,
+                   options_.least_attempt));
+  }
+  item->step_at = now + limit;
+  attempt_terms terms{.instance = item->server.id,
+                      .tenant = item->tenant,
+                      .last_event = item->last_event};
+  terms.time_left =
+      std::chrono::duration_cast<milliseconds>(item->deadline - now);
+  hooks_.log(log_event::kAttemptSent,
+             Describe(now, *item) +
+                 " load=" + std::to_string(board_.Note(item->server.id).load) +
+                 " place=" + (item->has_place ? "1" : "0"));
+  hooks_.start(item->id, item->attempt, item->server, terms);
+}
+
+call_dispatch::call* call_dispatch::Find(uint64_t id, uint32_t attempt) {
+  auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.attempt != attempt ||
+      it->second.at != stage::kSent) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+bool call_dispatch::OnHead(time_point now,
+                           uint64_t id,
+                           uint32_t attempt,
+                           const server_answer& head,
+                           bool is_event_stream) {
+  call* item = Find(id, attempt);
+  if (item == nullptr)
+    return false;
+  // A server says which request it answers, unless it has not read it.
+  if (!head.call_id.empty() && head.call_id != item->request.id) {
+    hooks_.count("answers_crossed");
+    return false;
+  }
+  item->has_head = true;
+  item->head = head;
+  if (head.has_load)
+    board_.OnLoad(now, item->server.id, head.running + head.waiting,
+                  head.slots);
+  if (IsSuccess(head.status) && head.is_sealed && is_event_stream &&
+      item->kind == call_kind::kStream) {
+    item->step_at =
+        std::min(item->deadline, now + options_.stream_silence);
+    if (!item->is_streaming) {
+      item->is_streaming = true;
+      hooks_.begin_stream(id);
+    }
+  }
+  return true;
+}
+
+void call_dispatch::OnBody(time_point now,
+                           uint64_t id,
+                           uint32_t attempt,
+                           std::string_view bytes) {
+  call* item = Find(id, attempt);
+  if (item == nullptr)
+    return;
+  if (!item->is_streaming || !IsSuccess(item->head.status)) {
+    item->body += bytes;
+    return;
+  }
+  item->step_at = std::min(item->deadline, now + options_.stream_silence);
+  item->events.Add(bytes);
+  std::string out;
+  std::string event;
+  while (item->events.Take(&event)) {
+    const auto event_id = hooks_.event_id(event);
+    if (event_id) {
+      if (item->last_event && *event_id <= *item->last_event)
+        continue;  // The caller has it already.
+      if (!item->last_event)
+        hooks_.time("first_event", now - item->arrived_at);
+      item->last_event = event_id;
+    }
+    out += event;
+  }
+  if (!out.empty())
+    hooks_.send_events(id, out);
+}
+
+void call_dispatch::OnEnd(time_point now,
+                          uint64_t id,
+                          uint32_t attempt,
+                          exchange_end end) {
+  call* item = Find(id, attempt);
+  if (item == nullptr)
+    return;
+  Release(item);
+  if (end == exchange_end::kNotConnected) {
+    board_.OnFailure(now, item->server.id);
+    --item->sends;
+    hooks_.count("attempts_not_connected");
+    return Retry(now, item, false);
+  }
+  if (end != exchange_end::kComplete || !item->has_head) {
+    board_.OnFailure(now, item->server.id);
+    hooks_.count("attempts_broken");
+    return Retry(now, item, true);
+  }
+  if (item->head.did_not_run) {
+    --item->sends;
+    if (item->head.status == kMisdirected) {
+      board_.OnGone(item->server.id);
+    } else {
+      board_.OnFull(now, item->server.id, options_.least_attempt);
+      // A full server is none that fails: it may be asked again.
+      item->tried.erase(item->server.id);
+    }
+    hooks_.count("attempts_not_run");
+    return Retry(now, item, false);
+  }
+  if (!IsSuccess(item->head.status)) {
+    if (item->head.status >= 500)
+      board_.OnFailure(now, item->server.id);
+    const bool may_repeat = item->kind == call_kind::kIdempotent;
+    if (item->head.status >= 500 &&
+        (item->is_streaming ||
+         (may_repeat && item->sends < item->route.attempts))) {
+      hooks_.count("attempts_failed");
+      return Retry(now, item, true);
+    }
+    return FinishWhole(now, item);
+  }
+  if (!item->head.is_sealed) {
+    board_.OnFailure(now, item->server.id);
+    hooks_.count("attempts_unsealed");
+    return Retry(now, item, true);
+  }
+  board_.OnSuccess(item->server.id);
+  if (item->is_streaming)
+    return FinishStream(now, item);
+  FinishWhole(now, item);
+}
+
+void call_dispatch::FinishStream(time_point now, call* item) {
+  if (!item->events.Rest().empty()) {
+    // The server stopped within an event.
+    hooks_.count("streams_cut");
+    return Retry(now, item, true);
+  }
+  hooks_.log(log_event::kCallAnswered,
+             Describe(now, *item) + " status=200 events=" +
+                 std::to_string(item->last_event.value_or(0)));
+  hooks_.time("call", now - item->arrived_at);
+  const uint64_t id = item->id;
+  Erase(id);
+  hooks_.end_stream(id);
+}
+
+void call_dispatch::FinishWhole(time_point now, call* item) {
+  hooks_.log(log_event::kCallAnswered,
+             Describe(now, *item) +
+                 " status=" + std::to_string(item->head.status));
+  hooks_.time("call", now - item->arrived_at);
+  const uint64_t id = item->id;
+  const std::string body = std::move(item->body);
+  Erase(id);
+  hooks_.answer(id, body);
+}
+
+void call_dispatch::Release(call* item) {
+  board_.OnEnded(item->server.id);
+  if (item->has_place) {
+    item->has_place = false;
+    hooks_.give_back(item->server, item->question);
+  }
+  item->at = stage::kAsking;
+}
+
+void call_dispatch::DropQuestion(call* item) {
+  if (questions_.erase(item->question) > 0) {
+    // The place may have been granted, with the answer on its way.
+    hooks_.give_back(item->server, item->question);
+  }
+}
+
+void call_dispatch::Retry(time_point now, call* item, bool may_have_run) {
+  const bool may_repeat =
+      !may_have_run || item->kind == call_kind::kIdempotent ||
+      (item->kind == call_kind::kStream &&
+       item->route.is_resumable);
+  const bool has_attempts = item->sends < std::max(1U, item->route.attempts);
+  if (!may_repeat || !has_attempts || item->deadline - now < kLeastTimeLeft)
+    return Refuse(now, item, call_refusal::kServerFailed);
+  if (!budget_.Take(now)) {
+    hooks_.count("retries_over_budget");
+    return may_have_run ? Refuse(now, item, call_refusal::kServerFailed)
+                        : Refuse(now, item, call_refusal::kNoPlace);
+  }
+  hooks_.count("retries");
+  hooks_.log(log_event::kAttemptRepeated,
+             Describe(now, *item) +
+                 " may_have_run=" + (may_have_run ? "1" : "0") + " last_event=" +
+                 std::to_string(item->last_event.value_or(0)));
+  item->asks = 0;
+  item->asked.clear();
+  Place(now, item);
+}
+
+milliseconds call_dispatch::RetryAfter(const call& item) {
+  // Spread over as long again, so that the refused don't return at one moment.
+  const milliseconds least =
+      std::max(options_.least_retry_after,
+               item.free_after.value_or(milliseconds(0)));
+  const auto spread = static_cast<int64_t>(
+      Random() * static_cast<double>(options_.most_retry_after.count()));
+  return least + milliseconds(spread);
+}
+
+void call_dispatch::Refuse(time_point now, call* item, call_refusal why) {
+  const bool may_have_run = item->sends > 0;
+  own_answer answer{.why = why};
+  switch (why) {
+    case call_refusal::kNoRoute:
+      answer.status = kNotFound;
+      break;
+    case call_refusal::kUnknownKey:
+      answer.status = kUnauthorized;
+      break;
+    case call_refusal::kBadRequest:
+      answer.status = kBadRequest;
+      break;
+    case call_refusal::kServerFailed:
+      answer.status = kBadGateway;
+      break;
+    case call_refusal::kTimedOut:
+      answer.status = kGatewayTimeout;
+      break;
+    default:
+      answer.status = may_have_run ? kBadGateway : kUnavailable;
+      if (!may_have_run)
+        answer.retry_after = RetryAfter(*item);
+      break;
+  }
+  // Without anything sent, the caller may safely be told to come back.
+  if (!may_have_run && answer.status >= kBadGateway) {
+    answer.status = kUnavailable;
+    answer.retry_after = RetryAfter(*item);
+  }
+  hooks_.log(log_event::kCallRefused,
+             Describe(now, *item) + " status=" +
+                 std::to_string(answer.status) + " why=\"" +
+                 std::string(TextOf(why)) + "\"");
+  hooks_.count("refused " + std::string(TextOf(why)));
+  const uint64_t id = item->id;
+  const bool is_streaming = item->is_streaming;
+  Erase(id);
+  if (is_streaming) {
+    hooks_.break_off(id);
+  } else {
+    hooks_.answer_own(id, answer);
+  }
+}
+
+void call_dispatch::OnGone(time_point now, uint64_t id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end())
+    return;
+  call& item = it->second;
+  hooks_.log(log_event::kCallerGone, Describe(now, item));
+  hooks_.count("callers_gone");
+  if (item.at == stage::kSent) {
+    Release(&item);
+    hooks_.abort(id);
+  } else {
+    DropQuestion(&item);
+  }
+  Erase(id);
+}
+
+void call_dispatch::Step(time_point now) {
+  std::vector<uint64_t> due;
+  for (const auto& [id, item] : calls_) {
+    if (now >= item.step_at || now >= item.deadline)
+      due.push_back(id);
+  }
+  for (uint64_t id : due) {
+    auto it = calls_.find(id);
+    if (it == calls_.end())
+      continue;
+    call& item = it->second;
+    if (item.at == stage::kAsking) {
+      board_.OnAskSilent(now, item.server.id);
+      DropQuestion(&item);
+      hooks_.count("asks_silent");
+      Place(now, &item);
+      continue;
+    }
+    Release(&item);
+    hooks_.abort(id);
+    board_.OnFailure(now, item.server.id);
+    if (now >= item.deadline) {
+      Refuse(now, &item, call_refusal::kTimedOut);
+      continue;
+    }
+    hooks_.count("attempts_silent");
+    Retry(now, &item, true);
+  }
+}
+
+std::optional<time_point> call_dispatch::NextStep() const {
+  std::optional<time_point> next;
+  for (const auto& [id, item] : calls_) {
+    const time_point at = std::min(item.step_at, item.deadline);
+    if (!next || at < *next)
+      next = at;
+  }
+  return next;
+}
+
+}  // namespace fuchsiafall
--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -1,9 +1,12 @@
 /// @file command_line.cc The command line of the one binary.
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
+#include "platform/documents.h"
 #include "agent_process.h"
 #include "entry_process.h"
+#include "hosted_process.h"
 #include "manifest_func.h"
 #include "operator_cmd.h"
 
@@ -176,6 +179,9 @@
     std::cout << "fuchsiafall " << FUCHSIAFALL_VERSION << '\n';
     return exit_code::kOk;
   }
+  const char* hosted = std::getenv(platform::kSettingsVariable);
+  if (config.empty() && hosted != nullptr)
+    return RunHosted(role, hosted);
   if (config.empty())
     return PrintError(exit_code::kUsage, "--config: allowed is an INI file");
   outcome<settings> read = ReadSettings(config);
--- /dev/null
+++ b/src/engine_model.cc
@@ -0,0 +1,61 @@
+/// @file engine_model.cc Model of an engine that batches continuously.
+#include <algorithm>
+
+#include "engine_model_func.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+duration Ms(double ms) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+}  // namespace
+
+duration PrefillTime(const engine_figures& engine, uint32_t prompt_tokens) {
+  if (engine.prefill_per_s <= 0)
+    return duration(0);
+  const double tokens = prompt_tokens;
+  const double pairs = tokens * tokens / 2 / 1e6;
+  return Ms(tokens / engine.prefill_per_s * 1000 +
+            pairs * engine.pairs_ms_per_m);
+}
+
+duration PassTime(const engine_figures& engine, uint32_t running) {
+  const double context =
+      (engine.usual_prompt + engine.usual_answer / 2) / 1000;
+  const double each =
+      engine.per_sequence_ms + context * engine.context_ms_per_k;
+  return Ms(engine.stride * (engine.step_ms + running * each));
+}
+
+duration PlaceInterval(const engine_figures& engine) {
+  const double passes =
+      std::max(1.0, engine.usual_answer / std::max(1U, engine.stride));
+  const auto prompt = static_cast<uint32_t>(engine.usual_prompt);
+  const auto slots = std::max(1U, engine.slots);
+  const auto writing = std::chrono::duration_cast<duration>(
+      PassTime(engine, slots) * (passes / slots));
+  return writing + PrefillTime(engine, prompt);
+}
+
+duration FirstTokenTime(const engine_figures& engine,
+                        uint32_t running,
+                        uint32_t ahead,
+                        uint64_t unread,
+                        uint32_t prompt_tokens) {
+  // A request joins between two passes, so half of one goes by at the mean.
+  const duration joining = PassTime(engine, running) / 2;
+  const duration reading =
+      PrefillTime(engine, static_cast<uint32_t>(unread)) +
+      PrefillTime(engine, prompt_tokens);
+  const duration place =
+      running + ahead >= engine.slots
+          ? PlaceInterval(engine) * static_cast<int>(ahead + 1)
+          : duration(0);
+  return joining + reading + place;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/hosted_entry.cc
@@ -0,0 +1,376 @@
+/// @file hosted_entry.cc Sockets of an entry that runs on a hosting platform.
+#include <Poco/Net/SocketAddress.h>
+
+#include <iostream>
+
+#include "platform/headers.h"
+#include "call_dispatch_base.h"
+#include "hosted_process.h"
+#include "network/datagram_link.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr milliseconds kHousekeeping{250};  // Between looks at idle times.
+/// The balancer asks once a second and takes an entry out after two misses.
+constexpr milliseconds kBalancerNotice{2500};
+constexpr milliseconds kGraceMargin{700};  // Left of the grace for the exit.
+/// A round trip to the farthest server is a few milliseconds; beyond this a
+/// connection that answers nothing is cut.
+constexpr milliseconds kUserTimeout{1500};
+/// Entries share the budget of retries; each takes the part of one in this
+/// many. A site has some tens of entries.
+constexpr double kEntriesAssumed = 40;
+
+call_dispatch_options OptionsOf(const site_settings& from, uint64_t seed) {
+  call_dispatch_options options;
+  options.board = {.domain = from.domain,
+                   .region = from.region,
+                   .regions = from.regions,
+                   .seed = seed};
+  options.revoke = from.revoke;
+  options.budget = {.share = from.retry_share / 2,
+                    .extra = std::max(2.0, from.retry_extra / kEntriesAssumed),
+                    .window = from.retry_window};
+  options.seed = seed;
+  return options;
+}
+
+/// The entry with its sockets. Everything runs in the traffic loop.
+class hosted_entry {
+ public:
+  explicit hosted_entry(const site_settings& settings)
+      : base_(
+            settings,
+            [this](time_point now) { OnView(now); },
+            [this](time_point now) { ShutDown(now); }),
+        dispatch_(OptionsOf(settings, base_.OwnIncarnation().value),
+                  DispatchHooks()),
+        callers_(&base_.Loop(), {}, CallerHooks()),
+        readiness_(&base_.Loop(), {}, ReadinessHooks()),
+        servers_(&base_.Loop(),
+                 {.connection = {.user_timeout = kUserTimeout}}),
+        agents_(&base_.Loop(),
+                [this](time_point now, const std::string&,
+                       const proto::envelope& message) {
+                  OnAgent(now, message);
+                }) {}
+
+  exit_code Run() {
+    const site_settings& settings = base_.Settings();
+    for (outcome<done> listening :
+         {callers_.Listen(settings.callers_address),
+          readiness_.Listen(settings.readiness_address),
+          agents_.Bind(settings.ip + ":" +
+                       std::to_string(settings.first_port))}) {
+      if (!listening) {
+        std::cerr << "fuchsiafall: " << listening.LastReason() << "\n";
+        return exit_code::kFailed;
+      }
+    }
+    base_.Start();
+    KeepHouse(BootNow());
+    base_.Run();
+    return exit_code::kOk;
+  }
+
+ private:
+  /// What the sockets hold of a request that is not answered yet.
+  struct open_call {
+    std::shared_ptr<http_server_connection> caller;
+    http_request request;
+    std::shared_ptr<http_client_connection> exchange;
+    Poco::Net::HTTPResponse answer_head;
+  };
+
+  http_listener_hooks CallerHooks() {
+    http_listener_hooks hooks;
+    hooks.on_request = [this](time_point now, const auto& caller,
+                              http_request&& request) {
+      OnRequest(now, caller, std::move(request));
+    };
+    hooks.on_gone = [this](time_point now, http_server_connection* caller) {
+      auto it = by_caller_.find(caller);
+      if (it == by_caller_.end())
+        return;
+      const uint64_t call = it->second;
+      dispatch_.OnGone(now, call);
+      Forget(call);
+      Schedule();
+    };
+    hooks.on_refused = [this](time_point, int status, const std::string& why) {
+      base_.Metrics().Count("requests_malformed");
+      LogEvent(log_event::kCallRefused,
+               "status=" + std::to_string(status) + " why=\"" + why + "\"");
+    };
+    return hooks;
+  }
+
+  http_listener_hooks ReadinessHooks() {
+    http_listener_hooks hooks;
+    hooks.on_request = [this](time_point now, const auto& caller,
+                              http_request&& request) {
+      if (request.head.getURI() == "/metrics") {
+        caller->Answer(now, MakeAnswer(200), base_.Metrics().Describe());
+        return;
+      }
+      const bool is_ready = IsReady();
+      caller->Answer(now, MakeAnswer(is_ready ? 200 : 503),
+                     is_ready ? "ready\n" : "not ready\n");
+    };
+    hooks.on_gone = [](time_point, http_server_connection*) {};
+    return hooks;
+  }
+
+  call_dispatch_hooks DispatchHooks() {
+    call_dispatch_hooks hooks;
+    hooks.ask = [this](const site_server& server, const place_ask& ask) {
+      proto::envelope message = NewMessage();
+      proto::place_question* question = message.mutable_place_question();
+      question->set_call(ask.call);
+      question->set_prompt_tokens(ask.prompt_tokens);
+      question->set_patience_ms(static_cast<uint32_t>(ask.patience.count()));
+      question->set_time_left_ms(static_cast<uint32_t>(ask.time_left.count()));
+      question->set_is_resumed(ask.is_resumed);
+      agents_.Send(AgentOf(server), message);
+    };
+    hooks.give_back = [this](const site_server& server, uint64_t question) {
+      proto::envelope message = NewMessage();
+      message.mutable_place_return()->set_call(question);
+      agents_.Send(AgentOf(server), message);
+    };
+    hooks.start = [this](uint64_t call, uint32_t attempt,
+                         const site_server& server,
+                         const attempt_terms& terms) {
+      Start(call, attempt, server, terms);
+    };
+    hooks.abort = [this](uint64_t call) {
+      auto it = calls_.find(call);
+      if (it == calls_.end() || it->second.exchange == nullptr)
+        return;
+      auto exchange = std::move(it->second.exchange);
+      it->second.exchange.reset();
+      exchange->Abort();
+    };
+    hooks.begin_stream = [this](uint64_t call) {
+      open_call& item = calls_.at(call);
+      Poco::Net::HTTPResponse head = item.answer_head;
+      RemoveConnectionHeaders(&head);
+      item.caller->BeginChunks(head);
+    };
+    hooks.send_events = [this](uint64_t call, std::string_view events) {
+      calls_.at(call).caller->SendChunk(events);
+    };
+    hooks.end_stream = [this](uint64_t call) {
+      auto caller = calls_.at(call).caller;
+      Forget(call);
+      caller->EndChunks(BootNow());
+    };
+    hooks.answer = [this](uint64_t call, std::string_view body) {
+      open_call& item = calls_.at(call);
+      Poco::Net::HTTPResponse head = item.answer_head;
+      RemoveConnectionHeaders(&head);
+      auto caller = item.caller;
+      Forget(call);
+      caller->Answer(BootNow(), head, body);
+    };
+    hooks.answer_own = [this](uint64_t call, const own_answer& answer) {
+      auto head = MakeAnswer(answer.status);
+      if (answer.retry_after)
+        platform::SetRetryAfter(&head, *answer.retry_after);
+      auto caller = calls_.at(call).caller;
+      Forget(call);
+      caller->Answer(BootNow(), head, std::string(TextOf(answer.why)) + "\n");
+    };
+    hooks.break_off = [this](uint64_t call) {
+      auto caller = calls_.at(call).caller;
+      Forget(call);
+      caller->Break();
+    };
+    hooks.event_id = platform::EventId;
+    hooks.log = [](log_event event, const std::string& detail) {
+      LogEvent(event, detail);
+    };
+    hooks.count = [this](const std::string& name) {
+      base_.Metrics().Count(name);
+    };
+    hooks.time = [this](const std::string& name, duration span) {
+      base_.Metrics().Time(name, span);
+    };
+    return hooks;
+  }
+
+  proto::envelope NewMessage() {
+    proto::envelope message;
+    message.set_vm(base_.Settings().node);
+    message.set_incarnation(base_.OwnIncarnation().value);
+    return message;
+  }
+
+  /// The agent has the address of its server, and the first port of all.
+  std::string AgentOf(const site_server& server) const {
+    return server.address.substr(0, server.address.rfind(':') + 1) +
+           std::to_string(base_.Settings().first_port);
+  }
+
+  void OnView(time_point now) {
+    if (base_.Index() != nullptr) {
+      dispatch_.SetIndex(now, base_.Index());
+      callers_.SetLimits(base_.Index()->View().configuration.limits);
+    }
+    dispatch_.SetSound(base_.Sound());
+  }
+
+  bool IsReady() const {
+    return base_.Index() != nullptr && !shutdown_at_ &&
+           base_.Index()->View().configuration.version > 0;
+  }
+
+  void OnRequest(time_point now,
+                 const std::shared_ptr<http_server_connection>& caller,
+                 http_request&& request) {
+    const uint64_t id = next_call_++;
+    open_call& item = calls_[id];
+    item.caller = caller;
+    item.request = std::move(request);
+    by_caller_[caller.get()] = id;
+    const caller_call call = platform::DecodeCall(item.request.head);
+    const std::string target = item.request.head.getURI();
+    dispatch_.OnRequest(now, id, call, target, item.request.first_byte_at);
+    Schedule();
+  }
+
+  void Start(uint64_t call,
+             uint32_t attempt,
+             const site_server& server,
+             const attempt_terms& terms) {
+    open_call& item = calls_.at(call);
+    const time_point now = BootNow();
+    auto taken = servers_.Take(now, server.address);
+    if (!taken) {
+      base_.Loop().Post([this, call, attempt] {
+        dispatch_.OnEnd(BootNow(), call, attempt, exchange_end::kNotConnected);
+        Schedule();
+      });
+      return;
+    }
+    item.exchange = *taken;
+    auto head = platform::EncodeAttempt(item.request.head, terms);
+    const bool is_head = head.getMethod() == "HEAD";
+    if (!item.request.body.empty() || head.getMethod() == "POST")
+      head.set("Content-Length", std::to_string(item.request.body.size()));
+    exchange_hooks hooks;
+    hooks.on_head = [this, call, attempt](
+                        time_point at, const Poco::Net::HTTPResponse& answer) {
+      auto it = calls_.find(call);
+      if (it == calls_.end())
+        return false;
+      Poco::Net::HTTPResponse before = it->second.answer_head;
+      it->second.answer_head = answer;
+      const bool is_stream =
+          answer.getContentType().starts_with("text/event-stream");
+      if (dispatch_.OnHead(at, call, attempt, platform::DecodeAnswer(answer),
+                           is_stream)) {
+        return true;
+      }
+      if (it = calls_.find(call); it != calls_.end())
+        it->second.answer_head = before;
+      return false;
+    };
+    hooks.on_body = [this, call, attempt](time_point at,
+                                          std::string_view bytes) {
+      dispatch_.OnBody(at, call, attempt, bytes);
+    };
+    hooks.on_end = [this, call, attempt](time_point at, exchange_end end) {
+      auto it = calls_.find(call);
+      if (it != calls_.end())
+        it->second.exchange.reset();
+      dispatch_.OnEnd(at, call, attempt, end);
+      Schedule();
+    };
+    item.exchange->Start(WriteHead(head) + item.request.body, is_head,
+                         std::move(hooks));
+  }
+
+  void OnAgent(time_point now, const proto::envelope& message) {
+    if (!message.has_place_answer())
+      return;
+    const proto::place_answer& answer = message.place_answer();
+    dispatch_.OnPlace(now, answer.call(),
+                      {.is_granted = answer.is_granted(),
+                       .free_after = milliseconds(answer.free_after_ms()),
+                       .load = answer.load(),
+                       .slots = answer.slots()});
+    Schedule();
+  }
+
+  void Forget(uint64_t call) {
+    auto it = calls_.find(call);
+    if (it == calls_.end())
+      return;
+    by_caller_.erase(it->second.caller.get());
+    calls_.erase(it);
+  }
+
+  /// Starts the timer of the next step that is due.
+  void Schedule() {
+    const auto next = dispatch_.NextStep();
+    if (!next || (step_timer_ != 0 && step_at_ <= *next))
+      return;
+    if (step_timer_ != 0)
+      base_.Loop().CancelTimer(step_timer_);
+    step_at_ = *next;
+    step_timer_ = base_.Loop().StartTimer(*next, [this](time_point now) {
+      step_timer_ = 0;
+      dispatch_.Step(now);
+      Schedule();
+    });
+  }
+
+  void ShutDown(time_point now) {
+    if (!shutdown_at_)
+      shutdown_at_ = now;
+    callers_.CloseWhenIdle();
+  }
+
+  void KeepHouse(time_point now) {
+    callers_.CheckTimes(now);
+    readiness_.CheckTimes(now);
+    servers_.CloseIdle(now);
+    base_.Metrics().Set("connections_opened",
+                        static_cast<int64_t>(servers_.Opened()));
+    if (shutdown_at_) {
+      const duration passed = now - *shutdown_at_;
+      const bool is_idle =
+          dispatch_.Open() == 0 && passed > kBalancerNotice;
+      if (is_idle || passed > base_.Settings().grace - kGraceMargin) {
+        base_.Finish();
+        return;
+      }
+    }
+    base_.Loop().StartTimer(now + kHousekeeping,
+                            [this](time_point at) { KeepHouse(at); });
+  }
+
+  hosted_base base_;
+  call_dispatch dispatch_;
+  http_listener callers_;
+  http_listener readiness_;
+  http_client_pool servers_;
+  datagram_link agents_;
+  std::map<uint64_t, open_call> calls_;
+  std::map<http_server_connection*, uint64_t> by_caller_;
+  uint64_t next_call_ = 1;
+  timer_id step_timer_ = 0;
+  time_point step_at_{};
+  std::optional<time_point> shutdown_at_;
+};
+
+}  // namespace
+
+exit_code RunHostedEntry(const site_settings& settings) {
+  return hosted_entry(settings).Run();
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/hosted_process.cc
@@ -0,0 +1,102 @@
+/// @file hosted_process.cc What hosted processes have in common.
+#include "hosted_process.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "platform/documents.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+incarnation NewIncarnation() {
+  auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return incarnation(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+          .count()));
+}
+
+}  // namespace
+
+hosted_base::hosted_base(site_settings settings,
+                         std::function<void(time_point)> on_view,
+                         std::function<void(time_point)> on_shutdown)
+    : settings_(std::move(settings)),
+      on_view_(std::move(on_view)),
+      on_shutdown_(std::move(on_shutdown)),
+      incarnation_(NewIncarnation()),
+      watch_({.store_address = settings_.store_address,
+              .on_news =
+                  [this](std::shared_ptr<const site_view> view,
+                         time_point sound) { OnNews(std::move(view), sound); },
+              .count =
+                  [this](const std::string& name) { metrics_.Count(name); }}) {}
+
+hosted_base::~hosted_base() {
+  watch_.Stop();
+  if (signal_fd_ >= 0)
+    close(signal_fd_);
+}
+
+void hosted_base::Start() {
+  WatchSignals();
+  watch_.Start();
+}
+
+void hosted_base::Finish() {
+  LogEvent(log_event::kProcessStopped, "node=" + settings_.node);
+  loop_.Stop();
+}
+
+void hosted_base::OnNews(std::shared_ptr<const site_view> view,
+                         time_point sound) {
+  loop_.Post([this, view = std::move(view), sound] {
+    sound_ = std::max(sound_, sound);
+    if (view != nullptr)
+      index_ = std::make_unique<site_index>(view);
+    on_view_(BootNow());
+  });
+}
+
+void hosted_base::WatchSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  signal_fd_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  loop_.Add(signal_fd_, false, [this](time_point now, socket_events) {
+    signalfd_siginfo info{};
+    while (read(signal_fd_, &info, sizeof(info)) == sizeof(info)) {
+      if (info.ssi_signo == SIGHUP) {
+        // What can change while a process runs comes by the store.
+        LogEvent(log_event::kSettingsReread, "node=" + settings_.node);
+        continue;
+      }
+      LogEvent(log_event::kProcessStopping, "node=" + settings_.node);
+      on_shutdown_(now);
+    }
+  });
+}
+
+exit_code RunHosted(const std::string& role, const std::string& path) {
+  auto settings = platform::ReadSiteSettings(path);
+  if (!settings) {
+    std::cerr << "fuchsiafall: " << settings.LastReason() << "\n";
+    return exit_code::kBadInput;
+  }
+  SetUpLog("", settings->node);
+  LogEvent(log_event::kProcessStarted,
+           "role=" + role + " node=" + settings->node +
+               " domain=" + settings->domain);
+  return role == "entry" ? RunHostedEntry(*settings)
+                         : RunHostedAgent(*settings);
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/hosted_process.h
@@ -0,0 +1,69 @@
+/// @file hosted_process.h Processes that run on a hosting platform, and what
+/// they have in common.
+#ifndef HOSTED_PROCESS_H_
+#define HOSTED_PROCESS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "metrics_base.h"
+#include "network/event_loop.h"
+#include "network/node_runtime.h"
+#include "site_index_base.h"
+#include "site_watch.h"
+
+namespace fuchsiafall {
+
+/// Parts of each hosted process: its loop, counters, signals and the view of
+/// the site.
+class hosted_base {
+ public:
+  /// @param on_view Takes a new view, in the traffic loop.
+  /// @param on_signal Takes SIGTERM, in the traffic loop.
+  hosted_base(site_settings settings,
+              std::function<void(time_point)> on_view,
+              std::function<void(time_point)> on_shutdown);
+  ~hosted_base();
+  hosted_base(const hosted_base&) = delete;
+  hosted_base& operator=(const hosted_base&) = delete;
+
+  /// Starts the threads beside the traffic loop.
+  void Start();
+  /// Runs the traffic loop until Finish() is called.
+  void Run() { loop_.Run(); }
+  void Finish();
+
+  event_loop& Loop() { return loop_; }
+  metrics& Metrics() { return metrics_; }
+  const site_settings& Settings() const { return settings_; }
+  const site_index* Index() const { return index_.get(); }
+  time_point Sound() const { return sound_; }
+  incarnation OwnIncarnation() const { return incarnation_; }
+
+ private:
+  void OnNews(std::shared_ptr<const site_view> view, time_point sound);
+  void WatchSignals();
+
+  site_settings settings_;
+  std::function<void(time_point)> on_view_;
+  std::function<void(time_point)> on_shutdown_;
+  metrics metrics_;
+  event_loop loop_;
+  incarnation incarnation_;
+  std::unique_ptr<site_index> index_;
+  time_point sound_{};
+  int signal_fd_ = -1;
+  site_watch watch_;
+};
+
+/// Runs an entry or an agent by the platform's settings.
+exit_code RunHostedEntry(const site_settings& settings);
+exit_code RunHostedAgent(const site_settings& settings);
+/// Reads the platform's settings and runs a role.
+/// @param path Of the settings.
+exit_code RunHosted(const std::string& role, const std::string& path);
+
+}  // namespace fuchsiafall
+
+#endif  // HOSTED_PROCESS_H_
--- /dev/null
+++ b/src/network/datagram_link.cc
@@ -0,0 +1,73 @@
+/// @file datagram_link.cc Small messages between processes as UDP datagrams.
+#include "network/datagram_link.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr size_t kMostDatagram = 65536;
+constexpr int kMostAtOnce = 128;  // Read before other sockets get their turn.
+
+}  // namespace
+
+datagram_link::datagram_link(event_loop* loop, arrival_hook on_arrival)
+    : loop_(loop), on_arrival_(std::move(on_arrival)) {}
+
+datagram_link::~datagram_link() {
+  if (is_bound_) {
+    loop_->Remove(socket_.impl()->sockfd());
+    socket_.close();
+  }
+}
+
+outcome<done> datagram_link::Bind(const std::string& address) {
+  try {
+    socket_.bind(Poco::Net::SocketAddress(address), true);
+    socket_.setBlocking(false);
+  } catch (const Poco::Exception& e) {
+    return failure{"cannot bind " + address + ": " + e.displayText()};
+  }
+  is_bound_ = true;
+  loop_->Add(socket_.impl()->sockfd(), false,
+             [this](time_point now, socket_events) { Receive(now); });
+  return done{};
+}
+
+void datagram_link::Send(const std::string& address,
+                         const proto::envelope& message) {
+  std::string bytes = message.SerializeAsString();
+  try {
+    socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                   Poco::Net::SocketAddress(address));
+  } catch (const Poco::Exception&) {
+    ++unsent_;  // As good as lost on the way, which senders expect.
+  }
+}
+
+void datagram_link::Receive(time_point now) {
+  static thread_local std::array<char, kMostDatagram> buffer;
+  for (int i = 0; i < kMostAtOnce; ++i) {
+    Poco::Net::SocketAddress from;
+    int count = 0;
+    try {
+      count = socket_.receiveFrom(buffer.data(), kMostDatagram, from);
+    } catch (const Poco::Exception&) {
+      return;
+    }
+    if (count <= 0)
+      return;
+    proto::envelope message;
+    if (!message.ParseFromArray(buffer.data(), count)) {
+      ++malformed_;
+      continue;
+    }
+    on_arrival_(now, from.toString(), message);
+  }
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/datagram_link.h
@@ -0,0 +1,46 @@
+/// @file datagram_link.h Small messages between processes as UDP datagrams.
+#ifndef NETWORK_DATAGRAM_LINK_H_
+#define NETWORK_DATAGRAM_LINK_H_
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <functional>
+#include <string>
+
+#include "network/event_loop.h"
+#include "outcome_type.h"
+#include "proto/fuchsiafall.pb.h"
+
+namespace fuchsiafall {
+
+/// Sends and receives envelopes. Any may be lost, and there is no connection
+/// that could go silent.
+class datagram_link {
+ public:
+  using arrival_hook = std::function<
+      void(time_point, const std::string& from, const proto::envelope&)>;
+
+  datagram_link(event_loop* loop, arrival_hook on_arrival);
+  ~datagram_link();
+  datagram_link(const datagram_link&) = delete;
+  datagram_link& operator=(const datagram_link&) = delete;
+
+  /// @param address ip:port
+  outcome<done> Bind(const std::string& address);
+  void Send(const std::string& address, const proto::envelope& message);
+  uint64_t Malformed() const { return malformed_; }
+
+ private:
+  void Receive(time_point now);
+
+  event_loop* loop_;
+  arrival_hook on_arrival_;
+  Poco::Net::DatagramSocket socket_;
+  bool is_bound_ = false;
+  uint64_t malformed_ = 0;
+  uint64_t unsent_ = 0;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_DATAGRAM_LINK_H_
--- /dev/null
+++ b/src/network/http_exchange.cc
@@ -0,0 +1,237 @@
+/// @file http_exchange.cc HTTP client on an event loop.
+#include "network/http_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr size_t kMostHeadBytes = 65536;  // Of an answer.
+
+/// Reads the seconds that a Keep-Alive header names.
+std::optional<seconds> KeepAliveOf(const Poco::Net::HTTPResponse& head) {
+  const std::string& value = head.get("Keep-Alive", "");
+  const size_t at = value.find("timeout=");
+  if (at == std::string::npos)
+    return std::nullopt;
+  int64_t count = 0;
+  const char* begin = value.data() + at + 8;
+  auto [end, error] =
+      std::from_chars(begin, value.data() + value.size(), count);
+  if (error != std::errc())
+    return std::nullopt;
+  return seconds(count);
+}
+
+}  // namespace
+
+http_client_connection::http_client_connection(
+    std::shared_ptr<tcp_connection> connection,
+    milliseconds idle,
+    std::function<void(http_client_connection*)> on_idle,
+    std::function<void(http_client_connection*)> on_gone)
+    : connection_(std::move(connection)),
+      idle_(idle),
+      on_idle_(std::move(on_idle)),
+      on_gone_(std::move(on_gone)) {}
+
+void http_client_connection::Bind() {
+  connection_->SetHooks(
+      {.on_bytes = [this](time_point now,
+                          std::string* input) { OnBytes(now, input); },
+       .on_closed = [this](time_point now,
+                           close_cause cause) { OnClosed(now, cause); }});
+}
+
+void http_client_connection::Start(std::string_view request,
+                                   bool is_head,
+                                   exchange_hooks hooks) {
+  hooks_ = std::move(hooks);
+  is_busy_ = true;
+  is_head_ = is_head;
+  has_head_ = false;
+  ++exchanges_;
+  connection_->Send(request);
+}
+
+void http_client_connection::Abort() {
+  auto self = shared_from_this();
+  hooks_ = {};
+  is_busy_ = false;
+  Drop();
+}
+
+void http_client_connection::OnBytes(time_point now, std::string* input) {
+  auto self = shared_from_this();
+  while (connection_->IsOpen()) {
+    if (!is_busy_) {
+      // Bytes that no request waits for belong to none.
+      Drop();
+      return;
+    }
+    if (!has_head_ && !ReadHead(now, input))
+      return;
+    std::string bytes;
+    const read_progress progress = body_.Read(input, &bytes);
+    if (!bytes.empty() && !is_skipped_ && hooks_.on_body)
+      hooks_.on_body(now, bytes);
+    if (!connection_->IsOpen() || !is_busy_)
+      return;
+    if (progress == read_progress::kMalformed) {
+      Finish(now, exchange_end::kMalformed);
+      return;
+    }
+    if (progress == read_progress::kNeedsMore)
+      return;
+    has_head_ = false;
+    if (is_skipped_)
+      continue;
+    Finish(now, exchange_end::kComplete);
+    if (input->empty())
+      return;
+  }
+}
+
+bool http_client_connection::ReadHead(time_point now, std::string* input) {
+  while (true) {
+    const size_t end = FindHeadEnd(*input);
+    if (end == std::string::npos) {
+      if (input->size() > kMostHeadBytes)
+        Finish(now, exchange_end::kMalformed);
+      return false;
+    }
+    auto head = ParseResponseHead(std::string_view(*input).substr(0, end));
+    if (!head) {
+      Finish(now, exchange_end::kMalformed);
+      return false;
+    }
+    input->erase(0, end);
+    if (head->getStatus() / 100 == 1)
+      continue;
+    auto framing = FramingOf(*head, is_head_);
+    if (!framing) {
+      Finish(now, exchange_end::kMalformed);
+      return false;
+    }
+    body_.Start(framing->first, framing->second);
+    has_head_ = true;
+    must_close_ =
+        AsksToClose(*head) || framing->first == body_framing::kUntilClose;
+    auto named = KeepAliveOf(*head);
+    keep_ = named ? std::min<milliseconds>(*named, idle_) : idle_;
+    is_skipped_ = hooks_.on_head && !hooks_.on_head(now, *head);
+    return is_busy_ && connection_->IsOpen();
+  }
+}
+
+void http_client_connection::OnClosed(time_point now, close_cause cause) {
+  auto self = shared_from_this();
+  if (is_busy_) {
+    const bool is_whole = has_head_ && !is_skipped_ &&
+                          body_.Framing() == body_framing::kUntilClose &&
+                          cause == close_cause::kPeerClosed;
+    exchange_end end = is_whole ? exchange_end::kComplete
+                                : exchange_end::kBroken;
+    if (!connection_->IsConnected())
+      end = exchange_end::kNotConnected;
+    is_busy_ = false;
+    auto hooks = std::move(hooks_);
+    hooks_ = {};
+    if (hooks.on_end)
+      hooks.on_end(now, end);
+  }
+  if (on_gone_)
+    on_gone_(this);
+}
+
+void http_client_connection::Finish(time_point now, exchange_end end) {
+  auto hooks = std::move(hooks_);
+  hooks_ = {};
+  is_busy_ = false;
+  kept_until_ = now + keep_;
+  if (end != exchange_end::kComplete || must_close_) {
+    Drop();
+  } else if (on_idle_) {
+    on_idle_(this);
+  }
+  if (hooks.on_end)
+    hooks.on_end(now, end);
+}
+
+void http_client_connection::Drop() {
+  connection_->Close();
+  if (on_gone_)
+    on_gone_(this);
+}
+
+http_client_pool::~http_client_pool() {
+  auto idle = std::move(idle_);
+  idle_.clear();
+  for (auto& [address, kept] : idle) {
+    for (auto& one : kept)
+      one->Abort();
+  }
+}
+
+outcome<std::shared_ptr<http_client_connection>> http_client_pool::Take(
+    time_point now,
+    const std::string& address,
+    bool must_be_new) {
+  auto& kept = idle_[address];
+  while (!kept.empty() && !must_be_new) {
+    auto one = kept.back();
+    kept.pop_back();
+    if (one->IsOpen() && now < one->KeptUntil() - options_.idle_margin) {
+      busy_[one.get()] = one;
+      return one;
+    }
+    one->Abort();
+  }
+  auto connection =
+      tcp_connection::Connect(loop_, address, options_.connection);
+  if (!connection)
+    return failure{connection.LastReason()};
+  ++opened_;
+  auto made = std::make_shared<http_client_connection>(
+      *connection, options_.idle,
+      [this, address](http_client_connection* one) {
+        auto it = busy_.find(one);
+        if (it == busy_.end())
+          return;
+        idle_[address].push_back(it->second);
+        busy_.erase(it);
+      },
+      [this, address](http_client_connection* one) {
+        busy_.erase(one);
+        std::erase_if(idle_[address],
+                      [one](const auto& item) { return item.get() == one; });
+      });
+  made->Bind();
+  busy_[made.get()] = made;
+  return made;
+}
+
+void http_client_pool::CloseIdle(time_point now) {
+  for (auto& [address, kept] : idle_) {
+    auto old = kept;
+    for (auto& one : old) {
+      if (now >= one->KeptUntil() - options_.idle_margin)
+        one->Abort();
+    }
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+void http_client_pool::Forget(const std::string& address) {
+  auto it = idle_.find(address);
+  if (it == idle_.end())
+    return;
+  auto old = std::move(it->second);
+  idle_.erase(it);
+  for (auto& one : old)
+    one->Abort();
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/http_listener.cc
@@ -0,0 +1,233 @@
+/// @file http_listener.cc HTTP server on an event loop.
+#include "network/http_listener.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+/// A caller's request may be this long on its way: a round trip to the phones.
+constexpr milliseconds kCloseDelay{300};
+
+uint64_t NextConnectionId() {
+  static uint64_t last = 0;
+  return ++last;
+}
+
+}  // namespace
+
+Poco::Net::HTTPResponse MakeAnswer(int status) {
+  Poco::Net::HTTPResponse head;
+  head.setStatusAndReason(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+  return head;
+}
+
+http_server_connection::http_server_connection(
+    std::shared_ptr<tcp_connection> connection,
+    const caller_limits* limits,
+    const http_listener_hooks* hooks,
+    time_point now)
+    : connection_(std::move(connection)),
+      limits_(limits),
+      hooks_(hooks),
+      id_(NextConnectionId()),
+      since_(now) {}
+
+void http_server_connection::Bind() {
+  connection_->SetHooks(
+      {.on_bytes = [this](time_point now, std::string*) { OnBytes(now); },
+       .on_closed = [this](time_point now, close_cause) { OnClosed(now); }});
+}
+
+void http_server_connection::OnBytes(time_point now) {
+  auto self = shared_from_this();
+  std::string* input = connection_->Input();
+  while (connection_->IsOpen()) {
+    if (stage_ == stage::kAnswering) {
+      // The next request waits for the present answer.
+      if (input->size() > limits_->header_bytes + limits_->body_bytes)
+        Break();
+      return;
+    }
+    if (stage_ == stage::kHead && !ReadHead(now))
+      return;
+    const read_progress progress = body_.Read(input, &request_.body);
+    if (progress == read_progress::kMalformed) {
+      Refuse(now, 400, "malformed body");
+      return;
+    }
+    if (request_.body.size() > limits_->body_bytes) {
+      Refuse(now, 413, "body over the limit");
+      return;
+    }
+    if (progress == read_progress::kNeedsMore)
+      return;
+    stage_ = stage::kAnswering;
+    is_waiting_ = true;
+    hooks_->on_request(now, self, std::move(request_));
+    request_ = {};
+  }
+}
+
+bool http_server_connection::ReadHead(time_point now) {
+  std::string* input = connection_->Input();
+  // Empty lines before a request are allowed.
+  while (input->starts_with("\r\n"))
+    input->erase(0, 2);
+  if (input->empty())
+    return false;
+  if (!has_begun_) {
+    has_begun_ = true;
+    since_ = now;
+  }
+  const size_t end = FindHeadEnd(*input);
+  if (std::min(end, input->size()) > limits_->header_bytes) {
+    Refuse(now, 431, "head over the limit");
+    return false;
+  }
+  if (end == std::string::npos)
+    return false;
+  auto head = ParseRequestHead(std::string_view(*input).substr(0, end));
+  if (!head) {
+    Refuse(now, 400, head.LastReason());
+    return false;
+  }
+  auto framing = FramingOf(*head);
+  if (!framing) {
+    Refuse(now, 400, framing.LastReason());
+    return false;
+  }
+  if (framing->first == body_framing::kLength &&
+      framing->second > limits_->body_bytes) {
+    Refuse(now, 413, "body over the limit");
+    return false;
+  }
+  input->erase(0, end);
+  if (head->get("Expect", "") == "100-continue")
+    connection_->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  closes_ = closes_ || AsksToClose(*head);
+  body_.Start(framing->first, framing->second);
+  request_.head = std::move(*head);
+  request_.body.clear();
+  request_.first_byte_at = since_;
+  stage_ = stage::kBody;
+  return true;
+}
+
+void http_server_connection::OnClosed(time_point now) {
+  auto self = shared_from_this();
+  if (is_waiting_) {
+    is_waiting_ = false;
+    hooks_->on_gone(now, this);
+  }
+}
+
+void http_server_connection::Refuse(time_point now,
+                                    int status,
+                                    const std::string& why) {
+  if (hooks_->on_refused)
+    hooks_->on_refused(now, status, why);
+  closes_ = true;
+  is_waiting_ = true;
+  stage_ = stage::kAnswering;
+  Answer(now, MakeAnswer(status), why + "\n");
+}
+
+void http_server_connection::Answer(time_point now,
+                                    Poco::Net::HTTPResponse head,
+                                    std::string_view body) {
+  if (!is_waiting_)
+    return;
+  head.set("Content-Length", std::to_string(body.size()));
+  if (closes_)
+    head.set("Connection", "close");
+  std::string text = WriteHead(head);
+  text += body;
+  connection_->Send(text);
+  FinishAnswer(now);
+}
+
+void http_server_connection::BeginChunks(Poco::Net::HTTPResponse head) {
+  head.set("Transfer-Encoding", "chunked");
+  if (closes_)
+    head.set("Connection", "close");
+  connection_->Send(WriteHead(head));
+}
+
+void http_server_connection::SendChunk(std::string_view bytes) {
+  if (!bytes.empty())
+    connection_->Send(WriteChunk(bytes));
+}
+
+void http_server_connection::EndChunks(time_point now) {
+  connection_->Send(kLastChunk);
+  FinishAnswer(now);
+}
+
+void http_server_connection::FinishAnswer(time_point now) {
+  is_waiting_ = false;
+  if (closes_) {
+    connection_->CloseWhenSent();
+    return;
+  }
+  stage_ = stage::kHead;
+  has_begun_ = false;
+  since_ = now;
+  if (!connection_->Input()->empty())
+    OnBytes(now);
+}
+
+void http_server_connection::Break() {
+  is_waiting_ = false;
+  connection_->Close();
+}
+
+void http_server_connection::CloseWhenIdle(time_point now) {
+  closes_ = true;
+  if (stage_ == stage::kHead && !has_begun_ && now - since_ > kCloseDelay)
+    connection_->CloseWhenSent();
+}
+
+void http_server_connection::CheckTimes(time_point now) {
+  if (stage_ == stage::kHead && !has_begun_) {
+    if (now - since_ > limits_->idle_timeout)
+      connection_->Close();
+  } else if (stage_ != stage::kAnswering &&
+             now - since_ > limits_->header_timeout) {
+    Refuse(now, 408, "request not complete in time");
+  }
+}
+
+http_listener::http_listener(event_loop* loop,
+                             tcp_connection_options options,
+                             http_listener_hooks hooks)
+    : loop_(loop),
+      options_(options),
+      hooks_(std::move(hooks)),
+      listener_(loop, [this](time_point now, Poco::Net::StreamSocket socket) {
+        auto made = std::make_shared<http_server_connection>(
+            tcp_connection::Adopt(loop_, std::move(socket), options_), &limits_,
+            &hooks_, now);
+        made->Bind();
+        connections_[made->Id()] = made;
+      }) {}
+
+outcome<done> http_listener::Listen(const std::string& address) {
+  return listener_.Listen(address);
+}
+
+void http_listener::CheckTimes(time_point now) {
+  std::erase_if(connections_,
+                [](const auto& item) { return !item.second->IsOpen(); });
+  for (auto& [id, connection] : connections_) {
+    connection->CheckTimes(now);
+    if (is_closing_)
+      connection->CloseWhenIdle(now);
+  }
+}
+
+void http_listener::CloseWhenIdle() {
+  is_closing_ = true;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/http_message.cc
@@ -0,0 +1,284 @@
+/// @file http_message.cc HTTP/1.1 messages fed by bytes as they arrive.
+#include "network/http_message.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <vector>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr size_t kMostChunkLine = 1024;  // Chunk size with its extensions.
+constexpr size_t kMostHeaderFields = 200;
+
+bool IsToken(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [&](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+                  (c >= 'A' && c <= 'Z') || kMarks.find(c) != kMarks.npos;
+         });
+}
+
+/// Checks each field line: no folding, no space before the colon, no control
+/// characters, no bare line ends.
+outcome<done> CheckLines(std::string_view head) {
+  size_t at = 0;
+  bool is_first = true;
+  while (at < head.size()) {
+    size_t end = head.find("\r\n", at);
+    if (end == head.npos)
+      return failure{"head: line without an end"};
+    std::string_view line = head.substr(at, end - at);
+    at = end + 2;
+    if (line.empty())
+      return done{};
+    for (char c : line) {
+      if ((static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f)
+        return failure{"head: control character"};
+    }
+    if (!is_first) {
+      size_t colon = line.find(':');
+      if (colon == line.npos || !IsToken(line.substr(0, colon)))
+        return failure{"head: malformed field line"};
+    }
+    is_first = false;
+  }
+  return failure{"head: no blank line"};
+}
+
+outcome<uint64_t> ParseNumber(std::string_view text, int base) {
+  uint64_t value = 0;
+  auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (error != std::errc() || end != text.data() + text.size() || text.empty())
+    return failure{"not a number: " + std::string(text.substr(0, 32))};
+  return value;
+}
+
+std::vector<std::string> ValuesOf(const Poco::Net::MessageHeader& header,
+                                  const std::string& name) {
+  std::vector<std::string> values;
+  for (auto it = header.find(name); it != header.end(); ++it) {
+    if (Poco::icompare(it->first, name) == 0)
+      values.push_back(it->second);
+  }
+  return values;
+}
+
+outcome<std::pair<body_framing, uint64_t>> FramingOfHeader(
+    const Poco::Net::MessageHeader& header,
+    body_framing otherwise) {
+  const auto codings = ValuesOf(header, "Transfer-Encoding");
+  const auto lengths = ValuesOf(header, "Content-Length");
+  if (!codings.empty()) {
+    if (!lengths.empty() || codings.size() > 1 ||
+        Poco::icompare(codings.front(), "chunked") != 0) {
+      return failure{"ambiguous framing of the body"};
+    }
+    return std::pair(body_framing::kChunked, uint64_t{0});
+  }
+  if (lengths.empty())
+    return std::pair(otherwise, uint64_t{0});
+  if (lengths.size() > 1)
+    return failure{"more than one Content-Length"};
+  outcome<uint64_t> length = ParseNumber(lengths.front(), 10);
+  if (!length)
+    return failure{"Content-Length: " + length.LastReason()};
+  return std::pair(*length == 0 ? body_framing::kNone : body_framing::kLength,
+                   *length);
+}
+
+template <typename Head>
+outcome<Head> ParseHead(std::string_view bytes) {
+  outcome<done> checked = CheckLines(bytes);
+  if (!checked)
+    return failure{checked.LastReason()};
+  Poco::MemoryInputStream stream(bytes.data(),
+                                 static_cast<std::streamsize>(bytes.size()));
+  Head head;
+  head.setFieldLimit(kMostHeaderFields);
+  try {
+    head.read(stream);
+  } catch (const Poco::Exception& e) {
+    return failure{"head: " + e.displayText()};
+  }
+  return head;
+}
+
+}  // namespace
+
+void body_reader::Start(body_framing framing, uint64_t length) {
+  framing_ = framing;
+  left_ = length;
+  stage_ = chunk_stage::kSize;
+  is_done_ = framing == body_framing::kNone;
+}
+
+read_progress body_reader::Read(std::string* input, std::string* output) {
+  switch (framing_) {
+    case body_framing::kNone:
+      return read_progress::kDone;
+    case body_framing::kUntilClose:
+      output->append(*input);
+      input->clear();
+      return read_progress::kNeedsMore;
+    case body_framing::kChunked:
+      return ReadChunked(input, output);
+    case body_framing::kLength:
+      break;
+  }
+  const size_t taken =
+      static_cast<size_t>(std::min<uint64_t>(left_, input->size()));
+  output->append(*input, 0, taken);
+  input->erase(0, taken);
+  left_ -= taken;
+  is_done_ = left_ == 0;
+  return is_done_ ? read_progress::kDone : read_progress::kNeedsMore;
+}
+
+read_progress body_reader::ReadChunked(std::string* input,
+                                       std::string* output) {
+  size_t at = 0;
+  read_progress progress = read_progress::kNeedsMore;
+  while (!is_done_) {
+    if (stage_ == chunk_stage::kData) {
+      const size_t taken = static_cast<size_t>(
+          std::min<uint64_t>(left_, input->size() - at));
+      output->append(*input, at, taken);
+      at += taken;
+      left_ -= taken;
+      if (left_ > 0)
+        break;
+      stage_ = chunk_stage::kDataEnd;
+      continue;
+    }
+    const size_t end = input->find("\r\n", at);
+    if (end == std::string::npos) {
+      if (input->size() - at > kMostChunkLine)
+        progress = read_progress::kMalformed;
+      break;
+    }
+    std::string_view line(input->data() + at, end - at);
+    at = end + 2;
+    if (stage_ == chunk_stage::kDataEnd) {
+      if (!line.empty()) {
+        progress = read_progress::kMalformed;
+        break;
+      }
+      stage_ = chunk_stage::kSize;
+    } else if (stage_ == chunk_stage::kSize) {
+      outcome<uint64_t> size = ParseNumber(line.substr(0, line.find(';')), 16);
+      if (!size) {
+        progress = read_progress::kMalformed;
+        break;
+      }
+      left_ = *size;
+      stage_ = *size == 0 ? chunk_stage::kTrailer : chunk_stage::kData;
+    } else if (line.empty()) {
+      is_done_ = true;
+      progress = read_progress::kDone;
+    }
+  }
+  input->erase(0, at);
+  return progress;
+}
+
+size_t FindHeadEnd(std::string_view bytes) {
+  const size_t at = bytes.find("\r\n\r\n");
+  return at == bytes.npos ? at : at + 4;
+}
+
+outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head) {
+  auto request = ParseHead<Poco::Net::HTTPRequest>(head);
+  if (!request)
+    return request;
+  if (!IsToken(request->getMethod()) || !request->getURI().starts_with('/'))
+    return failure{"head: malformed request line"};
+  if (request->getVersion() != Poco::Net::HTTPMessage::HTTP_1_1 &&
+      request->getVersion() != Poco::Net::HTTPMessage::HTTP_1_0) {
+    return failure{"head: unknown version of HTTP"};
+  }
+  if (ValuesOf(*request, "Host").size() > 1)
+    return failure{"head: more than one Host"};
+  return request;
+}
+
+outcome<Poco::Net::HTTPResponse> ParseResponseHead(std::string_view head) {
+  return ParseHead<Poco::Net::HTTPResponse>(head);
+}
+
+outcome<std::pair<body_framing, uint64_t>> FramingOf(
+    const Poco::Net::HTTPRequest& request) {
+  return FramingOfHeader(request, body_framing::kNone);
+}
+
+outcome<std::pair<body_framing, uint64_t>> FramingOf(
+    const Poco::Net::HTTPResponse& response,
+    bool answers_head_request) {
+  const int status = response.getStatus();
+  if (answers_head_request || status / 100 == 1 || status == 204 ||
+      status == 304) {
+    return std::pair(body_framing::kNone, uint64_t{0});
+  }
+  return FramingOfHeader(response, body_framing::kUntilClose);
+}
+
+void RemoveConnectionHeaders(Poco::Net::MessageHeader* header) {
+  for (const std::string& value : ValuesOf(*header, "Connection")) {
+    std::istringstream names(value);
+    std::string name;
+    while (std::getline(names, name, ','))
+      header->erase(Poco::trim(name));
+  }
+  for (const char* name :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "Content-Length", "TE", "Trailer", "Upgrade", "Expect"}) {
+    header->erase(name);
+  }
+}
+
+bool AsksToClose(const Poco::Net::HTTPMessage& message) {
+  for (const std::string& value : ValuesOf(message, "Connection")) {
+    if (Poco::toLower(value).find("close") != std::string::npos)
+      return true;
+  }
+  return message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+}
+
+std::string WriteHead(const Poco::Net::HTTPRequest& request) {
+  std::string text;
+  text.reserve(512);
+  text += request.getMethod() + " " + request.getURI() + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : request)
+    text += name + ": " + value + "\r\n";
+  return text + "\r\n";
+}
+
+std::string WriteHead(const Poco::Net::HTTPResponse& response) {
+  std::string text;
+  text.reserve(512);
+  text += "HTTP/1.1 " + std::to_string(response.getStatus()) + " " +
+          response.getReason() + "\r\n";
+  for (const auto& [name, value] : response)
+    text += name + ": " + value + "\r\n";
+  return text + "\r\n";
+}
+
+std::string WriteChunk(std::string_view bytes) {
+  char size[20];
+  auto [end, error] =
+      std::to_chars(size, size + sizeof(size), bytes.size(), 16);
+  std::string text(size, end);
+  text += "\r\n";
+  text += bytes;
+  return text + "\r\n";
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/http_message.h
@@ -0,0 +1,75 @@
+/// @file http_message.h HTTP/1.1 messages fed by bytes as they arrive: heads by
+/// POCO, framing of bodies.
+#ifndef NETWORK_HTTP_MESSAGE_H_
+#define NETWORK_HTTP_MESSAGE_H_
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "outcome_type.h"
+
+namespace fuchsiafall {
+
+/// How the end of a body is found.
+enum class body_framing { kNone, kLength, kChunked, kUntilClose };
+
+/// Progress of a message that is being read.
+enum class read_progress { kNeedsMore, kDone, kMalformed };
+
+/// Decodes the body of one message.
+class body_reader {
+ public:
+  void Start(body_framing framing, uint64_t length);
+  /// Moves decoded bytes from the front of the input to the output.
+  read_progress Read(std::string* input, std::string* output);
+  body_framing Framing() const { return framing_; }
+  bool IsDone() const { return is_done_; }
+
+ private:
+  enum class chunk_stage { kSize, kData, kDataEnd, kTrailer };
+  read_progress ReadChunked(std::string* input, std::string* output);
+
+  body_framing framing_ = body_framing::kNone;
+  uint64_t left_ = 0;  ///< Bytes of the body, or of the present chunk.
+  chunk_stage stage_ = chunk_stage::kSize;
+  bool is_done_ = true;
+};
+
+/// Finds the end of a head in the bytes read so far.
+/// @return Length of the head with its blank line, or npos.
+size_t FindHeadEnd(std::string_view bytes);
+
+/// Reads a request head strictly: what another server could frame in another
+/// way is refused.
+outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head);
+outcome<Poco::Net::HTTPResponse> ParseResponseHead(std::string_view head);
+
+/// Finds out how the body of a request is framed.
+outcome<std::pair<body_framing, uint64_t>> FramingOf(
+    const Poco::Net::HTTPRequest& request);
+outcome<std::pair<body_framing, uint64_t>> FramingOf(
+    const Poco::Net::HTTPResponse& response,
+    bool answers_head_request);
+
+/// Removes the headers that concern one connection only.
+void RemoveConnectionHeaders(Poco::Net::MessageHeader* header);
+
+/// Whether the sender of a message is about to close the connection.
+bool AsksToClose(const Poco::Net::HTTPMessage& message);
+
+/// Writes a head with its blank line.
+std::string WriteHead(const Poco::Net::HTTPRequest& request);
+std::string WriteHead(const Poco::Net::HTTPResponse& response);
+
+/// Frames bytes as one chunk of a chunked body.
+std::string WriteChunk(std::string_view bytes);
+
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/network/tcp_connection.cc
@@ -0,0 +1,249 @@
+/// @file tcp_connection.cc Non-blocking TCP connection on an event loop.
+#include "network/tcp_connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr size_t kReadBytes = 16384;
+constexpr int kBacklog = 256;
+constexpr int kKeepAliveIdleS = 1;      // Before the first probe.
+constexpr int kKeepAliveIntervalS = 1;  // Between probes.
+constexpr int kKeepAliveProbes = 3;     // Unanswered ones that break it.
+
+void SetTcpOptions(Poco::Net::StreamSocket* socket, milliseconds user_timeout) {
+  socket->setNoDelay(true);
+  socket->setKeepAlive(true);
+  socket->setOption(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  socket->setOption(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  socket->setOption(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  socket->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                    static_cast<int>(user_timeout.count()));
+}
+
+}  // namespace
+
+std::shared_ptr<tcp_connection> tcp_connection::Adopt(
+    event_loop* loop,
+    Poco::Net::StreamSocket socket,
+    tcp_connection_options options) {
+  std::shared_ptr<tcp_connection> made(
+      new tcp_connection(loop, std::move(socket), options, true));
+  made->Watch();
+  return made;
+}
+
+outcome<std::shared_ptr<tcp_connection>> tcp_connection::Connect(
+    event_loop* loop,
+    const std::string& address,
+    tcp_connection_options options) {
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connectNB(Poco::Net::SocketAddress(address));
+  } catch (const Poco::Exception& e) {
+    return failure{"cannot connect to " + address + ": " + e.displayText()};
+  }
+  std::shared_ptr<tcp_connection> made(
+      new tcp_connection(loop, std::move(socket), options, false));
+  made->Watch();
+  return made;
+}
+
+tcp_connection::tcp_connection(event_loop* loop,
+                               Poco::Net::StreamSocket socket,
+                               tcp_connection_options options,
+                               bool is_connected)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      options_(options),
+      is_connected_(is_connected),
+      wants_write_(!is_connected) {
+  try {
+    socket_.setBlocking(false);
+    SetTcpOptions(&socket_, options_.user_timeout);
+  } catch (const Poco::Exception&) {
+    is_open_ = true;  // An option that is not offered leaves the system's own.
+  }
+}
+
+tcp_connection::~tcp_connection() {
+  Close();
+}
+
+void tcp_connection::Watch() {
+  loop_->Add(socket_.impl()->sockfd(), wants_write_,
+             [weak = weak_from_this()](time_point now, socket_events events) {
+               if (auto self = weak.lock())
+                 self->OnEvents(now, events);
+             });
+}
+
+void tcp_connection::OnEvents(time_point now, socket_events events) {
+  if (events.writable && !is_connected_ && !events.failed)
+    is_connected_ = true;
+  if (events.failed && !is_connected_) {
+    Fail(now, close_cause::kBroken);
+    return;
+  }
+  if (events.readable || events.failed)
+    Read(now);
+  if (is_open_ && events.writable)
+    Flush(now);
+}
+
+void tcp_connection::Read(time_point now) {
+  std::array<char, kReadBytes> buffer{};
+  bool is_at_end = false;
+  close_cause cause = close_cause::kPeerClosed;
+  while (is_open_ && is_reading_) {
+    int count = 0;
+    try {
+      count = socket_.receiveBytes(buffer.data(), kReadBytes);
+    } catch (const Poco::Exception&) {
+      is_at_end = true;
+      cause = close_cause::kBroken;
+      break;
+    }
+    if (count == 0)
+      is_at_end = true;
+    if (count <= 0)
+      break;
+    input_.append(buffer.data(), static_cast<size_t>(count));
+    if (count < static_cast<int>(kReadBytes))
+      break;
+  }
+  if (!input_.empty() && hooks_.on_bytes)
+    hooks_.on_bytes(now, &input_);
+  if (is_at_end && is_open_)
+    Fail(now, cause);
+}
+
+void tcp_connection::Send(std::string_view bytes) {
+  if (!is_open_)
+    return;
+  if (unsent_.size() + bytes.size() > options_.most_unsent) {
+    // The peer does not read; its connection goes before memory does.
+    loop_->Post([weak = weak_from_this()] {
+      if (auto self = weak.lock())
+        self->Fail(BootNow(), close_cause::kBroken);
+    });
+    return;
+  }
+  size_t sent = 0;
+  if (unsent_.empty() && is_connected_) {
+    try {
+      const int count =
+          socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      sent = count > 0 ? static_cast<size_t>(count) : 0;
+    } catch (const Poco::Exception&) {
+      sent = 0;  // The loop reports the broken connection when it is polled.
+    }
+  }
+  unsent_.append(bytes.substr(sent));
+  if (!unsent_.empty() && !wants_write_) {
+    wants_write_ = true;
+    loop_->SetWants(socket_.impl()->sockfd(), is_reading_, true);
+  }
+}
+
+void tcp_connection::Flush(time_point now) {
+  while (!unsent_.empty()) {
+    int count = 0;
+    try {
+      count = socket_.sendBytes(unsent_.data(),
+                                static_cast<int>(unsent_.size()));
+    } catch (const Poco::Exception&) {
+      Fail(now, close_cause::kBroken);
+      return;
+    }
+    if (count <= 0)
+      return;
+    unsent_.erase(0, static_cast<size_t>(count));
+  }
+  if (closes_when_sent_) {
+    Close();
+    return;
+  }
+  if (wants_write_) {
+    wants_write_ = false;
+    loop_->SetWants(socket_.impl()->sockfd(), is_reading_, false);
+  }
+}
+
+void tcp_connection::SetReading(bool is_reading) {
+  if (!is_open_ || is_reading == is_reading_)
+    return;
+  is_reading_ = is_reading;
+  loop_->SetWants(socket_.impl()->sockfd(), is_reading_, wants_write_);
+}
+
+void tcp_connection::CloseWhenSent() {
+  closes_when_sent_ = true;
+  if (unsent_.empty())
+    Close();
+}
+
+void tcp_connection::Close() {
+  if (!is_open_)
+    return;
+  is_open_ = false;
+  loop_->Remove(socket_.impl()->sockfd());
+  socket_.close();
+}
+
+void tcp_connection::Fail(time_point now, close_cause cause) {
+  if (!is_open_)
+    return;
+  auto self = shared_from_this();
+  Close();
+  if (hooks_.on_closed)
+    hooks_.on_closed(now, cause);
+}
+
+tcp_listener::tcp_listener(event_loop* loop, accept_hook on_accept)
+    : loop_(loop), on_accept_(std::move(on_accept)) {}
+
+tcp_listener::~tcp_listener() {
+  Close();
+}
+
+outcome<done> tcp_listener::Listen(const std::string& address) {
+  try {
+    socket_.bind(Poco::Net::SocketAddress(address), true);
+    socket_.listen(kBacklog);
+    socket_.setBlocking(false);
+  } catch (const Poco::Exception& e) {
+    return failure{"cannot listen on " + address + ": " + e.displayText()};
+  }
+  is_open_ = true;
+  loop_->Add(socket_.impl()->sockfd(), false,
+             [this](time_point now, socket_events) { Accept(now); });
+  return done{};
+}
+
+void tcp_listener::Close() {
+  if (!is_open_)
+    return;
+  is_open_ = false;
+  loop_->Remove(socket_.impl()->sockfd());
+  socket_.close();
+}
+
+void tcp_listener::Accept(time_point now) {
+  while (is_open_) {
+    try {
+      on_accept_(now, socket_.acceptConnection());
+    } catch (const Poco::Exception&) {
+      return;  // None is waiting, or the one that was has gone again.
+    }
+  }
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/tcp_connection.h
@@ -0,0 +1,111 @@
+/// @file tcp_connection.h Non-blocking TCP connection on an event loop.
+#ifndef NETWORK_TCP_CONNECTION_H_
+#define NETWORK_TCP_CONNECTION_H_
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "network/event_loop.h"
+#include "outcome_type.h"
+
+namespace fuchsiafall {
+
+/// How a connection ended.
+enum class close_cause { kPeerClosed, kBroken };
+
+struct tcp_connection_hooks {
+  /// Takes what has arrived; bytes left in the input stay for the next time.
+  std::function<void(time_point, std::string* input)> on_bytes;
+  std::function<void(time_point, close_cause)> on_closed;
+};
+
+struct tcp_connection_options {
+  /// Unacknowledged bytes break the connection after this time. A cut or a
+  /// forgotten connection answers nothing, and only this shows it.
+  milliseconds user_timeout{2000};
+  size_t most_unsent = 1U << 20;  ///< Bytes waiting for a slow peer.
+};
+
+/// Connection with its buffers. Hooks run in the loop's thread, and none runs
+/// after Close().
+class tcp_connection : public std::enable_shared_from_this<tcp_connection> {
+ public:
+  /// Takes over an accepted socket.
+  static std::shared_ptr<tcp_connection> Adopt(event_loop* loop,
+                                               Poco::Net::StreamSocket socket,
+                                               tcp_connection_options options);
+  /// Begins to connect; a failure is told by on_closed.
+  /// @param address ip:port
+  static outcome<std::shared_ptr<tcp_connection>> Connect(
+      event_loop* loop,
+      const std::string& address,
+      tcp_connection_options options);
+  ~tcp_connection();
+  tcp_connection(const tcp_connection&) = delete;
+  tcp_connection& operator=(const tcp_connection&) = delete;
+
+  void SetHooks(tcp_connection_hooks hooks) { hooks_ = std::move(hooks); }
+  void Send(std::string_view bytes);
+  /// Closes once everything has been sent.
+  void CloseWhenSent();
+  void Close();
+  /// Stops or goes on with reading, which holds back the peer.
+  void SetReading(bool is_reading);
+  bool IsOpen() const { return is_open_; }
+  bool IsConnected() const { return is_connected_; }
+  size_t Unsent() const { return unsent_.size(); }
+  std::string* Input() { return &input_; }
+
+ private:
+  tcp_connection(event_loop* loop,
+                 Poco::Net::StreamSocket socket,
+                 tcp_connection_options options,
+                 bool is_connected);
+  void Watch();
+  void OnEvents(time_point now, socket_events events);
+  void Read(time_point now);
+  void Flush(time_point now);
+  void Fail(time_point now, close_cause cause);
+
+  event_loop* loop_;
+  Poco::Net::StreamSocket socket_;
+  tcp_connection_options options_;
+  tcp_connection_hooks hooks_;
+  std::string input_;
+  std::string unsent_;
+  bool is_open_ = true;
+  bool is_connected_;
+  bool wants_write_;
+  bool is_reading_ = true;
+  bool closes_when_sent_ = false;
+};
+
+/// Accepts connections on an address.
+class tcp_listener {
+ public:
+  using accept_hook = std::function<void(time_point, Poco::Net::StreamSocket)>;
+  tcp_listener(event_loop* loop, accept_hook on_accept);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+
+  outcome<done> Listen(const std::string& address);
+  void Close();
+
+ private:
+  void Accept(time_point now);
+
+  event_loop* loop_;
+  accept_hook on_accept_;
+  Poco::Net::ServerSocket socket_;
+  bool is_open_ = false;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_TCP_CONNECTION_H_
--- /dev/null
+++ b/src/place_table.cc
@@ -0,0 +1,129 @@
+/// @file place_table.cc Places of one model server, granted by its agent.
+#include <algorithm>
+
+#include "engine_model_func.h"
+#include "place_table_base.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+/// Prompts granted within this time are taken as not read yet: about the time
+/// of a pass with the prompts in it.
+constexpr milliseconds kReadingTime{100};
+/// A place outlives its caller's time limit by the way back.
+constexpr milliseconds kExpiryMargin{500};
+
+}  // namespace
+
+void place_table::OnReport(time_point now,
+                           const staged_engine_report& report) {
+  report_ = report;
+  reported_at_ = now;
+  std::erase_if(places_,
+                [&](const auto& item) { return now >= item.second.expires; });
+  const size_t requests = report.running + report.waiting;
+  // Places granted just now may belong to requests that are on their way.
+  const auto settled = static_cast<size_t>(
+      std::count_if(places_.begin(), places_.end(), [&](const auto& item) {
+        return now - item.second.granted_at > options_.leak;
+      }));
+  if (settled <= requests) {
+    surplus_since_ = now;
+    return;
+  }
+  if (now - surplus_since_ < options_.leak)
+    return;
+  // The oldest is the likeliest to be over.
+  auto oldest = std::min_element(
+      places_.begin(), places_.end(), [](const auto& a, const auto& b) {
+        return a.second.granted_at < b.second.granted_at;
+      });
+  places_.erase(oldest);
+}
+
+void place_table::OnRestart(time_point now) {
+  places_.clear();
+  report_ = {};
+  surplus_since_ = now;
+}
+
+uint32_t place_table::Load() const {
+  return std::max(static_cast<uint32_t>(places_.size()),
+                  report_.running + report_.waiting);
+}
+
+uint64_t place_table::UnreadTokens(time_point now) const {
+  uint64_t tokens = 0;
+  for (const auto& [key, item] : places_) {
+    if (now - item.granted_at < kReadingTime)
+      tokens += item.prompt_tokens;
+  }
+  return tokens;
+}
+
+bool place_table::HasColdRoom(time_point now) {
+  while (!recent_.empty() && now - recent_.front() > seconds(1))
+    recent_.pop_front();
+  if (now >= cold_until_ || cold_rate_ <= 0)
+    return true;
+  return static_cast<double>(recent_.size()) + 1 <= cold_rate_;
+}
+
+place_reply place_table::Ask(time_point now, const place_ask& ask) {
+  const std::pair key(ask.entry, ask.call);
+  place_reply reply{.load = Load(), .slots = figures_.slots};
+  if (places_.contains(key)) {
+    reply.is_granted = true;  // The answer to an earlier question got lost.
+    return reply;
+  }
+  if (!is_accepting_) {
+    reply.slots = 0;
+    return reply;
+  }
+  const uint32_t load = Load();
+  const uint32_t running = std::min(load, figures_.slots);
+  const uint32_t ahead = load - running;
+  const duration interval = PlaceInterval(figures_);
+  const duration first = FirstTokenTime(figures_, running, ahead,
+                                        UnreadTokens(now), ask.prompt_tokens);
+  bool is_admitted = false;
+  if (ask.is_resumed) {
+    // Its caller has a part of the answer, which would be in vain.
+    is_admitted = ahead < options_.most_ahead;
+  } else if (ask.patience > milliseconds(0)) {
+    is_admitted = ahead < options_.most_ahead && first <= ask.patience;
+  } else {
+    // A late answer is worth less than one on time: it gets free places only.
+    is_admitted = load < figures_.slots;
+  }
+  if (!is_admitted || !HasColdRoom(now)) {
+    reply.free_after = std::chrono::duration_cast<milliseconds>(
+        interval * static_cast<int>(ahead + 1));
+    return reply;
+  }
+  recent_.push_back(now);
+  places_[key] = {.granted_at = now,
+                  .expires = now + ask.time_left + kExpiryMargin,
+                  .prompt_tokens = ask.prompt_tokens};
+  reply.is_granted = true;
+  reply.load = Load();
+  return reply;
+}
+
+void place_table::Return(time_point now,
+                         const std::string& entry,
+                         uint64_t call) {
+  if (places_.erase({entry, call}) == 0)
+    return;
+  // The last report still counts its request.
+  if (report_.waiting > 0) {
+    --report_.waiting;
+  } else if (report_.running > 0) {
+    --report_.running;
+  }
+  if (places_.size() <= report_.running + report_.waiting)
+    surplus_since_ = now;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/server_board.cc
@@ -0,0 +1,151 @@
+/// @file server_board.cc Choice among the servers of a service.
+#include <algorithm>
+#include <cmath>
+
+#include "server_board_base.h"
+
+namespace fuchsiafall {
+
+void server_board::SetIndex(time_point now, const site_index* index) {
+  index_ = index;
+  const auto& servers = index_->View().servers;
+  std::erase_if(notes_, [&](const auto& item) {
+    return !servers.contains(item.first) && item.second.in_flight == 0;
+  });
+  (void)now;
+}
+
+const std::string& server_board::RegionOf(const std::string& domain) const {
+  static const std::string kNone;
+  auto it = options_.regions.find(domain);
+  return it == options_.regions.end() ? kNone : it->second;
+}
+
+bool server_board::IsEligible(const site_server& server,
+                              const server_query& query) const {
+  if (server.is_draining || index_->View().evacuated.contains(server.domain))
+    return false;
+  const std::string& region = RegionOf(server.domain);
+  if ((query.route_regions && !IsAllowed(*query.route_regions, region)) ||
+      (query.tenant_regions && !IsAllowed(*query.tenant_regions, region))) {
+    return false;
+  }
+  if (query.tried != nullptr && query.tried->contains(server.id))
+    return false;
+  auto note = notes_.find(server.id);
+  if (note != notes_.end() && note->second.is_gone)
+    return false;
+  if (query.model.empty() || !server.tells_models)
+    return true;
+  const site_service* service = index_->FindService(query.service);
+  const uint32_t layers =
+      service != nullptr && service->engine ? service->engine->layers : 1;
+  return server.ServedVersion(query.model, layers) > 0;
+}
+
+bool server_board::HasAny(const server_query& query) const {
+  const auto& all = index_->Servers(query.service);
+  return std::any_of(all.begin(), all.end(), [&](const site_server* server) {
+    return IsEligible(*server, query);
+  });
+}
+
+double server_board::Score(time_point now, const site_server& server) {
+  server_note& note = notes_[server.id];
+  const double slots = std::max(1U, server.slots);
+  const double age = ToSeconds(now - note.load_at);
+  const double half = ToSeconds(options_.load_half_life);
+  const double known = note.load * std::exp2(-age / half);
+  double score = std::max<double>(known, note.in_flight) / slots;
+  if (server.domain != options_.domain)
+    score += options_.own_domain_bonus;
+  if (now < note.full_until)
+    score += 1;
+  // Equal servers share at random, so that entries don't move as a herd.
+  return score + std::uniform_real_distribution<>(0, 0.05)(random_);
+}
+
+std::vector<const site_server*> server_board::Rank(
+    time_point now,
+    const server_query& query) {
+  struct candidate {
+    const site_server* server;
+    double score;
+    bool is_ejected;
+  };
+  std::vector<candidate> candidates;
+  size_t eligible = 0;
+  for (const site_server* server : index_->Servers(query.service)) {
+    if (!IsEligible(*server, query))
+      continue;
+    ++eligible;
+    candidates.push_back({server, Score(now, *server),
+                          now < notes_[server->id].ejected_until});
+  }
+  const auto kept = std::count_if(
+      candidates.begin(), candidates.end(),
+      [](const candidate& item) { return !item.is_ejected; });
+  // Where most look broken, the fault is likelier to be on this side.
+  const bool uses_ejected =
+      static_cast<double>(kept) < options_.floor * static_cast<double>(eligible);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const candidate& a, const candidate& b) {
+              if (a.is_ejected != b.is_ejected)
+                return b.is_ejected;
+              return a.score < b.score;
+            });
+  std::vector<const site_server*> ranked;
+  for (const candidate& item : candidates) {
+    if (!item.is_ejected || uses_ejected)
+      ranked.push_back(item.server);
+  }
+  return ranked;
+}
+
+void server_board::OnEnded(const std::string& id) {
+  server_note& note = notes_[id];
+  if (note.in_flight > 0)
+    --note.in_flight;
+}
+
+void server_board::OnLoad(time_point now,
+                          const std::string& id,
+                          uint32_t load,
+                          uint32_t slots) {
+  server_note& note = notes_[id];
+  note.load = load;
+  note.slots = slots;
+  note.load_at = now;
+}
+
+void server_board::OnFull(time_point now,
+                          const std::string& id,
+                          milliseconds for_span) {
+  notes_[id].full_until = now + for_span;
+}
+
+void server_board::OnSuccess(const std::string& id) {
+  server_note& note = notes_[id];
+  note.failures = 0;
+  note.ejections = 0;
+}
+
+void server_board::OnFailure(time_point now, const std::string& id) {
+  server_note& note = notes_[id];
+  if (++note.failures < options_.failures_to_eject)
+    return;
+  const auto span = options_.eject * (1 << std::min(note.ejections, 5U));
+  note.ejected_until =
+      now + std::min<duration>(span, options_.most_eject);
+  ++note.ejections;
+  // One more failure after the pause is enough to eject it again.
+  note.failures = options_.failures_to_eject - 1;
+}
+
+void server_board::OnAskSilent(time_point now, const std::string& id) {
+  server_note& note = notes_[id];
+  if (note.silent_asks++ == 0)
+    note.silent_since = now;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/store_mirror_base.h
@@ -0,0 +1,109 @@
+/// @file store_mirror_base.h Copy of the platform's store, kept by listings and
+/// a watch.
+#ifndef STORE_MIRROR_BASE_H_
+#define STORE_MIRROR_BASE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "time_type.h"
+
+namespace fuchsiafall {
+
+/// Item of the store, or the word that it was deleted.
+struct store_item {
+  std::string key;
+  std::string value;
+  uint64_t revision = 0;
+  bool is_deleted = false;
+};
+
+/// Answer of the store to a listing or a watch.
+struct store_answer {
+  enum class status_type {
+    kOk,
+    kHistoryGone,  ///< The watch asked for history that is no longer kept.
+    kRefused,      ///< The store turned the call away; nothing was done.
+    kSilent,       ///< No answer, or none that can be read.
+  };
+  status_type status = status_type::kSilent;
+  std::vector<store_item> items;
+  bool has_more = false;  ///< Whether a listing has another page.
+  uint64_t revision = 0;  ///< Of the store.
+};
+
+/// Call that the mirror wants made.
+struct store_call {
+  enum class kind_type { kList, kWatch };
+  kind_type kind = kind_type::kList;
+  std::string after_key;    ///< Of listings: where the page begins.
+  uint64_t after_revision = 0;  ///< Of watches.
+  milliseconds wait{0};         ///< Of watches: longest time without news.
+};
+
+struct store_mirror_options {
+  /// Longest wait of a watch. Two of them in a row, at the worst, are the age
+  /// of the last sound word.
+  milliseconds watch{1500};
+  /// Least time between two answers, so that a storm is read in batches.
+  milliseconds spacing{250};
+  milliseconds backoff{200};        ///< After a call that failed.
+  milliseconds most_backoff{1000};  ///< Kept short: recovery waits for it.
+  /// Entries missing after the store was away count as gone after this time;
+  /// servers that live have written theirs again by then.
+  milliseconds lapse{2000};
+};
+
+/// Decides which calls to make, and what the store holds by their answers.
+class store_mirror {
+ public:
+  explicit store_mirror(store_mirror_options options) : options_(options) {}
+
+  /// Chooses the next call; none while one is on its way or a pause lasts.
+  std::optional<store_call> NextCall(time_point now);
+  /// Takes the answer to the last call.
+  /// @return Whether what is believed has changed.
+  bool OnAnswer(time_point now, const store_answer& answer);
+  /// Drops missing entries whose time to come back is over.
+  /// @return Whether any was dropped.
+  bool Step(time_point now);
+
+  /// Whether a first whole listing has been read.
+  bool IsKnown() const { return is_known_; }
+  const std::map<std::string, store_item>& Items() const { return items_; }
+  uint64_t Revision() const { return revision_; }
+  /// Time up to which the store is known to have held nothing else: when the
+  /// last call that was answered had been sent.
+  time_point SoundAt() const { return sound_at_; }
+  bool IsReachable() const { return failures_ == 0; }
+  time_point NextCallAt() const { return next_at_; }
+
+ private:
+  void Apply(time_point now, const store_item& item);
+  void FinishListing(time_point now);
+  bool MayHaveLapsed(time_point now) const;
+
+  store_mirror_options options_;
+  std::map<std::string, store_item> items_;
+  std::map<std::string, store_item> listed_;  ///< By the pages read so far.
+  std::map<std::string, time_point> missing_;  ///< Since when, by key.
+  uint64_t revision_ = 0;
+  uint64_t listing_revision_ = 0;  ///< Of the first page.
+  time_point listing_sent_at_{};    ///< When the first page was asked for.
+  std::string after_key_;
+  bool is_known_ = false;
+  bool is_listing_ = true;
+  bool is_waiting_ = false;  ///< Whether a call is on its way.
+  uint32_t failures_ = 0;    ///< Failed calls in a row.
+  time_point sent_at_{};
+  time_point next_at_{};
+  time_point sound_at_{};
+  time_point away_until_{};  ///< When the store last came back.
+};
+
+}  // namespace fuchsiafall
+
+#endif  // STORE_MIRROR_BASE_H_
