--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -19,10 +19,20 @@
 /// An attempt with less time left than this ends before its answer is here.
 constexpr milliseconds kLeastTimeLeft{20};
 
+/// Callers ask for somewhat less than the route's time limit by themselves; one
+/// that has less than this share of it left has been here before.
+constexpr double kReturningShare = 0.84;
+
 constexpr std::string_view kRefusalTexts[] = {
-    "no configuration yet", "belief too old", "no route",
-    "unknown key",          "no server",      "no place in time",
-    "timed out",            "server failed",  "bad request",
+    "no configuration yet",
+    "belief too old",
+    "no route",
+    "unknown key",
+    "no server",
+    "no place in time",
+    "timed out",
+    "server failed",
+    "bad request",
 };
 
 bool IsSuccess(int status) {
@@ -64,14 +74,15 @@
 std::string call_dispatch::Describe(time_point now, const call& item) const {
   return "id=" + item.request.id + " route=" + item.route.name +
          " service=" + item.service + " server=" + item.server.id +
+         " tokens=" + std::to_string(item.request.prompt_tokens) + "," +
+         std::to_string(item.request.answer_tokens) + "," +
+         std::to_string(item.request.hinted_tokens) +
          " attempt=" + std::to_string(item.attempt) +
          " asks=" + std::to_string(item.asks) +
          " after_ms=" + std::to_string(ToMs(now - item.arrived_at)) +
-         " left_ms=" + std::to_string(ToMs(item.deadline - now)) +
-         " config=" +
-         std::to_string(index_ == nullptr
-                            ? 0
-                            : index_->View().configuration.version) +
+         " left_ms=" + std::to_string(ToMs(item.deadline - now)) + " config=" +
+         std::to_string(
+             index_ == nullptr ? 0 : index_->View().configuration.version) +
          " sound_ms=" + std::to_string(ToMs(now - sound_at_));
 }
 
@@ -111,11 +122,11 @@
     item.deadline = std::min(item.deadline, arrived_at + route->timeout);
   // A caller that comes back after a refusal has less time than the route
   // gives, and its target has passed meanwhile.
-  const duration spent =
-      route->timeout > milliseconds(0) && request.time_left
-          ? std::max<duration>(duration(0), route->timeout - *request.time_left)
-          : duration(0);
-  item.on_time_until = arrived_at + route->target_latency - spent;
+  const bool is_returning =
+      request.time_left &&
+      *request.time_left < kReturningShare * route->timeout;
+  item.on_time_until =
+      is_returning ? arrived_at : arrived_at + route->target_latency;
   item.service = ChooseTarget(*route, Random());
   const site_service* service = index_->FindService(item.service);
   item.is_model = service != nullptr && service->engine.has_value() &&
@@ -148,8 +159,11 @@
     if (item->asked.contains(server->id))
       continue;
     const server_note& note = board_.Note(server->id);
+    server_query unasked = QueryOf(*item);
+    unasked.is_unasked = true;
     if (note.silent_asks > 1 && note.in_flight < options_.most_unasked &&
-        server->cold_left == milliseconds(0)) {
+        server->cold_left == milliseconds(0) &&
+        board_.IsEligible(now, *server, unasked)) {
       // Its agent is away; the server itself may well be there.
       item->server = *server;
       return Send(now, item);
@@ -268,8 +282,7 @@
                   head.slots);
   if (IsSuccess(head.status) && head.is_sealed && is_event_stream &&
       item->kind == call_kind::kStream) {
-    item->step_at =
-        std::min(item->deadline, now + options_.stream_silence);
+    item->step_at = std::min(item->deadline, now + options_.stream_silence);
     if (!item->is_streaming) {
       item->is_streaming = true;
       hooks_.begin_stream(id);
@@ -378,9 +391,8 @@
 }
 
 void call_dispatch::FinishWhole(time_point now, call* item) {
-  hooks_.log(log_event::kCallAnswered,
-             Describe(now, *item) +
-                 " status=" + std::to_string(item->head.status));
+  hooks_.log(log_event::kCallAnswered, Describe(now, *item) + " status=" +
+                                           std::to_string(item->head.status));
   hooks_.time("call", now - item->arrived_at);
   const uint64_t id = item->id;
   const std::string body = std::move(item->body);
@@ -407,8 +419,7 @@
 void call_dispatch::Retry(time_point now, call* item, bool may_have_run) {
   const bool may_repeat =
       !may_have_run || item->kind == call_kind::kIdempotent ||
-      (item->kind == call_kind::kStream &&
-       item->route.is_resumable);
+      (item->kind == call_kind::kStream && item->route.is_resumable);
   const bool has_attempts = item->sends < std::max(1U, item->route.attempts);
   if (!may_repeat || !has_attempts || item->deadline - now < kLeastTimeLeft)
     return Refuse(now, item, call_refusal::kServerFailed);
@@ -420,8 +431,8 @@
   hooks_.count("retries");
   hooks_.log(log_event::kAttemptRepeated,
              Describe(now, *item) +
-                 " may_have_run=" + (may_have_run ? "1" : "0") + " last_event=" +
-                 std::to_string(item->last_event.value_or(0)));
+                 " may_have_run=" + (may_have_run ? "1" : "0") +
+                 " last_event=" + std::to_string(item->last_event.value_or(0)));
   item->asks = 0;
   item->asked.clear();
   Place(now, item);
@@ -429,9 +440,8 @@
 
 milliseconds call_dispatch::RetryAfter(const call& item) {
   // Spread over as long again, so that the refused don't return at one moment.
-  const milliseconds least =
-      std::max(options_.least_retry_after,
-               item.free_after.value_or(milliseconds(0)));
+  const milliseconds least = std::max(
+      options_.least_retry_after, item.free_after.value_or(milliseconds(0)));
   const auto spread = static_cast<int64_t>(
       Random() * static_cast<double>(options_.most_retry_after.count()));
   return least + milliseconds(spread);
@@ -468,9 +478,8 @@
     answer.retry_after = RetryAfter(*item);
   }
   hooks_.log(log_event::kCallRefused,
-             Describe(now, *item) + " status=" +
-                 std::to_string(answer.status) + " why=\"" +
-                 std::string(TextOf(why)) + "\"");
+             Describe(now, *item) + " status=" + std::to_string(answer.status) +
+                 " why=\"" + std::string(TextOf(why)) + "\"");
   hooks_.count("refused " + std::string(TextOf(why)));
   const uint64_t id = item->id;
   const bool is_streaming = item->is_streaming;
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -27,10 +27,10 @@
   kBeliefTooOld,     ///< Nothing has been heard of the store for too long.
   kNoRoute,
   kUnknownKey,
-  kNoServer,         ///< No server may take it.
-  kNoPlace,          ///< No server answers it in time.
+  kNoServer,  ///< No server may take it.
+  kNoPlace,   ///< No server answers it in time.
   kTimedOut,
-  kServerFailed,     ///< Sent, and it may have run.
+  kServerFailed,  ///< Sent, and it may have run.
   kBadRequest,
   kCount,
 };
@@ -126,10 +126,7 @@
               uint64_t call,
               uint32_t attempt,
               std::string_view bytes);
-  void OnEnd(time_point now,
-             uint64_t call,
-             uint32_t attempt,
-             exchange_end end);
+  void OnEnd(time_point now, uint64_t call, uint32_t attempt, exchange_end end);
   /// Runs what is due.
   void Step(time_point now);
   std::optional<time_point> NextStep() const;
@@ -154,21 +151,21 @@
     time_point deadline{};
     time_point on_time_until{};
     stage at = stage::kAsking;
-    std::set<std::string> tried;   ///< Servers not to be used again.
-    std::set<std::string> asked;   ///< Servers that denied a place.
-    site_server server;            ///< Of the present question or attempt.
+    std::set<std::string> tried;  ///< Servers not to be used again.
+    std::set<std::string> asked;  ///< Servers that denied a place.
+    site_server server;           ///< Of the present question or attempt.
     bool has_place = false;
-    uint64_t question = 0;         ///< Number of the present one.
-    uint32_t asks = 0;             ///< Since the last attempt.
-    uint32_t attempt = 0;          ///< Number of the present one.
-    uint32_t sends = 0;            ///< Attempts that may have run.
-    time_point step_at{};          ///< When the present wait is over.
+    uint64_t question = 0;  ///< Number of the present one.
+    uint32_t asks = 0;      ///< Since the last attempt.
+    uint32_t attempt = 0;   ///< Number of the present one.
+    uint32_t sends = 0;     ///< Attempts that may have run.
+    time_point step_at{};   ///< When the present wait is over.
     bool has_head = false;
     server_answer head;
-    bool is_streaming = false;     ///< Whether the caller has the head.
+    bool is_streaming = false;  ///< Whether the caller has the head.
     std::optional<uint64_t> last_event;
     event_splitter events;
-    std::string body;              ///< Of answers that are not streamed.
+    std::string body;  ///< Of answers that are not streamed.
     std::optional<milliseconds> free_after;  ///< Least one told by denials.
   };
 
@@ -187,9 +184,7 @@
   call* Find(uint64_t id, uint32_t attempt);
   std::string Describe(time_point now, const call& item) const;
   milliseconds RetryAfter(const call& item);
-  double Random() {
-    return std::uniform_real_distribution<>(0, 1)(random_);
-  }
+  double Random() { return std::uniform_real_distribution<>(0, 1)(random_); }
 
   call_dispatch_options options_;
   call_dispatch_hooks hooks_;
--- a/src/engine_model.cc
+++ b/src/engine_model.cc
@@ -24,8 +24,7 @@
 }
 
 duration PassTime(const engine_figures& engine, uint32_t running) {
-  const double context =
-      (engine.usual_prompt + engine.usual_answer / 2) / 1000;
+  const double context = (engine.usual_prompt + engine.usual_answer / 2) / 1000;
   const double each =
       engine.per_sequence_ms + context * engine.context_ms_per_k;
   return Ms(engine.stride * (engine.step_ms + running * each));
@@ -48,9 +47,8 @@
                         uint32_t prompt_tokens) {
   // A request joins between two passes, so half of one goes by at the mean.
   const duration joining = PassTime(engine, running) / 2;
-  const duration reading =
-      PrefillTime(engine, static_cast<uint32_t>(unread)) +
-      PrefillTime(engine, prompt_tokens);
+  const duration reading = PrefillTime(engine, static_cast<uint32_t>(unread)) +
+                           PrefillTime(engine, prompt_tokens);
   const duration place =
       running + ahead >= engine.slots
           ? PlaceInterval(engine) * static_cast<int>(ahead + 1)
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -4,7 +4,6 @@
 #include <iostream>
 #include <zmq.hpp>
 
-#include "platform/documents.h"
 #include "engine_steward_base.h"
 #include "hash_func.h"
 #include "hosted_process.h"
@@ -12,22 +11,26 @@
 #include "network/message_link.h"
 #include "piece_stager_base.h"
 #include "place_table_base.h"
+#include "platform/documents.h"
 #include "weight_transfer_base.h"
+#include "weights_plan_func.h"
 
 namespace fuchsiafall {
 
 namespace {
 
 constexpr milliseconds kReportInterval{100};  // Reports are free on this VM.
-constexpr milliseconds kTick{20};  // While weights are on their way.
-constexpr milliseconds kLocalTimeout{1000};  // Of calls to the engine.
+constexpr milliseconds kTick{20};             // While weights are on their way.
+constexpr milliseconds kLocalTimeout{1000};   // Of calls to the engine.
 /// A piece takes 30 ms over the origin's link, and a few may wait there.
 constexpr milliseconds kOriginTimeout{2500};
 constexpr milliseconds kManifestRetry{300};
 /// Of a holder of pieces: its queue and the way, several times over.
 constexpr milliseconds kChunkTimeout{700};
 /// Part of the link for weights; answers of the engine share it.
-constexpr double kBulkShare = 0.85;
+constexpr double kBulkShare = 0.97;
+/// A granted request begins within this time: its wait in the engine's queue.
+constexpr milliseconds kOutdatedMargin{600};
 constexpr uint64_t kFirstVersion = 1;  // Until operators name another.
 
 /// Call of the agent to its engine or to the origin.
@@ -38,6 +41,12 @@
   std::function<void(time_point, int status, std::string body)> on_done;
 };
 
+/// Where a piece stands in the weights.
+struct piece_place {
+  uint64_t version = 0;
+  uint32_t index = 0;
+};
+
 /// The agent with its sockets. Everything runs in the traffic loop, but for
 /// the bulk link's own thread.
 class hosted_agent {
@@ -57,21 +66,23 @@
                    .seed = base_.OwnIncarnation().value},
                   blobs_),
         stager_({}),
-        steward_({.bound = settings.weights_bound}),
+        steward_({}),
         places_({.cold_factor = settings.cold_factor}),
         pool_(&base_.Loop(), {}),
         control_(&base_.Loop(),
-                 [this](time_point now, const std::string& from,
+                 [this](time_point now,
+                        const std::string& from,
                         const proto::envelope& message) {
                    OnMessage(now, from, message);
                  }),
         context_(std::make_unique<zmq::context_t>(1)),
-        bulk_({.name = "bulk",
-               .listen_address = settings.ip + ":" +
-                                 std::to_string(settings.first_port + 1)},
-              context_.get(),
-              &base_.Metrics(),
-              [this](proto::envelope&& message) { OnBulk(std::move(message)); }) {
+        bulk_(
+            {.name = "bulk",
+             .listen_address =
+                 settings.ip + ":" + std::to_string(settings.first_port + 1)},
+            context_.get(),
+            &base_.Metrics(),
+            [this](proto::envelope&& message) { OnBulk(std::move(message)); }) {
   }
 
   ~hosted_agent() { bulk_.Stop(); }
@@ -115,19 +126,19 @@
       if (!other.origin_address.empty())
         origin_ = other.origin_address;
     }
-    uint64_t wanted = kFirstVersion;
-    time_point wanted_at = now;
+    steward_.SetModel(model_, figures_.layers);
+    named_at_.emplace(kFirstVersion, now);
     if (auto it = view.weights.find(model_); it != view.weights.end()) {
-      wanted = std::max(wanted, it->second.version);
-      wanted_at = it->second.seen_at;
+      for (const auto& [version, naming] : it->second.namings) {
+        // One named before this process watched may be due already.
+        named_at_.emplace(version, naming.was_watched
+                                       ? naming.seen_at
+                                       : naming.seen_at -
+                                             base_.Settings().weights_bound);
+      }
     }
     UpdateWorld(now, view);
-    steward_.SetWanted(model_, wanted, figures_.layers, wanted_at, Turn());
-    if (wanted != target_version_) {
-      target_version_ = wanted;
-      manifest_.reset();
-      FetchManifest(now);
-    }
+    Plan(now);
     is_leaving_ = false;
     for (const auto& [id, server] : view.servers) {
       if (server.address == base_.Settings().engine_address)
@@ -165,8 +176,8 @@
       return;
     members_ = std::move(members);
     world_ = MakeWorld();
-    if (manifest_)
-      SetTransferTarget(now);
+    fetched_.clear();  // The transfer has to know the new world.
+    (void)now;
   }
 
   world_ptr MakeWorld() const {
@@ -194,77 +205,144 @@
 
   // ---- Weights ----
 
-  void FetchManifest(time_point now) {
-    if (origin_.empty() || is_fetching_manifest_)
+  /// Versions newer than the one served, oldest first.
+  std::vector<known_version> WantedVersions() const {
+    std::vector<known_version> wanted;
+    const uint64_t served = steward_.ServedVersion();
+    for (const auto& [version, at] : named_at_) {
+      if (version > served)
+        wanted.push_back({version, at, ProgressOf(version)});
+    }
+    return wanted;
+  }
+
+  /// Whether what is served was replaced so long ago that nothing may begin on
+  /// it.
+  bool IsOutdated(time_point now) const {
+    auto next = named_at_.upper_bound(steward_.ServedVersion());
+    return next != named_at_.end() &&
+           now - next->second >
+               base_.Settings().weights_bound - kOutdatedMargin;
+  }
+
+  double ProgressOf(uint64_t version) const {
+    auto it = manifests_.find(version);
+    if (it == manifests_.end() || it->second.pieces.empty())
+      return 0;
+    const auto& pieces = it->second.pieces;
+    const auto held = std::count_if(
+        pieces.begin(), pieces.end(),
+        [this](const digest& piece) { return blobs_->Find(piece) != nullptr; });
+    return static_cast<double>(held) / static_cast<double>(pieces.size());
+  }
+
+  /// Follows the plan for the versions that are wanted now.
+  void Plan(time_point now) {
+    if (origin_.empty() || world_ == nullptr)
       return;
-    is_fetching_manifest_ = true;
-    const uint64_t version = target_version_;
-    Call(now,
-         {.address = origin_,
-          .bytes = platform::WriteManifestCall(origin_, model_, version),
-          .timeout = kOriginTimeout,
-          .on_done = [this](time_point at, int status, std::string body) {
-            is_fetching_manifest_ = false;
-            OnManifest(at, status, body);
-          }});
+    const auto wanted = WantedVersions();
+    plan_ = PlanWeights(now, {.bound = base_.Settings().weights_bound},
+                        steward_.ServedVersion(), wanted, Turn());
+    // What is served stays at hand for servers that join.
+    std::vector<uint64_t> fetch = plan_.fetch;
+    if (fetch.empty() && steward_.ServedVersion() > 0)
+      fetch.push_back(steward_.ServedVersion());
+    for (uint64_t version : fetch)
+      FetchManifest(now, version);
+    const uint64_t stage =
+        plan_.stage != 0 ? plan_.stage : steward_.ServedVersion();
+    if (stage != staged_version_ && manifests_.contains(stage)) {
+      staged_version_ = stage;
+      stager_.SetTarget(manifests_[stage].pieces);
+    }
+    if (!stager_.HasTarget() || !stager_.IsSurveyed())
+      return;  // What lies at the engine need not be fetched.
+    SetTransferTarget(now, fetch);
+  }
+
+  void FetchManifest(time_point now, uint64_t version) {
+    if (manifests_.contains(version) || now < manifest_retry_at_ ||
+        !fetching_.insert(version).second) {
+      return;
+    }
+    Call(now, {.address = origin_,
+               .bytes = platform::WriteManifestCall(origin_, model_, version),
+               .timeout = kOriginTimeout,
+               .on_done = [this, version](time_point at, int status,
+                                          std::string body) {
+                 fetching_.erase(version);
+                 OnManifest(at, version, status, body);
+               }});
   }
 
-  void OnManifest(time_point now, int status, const std::string& body) {
+  void OnManifest(time_point now,
+                  uint64_t version,
+                  int status,
+                  const std::string& body) {
     auto read = status == 200 ? platform::DecodeManifest(body)
                               : failure{"status " + std::to_string(status)};
-    if (!read || read->version != target_version_) {
-      if (!read) {
-        LogEvent(log_event::kOriginFailed, "manifest version=" +
-                                               std::to_string(target_version_) +
-                                               " why=" + read.LastReason());
-        base_.Metrics().Count("origin_failed");
-      }
-      base_.Loop().StartTimer(now + kManifestRetry, [this](time_point at) {
-        if (!manifest_)
-          FetchManifest(at);
-      });
+    auto made = read ? MakeManifest(*read) : failure{read.LastReason()};
+    if (made && read->version != version)
+      made = failure{"another version"};
+    if (!made) {
+      LogEvent(log_event::kOriginFailed,
+               "manifest version=" + std::to_string(version) +
+                   " why=" + made.LastReason());
+      base_.Metrics().Count("origin_failed");
+      manifest_retry_at_ = now + kManifestRetry;
       return;
     }
-    proto::manifest manifest;
-    manifest.set_chunk_bytes(read->chunk_bytes);
-    manifest.set_total_bytes(static_cast<uint64_t>(read->chunk_bytes) *
-                             read->digests.size());
+    for (uint32_t i = 0; i < made->pieces.size(); ++i)
+      piece_index_[made->pieces[i]] = {version, i};
+    manifests_[version] = std::move(*made);
+    Tick(now);
+  }
+
+  /// Manifest of one version in the project's own form.
+  struct version_manifest {
+    digest name;
+    shared_bytes bytes;
     std::vector<digest> pieces;
+  };
+
+  static outcome<version_manifest> MakeManifest(const weights_manifest& from) {
+    version_manifest made;
+    proto::manifest manifest;
+    manifest.set_chunk_bytes(from.chunk_bytes);
+    manifest.set_total_bytes(static_cast<uint64_t>(from.chunk_bytes) *
+                             from.digests.size());
     std::string all;
-    for (const std::string& hex : read->digests) {
+    for (const std::string& hex : from.digests) {
       auto piece = DigestFromHex(hex);
-      if (!piece) {
-        base_.Metrics().Count("origin_failed");
-        base_.Loop().StartTimer(now + kManifestRetry, [this](time_point at) {
-          FetchManifest(at);
-        });
-        return;
-      }
+      if (!piece)
+        return failure{piece.LastReason()};
       manifest.add_chunk_digests(piece->value);
       all += piece->value;
-      pieces.push_back(*piece);
+      made.pieces.push_back(*piece);
     }
     manifest.set_whole_digest(DigestOf(all).value);
-    auto bytes = std::make_shared<std::string>(manifest.SerializeAsString());
-    manifest_ = DigestOf(*bytes);
-    manifest_bytes_ = bytes;
-    piece_index_.clear();
-    for (uint32_t i = 0; i < pieces.size(); ++i)
-      piece_index_[pieces[i]] = i;
-    stager_.SetTarget(std::move(pieces));
-    has_transfer_ = false;
-    Tick(now);
+    made.bytes = std::make_shared<std::string>(manifest.SerializeAsString());
+    made.name = DigestOf(*made.bytes);
+    return made;
   }
 
-  /// Begins the transfer once what lies at the engine has been surveyed.
-  void SetTransferTarget(time_point now) {
-    if (world_ == nullptr || !manifest_ || !stager_.IsSurveyed())
+  void SetTransferTarget(time_point now, const std::vector<uint64_t>& fetch) {
+    std::vector<load_part> parts;
+    std::vector<uint64_t> versions;
+    for (uint64_t version : fetch) {
+      auto it = manifests_.find(version);
+      if (it == manifests_.end())
+        continue;
+      blobs_->Put(it->second.name, it->second.bytes);
+      parts.push_back({std::to_string(version), it->second.name});
+      versions.push_back(version);
+    }
+    if (parts.empty() || versions == fetched_)
       return;
-    blobs_->Put(*manifest_, manifest_bytes_);
+    fetched_ = versions;
     output_list out;
-    transfer_.SetTarget(now, world_, base_.Settings().service,
-                        {{std::to_string(target_version_), *manifest_}},
-                        !has_transfer_ && target_version_ == kFirstVersion,
+    transfer_.SetTarget(now, world_, base_.Settings().service, parts,
+                        !has_transfer_ && versions.front() == kFirstVersion,
                         &out);
     has_transfer_ = true;
     Perform(now, &out);
@@ -297,22 +375,21 @@
     auto piece = piece_index_.find(wanted);
     if (piece == piece_index_.end())
       return;
-    Call(now,
-         {.address = origin_,
-          .bytes = platform::WritePieceCall(origin_, model_, target_version_,
-                                            piece->second),
-          .timeout = kOriginTimeout,
-          .on_done = [this, wanted](time_point at, int status,
-                                    std::string body) {
-            blob_arrival blob{.wanted = wanted};
-            if (status == 200) {
-              blob.actual = DigestOf(body);
-              blob.bytes = std::make_shared<std::string>(std::move(body));
-            } else {
-              blob.status = blob_arrival::status_type::kUnreachable;
-            }
-            OnBlob(at, blob);
-          }});
+    Call(now, {.address = origin_,
+               .bytes = platform::WritePieceCall(
+                   origin_, model_, piece->second.version, piece->second.index),
+               .timeout = kOriginTimeout,
+               .on_done = [this, wanted](time_point at, int status,
+                                         std::string body) {
+                 blob_arrival blob{.wanted = wanted};
+                 if (status == 200) {
+                   blob.actual = DigestOf(body);
+                   blob.bytes = std::make_shared<std::string>(std::move(body));
+                 } else {
+                   blob.status = blob_arrival::status_type::kUnreachable;
+                 }
+                 OnBlob(at, blob);
+               }});
   }
 
   void OnBlob(time_point now, const blob_arrival& blob) {
@@ -367,50 +444,52 @@
       if (blobs_->Find(stager_.Wanted(i)) != nullptr)
         stager_.OnAtHand(i);
     }
-    if (auto order = steward_.Order(now, stager_.IsFresh(now))) {
-      SendOrder(now, *order);
-      return;
+    // An order takes what is staged, so the two have to be of one version.
+    const bool may_load = plan_.load && *plan_.load == staged_version_;
+    if (may_load) {
+      auto order = steward_.Order(now, staged_version_, stager_.IsFresh(now));
+      if (order) {
+        SendOrder(now, *order);
+        return;
+      }
     }
-    auto next = stager_.Next(now, steward_.WantsOrder(now));
-    if (!next) {
-      if (!has_transfer_ && stager_.IsSurveyed())
-        SetTransferTarget(now);
+    auto next = stager_.Next(
+        now, may_load && steward_.WantsOrder(now, staged_version_));
+    if (!next)
       return;
-    }
     is_staging_ = true;
-    const uint64_t version = target_version_;
+    const uint64_t version = staged_version_;
     const uint32_t piece = next->piece;
     if (next->type == piece_stager::operation_type::kWrite) {
       const shared_bytes bytes = blobs_->Find(stager_.Wanted(piece));
-      Call(now, {.address = engine,
-                 .bytes = platform::WriteStageCall(engine, model_, piece,
-                                                   *bytes),
-                 .timeout = kLocalTimeout,
-                 .on_done = [this, version, piece](time_point at, int status,
-                                                   const std::string&) {
-                   is_staging_ = false;
-                   if (version != target_version_)
-                     return Stage(at);
-                   if (status / 100 == 2) {
-                     stager_.OnWritten(piece);
-                   } else {
-                     stager_.OnFailed(at);
-                   }
-                   Stage(at);
-                 }});
+      Call(now,
+           {.address = engine,
+            .bytes = platform::WriteStageCall(engine, model_, piece, *bytes),
+            .timeout = kLocalTimeout,
+            .on_done = [this, version, piece](time_point at, int status,
+                                              const std::string&) {
+              is_staging_ = false;
+              if (version != staged_version_)
+                return Stage(at);
+              if (status / 100 == 2) {
+                stager_.OnWritten(piece);
+              } else {
+                stager_.OnFailed(at);
+              }
+              Stage(at);
+            }});
       return;
     }
-    Call(now,
-         {.address = engine,
-          .bytes = platform::WriteStagedCall(engine, model_, piece),
-          .timeout = kLocalTimeout,
-          .on_done = [this, version, piece](time_point at, int status,
-                                            std::string body) {
-            is_staging_ = false;
-            if (version == target_version_)
-              OnStagedRead(at, piece, status, std::move(body));
-            Stage(at);
-          }});
+    Call(now, {.address = engine,
+               .bytes = platform::WriteStagedCall(engine, model_, piece),
+               .timeout = kLocalTimeout,
+               .on_done = [this, version, piece](time_point at, int status,
+                                                 std::string body) {
+                 is_staging_ = false;
+                 if (version == staged_version_)
+                   OnStagedRead(at, piece, status, std::move(body));
+                 Stage(at);
+               }});
   }
 
   void OnStagedRead(time_point now,
@@ -437,34 +516,33 @@
   void SendOrder(time_point now, const start_order& order) {
     const std::string& engine = base_.Settings().engine_address;
     LogEvent(log_event::kEngineOrdered,
-             "version=" + std::to_string(order.version) + " served=" +
-                 std::to_string(steward_.ServedVersion()) +
+             "version=" + std::to_string(order.version) +
+                 " served=" + std::to_string(steward_.ServedVersion()) +
                  " orders=" + std::to_string(order.orders_before));
     base_.Metrics().Count("orders");
     places_.SetAccepting(false);
-    Call(now, {.address = engine,
-               .bytes = platform::WriteStartOrder(engine, order),
-               .timeout = kLocalTimeout,
-               .on_done = [this](time_point, int status, const std::string&) {
-                 base_.Metrics().Count("order_status_" +
-                                       std::to_string(status));
-               }});
-  }
-
-  void AskReport(time_point now) {
-    const std::string& engine = base_.Settings().engine_address;
     Call(now,
          {.address = engine,
-          .bytes = platform::WriteReportCall(engine),
+          .bytes = platform::WriteStartOrder(engine, order),
           .timeout = kLocalTimeout,
-          .on_done = [this](time_point at, int status, std::string body) {
-            OnReport(at, status, body);
-            base_.Loop().StartTimer(
-                at + kReportInterval,
-                [this](time_point next) { AskReport(next); });
+          .on_done = [this](time_point, int status, const std::string&) {
+            base_.Metrics().Count("order_status_" + std::to_string(status));
           }});
   }
 
+  void AskReport(time_point now) {
+    const std::string& engine = base_.Settings().engine_address;
+    Call(now, {.address = engine,
+               .bytes = platform::WriteReportCall(engine),
+               .timeout = kLocalTimeout,
+               .on_done = [this](time_point at, int status, std::string body) {
+                 OnReport(at, status, body);
+                 base_.Loop().StartTimer(
+                     at + kReportInterval,
+                     [this](time_point next) { AskReport(next); });
+               }});
+  }
+
   void OnReport(time_point now, int status, const std::string& body) {
     auto report = status == 200 ? platform::DecodeReport(body)
                                 : failure{"status " + std::to_string(status)};
@@ -483,12 +561,13 @@
     } else {
       steward_.OnUnreachable();
     }
-    is_serving_ = steward_.IsServing(now) && !is_leaving_ && !is_evacuated_;
+    is_serving_ = steward_.IsServing(now) && !is_leaving_ &&
+                  !is_evacuated_ && !IsOutdated(now);
     places_.SetAccepting(is_serving_);
     if (is_serving_ != was_serving || served != steward_.ServedVersion()) {
       LogEvent(log_event::kEngineState,
-               "serving=" + std::to_string(is_serving_) + " version=" +
-                   std::to_string(steward_.ServedVersion()) +
+               "serving=" + std::to_string(is_serving_) +
+                   " version=" + std::to_string(steward_.ServedVersion()) +
                    " loading=" + std::to_string(steward_.Report().is_loading) +
                    " reachable=" + std::to_string(steward_.IsReachable()) +
                    " load=" + std::to_string(places_.Load()));
@@ -542,8 +621,8 @@
       timer_id timeout = 0;
     };
     auto state = std::make_shared<pending>();
-    auto done = std::make_shared<decltype(call.on_done)>(
-        std::move(call.on_done));
+    auto done =
+        std::make_shared<decltype(call.on_done)>(std::move(call.on_done));
     auto taken = pool_.Take(now, call.address);
     if (!taken) {
       base_.Loop().Post([done] { (*done)(BootNow(), 0, ""); });
@@ -564,11 +643,11 @@
         state->status = 0;
       (*done)(at, state->status, std::move(state->body));
     };
-    state->timeout = base_.Loop().StartTimer(
-        now + call.timeout, [connection, done](time_point at) {
-          connection->Abort();
-          (*done)(at, 0, "");
-        });
+    state->timeout = base_.Loop().StartTimer(now + call.timeout,
+                                             [connection, done](time_point at) {
+                                               connection->Abort();
+                                               (*done)(at, 0, "");
+                                             });
     connection->Start(call.bytes, false, std::move(hooks));
   }
 
@@ -579,12 +658,12 @@
     if (has_transfer_)
       transfer_.Step(now, &out);
     Perform(now, &out);
+    Plan(now);
     Stage(now);
     pool_.CloseIdle(now);
-    const bool is_busy = manifest_ && !transfer_.IsComplete();
+    const bool is_busy = has_transfer_ && !transfer_.IsComplete();
     tick_timer_ = base_.Loop().StartTimer(
-        now + (is_busy ? kTick : kReportInterval),
-        [this](time_point at) {
+        now + (is_busy ? kTick : kReportInterval), [this](time_point at) {
           tick_timer_ = 0;
           Tick(at);
         });
@@ -603,15 +682,18 @@
   message_link bulk_;
   engine_figures figures_;
   std::string model_;
-  std::string origin_;  ///< ip:port
+  std::string origin_;                          ///< ip:port
   std::map<std::string, std::string> members_;  ///< Domain by address.
   world_ptr world_;
-  uint64_t target_version_ = 0;
-  std::optional<digest> manifest_;
-  shared_bytes manifest_bytes_;
-  std::map<digest, uint32_t> piece_index_;
+  std::map<uint64_t, time_point> named_at_;  ///< By version.
+  std::map<uint64_t, version_manifest> manifests_;
+  std::map<digest, piece_place> piece_index_;
+  std::set<uint64_t> fetching_;  ///< Versions whose manifests are asked for.
+  time_point manifest_retry_at_{};
+  weights_plan plan_;
+  uint64_t staged_version_ = 0;
+  std::vector<uint64_t> fetched_;  ///< Versions that the transfer knows.
   bool has_transfer_ = false;
-  bool is_fetching_manifest_ = false;
   bool is_staging_ = false;
   bool is_serving_ = false;
   bool is_leaving_ = false;
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -3,10 +3,10 @@
 
 #include <iostream>
 
-#include "platform/headers.h"
 #include "call_dispatch_base.h"
 #include "hosted_process.h"
 #include "network/datagram_link.h"
+#include "platform/headers.h"
 
 namespace fuchsiafall {
 
@@ -28,6 +28,7 @@
   options.board = {.domain = from.domain,
                    .region = from.region,
                    .regions = from.regions,
+                   .weights_bound = from.weights_bound,
                    .seed = seed};
   options.revoke = from.revoke;
   options.budget = {.share = from.retry_share / 2,
@@ -49,13 +50,13 @@
                   DispatchHooks()),
         callers_(&base_.Loop(), {}, CallerHooks()),
         readiness_(&base_.Loop(), {}, ReadinessHooks()),
-        servers_(&base_.Loop(),
-                 {.connection = {.user_timeout = kUserTimeout}}),
-        agents_(&base_.Loop(),
-                [this](time_point now, const std::string&,
-                       const proto::envelope& message) {
-                  OnAgent(now, message);
-                }) {}
+        servers_(&base_.Loop(), {.connection = {.user_timeout = kUserTimeout}}),
+        agents_(
+            &base_.Loop(),
+            [this](time_point now,
+                   const std::string&,
+                   const proto::envelope& message) { OnAgent(now, message); }) {
+  }
 
   exit_code Run() {
     const site_settings& settings = base_.Settings();
@@ -342,8 +343,7 @@
                         static_cast<int64_t>(servers_.Opened()));
     if (shutdown_at_) {
       const duration passed = now - *shutdown_at_;
-      const bool is_idle =
-          dispatch_.Open() == 0 && passed > kBalancerNotice;
+      const bool is_idle = dispatch_.Open() == 0 && passed > kBalancerNotice;
       if (is_idle || passed > base_.Settings().grace - kGraceMargin) {
         base_.Finish();
         return;
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -92,9 +92,9 @@
     return exit_code::kBadInput;
   }
   SetUpLog("", settings->node);
-  LogEvent(log_event::kProcessStarted,
-           "role=" + role + " node=" + settings->node +
-               " domain=" + settings->domain);
+  LogEvent(log_event::kProcessStarted, "role=" + role +
+                                           " node=" + settings->node +
+                                           " domain=" + settings->domain);
   return role == "entry" ? RunHostedEntry(*settings)
                          : RunHostedAgent(*settings);
 }
--- a/src/network/event_loop.cc
+++ b/src/network/event_loop.cc
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr int kMostEvents = 64;     // Taken from the kernel at once.
-constexpr int kMostWaitMs = 1000;   // Bounds the wait without timers.
+constexpr int kMostEvents = 64;    // Taken from the kernel at once.
+constexpr int kMostWaitMs = 1000;  // Bounds the wait without timers.
 
 uint32_t MaskOf(bool wants_read, bool wants_write) {
   return (wants_read ? EPOLLIN | EPOLLRDHUP : 0U) |
@@ -138,8 +138,8 @@
 int event_loop::TimeoutMs() const {
   if (timers_.empty())
     return kMostWaitMs;
-  auto wait = std::chrono::ceil<milliseconds>(timers_.begin()->first.first -
-                                              BootNow());
+  auto wait =
+      std::chrono::ceil<milliseconds>(timers_.begin()->first.first - BootNow());
   return static_cast<int>(std::clamp<int64_t>(wait.count(), 0, kMostWaitMs));
 }
 
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -132,8 +132,8 @@
     const bool is_whole = has_head_ && !is_skipped_ &&
                           body_.Framing() == body_framing::kUntilClose &&
                           cause == close_cause::kPeerClosed;
-    exchange_end end = is_whole ? exchange_end::kComplete
-                                : exchange_end::kBroken;
+    exchange_end end =
+        is_whole ? exchange_end::kComplete : exchange_end::kBroken;
     if (!connection_->IsConnected())
       end = exchange_end::kNotConnected;
     is_busy_ = false;
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -16,10 +16,10 @@
 
 /// How an exchange ended.
 enum class exchange_end {
-  kComplete,       ///< The answer arrived whole.
-  kNotConnected,   ///< No connection was made, so that nothing was sent.
-  kBroken,         ///< The connection ended before the answer did.
-  kMalformed,      ///< What arrived is no answer in the protocol.
+  kComplete,      ///< The answer arrived whole.
+  kNotConnected,  ///< No connection was made, so that nothing was sent.
+  kBroken,        ///< The connection ended before the answer did.
+  kMalformed,     ///< What arrived is no answer in the protocol.
 };
 
 struct exchange_hooks {
@@ -62,9 +62,9 @@
   exchange_hooks hooks_;
   body_reader body_;
   bool is_busy_ = false;
-  bool is_head_ = false;      ///< Whether the request was a HEAD.
-  bool has_head_ = false;     ///< Whether the answer's head has been read.
-  bool is_skipped_ = false;   ///< Whether the present answer is another's.
+  bool is_head_ = false;     ///< Whether the request was a HEAD.
+  bool has_head_ = false;    ///< Whether the answer's head has been read.
+  bool is_skipped_ = false;  ///< Whether the present answer is another's.
   bool must_close_ = false;
   time_point kept_until_{};
   milliseconds keep_{};
@@ -90,10 +90,8 @@
 
   /// Takes an idle connection, or begins a new one.
   /// @param must_be_new Leaves idle ones alone, which may have gone silent.
-  outcome<std::shared_ptr<http_client_connection>> Take(
-      time_point now,
-      const std::string& address,
-      bool must_be_new = false);
+  outcome<std::shared_ptr<http_client_connection>>
+  Take(time_point now, const std::string& address, bool must_be_new = false);
   /// Closes idle connections that are too old.
   void CloseIdle(time_point now);
   /// Closes all idle connections to an address.
@@ -103,8 +101,7 @@
  private:
   event_loop* loop_;
   http_client_pool_options options_;
-  std::map<std::string,
-           std::deque<std::shared_ptr<http_client_connection>>>
+  std::map<std::string, std::deque<std::shared_ptr<http_client_connection>>>
       idle_;
   std::map<http_client_connection*, std::shared_ptr<http_client_connection>>
       busy_;
--- a/src/network/http_message.cc
+++ b/src/network/http_message.cc
@@ -19,11 +19,10 @@
 
 bool IsToken(std::string_view text) {
   constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !text.empty() &&
-         std::all_of(text.begin(), text.end(), [&](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-                  (c >= 'A' && c <= 'Z') || kMarks.find(c) != kMarks.npos;
-         });
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || kMarks.find(c) != kMarks.npos;
+  });
 }
 
 /// Checks each field line: no folding, no space before the colon, no control
@@ -149,8 +148,8 @@
   read_progress progress = read_progress::kNeedsMore;
   while (!is_done_) {
     if (stage_ == chunk_stage::kData) {
-      const size_t taken = static_cast<size_t>(
-          std::min<uint64_t>(left_, input->size() - at));
+      const size_t taken =
+          static_cast<size_t>(std::min<uint64_t>(left_, input->size() - at));
       output->append(*input, at, taken);
       at += taken;
       left_ -= taken;
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -157,8 +157,8 @@
   while (!unsent_.empty()) {
     int count = 0;
     try {
-      count = socket_.sendBytes(unsent_.data(),
-                                static_cast<int>(unsent_.size()));
+      count =
+          socket_.sendBytes(unsent_.data(), static_cast<int>(unsent_.size()));
     } catch (const Poco::Exception&) {
       Fail(now, close_cause::kBroken);
       return;
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -16,8 +16,7 @@
 
 }  // namespace
 
-void place_table::OnReport(time_point now,
-                           const staged_engine_report& report) {
+void place_table::OnReport(time_point now, const staged_engine_report& report) {
   report_ = report;
   reported_at_ = now;
   std::erase_if(places_,
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -43,9 +43,9 @@
 
 /// Grants places by the engine's own report and by the places that are taken,
 /// so that no server gets more than it can answer on time. Under a steady
-/// overload of 1.1 to 1.4 the queue stays as short as the callers' patience, and
-/// a cold server's rate holds over all entries without any agreement between
-/// them.
+/// overload of 1.1 to 1.4 the queue stays as short as the callers' patience,
+/// and a cold server's rate holds over all entries without any agreement
+/// between them.
 class place_table {
  public:
   explicit place_table(place_table_options options) : options_(options) {}
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -21,7 +21,8 @@
   return it == options_.regions.end() ? kNone : it->second;
 }
 
-bool server_board::IsEligible(const site_server& server,
+bool server_board::IsEligible(time_point now,
+                              const site_server& server,
                               const server_query& query) const {
   if (server.is_draining || index_->View().evacuated.contains(server.domain))
     return false;
@@ -40,14 +41,26 @@
   const site_service* service = index_->FindService(query.service);
   const uint32_t layers =
       service != nullptr && service->engine ? service->engine->layers : 1;
-  return server.ServedVersion(query.model, layers) > 0;
+  const uint64_t served = server.ServedVersion(query.model, layers);
+  return served > 0 && !IsOutdated(now, query.model, served, query.is_unasked);
 }
 
-bool server_board::HasAny(const server_query& query) const {
-  const auto& all = index_->Servers(query.service);
-  return std::any_of(all.begin(), all.end(), [&](const site_server* server) {
-    return IsEligible(*server, query);
-  });
+bool server_board::IsOutdated(time_point now,
+                              const std::string& model,
+                              uint64_t served,
+                              bool is_unasked) const {
+  auto wanted = index_->View().weights.find(model);
+  if (wanted == index_->View().weights.end())
+    return false;
+  const version_naming* naming = wanted->second.ReplacedBy(served);
+  if (naming == nullptr)
+    return false;
+  // Where the time is not known, the agent's word decides; without it, the
+  // worst is assumed.
+  if (!naming->was_watched)
+    return is_unasked;
+  return now - naming->seen_at >
+         options_.weights_bound - options_.weights_margin;
 }
 
 double server_board::Score(time_point now, const site_server& server) {
@@ -65,9 +78,8 @@
   return score + std::uniform_real_distribution<>(0, 0.05)(random_);
 }
 
-std::vector<const site_server*> server_board::Rank(
-    time_point now,
-    const server_query& query) {
+std::vector<const site_server*> server_board::Rank(time_point now,
+                                                   const server_query& query) {
   struct candidate {
     const site_server* server;
     double score;
@@ -76,18 +88,18 @@
   std::vector<candidate> candidates;
   size_t eligible = 0;
   for (const site_server* server : index_->Servers(query.service)) {
-    if (!IsEligible(*server, query))
+    if (!IsEligible(now, *server, query))
       continue;
     ++eligible;
-    candidates.push_back({server, Score(now, *server),
-                          now < notes_[server->id].ejected_until});
+    candidates.push_back(
+        {server, Score(now, *server), now < notes_[server->id].ejected_until});
   }
-  const auto kept = std::count_if(
-      candidates.begin(), candidates.end(),
-      [](const candidate& item) { return !item.is_ejected; });
+  const auto kept =
+      std::count_if(candidates.begin(), candidates.end(),
+                    [](const candidate& item) { return !item.is_ejected; });
   // Where most look broken, the fault is likelier to be on this side.
-  const bool uses_ejected =
-      static_cast<double>(kept) < options_.floor * static_cast<double>(eligible);
+  const bool uses_ejected = static_cast<double>(kept) <
+                            options_.floor * static_cast<double>(eligible);
   std::sort(candidates.begin(), candidates.end(),
             [](const candidate& a, const candidate& b) {
               if (a.is_ejected != b.is_ejected)
@@ -135,8 +147,7 @@
   if (++note.failures < options_.failures_to_eject)
     return;
   const auto span = options_.eject * (1 << std::min(note.ejections, 5U));
-  note.ejected_until =
-      now + std::min<duration>(span, options_.most_eject);
+  note.ejected_until = now + std::min<duration>(span, options_.most_eject);
   ++note.ejections;
   // One more failure after the pause is enough to eject it again.
   note.failures = options_.failures_to_eject - 1;
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -27,6 +27,9 @@
   uint32_t failures_to_eject = 3;  ///< In a row.
   milliseconds eject{1000};        ///< Of the first ejection; doubles.
   milliseconds most_eject{8000};
+  milliseconds weights_bound{8000};  ///< In which new weights replace old ones.
+  /// Subtracted from it, for the wait of a request at its server.
+  milliseconds weights_margin{600};
   /// Share of a service's servers that stays in use whatever fails.
   double floor = 0.5;
   uint64_t seed = 1;
@@ -38,12 +41,12 @@
   double load = 0;         ///< Places taken, as last told.
   uint32_t slots = 0;
   time_point load_at{};
-  time_point full_until{};     ///< Denied a place until then.
-  uint32_t failures = 0;       ///< In a row.
-  uint32_t ejections = 0;      ///< In a row.
+  time_point full_until{};  ///< Denied a place until then.
+  uint32_t failures = 0;    ///< In a row.
+  uint32_t ejections = 0;   ///< In a row.
   time_point ejected_until{};
-  bool is_gone = false;        ///< Another instance has its address.
-  uint32_t silent_asks = 0;    ///< Questions for a place unanswered in a row.
+  bool is_gone = false;      ///< Another instance has its address.
+  uint32_t silent_asks = 0;  ///< Questions for a place unanswered in a row.
   time_point silent_since{};
 };
 
@@ -52,8 +55,10 @@
   std::string service;
   const std::vector<std::string>* route_regions = nullptr;
   const std::vector<std::string>* tenant_regions = nullptr;
-  std::string model;  ///< Empty for plain services.
+  std::string model;                             ///< Empty for plain services.
   const std::set<std::string>* tried = nullptr;  ///< Ids to leave out.
+  /// Whether the request would be sent without the word of the server's agent.
+  bool is_unasked = false;
 };
 
 /// Chooses servers by load, with the own domain first, and keeps those away
@@ -67,8 +72,6 @@
   /// Ranks the servers that may take a request, best first.
   std::vector<const site_server*> Rank(time_point now,
                                        const server_query& query);
-  /// Whether any server of the service may take the request at all.
-  bool HasAny(const server_query& query) const;
 
   void OnSent(const std::string& id) { ++notes_[id].in_flight; }
   void OnEnded(const std::string& id);
@@ -86,8 +89,17 @@
   server_note& Note(const std::string& id) { return notes_[id]; }
   const std::string& RegionOf(const std::string& domain) const;
 
+  /// Whether a server may take a request, whatever its load.
+  bool IsEligible(time_point now,
+                  const site_server& server,
+                  const server_query& query) const;
+
  private:
-  bool IsEligible(const site_server& server, const server_query& query) const;
+  /// Whether a version was replaced so long ago that nothing may begin on it.
+  bool IsOutdated(time_point now,
+                  const std::string& model,
+                  uint64_t served,
+                  bool is_unasked) const;
   double Score(time_point now, const site_server& server);
 
   server_board_options options_;
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -142,10 +142,24 @@
   }
 };
 
+/// When a version of the weights was named.
+struct version_naming {
+  time_point seen_at{};
+  /// Whether it was named while this process watched; else it is older than it
+  /// was first seen.
+  bool was_watched = false;
+};
+
 /// Weights that operators want in service.
 struct wanted_weights {
   uint64_t version = 0;
-  time_point seen_at{};
+  std::map<uint64_t, version_naming> namings;  ///< Of the last versions.
+
+  /// Finds the first version that replaced one; none while it is the newest.
+  const version_naming* ReplacedBy(uint64_t served) const {
+    auto it = namings.upper_bound(served);
+    return it == namings.end() ? nullptr : &it->second;
+  }
 };
 
 /// All that a process believes of the site. Never changed once published.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -1,8 +1,8 @@
 /// @file site_watch.cc Control thread of a hosted process.
 #include "site_watch.h"
 
-#include "platform/documents.h"
 #include "log_event_func.h"
+#include "platform/documents.h"
 
 namespace fuchsiafall {
 
@@ -53,8 +53,7 @@
 }
 
 void site_watch::Call(time_point now, const store_call& call) {
-  const auto written =
-      platform::EncodeStoreCall(call, options_.store_address);
+  const auto written = platform::EncodeStoreCall(call, options_.store_address);
   options_.count(call.kind == store_call::kind_type::kList ? "store_listings"
                                                            : "store_watches");
   auto taken = pool_.Take(now, options_.store_address);
@@ -96,8 +95,8 @@
     was_reachable_ = mirror_.IsReachable();
     LogEvent(was_reachable_ ? log_event::kStoreReachable
                             : log_event::kStoreUnreachable,
-             options_.store_address + " revision=" +
-                 std::to_string(mirror_.Revision()));
+             options_.store_address +
+                 " revision=" + std::to_string(mirror_.Revision()));
   }
   if (answer.status == store_answer::status_type::kRefused)
     options_.count("store_refused");
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -5,6 +5,14 @@
 
 namespace fuchsiafall {
 
+namespace {
+
+std::string DirectoryOf(const std::string& key) {
+  return key.substr(0, key.rfind('/') + 1);
+}
+
+}  // namespace
+
 std::optional<store_call> store_mirror::NextCall(time_point now) {
   if (is_waiting_ || now < next_at_)
     return std::nullopt;
@@ -13,9 +21,10 @@
   if (is_listing_)
     return store_call{.kind = store_call::kind_type::kList,
                       .after_key = after_key_};
+  // The first call after a failure asks whether the store is there at all.
   return store_call{.kind = store_call::kind_type::kWatch,
                     .after_revision = revision_,
-                    .wait = options_.watch};
+                    .wait = failures_ > 0 ? milliseconds(0) : options_.watch};
 }
 
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
@@ -39,8 +48,15 @@
   }
   next_at_ = std::max(now, sent_at_ + options_.spacing);
   if (!is_listing_) {
-    for (const store_item& item : answer.items)
-      Apply(now, item);
+    std::vector<store_item> gone;
+    for (const store_item& item : answer.items) {
+      if (item.is_deleted) {
+        gone.push_back(item);
+      } else {
+        Apply(item);
+      }
+    }
+    Remove(now, gone);
     revision_ = std::max(revision_, answer.revision);
     sound_at_ = sent_at_;
     return !answer.items.empty();
@@ -62,44 +78,52 @@
 }
 
 bool store_mirror::Step(time_point now) {
-  bool has_dropped = false;
-  for (auto it = missing_.begin(); it != missing_.end();) {
-    if (now - it->second < options_.lapse) {
-      ++it;
-      continue;
-    }
-    items_.erase(it->first);
-    it = missing_.erase(it);
-    has_dropped = true;
-  }
-  return has_dropped;
+  if (missing_.empty() || MayHaveLapsed(now))
+    return false;
+  for (const std::string& key : missing_)
+    items_.erase(key);
+  missing_.clear();
+  return true;
 }
 
 bool store_mirror::MayHaveLapsed(time_point now) const {
   return is_known_ && now - away_until_ < options_.lapse;
 }
 
-void store_mirror::Apply(time_point now, const store_item& item) {
+void store_mirror::Apply(const store_item& item) {
   auto it = items_.find(item.key);
-  if (item.is_deleted) {
+  if (it != items_.end() && it->second.revision >= item.revision)
+    return;
+  missing_.erase(item.key);
+  items_[item.key] = item;
+}
+
+void store_mirror::Remove(time_point now, const std::vector<store_item>& gone) {
+  std::map<std::string, size_t> removed;
+  std::map<std::string, size_t> held;
+  for (const auto& [key, item] : items_)
+    ++held[DirectoryOf(key)];
+  for (const store_item& item : gone)
+    ++removed[DirectoryOf(item.key)];
+  for (const store_item& item : gone) {
+    auto it = items_.find(item.key);
     if (it == items_.end() || it->second.revision >= item.revision)
-      return;
-    if (MayHaveLapsed(now)) {
-      missing_.emplace(item.key, now);
+      continue;
+    const std::string directory = DirectoryOf(item.key);
+    const bool is_lapse =
+        static_cast<double>(removed[directory] + missing_.size()) >
+        options_.lapsed_share * static_cast<double>(held[directory]);
+    if (is_lapse && MayHaveLapsed(now)) {
+      missing_.insert(item.key);
     } else {
       items_.erase(it);
     }
-    return;
   }
-  if (it != items_.end() && it->second.revision >= item.revision)
-    return;
-  missing_.erase(item.key);
-  items_[item.key] = item;
 }
 
 void store_mirror::FinishListing(time_point now) {
   for (const auto& [key, item] : listed_)
-    Apply(now, item);
+    Apply(item);
   std::vector<store_item> gone;
   for (const auto& [key, item] : items_) {
     // Pages are no snapshot: the watch tells what changed after the first one.
@@ -108,8 +132,7 @@
           {.key = key, .revision = item.revision + 1, .is_deleted = true});
     }
   }
-  for (const store_item& item : gone)
-    Apply(now, item);
+  Remove(now, gone);
   listed_.clear();
   after_key_.clear();
   is_listing_ = false;
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,7 +40,7 @@
 struct store_call {
   enum class kind_type { kList, kWatch };
   kind_type kind = kind_type::kList;
-  std::string after_key;    ///< Of listings: where the page begins.
+  std::string after_key;        ///< Of listings: where the page begins.
   uint64_t after_revision = 0;  ///< Of watches.
   milliseconds wait{0};         ///< Of watches: longest time without news.
 };
@@ -50,11 +51,17 @@
   milliseconds watch{1500};
   /// Least time between two answers, so that a storm is read in batches.
   milliseconds spacing{250};
-  milliseconds backoff{200};        ///< After a call that failed.
-  milliseconds most_backoff{1000};  ///< Kept short: recovery waits for it.
-  /// Entries missing after the store was away count as gone after this time;
-  /// servers that live have written theirs again by then.
-  milliseconds lapse{2000};
+  /// After a call that failed. Short, since a machine that is reachable again
+  /// has to know within seconds what it missed.
+  milliseconds backoff{200};
+  milliseconds most_backoff{400};
+  /// When all entries lapsed while the store was away, those still missing
+  /// after this time count as gone; what lives has written its own again by
+  /// then.
+  milliseconds lapse{1800};
+  /// Share of a directory's entries that must be missing for a lapse. A few
+  /// that are missing were removed, and count as gone at once.
+  double lapsed_share = 0.5;
 };
 
 /// Decides which calls to make, and what the store holds by their answers.
@@ -82,17 +89,18 @@
   time_point NextCallAt() const { return next_at_; }
 
  private:
-  void Apply(time_point now, const store_item& item);
+  void Apply(const store_item& item);
+  void Remove(time_point now, const std::vector<store_item>& gone);
   void FinishListing(time_point now);
   bool MayHaveLapsed(time_point now) const;
 
   store_mirror_options options_;
   std::map<std::string, store_item> items_;
   std::map<std::string, store_item> listed_;  ///< By the pages read so far.
-  std::map<std::string, time_point> missing_;  ///< Since when, by key.
+  std::set<std::string> missing_;             ///< Keys that may have lapsed.
   uint64_t revision_ = 0;
   uint64_t listing_revision_ = 0;  ///< Of the first page.
-  time_point listing_sent_at_{};    ///< When the first page was asked for.
+  time_point listing_sent_at_{};   ///< When the first page was asked for.
   std::string after_key_;
   bool is_known_ = false;
   bool is_listing_ = true;
--- /dev/null
+++ b/src/tests/store_mirror_test.cc
@@ -0,0 +1,157 @@
+/// @file store_mirror_test.cc The mirror of the platform's store: listings,
+/// watches, lost history, lapses.
+#include <boost/test/unit_test.hpp>
+
+#include "store_mirror_base.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+using status_type = store_answer::status_type;
+
+const time_point kStart{std::chrono::hours(1)};
+
+store_answer Ok(std::vector<store_item> items, uint64_t revision) {
+  return {.status = status_type::kOk,
+          .items = std::move(items),
+          .revision = revision};
+}
+
+/// Mirror that has read one listing.
+struct listed_mirror {
+  explicit listed_mirror(std::vector<store_item> items, uint64_t revision) {
+    BOOST_REQUIRE(mirror.NextCall(now).has_value());
+    now += milliseconds(5);
+    mirror.OnAnswer(now, Ok(std::move(items), revision));
+  }
+  store_call Next() {
+    now = std::max(now, mirror.NextCallAt());
+    auto call = mirror.NextCall(now);
+    BOOST_REQUIRE(call.has_value());
+    return *call;
+  }
+  void Answer(const store_answer& answer) {
+    now += milliseconds(5);
+    mirror.OnAnswer(now, answer);
+  }
+
+  time_point now = kStart;
+  store_mirror mirror{{}};
+};
+
+std::vector<store_item> Servers(int count) {
+  std::vector<store_item> items;
+  for (int i = 0; i < count; ++i)
+    items.push_back({.key = "servers/s" + std::to_string(i),
+                     .value = "x",
+                     .revision = static_cast<uint64_t>(i + 1)});
+  return items;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(store_mirror_suite)
+
+BOOST_AUTO_TEST_CASE(listing_of_pages_goes_on_from_its_first_revision) {
+  store_mirror mirror{{}};
+  time_point now = kStart;
+  auto call = mirror.NextCall(now);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kList));
+  store_answer page = Ok({{.key = "a", .value = "1", .revision = 3}}, 10);
+  page.has_more = true;
+  mirror.OnAnswer(now + milliseconds(5), page);
+  BOOST_TEST(!mirror.IsKnown());
+  call = mirror.NextCall(now + milliseconds(5));
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST(call->after_key == "a");
+  mirror.OnAnswer(now + milliseconds(9),
+                  Ok({{.key = "b", .value = "2", .revision = 14}}, 15));
+  BOOST_TEST(mirror.IsKnown());
+  call = mirror.NextCall(now + seconds(1));
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kWatch));
+  BOOST_TEST(call->after_revision == 10u);
+  BOOST_TEST((mirror.SoundAt() == now));
+}
+
+BOOST_AUTO_TEST_CASE(one_call_is_on_its_way_at_a_time) {
+  listed_mirror it({}, 1);
+  it.Next();
+  BOOST_TEST(!it.mirror.NextCall(it.now + seconds(10)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lost_history_leads_to_a_new_listing) {
+  listed_mirror it(Servers(2), 5);
+  it.Next();
+  it.Answer({.status = status_type::kHistoryGone});
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+  it.Answer(Ok({Servers(2)[1]}, 30));
+  BOOST_TEST(it.mirror.Items().size() == 1u);
+  BOOST_TEST(it.Next().after_revision == 30u);
+}
+
+BOOST_AUTO_TEST_CASE(older_revisions_never_replace_newer_ones) {
+  listed_mirror it({{.key = "op/config", .value = "new", .revision = 9}}, 9);
+  it.Next();
+  it.Answer(Ok({{.key = "op/config", .value = "old", .revision = 7}}, 9));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "new");
+}
+
+BOOST_AUTO_TEST_CASE(one_removed_server_is_gone_at_once_after_an_outage) {
+  listed_mirror it(Servers(6), 6);
+  it.Next();
+  it.Answer({.status = status_type::kSilent});
+  it.Next();
+  it.Answer(Ok({{.key = "servers/s2", .revision = 8, .is_deleted = true}}, 8));
+  BOOST_TEST(!it.mirror.Items().contains("servers/s2"));
+}
+
+BOOST_AUTO_TEST_CASE(servers_that_lapsed_together_are_kept_until_they_are_back) {
+  listed_mirror it(Servers(4), 4);
+  it.Next();
+  it.Answer({.status = status_type::kSilent});
+  it.Next();
+  std::vector<store_item> gone;
+  for (const store_item& item : Servers(4))
+    gone.push_back({.key = item.key, .revision = 9, .is_deleted = true});
+  it.Answer(Ok(gone, 9));
+  BOOST_TEST(it.mirror.Items().size() == 4u);
+  const time_point back = it.now;
+  it.Next();
+  it.Answer(Ok({{.key = "servers/s0", .value = "y", .revision = 11}}, 11));
+  BOOST_TEST(!it.mirror.Step(back + milliseconds(1500)));
+  BOOST_TEST(it.mirror.Step(back + seconds(2)));
+  BOOST_TEST(it.mirror.Items().size() == 1u);
+  BOOST_TEST(it.mirror.Items().contains("servers/s0"));
+}
+
+BOOST_AUTO_TEST_CASE(a_storm_of_changes_is_read_in_batches) {
+  listed_mirror it({}, 1);
+  int calls = 0;
+  const time_point end = it.now + seconds(2);
+  for (uint64_t revision = 2; it.now < end; ++revision) {
+    it.Next();
+    ++calls;
+    it.Answer(Ok({{.key = "op/config", .value = "v", .revision = revision}},
+                 revision));
+  }
+  BOOST_TEST(calls <= 9);
+}
+
+BOOST_AUTO_TEST_CASE(soundness_counts_from_when_a_call_was_sent) {
+  listed_mirror it({}, 1);
+  it.Next();
+  const time_point sent = it.now;
+  it.now += milliseconds(1400);
+  it.Answer(Ok({}, 1));
+  BOOST_TEST((it.mirror.SoundAt() == sent));
+  it.Next();
+  it.Answer({.status = status_type::kRefused});
+  BOOST_TEST((it.mirror.SoundAt() == sent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- /dev/null
+++ b/src/tests/weights_plan_test.cc
@@ -0,0 +1,145 @@
+/// @file weights_plan_test.cc Versions named in quick succession, the turns of
+/// servers, staging at an engine that checks nothing.
+#include <boost/test/unit_test.hpp>
+
+#include "engine_steward_base.h"
+#include "piece_stager_base.h"
+#include "weights_plan_func.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+const time_point kNamed{std::chrono::hours(1)};
+const weights_plan_options kOptions{.bound = milliseconds(8000)};
+
+digest Piece(char c) {
+  return digest(std::string(32, c));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(weights_plan_suite)
+
+BOOST_AUTO_TEST_CASE(an_empty_engine_loads_as_soon_as_the_weights_are_whole) {
+  auto plan = PlanWeights(kNamed, kOptions, 0, {{1, kNamed, 0.9}}, 0.9);
+  BOOST_TEST(!plan.load.has_value());
+  plan = PlanWeights(kNamed, kOptions, 0, {{1, kNamed, 1}}, 0.9);
+  BOOST_TEST((plan.load == 1u));
+}
+
+BOOST_AUTO_TEST_CASE(servers_take_turns_and_all_begin_within_the_bound) {
+  std::vector<milliseconds> starts;
+  for (int i = 0; i < 20; ++i) {
+    for (milliseconds t{0}; t < seconds(20); t += milliseconds(10)) {
+      if (PlanWeights(kNamed + t, kOptions, 1, {{2, kNamed, 1}}, i / 20.0)
+              .load) {
+        starts.push_back(t);
+        break;
+      }
+    }
+  }
+  BOOST_REQUIRE(starts.size() == 20u);
+  BOOST_TEST(starts.back().count() < 8000);
+  // No more than a quarter begins within half a second.
+  for (size_t i = 0; i + 5 < starts.size(); ++i)
+    BOOST_TEST((starts[i + 5] - starts[i]).count() > 500);
+}
+
+BOOST_AUTO_TEST_CASE(a_nearly_whole_older_version_is_finished_first) {
+  auto plan = PlanWeights(kNamed + seconds(2), kOptions, 1,
+                          {{2, kNamed, 0.8}, {3, kNamed + seconds(2), 0}}, 0);
+  BOOST_TEST((plan.fetch == std::vector<uint64_t>{2, 3}));
+  plan = PlanWeights(kNamed + seconds(1), kOptions, 1,
+                     {{2, kNamed, 0.3}, {3, kNamed + seconds(1), 0}}, 0);
+  BOOST_TEST((plan.fetch == std::vector<uint64_t>{3}));
+}
+
+BOOST_AUTO_TEST_CASE(the_older_one_is_loaded_when_the_newest_does_not_come) {
+  const std::vector<known_version> wanted{{2, kNamed, 1},
+                                          {3, kNamed + seconds(2), 0.2}};
+  BOOST_TEST(
+      !PlanWeights(kNamed + seconds(4), kOptions, 1, wanted, 0).load);
+  auto plan =
+      PlanWeights(kNamed + milliseconds(7100), kOptions, 1, wanted, 0.99);
+  BOOST_TEST((plan.load == 2u));
+  BOOST_TEST(plan.stage == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_newest_that_must_be_late_does_not_hold_up_the_turns) {
+  const std::vector<known_version> wanted{{2, kNamed, 1},
+                                          {3, kNamed + seconds(4), 0}};
+  BOOST_TEST((PlanWeights(kNamed + seconds(4), kOptions, 1, wanted, 0).load ==
+              2u));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_ordered_before_all_pieces_are_compared) {
+  piece_stager stager({.fresh = milliseconds(2000)});
+  stager.SetTarget({Piece('a'), Piece('b')});
+  time_point now = kNamed;
+  auto read = piece_stager::operation_type::kRead;
+  auto next = stager.Next(now, true);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == read && next->piece == 0u));
+  BOOST_TEST(stager.OnRead(now, 0, Piece('a')));
+  BOOST_TEST(!stager.OnRead(now, 1, std::nullopt));
+  BOOST_TEST(!stager.Next(now, true).has_value());
+  stager.OnAtHand(1);
+  next = stager.Next(now, true);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
+  stager.OnWritten(1);
+  BOOST_TEST(!stager.IsFresh(now));
+  next = stager.Next(now, true);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == read && next->piece == 1u));
+  stager.OnRead(now, 1, Piece('b'));
+  BOOST_TEST(stager.IsFresh(now));
+  // Staged bytes rot: an old comparison does not count.
+  now += seconds(3);
+  BOOST_TEST(!stager.IsFresh(now));
+  next = stager.Next(now, true);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == read));
+  BOOST_TEST(!stager.OnRead(now, 0, Piece('x')));
+  stager.OnAtHand(0);
+  next = stager.Next(now, true);
+  BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_without_effect_is_repeated_and_a_restart_seen) {
+  engine_steward steward({.order_effect = milliseconds(600)});
+  steward.SetModel("m", 16);
+  BOOST_TEST(!steward.WantsOrder(kNamed, 2));
+  staged_engine_report report{
+      .held = {{.model = "m", .version = 1, .from = 0, .to = 16}},
+      .orders = 1,
+      .born_ms = 77};
+  steward.OnReport(kNamed, report);
+  BOOST_TEST(steward.IsServing(kNamed));
+  BOOST_TEST(!steward.Order(kNamed, 2, false).has_value());
+  BOOST_REQUIRE(steward.Order(kNamed, 2, true).has_value());
+  BOOST_TEST(!steward.IsServing(kNamed + milliseconds(10)));
+  BOOST_TEST(!steward.Order(kNamed + milliseconds(100), 2, true).has_value());
+  BOOST_TEST(steward.Order(kNamed + milliseconds(700), 2, true).has_value());
+  report.held[0].version = 2;
+  BOOST_TEST(!steward.OnReport(kNamed + seconds(1), report));
+  BOOST_TEST(!steward.WantsOrder(kNamed + seconds(1), 2));
+  report.held.clear();
+  report.born_ms = 99;
+  BOOST_TEST(steward.OnReport(kNamed + seconds(2), report));
+  BOOST_TEST(steward.WantsOrder(kNamed + seconds(2), 2));
+}
+
+BOOST_AUTO_TEST_CASE(part_of_the_layers_does_not_serve) {
+  engine_steward steward({});
+  steward.SetModel("m", 16);
+  steward.OnReport(kNamed,
+                   {.held = {{.model = "m", .version = 1, .from = 0, .to = 8}}});
+  BOOST_TEST(steward.ServedVersion() == 0u);
+  BOOST_TEST(!steward.IsServing(kNamed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- /dev/null
+++ b/src/weights_plan.cc
@@ -0,0 +1,70 @@
+/// @file weights_plan.cc Which versions a server fetches and which it loads.
+#include <algorithm>
+
+#include "weights_plan_func.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+duration PartOf(duration whole, double part) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(part * ToSeconds(whole)));
+}
+
+}  // namespace
+
+weights_plan PlanWeights(time_point now,
+                         const weights_plan_options& options,
+                         uint64_t served,
+                         const std::vector<known_version>& wanted,
+                         double turn) {
+  weights_plan plan;
+  if (wanted.empty())
+    return plan;
+  const known_version& newest = wanted.back();
+  const known_version* makeshift = nullptr;  // Newest complete older one.
+  for (auto it = wanted.begin(); it + 1 < wanted.end(); ++it) {
+    if (it->progress >= options.finish_share)
+      plan.fetch.push_back(it->version);
+    if (it->progress >= 1)
+      makeshift = &*it;
+  }
+  plan.fetch.push_back(newest.version);
+  plan.stage = newest.version;
+  if (served == 0) {
+    // An engine without weights serves nobody, so it loses nothing by loading.
+    if (newest.progress >= 1) {
+      plan.load = newest.version;
+    } else if (makeshift != nullptr) {
+      plan.stage = makeshift->version;
+      plan.load = makeshift->version;
+    }
+    return plan;
+  }
+  // The bound runs from the first version that replaced the one served.
+  const time_point outdated_at = wanted.front().named_at;
+  auto turn_from = [&](double begin) {
+    const double part = begin + turn * (options.turns_end - begin);
+    return outdated_at + PartOf(options.bound, part);
+  };
+  if (newest.progress >= 1) {
+    if (now >= turn_from(options.turns_begin))
+      plan.load = newest.version;
+    return plan;
+  }
+  if (makeshift == nullptr)
+    return plan;
+  const bool is_newest_too_late =
+      newest.named_at + PartOf(options.bound, options.turns_begin) >
+      outdated_at + PartOf(options.bound, options.turns_end);
+  const time_point makeshift_at = turn_from(
+      is_newest_too_late ? options.turns_begin : options.makeshift_begin);
+  if (is_newest_too_late || now >= makeshift_at)
+    plan.stage = makeshift->version;
+  if (now >= makeshift_at)
+    plan.load = makeshift->version;
+  return plan;
+}
+
+}  // namespace fuchsiafall
