Feature: Relay the store's items within each failure domain

Change: entries register once; the two that rank first in a domain read the store and relay items, compressed, with the age of their own sound word. Others fall back to the second, then to the store. One mirror takes all answers.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -89,9 +89,9 @@
 
   exit_code Run() {
     const site_settings& settings = base_.Settings();
-    base_.Start();
-    for (outcome<done> started :
-         {control_.Bind(settings.ip + ":" +
+    for (const outcome<done>& started :
+         {base_.Start(),
+          control_.Bind(settings.ip + ":" +
                         std::to_string(settings.first_port)),
           bulk_.Start()}) {
       if (!started) {
@@ -131,10 +131,10 @@
     if (auto it = view.weights.find(model_); it != view.weights.end()) {
       for (const auto& [version, naming] : it->second.namings) {
         // One named before this process watched may be due already.
-        named_at_.emplace(version, naming.was_watched
-                                       ? naming.seen_at
-                                       : naming.seen_at -
-                                             base_.Settings().weights_bound);
+        named_at_.emplace(
+            version, naming.was_watched
+                         ? naming.seen_at
+                         : naming.seen_at - base_.Settings().weights_bound);
       }
     }
     UpdateWorld(now, view);
@@ -561,8 +561,8 @@
     } else {
       steward_.OnUnreachable();
     }
-    is_serving_ = steward_.IsServing(now) && !is_leaving_ &&
-                  !is_evacuated_ && !IsOutdated(now);
+    is_serving_ = steward_.IsServing(now) && !is_leaving_ && !is_evacuated_ &&
+                  !IsOutdated(now);
     places_.SetAccepting(is_serving_);
     if (is_serving_ != was_serving || served != steward_.ServedVersion()) {
       LogEvent(log_event::kEngineState,
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -60,8 +60,8 @@
 
   exit_code Run() {
     const site_settings& settings = base_.Settings();
-    for (outcome<done> listening :
-         {callers_.Listen(settings.callers_address),
+    for (const outcome<done>& listening :
+         {base_.Start(), callers_.Listen(settings.callers_address),
           readiness_.Listen(settings.readiness_address),
           agents_.Bind(settings.ip + ":" +
                        std::to_string(settings.first_port))}) {
@@ -70,7 +70,6 @@
         return exit_code::kFailed;
       }
     }
-    base_.Start();
     KeepHouse(BootNow());
     base_.Run();
     return exit_code::kOk;
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Port of the relay, after those of the places and of the weights.
+constexpr uint16_t kRelayPortOffset = 2;
+
 incarnation NewIncarnation() {
   auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return incarnation(static_cast<uint64_t>(
@@ -29,7 +32,14 @@
       on_view_(std::move(on_view)),
       on_shutdown_(std::move(on_shutdown)),
       incarnation_(NewIncarnation()),
-      watch_({.store_address = settings_.store_address,
+      watch_({.node = settings_.node,
+              .domain = settings_.domain,
+              .store_address = settings_.store_address,
+              .relay_address = settings_.callers_address.empty()
+                                   ? ""
+                                   : settings_.ip + ":" +
+                                         std::to_string(settings_.first_port +
+                                                        kRelayPortOffset),
               .on_news =
                   [this](std::shared_ptr<const site_view> view,
                          time_point sound) { OnNews(std::move(view), sound); },
@@ -42,9 +52,9 @@
     close(signal_fd_);
 }
 
-void hosted_base::Start() {
+outcome<done> hosted_base::Start() {
   WatchSignals();
-  watch_.Start();
+  return watch_.Start();
 }
 
 void hosted_base::Finish() {
--- a/src/hosted_process.h
+++ b/src/hosted_process.h
@@ -29,7 +29,7 @@
   hosted_base& operator=(const hosted_base&) = delete;
 
   /// Starts the threads beside the traffic loop.
-  void Start();
+  outcome<done> Start();
   /// Runs the traffic loop until Finish() is called.
   void Run() { loop_.Run(); }
   void Finish();
--- /dev/null
+++ b/src/mirror_relay.cc
@@ -0,0 +1,84 @@
+/// @file mirror_relay.cc Relay of the store's items within a failure domain.
+#include "mirror_relay_base.h"
+
+#include "hash_func.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr seconds kGoneTold{3};  // Several polls of each process.
+
+}  // namespace
+
+void mirror_relay::Update(time_point now, const store_mirror& mirror) {
+  if (horizon_ == 0)
+    horizon_ = mirror.Revision();
+  revision_ = mirror.Revision();
+  for (auto& [key, item] : items_) {
+    if (item.is_deleted || mirror.Items().contains(key))
+      continue;
+    item.is_deleted = true;
+    item.value.clear();
+    // The mirror does not keep when it went; it is not older than this.
+    item.revision = revision_;
+    gone_at_[key] = now;
+  }
+  for (const auto& [key, item] : mirror.Items())
+    items_[key] = item;
+}
+
+proto::mirror_answer mirror_relay::Answer(time_point now,
+                                          uint64_t after) const {
+  proto::mirror_answer answer;
+  answer.set_revision(revision_);
+  if (after != 0 && after < horizon_) {
+    answer.set_history_gone(true);
+    return answer;
+  }
+  for (const auto& [key, item] : items_) {
+    auto gone = gone_at_.find(key);
+    const bool is_told = item.is_deleted && after != 0 &&
+                         gone != gone_at_.end() &&
+                         now - gone->second < kGoneTold;
+    if (!is_told && (item.revision <= after || (item.is_deleted && after == 0)))
+      continue;
+    proto::mirror_item* to = answer.add_items();
+    to->set_key(key);
+    to->set_value(item.value);
+    to->set_revision(item.revision);
+    to->set_is_deleted(item.is_deleted);
+  }
+  return answer;
+}
+
+void mirror_source::SetRelays(const std::vector<relay_place>& registered) {
+  std::vector<std::string> nodes;
+  for (const relay_place& place : registered)
+    nodes.push_back(place.node);
+  relays_.clear();
+  for (size_t i : RendezvousRank("relay", nodes, options_.relays)) {
+    if (nodes[i] == options_.node) {
+      // A relay has its word from the store alone.
+      relays_.clear();
+      return;
+    }
+    relays_.push_back(registered[i].address);
+  }
+}
+
+const std::string& mirror_source::Choose(time_point now) const {
+  for (const std::string& address : relays_) {
+    auto it = avoided_until_.find(address);
+    if (it == avoided_until_.end() || now >= it->second)
+      return address;
+  }
+  return options_.store_address;
+}
+
+void mirror_source::OnFailed(time_point now, const std::string& address) {
+  if (IsRelay(address))
+    avoided_until_[address] = now + options_.avoid;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/mirror_relay_base.h
@@ -0,0 +1,79 @@
+/// @file mirror_relay_base.h Relay of the store's items within a failure
+/// domain, and the choice of whom to ask.
+#ifndef MIRROR_RELAY_BASE_H_
+#define MIRROR_RELAY_BASE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "proto/fuchsiafall.pb.h"
+#include "store_mirror_base.h"
+
+namespace fuchsiafall {
+
+/// Answers the other processes of a domain out of one mirror, so that the store
+/// and the links between regions carry each change once for a domain.
+class mirror_relay {
+ public:
+  /// Takes what the mirror holds now.
+  void Update(time_point now, const store_mirror& mirror);
+  /// Whether one that knows everything up to a revision can be told more.
+  /// @param after 0 for a whole listing.
+  bool HasNews(uint64_t after) const {
+    return revision_ != 0 && (after == 0 || after < revision_);
+  }
+  proto::mirror_answer Answer(time_point now, uint64_t after) const;
+  uint64_t Revision() const { return revision_; }
+
+ private:
+  std::map<std::string, store_item> items_;  ///< Deleted ones among them.
+  /// When deleted ones went. Entries that lapsed go without a new revision, so
+  /// that all are told of them for a while.
+  std::map<std::string, time_point> gone_at_;
+  uint64_t revision_ = 0;
+  uint64_t horizon_ = 0;  ///< From here on deletions are remembered.
+};
+
+/// Process of the own domain that registered as able to relay.
+struct relay_place {
+  std::string node;
+  std::string address;  ///< ip:port
+};
+
+struct mirror_source_options {
+  std::string node;  ///< Of this process.
+  std::string store_address;
+  size_t relays = 2;  ///< Of a domain; they ask the store themselves.
+  /// Age of a relay's word at which it counts as cut off from the store.
+  milliseconds most_age{2200};
+  milliseconds avoid{3000};  ///< Of a source that failed.
+};
+
+/// Chooses whom to ask for the store's items: a relay of the own domain, or the
+/// store itself. All processes compute the same relays.
+class mirror_source {
+ public:
+  explicit mirror_source(mirror_source_options options)
+      : options_(std::move(options)) {}
+
+  void SetRelays(const std::vector<relay_place>& registered);
+  /// Address to ask now.
+  const std::string& Choose(time_point now) const;
+  bool IsRelay(const std::string& address) const {
+    return address != options_.store_address;
+  }
+  void OnFailed(time_point now, const std::string& address);
+  /// Whether a relay's word is too old to go on with it.
+  bool IsTooOld(milliseconds age) const { return age > options_.most_age; }
+
+ private:
+  mirror_source_options options_;
+  std::vector<std::string> relays_;  ///< Addresses, best first.
+  std::map<std::string, time_point> avoided_until_;
+};
+
+}  // namespace fuchsiafall
+
+#endif  // MIRROR_RELAY_BASE_H_
--- /dev/null
+++ b/src/network/packing.cc
@@ -0,0 +1,48 @@
+/// @file packing.cc Compression of bodies between processes.
+#include "network/packing.h"
+
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+
+#include <array>
+#include <sstream>
+
+namespace fuchsiafall {
+
+namespace {
+
+constexpr int kLevel = 3;  // Beyond, time grows faster than bytes shrink.
+
+}  // namespace
+
+std::string Deflate(const std::string& bytes) {
+  std::ostringstream out;
+  Poco::DeflatingOutputStream stream(out, Poco::DeflatingStreamBuf::STREAM_ZLIB,
+                                     kLevel);
+  stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+  stream.close();
+  return out.str();
+}
+
+outcome<std::string> Inflate(const std::string& bytes, size_t most) {
+  std::istringstream in(bytes);
+  Poco::InflatingInputStream stream(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
+  std::string text;
+  std::array<char, 16384> buffer{};
+  try {
+    while (stream) {
+      stream.read(buffer.data(), buffer.size());
+      text.append(buffer.data(), static_cast<size_t>(stream.gcount()));
+      if (text.size() > most)
+        return failure{"more than " + std::to_string(most) + " bytes"};
+    }
+    if (stream.bad())
+      return failure{"not a whole compressed body"};
+  } catch (const Poco::Exception& e) {
+    return failure{e.displayText()};
+  }
+  return text;
+}
+
+}  // namespace fuchsiafall
--- /dev/null
+++ b/src/network/packing.h
@@ -0,0 +1,18 @@
+/// @file packing.h Compression of bodies between processes.
+#ifndef NETWORK_PACKING_H_
+#define NETWORK_PACKING_H_
+
+#include <string>
+
+#include "outcome_type.h"
+
+namespace fuchsiafall {
+
+/// Compresses bytes; configurations shrink to about a tenth.
+std::string Deflate(const std::string& bytes);
+/// @param most Greatest size that is taken, in bytes.
+outcome<std::string> Inflate(const std::string& bytes, size_t most);
+
+}  // namespace fuchsiafall
+
+#endif  // NETWORK_PACKING_H_
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -1,7 +1,11 @@
 /// @file site_watch.cc Control thread of a hosted process.
 #include "site_watch.h"
 
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+
 #include "log_event_func.h"
+#include "network/packing.h"
 #include "platform/documents.h"
 
 namespace fuchsiafall {
@@ -9,24 +13,67 @@
 namespace {
 
 constexpr milliseconds kMirrorStep{500};  // For entries that have lapsed.
+constexpr milliseconds kWaiterStep{100};  // Between looks at waits that end.
+/// Way to a relay of the own domain and back, with its work, beyond the wait.
+constexpr milliseconds kRelayTimeout{400};
+constexpr milliseconds kRegisterTimeout{1000};
+constexpr size_t kMostMirrorBytes = 64U << 20;
+constexpr size_t kMostWaiters = 512;
+constexpr std::string_view kRegisteredPrefix = "relays/";
+
+std::string RelayRequest(const store_call& call, const std::string& address) {
+  return "GET /mirror?after=" + std::to_string(call.after_revision) +
+         "&wait=" + std::to_string(call.wait.count()) +
+         " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+}
+
+store_answer ReadRelayAnswer(int status, const std::string& body) {
+  store_answer answer;
+  if (status != 200)
+    return answer;
+  auto bytes = Inflate(body, kMostMirrorBytes);
+  proto::mirror_answer message;
+  if (!bytes || !message.ParseFromString(*bytes))
+    return answer;
+  answer.status = message.history_gone()
+                      ? store_answer::status_type::kHistoryGone
+                      : store_answer::status_type::kOk;
+  answer.revision = message.revision();
+  answer.sound_age = milliseconds(message.sound_age_ms());
+  for (const proto::mirror_item& item : message.items()) {
+    answer.items.push_back({.key = item.key(),
+                            .value = item.value(),
+                            .revision = item.revision(),
+                            .is_deleted = item.is_deleted()});
+  }
+  return answer;
+}
 
 }  // namespace
 
 site_watch::site_watch(site_watch_options options)
     : options_(std::move(options)),
-      // A watch is silent while it waits, and a new connection is cheap.
-      pool_(&loop_, {.idle = options_.mirror.watch}),
-      mirror_(options_.mirror) {}
+      pool_(&loop_, {}),
+      mirror_(options_.mirror),
+      source_({.node = options_.node, .store_address = options_.store_address}),
+      listener_(&loop_, {}, RelayHooks()) {}
 
 site_watch::~site_watch() {
   Stop();
 }
 
-void site_watch::Start() {
+outcome<done> site_watch::Start() {
+  if (!options_.relay_address.empty()) {
+    auto listening = listener_.Listen(options_.relay_address);
+    if (!listening)
+      return listening;
+  }
   thread_ = std::thread([this] {
     Step(BootNow());
+    AnswerWaiters(BootNow());
     loop_.Run();
   });
+  return done{};
 }
 
 void site_watch::Stop() {
@@ -41,8 +88,10 @@
     loop_.CancelTimer(next_step_);
   if (mirror_.Step(now))
     Publish(now);
-  if (auto call = mirror_.NextCall(now))
-    Call(now, *call);
+  pool_.CloseIdle(now);
+  const bool is_relayed = source_.IsRelay(source_.Choose(now));
+  if (auto call = mirror_.NextCall(now, is_relayed))
+    CallMirror(now, *call);
   time_point next = now + kMirrorStep;
   if (mirror_.NextCallAt() > now)
     next = std::min(next, mirror_.NextCallAt());
@@ -52,41 +101,72 @@
   });
 }
 
-void site_watch::Call(time_point now, const store_call& call) {
-  const auto written = platform::EncodeStoreCall(call, options_.store_address);
+void site_watch::CallMirror(time_point now, const store_call& call) {
+  const std::string address = source_.Choose(now);
+  if (source_.IsRelay(address)) {
+    options_.count("relay_calls");
+    Call(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
+         [this, address](time_point at, int status, const std::string& body) {
+           store_answer answer = ReadRelayAnswer(status, body);
+           const bool is_bad =
+               answer.status == store_answer::status_type::kSilent ||
+               source_.IsTooOld(answer.sound_age);
+           if (is_bad) {
+             options_.count("relay_failed");
+             source_.OnFailed(at, address);
+           }
+           OnAnswer(at, answer);
+         });
+    return;
+  }
   options_.count(call.kind == store_call::kind_type::kList ? "store_listings"
                                                            : "store_watches");
-  auto taken = pool_.Take(now, options_.store_address);
+  const auto written = platform::EncodeStoreCall(call, address);
+  Call(now, address, written.bytes, written.timeout,
+       [this, kind = call.kind](time_point at, int status,
+                                const std::string& body) {
+         OnAnswer(at, status == 0
+                          ? store_answer{}
+                          : platform::DecodeStoreAnswer(kind, status, body));
+       });
+}
+
+void site_watch::Call(
+    time_point now,
+    const std::string& address,
+    const std::string& request,
+    milliseconds timeout,
+    std::function<void(time_point, int status, std::string body)> done) {
+  auto taken = pool_.Take(now, address);
   if (!taken) {
-    OnAnswer(now, {});
+    loop_.Post([done] { done(BootNow(), 0, ""); });
     return;
   }
-  connection_ = *taken;
-  status_ = 0;
-  body_.clear();
+  auto call = std::make_shared<open_call>();
+  call->connection = *taken;
   exchange_hooks hooks;
-  hooks.on_head = [this](time_point, const Poco::Net::HTTPResponse& head) {
-    status_ = head.getStatus();
+  hooks.on_head = [call](time_point, const Poco::Net::HTTPResponse& head) {
+    call->status = head.getStatus();
     return true;
   };
-  hooks.on_body = [this](time_point, std::string_view bytes) {
-    body_ += bytes;
+  hooks.on_body = [call](time_point, std::string_view bytes) {
+    call->body += bytes;
   };
-  hooks.on_end = [this, kind = call.kind](time_point at, exchange_end end) {
-    loop_.CancelTimer(timeout_);
-    connection_.reset();
-    OnAnswer(at, end == exchange_end::kComplete
-                     ? platform::DecodeStoreAnswer(kind, status_, body_)
-                     : store_answer{});
+  hooks.on_end = [this, call, done](time_point at, exchange_end end) {
+    loop_.CancelTimer(call->timeout);
+    call->connection.reset();
+    done(at, end == exchange_end::kComplete ? call->status : 0,
+         std::move(call->body));
   };
-  timeout_ = loop_.StartTimer(now + written.timeout, [this](time_point at) {
-    auto silent = std::move(connection_);
-    connection_.reset();
-    silent->Abort();
-    options_.count("store_silent");
-    OnAnswer(at, {});
-  });
-  connection_->Start(written.bytes, false, std::move(hooks));
+  call->timeout =
+      loop_.StartTimer(now + timeout, [this, call, done](time_point at) {
+        auto silent = std::move(call->connection);
+        call->connection.reset();
+        silent->Abort();
+        options_.count("control_calls_silent");
+        done(at, 0, "");
+      });
+  call->connection->Start(request, false, std::move(hooks));
 }
 
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
@@ -108,6 +188,7 @@
     } else if (answer.status == store_answer::status_type::kOk) {
       options_.on_news(nullptr, mirror_.SoundAt());
     }
+    Register(now);
   }
   // Answers come in hooks of a connection, which the next call may reuse.
   loop_.Post([this] { Step(BootNow()); });
@@ -122,10 +203,134 @@
   if (view->configuration.version != view_->configuration.version) {
     LogEvent(log_event::kConfigurationAdopted,
              "version=" + std::to_string(view->configuration.version) +
-                 " revision=" + std::to_string(view->revision));
+                 " revision=" + std::to_string(view->revision) + " routes=" +
+                 std::to_string(view->configuration.routes.size()) +
+                 " sound_ms=" + std::to_string(ToMs(now - mirror_.SoundAt())));
   }
   view_ = view;
+  relay_.Update(now, mirror_);
+  UpdateRelays();
   options_.on_news(view_, mirror_.SoundAt());
+  std::vector<waiter> waiting;
+  waiting.swap(waiters_);
+  for (const waiter& item : waiting) {
+    if (relay_.HasNews(item.after)) {
+      AnswerWaiter(now, item);
+    } else {
+      waiters_.push_back(item);
+    }
+  }
+}
+
+void site_watch::UpdateRelays() {
+  std::vector<relay_place> places;
+  for (const auto& [key, item] : mirror_.Items()) {
+    if (!key.starts_with(kRegisteredPrefix))
+      continue;
+    // The value names the domain and the address.
+    const size_t at = item.value.find(' ');
+    if (at != std::string::npos && item.value.substr(0, at) == options_.domain)
+      places.push_back(
+          {key.substr(kRegisteredPrefix.size()), item.value.substr(at + 1)});
+  }
+  source_.SetRelays(places);
+}
+
+void site_watch::Register(time_point now) {
+  if (options_.relay_address.empty() || is_registering_)
+    return;
+  const std::string key = std::string(kRegisteredPrefix) + options_.node;
+  const std::string value = options_.domain + " " + options_.relay_address;
+  auto known = mirror_.Items().find(key);
+  if (known != mirror_.Items().end() && known->second.value == value)
+    return;
+  is_registering_ = true;
+  options_.count("store_registrations");
+  const uint64_t revision =
+      known == mirror_.Items().end() ? 0 : known->second.revision;
+  Call(now, options_.store_address,
+       platform::EncodeStorePut(options_.store_address, key, value, revision),
+       kRegisterTimeout, [this](time_point at, int, const std::string&) {
+         // The watch tells whether it took effect; till then others do the
+         // relaying.
+         loop_.StartTimer(at + seconds(2),
+                          [this](time_point) { is_registering_ = false; });
+       });
+}
+
+http_listener_hooks site_watch::RelayHooks() {
+  http_listener_hooks hooks;
+  hooks.on_request = [this](time_point now, const auto& from,
+                            http_request&& request) {
+    OnRelayRequest(now, from, request);
+  };
+  hooks.on_gone = [this](time_point, http_server_connection* gone) {
+    std::erase_if(waiters_, [gone](const waiter& item) {
+      return item.connection.get() == gone;
+    });
+  };
+  return hooks;
+}
+
+void site_watch::OnRelayRequest(
+    time_point now,
+    const std::shared_ptr<http_server_connection>& from,
+    const http_request& request) {
+  waiter item{.connection = from, .until = now};
+  try {
+    const Poco::URI uri(request.head.getURI());
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+      if (name == "after")
+        item.after = std::stoull(value);
+      if (name == "wait")
+        item.until = now + milliseconds(std::stoul(value));
+    }
+  } catch (const std::exception&) {
+    from->Answer(now, MakeAnswer(400), "malformed query\n");
+    return;
+  }
+  if (!mirror_.IsKnown() || waiters_.size() >= kMostWaiters) {
+    from->Answer(now, MakeAnswer(503), "nothing to relay\n");
+    return;
+  }
+  if (relay_.HasNews(item.after)) {
+    AnswerWaiter(now, item);
+  } else {
+    waiters_.push_back(item);
+  }
+}
+
+void site_watch::AnswerWaiter(time_point now, const waiter& item) {
+  auto answer = relay_.Answer(now, item.after);
+  answer.set_sound_age_ms(static_cast<uint32_t>(ToMs(now - mirror_.SoundAt())));
+  const bool is_large = answer.items_size() > 0;
+  if (!is_large) {
+    item.connection->Answer(now, MakeAnswer(200),
+                            Deflate(answer.SerializeAsString()));
+    return;
+  }
+  if (packed_after_ != item.after || packed_revision_ != answer.revision() ||
+      packed_.empty()) {
+    packed_ = Deflate(answer.SerializeAsString());
+    packed_after_ = item.after;
+    packed_revision_ = answer.revision();
+  }
+  item.connection->Answer(now, MakeAnswer(200), packed_);
+}
+
+void site_watch::AnswerWaiters(time_point now) {
+  std::vector<waiter> waiting;
+  waiting.swap(waiters_);
+  for (const waiter& item : waiting) {
+    if (now >= item.until) {
+      AnswerWaiter(now, item);
+    } else {
+      waiters_.push_back(item);
+    }
+  }
+  listener_.CheckTimes(now);
+  loop_.StartTimer(now + kWaiterStep,
+                   [this](time_point at) { AnswerWaiters(at); });
 }
 
 }  // namespace fuchsiafall
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -1,5 +1,5 @@
-/// @file site_watch.h Control thread of a hosted process: mirrors the store and
-/// publishes what it holds.
+/// @file site_watch.h Control thread of a hosted process: mirrors the store,
+/// relays it within the domain and publishes what it holds.
 #ifndef SITE_WATCH_H_
 #define SITE_WATCH_H_
 
@@ -7,14 +7,19 @@
 #include <memory>
 #include <thread>
 
+#include "mirror_relay_base.h"
 #include "network/http_exchange.h"
+#include "network/http_listener.h"
 #include "site_type.h"
-#include "store_mirror_base.h"
 
 namespace fuchsiafall {
 
 struct site_watch_options {
+  std::string node;           ///< Of this process.
+  std::string domain;         ///< Of this process.
   std::string store_address;  ///< ip:port
+  /// Where this process relays; empty when it only asks others.
+  std::string relay_address;
   store_mirror_options mirror;
   /// Takes news in the control thread.
   /// @param view Null when only the time of the last sound word has changed.
@@ -32,26 +37,58 @@
   site_watch(const site_watch&) = delete;
   site_watch& operator=(const site_watch&) = delete;
 
-  void Start();
+  /// Opens the relay and starts the thread.
+  outcome<done> Start();
   void Stop();
 
  private:
+  /// Process of the domain that waits for news.
+  struct waiter {
+    std::shared_ptr<http_server_connection> connection;
+    uint64_t after = 0;
+    time_point until{};
+  };
+  struct open_call {
+    std::shared_ptr<http_client_connection> connection;
+    std::string address;
+    int status = 0;
+    std::string body;
+    timer_id timeout = 0;
+  };
+
   void Step(time_point now);
-  void Call(time_point now, const store_call& call);
+  void CallMirror(time_point now, const store_call& call);
+  void Call(time_point now,
+            const std::string& address,
+            const std::string& request,
+            milliseconds timeout,
+            std::function<void(time_point, int status, std::string body)> done);
   void OnAnswer(time_point now, const store_answer& answer);
   void Publish(time_point now);
+  void UpdateRelays();
+  void Register(time_point now);
+  void OnRelayRequest(time_point now,
+                      const std::shared_ptr<http_server_connection>& from,
+                      const http_request& request);
+  void AnswerWaiter(time_point now, const waiter& item);
+  void AnswerWaiters(time_point now);
+  http_listener_hooks RelayHooks();
 
   site_watch_options options_;
   event_loop loop_;
   http_client_pool pool_;
   store_mirror mirror_;
+  mirror_relay relay_;
+  mirror_source source_;
+  http_listener listener_;
+  std::vector<waiter> waiters_;
+  std::string packed_;  ///< Last answer, which most waiters share.
+  uint64_t packed_after_ = 0;
+  uint64_t packed_revision_ = 0;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
-  std::shared_ptr<http_client_connection> connection_;  ///< Of the open call.
-  timer_id timeout_ = 0;
   timer_id next_step_ = 0;
-  int status_ = 0;
-  std::string body_;
   bool was_reachable_ = true;
+  bool is_registering_ = false;
   std::thread thread_;
 };
 
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-std::optional<store_call> store_mirror::NextCall(time_point now) {
+std::optional<store_call> store_mirror::NextCall(time_point now,
+                                                 bool is_relayed) {
   if (is_waiting_ || now < next_at_)
     return std::nullopt;
   is_waiting_ = true;
@@ -24,7 +25,9 @@
   // The first call after a failure asks whether the store is there at all.
   return store_call{.kind = store_call::kind_type::kWatch,
                     .after_revision = revision_,
-                    .wait = failures_ > 0 ? milliseconds(0) : options_.watch};
+                    .wait = failures_ > 0 ? milliseconds(0)
+                            : is_relayed  ? options_.relayed_watch
+                                          : options_.watch};
 }
 
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
@@ -58,12 +61,12 @@
     }
     Remove(now, gone);
     revision_ = std::max(revision_, answer.revision);
-    sound_at_ = sent_at_;
+    sound_at_ = std::max(sound_at_, sent_at_ - answer.sound_age);
     return !answer.items.empty();
   }
   if (after_key_.empty()) {
     listing_revision_ = answer.revision;
-    listing_sent_at_ = sent_at_;
+    listing_sent_at_ = sent_at_ - answer.sound_age;
   }
   for (const store_item& item : answer.items) {
     listed_[item.key] = item;
@@ -137,8 +140,8 @@
   after_key_.clear();
   is_listing_ = false;
   is_known_ = true;
-  revision_ = listing_revision_;
-  sound_at_ = listing_sent_at_;
+  revision_ = std::max(revision_, listing_revision_);
+  sound_at_ = std::max(sound_at_, listing_sent_at_);
 }
 
 }  // namespace fuchsiafall
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -34,6 +34,8 @@
   std::vector<store_item> items;
   bool has_more = false;  ///< Whether a listing has another page.
   uint64_t revision = 0;  ///< Of the store.
+  /// Of answers that a relay gives: age of its own last sound word.
+  milliseconds sound_age{0};
 };
 
 /// Call that the mirror wants made.
@@ -48,7 +50,9 @@
 struct store_mirror_options {
   /// Longest wait of a watch. Two of them in a row, at the worst, are the age
   /// of the last sound word.
-  milliseconds watch{1500};
+  milliseconds watch{1000};
+  /// Longest wait of a watch at a relay, which costs the store nothing.
+  milliseconds relayed_watch{500};
   /// Least time between two answers, so that a storm is read in batches.
   milliseconds spacing{250};
   /// After a call that failed. Short, since a machine that is reachable again
@@ -70,7 +74,8 @@
   explicit store_mirror(store_mirror_options options) : options_(options) {}
 
   /// Chooses the next call; none while one is on its way or a pause lasts.
-  std::optional<store_call> NextCall(time_point now);
+  /// @param is_relayed Whether a relay of the own domain is asked.
+  std::optional<store_call> NextCall(time_point now, bool is_relayed = false);
   /// Takes the answer to the last call.
   /// @return Whether what is believed has changed.
   bool OnAnswer(time_point now, const store_answer& answer);
