Change: Shape batches before a load, and tell how long an answer is still taken

Change: agents let only requests in that are over before their turn, by the caller's estimate; a few leftovers are cut and resumed elsewhere; a denial tells the longest answer still taken; weights leave a tenth of the link; an agent counts as away only after a second of silence; an older version keeps its turns when the newest comes too late.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -56,6 +56,7 @@
 void call_dispatch::SetIndex(time_point now, const site_index* index) {
   index_ = index;
   board_.SetIndex(now, index);
+  budget_.SetEntries(index->View().entries);
 }
 
 bool call_dispatch::IsSound(time_point now) const {
@@ -68,7 +69,8 @@
           .route_regions = &item.route.regions,
           .tenant_regions = &item.tenant_regions,
           .model = item.is_model ? item.request.model : std::string(),
-          .tried = &item.tried};
+          .tried = &item.tried,
+          .answer_tokens = item.request.hinted_tokens};
 }
 
 std::string call_dispatch::Describe(time_point now, const call& item) const {
@@ -155,20 +157,23 @@
     return Refuse(now, item, call_refusal::kNoServer);
   if (item->asks >= options_.most_asks)
     return Refuse(now, item, call_refusal::kNoPlace);
+  server_query unasked = QueryOf(*item);
+  unasked.is_unasked = true;
   for (const site_server* server : ranked) {
     if (item->asked.contains(server->id))
       continue;
     const server_note& note = board_.Note(server->id);
-    server_query unasked = QueryOf(*item);
-    unasked.is_unasked = true;
-    if (note.silent_asks > 1 && note.in_flight < options_.most_unasked &&
+    const bool is_silent = note.silent_asks > 1;
+    const bool is_away =
+        is_silent && now - note.silent_since > options_.agent_silence;
+    if (is_away && note.in_flight < options_.most_unasked &&
         server->cold_left == milliseconds(0) &&
         board_.IsEligible(now, *server, unasked)) {
       // Its agent is away; the server itself may well be there.
       item->server = *server;
       return Send(now, item);
     }
-    if (note.silent_asks > 1 && now - note.silent_since < seconds(1))
+    if (is_silent && !is_away)
       continue;
     item->server = *server;
     item->asked.insert(server->id);
@@ -178,6 +183,7 @@
     questions_[item->question] = item->id;
     place_ask ask{.call = item->question,
                   .prompt_tokens = item->request.prompt_tokens,
+                  .answer_tokens = item->request.hinted_tokens,
                   .is_resumed = item->is_streaming};
     ask.patience = std::chrono::duration_cast<milliseconds>(
         std::max<duration>(duration(0), item->on_time_until - now));
@@ -207,6 +213,7 @@
   questions_.erase(known);
   board_.OnAskAnswered(item.server.id);
   board_.OnLoad(now, item.server.id, reply.load, reply.slots);
+  board_.OnAnswerLimit(item.server.id, reply.most_answer_tokens);
   if (reply.is_granted) {
     item.has_place = true;
     Send(now, &item);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -50,9 +50,12 @@
   milliseconds revoke{5000};  ///< In which a revoked key stops to work.
   /// Subtracted from it, for the way of a request to its server.
   milliseconds revoke_margin{300};
-  /// Time in which an agent answers: several times the way between regions.
-  milliseconds ask_timeout{30};
-  uint32_t most_asks = 4;  ///< Servers asked for a place, one after the other.
+  /// Time in which an agent answers: the way between regions, behind two pieces
+  /// of weights on its link.
+  milliseconds ask_timeout{70};
+  /// Silence of an agent after which its server gets requests without a place.
+  milliseconds agent_silence{1000};
+  uint32_t most_asks = 6;  ///< Servers asked for a place, one after the other.
   /// To a new connection; beyond, the way there is cut.
   milliseconds connect_timeout{300};
   /// To the first event of a stream, and between two: a server that is alive
--- a/src/engine_model_func.h
+++ b/src/engine_model_func.h
@@ -19,6 +19,18 @@
 /// is full, prompts of the usual size included.
 duration PlaceInterval(const engine_figures& engine);
 
+/// Estimates how long a request runs.
+/// @param answer_tokens Expected; 0 where it is not known.
+duration RunTime(const engine_figures& engine,
+                 uint32_t running,
+                 uint32_t answer_tokens);
+
+/// Computes the longest answer that is over within a time.
+/// @return In tokens, at least 1.
+uint32_t AnswerTokensWithin(const engine_figures& engine,
+                            uint32_t running,
+                            duration span);
+
 /// Estimates the time to the first token of a request.
 /// @param ahead Requests that wait for a place before this one.
 /// @param unread Prompt tokens that are admitted and not read yet.
--- a/src/engine_steward_base.h
+++ b/src/engine_steward_base.h
@@ -12,6 +12,9 @@
 struct engine_steward_options {
   /// For an order to show in the report.
   milliseconds order_effect{600};
+  /// Most running requests that are cut by a load. Each is read again
+  /// elsewhere, which takes about the time of half a pass.
+  uint32_t most_cut = 4;
 };
 
 /// Joins the engine's reports with the orders that it was given.
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -27,10 +27,14 @@
 constexpr milliseconds kManifestRetry{300};
 /// Of a holder of pieces: its queue and the way, several times over.
 constexpr milliseconds kChunkTimeout{700};
-/// Part of the link for weights; answers of the engine share it.
-constexpr double kBulkShare = 0.97;
+/// A piece takes 27 ms over a link; news of it should not take much longer.
+constexpr milliseconds kMapInterval{40};
+constexpr milliseconds kOutsideProbe{60};
+/// Part of the link for weights; questions for places share it, and datagrams
+/// are lost when it is full.
+constexpr double kBulkShare = 0.9;
 /// A granted request begins within this time: its wait in the engine's queue.
-constexpr milliseconds kOutdatedMargin{600};
+constexpr milliseconds kOutdatedMargin{500};
 constexpr uint64_t kFirstVersion = 1;  // Until operators name another.
 
 /// Call of the agent to its engine or to the origin.
@@ -63,6 +67,8 @@
                    .own_incarnation = base_.OwnIncarnation(),
                    .rate = settings.link_bytes * kBulkShare,
                    .chunk_timeout = kChunkTimeout,
+                   .map_interval = kMapInterval,
+                   .outside_probe = kOutsideProbe,
                    .seed = base_.OwnIncarnation().value},
                   blobs_),
         stager_({}),
@@ -243,6 +249,7 @@
     const auto wanted = WantedVersions();
     plan_ = PlanWeights(now, {.bound = base_.Settings().weights_bound},
                         steward_.ServedVersion(), wanted, Turn());
+    places_.SetEnd(steward_.ServedVersion() > 0 ? plan_.load_at : std::nullopt);
     // What is served stays at hand for servers that join.
     std::vector<uint64_t> fetch = plan_.fetch;
     if (fetch.empty() && steward_.ServedVersion() > 0)
@@ -586,6 +593,7 @@
                     .incarnation = message.incarnation(),
                     .call = question.call(),
                     .prompt_tokens = question.prompt_tokens(),
+                    .answer_tokens = question.answer_tokens(),
                     .patience = milliseconds(question.patience_ms()),
                     .time_left = milliseconds(question.time_left_ms()),
                     .is_resumed = question.is_resumed()};
@@ -602,6 +610,7 @@
           static_cast<uint32_t>(reply.free_after.count()));
       answer->set_load(reply.load);
       answer->set_slots(reply.slots);
+      answer->set_most_answer_tokens(reply.most_answer_tokens);
       control_.Send(from, back);
     } else if (message.has_place_return()) {
       places_.Return(now, from, message.place_return().call());
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -19,9 +19,9 @@
 /// A round trip to the farthest server is a few milliseconds; beyond this a
 /// connection that answers nothing is cut.
 constexpr milliseconds kUserTimeout{1500};
-/// Entries share the budget of retries; each takes the part of one in this
-/// many. A site has some tens of entries.
-constexpr double kEntriesAssumed = 40;
+/// Part of the common budget that is spent: saved up and earned again within a
+/// window, it may be used nearly twice.
+constexpr double kExtraShare = 0.5;
 
 call_dispatch_options OptionsOf(const site_settings& from, uint64_t seed) {
   call_dispatch_options options;
@@ -32,7 +32,7 @@
                    .seed = seed};
   options.revoke = from.revoke;
   options.budget = {.share = from.retry_share / 2,
-                    .extra = std::max(2.0, from.retry_extra / kEntriesAssumed),
+                    .extra = from.retry_extra * kExtraShare,
                     .window = from.retry_window};
   options.seed = seed;
   return options;
@@ -130,6 +130,7 @@
       proto::place_question* question = message.mutable_place_question();
       question->set_call(ask.call);
       question->set_prompt_tokens(ask.prompt_tokens);
+      question->set_answer_tokens(ask.answer_tokens);
       question->set_patience_ms(static_cast<uint32_t>(ask.patience.count()));
       question->set_time_left_ms(static_cast<uint32_t>(ask.time_left.count()));
       question->set_is_resumed(ask.is_resumed);
@@ -301,7 +302,8 @@
                       {.is_granted = answer.is_granted(),
                        .free_after = milliseconds(answer.free_after_ms()),
                        .load = answer.load(),
-                       .slots = answer.slots()});
+                       .slots = answer.slots(),
+                       .most_answer_tokens = answer.most_answer_tokens()});
     Schedule();
   }
 
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -96,6 +96,16 @@
     // A late answer is worth less than one on time: it gets free places only.
     is_admitted = load < figures_.slots;
   }
+  if (end_) {
+    reply.most_answer_tokens =
+        AnswerTokensWithin(figures_, running + 1, *end_ - now - first);
+  }
+  if (end_ && !ask.is_resumed) {
+    const duration run = RunTime(figures_, running + 1, ask.answer_tokens);
+    is_admitted = is_admitted && now + first + run <= *end_;
+  } else if (end_) {
+    is_admitted = false;  // It may be as long again; others go on with it.
+  }
   if (!is_admitted || !HasColdRoom(now)) {
     reply.free_after = std::chrono::duration_cast<milliseconds>(
         interval * static_cast<int>(ahead + 1));
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "engine_control_type.h"
@@ -28,8 +29,9 @@
   uint64_t incarnation = 0;
   uint64_t call = 0;
   uint32_t prompt_tokens = 0;
-  milliseconds patience{0};   ///< In which the first token is on time.
-  milliseconds time_left{0};  ///< For which the caller waits.
+  uint32_t answer_tokens = 0;  ///< Expected; 0 where it is not known.
+  milliseconds patience{0};    ///< In which the first token is on time.
+  milliseconds time_left{0};   ///< For which the caller waits.
   bool is_resumed = false;
   uint64_t weights = 0;  ///< Version that must serve it; 0 for any.
 };
@@ -39,6 +41,8 @@
   milliseconds free_after{0};  ///< Of denials.
   uint32_t load = 0;
   uint32_t slots = 0;  ///< 0 while the server takes nothing.
+  /// Longest answer that is taken before the engine loads; 0 for any.
+  uint32_t most_answer_tokens = 0;
 };
 
 /// Grants places by the engine's own report and by the places that are taken,
@@ -57,6 +61,9 @@
   void OnReport(time_point now, const staged_engine_report& report);
   /// Stops or goes on with granting.
   void SetAccepting(bool is_accepting) { is_accepting_ = is_accepting; }
+  /// Lets only requests in that are over by a time: the engine will be ordered
+  /// to load then, and what still runs would be cut.
+  void SetEnd(std::optional<time_point> end) { end_ = end; }
   /// Drops what is held for the engine's former life.
   void OnRestart(time_point now);
   void SetCold(time_point until) { cold_until_ = until; }
@@ -82,6 +89,7 @@
   time_point reported_at_{};
   bool is_accepting_ = false;
   time_point cold_until_{};
+  std::optional<time_point> end_;  ///< Of the batch, before a load.
   std::map<std::pair<std::string, uint64_t>, place> places_;
   std::deque<time_point> recent_;  ///< Grants of the last second.
   time_point surplus_since_{};     ///< Since when places exceed requests.
--- a/src/retry_budget_base.h
+++ b/src/retry_budget_base.h
@@ -10,7 +10,9 @@
 
 struct retry_budget_options {
   double share = 0.1;  ///< Retries earned by each request.
-  double extra = 4;    ///< Retries beside that in each window.
+  double extra = 0;    ///< Retries beside that in each window, of all entries.
+  /// Entries that share it, until their number is known.
+  size_t entries = 40;
   milliseconds window{10000};
 };
 
@@ -19,7 +21,12 @@
 class retry_budget {
  public:
   explicit retry_budget(retry_budget_options options)
-      : options_(options), tokens_(options.extra) {}
+      : options_(options), tokens_(OwnExtra()) {}
+
+  void SetEntries(size_t entries) {
+    if (entries > 0)
+      options_.entries = entries;
+  }
 
   void OnRequest(time_point now) { Fill(now, options_.share); }
   /// Takes one retry, if there is one.
@@ -34,12 +41,15 @@
  private:
   void Fill(time_point now, double earned) {
     if (filled_at_ != time_point{}) {
-      tokens_ += options_.extra * ToSeconds(now - filled_at_) /
-                 ToSeconds(options_.window);
+      tokens_ +=
+          OwnExtra() * ToSeconds(now - filled_at_) / ToSeconds(options_.window);
     }
     filled_at_ = now;
-    // No more than one window's worth is saved up.
-    tokens_ = std::min(tokens_ + earned, 2 * options_.extra);
+    // Two windows that touch may together see twice what is saved up.
+    tokens_ = std::min(tokens_ + earned, std::max(2.0, OwnExtra()));
+  }
+  double OwnExtra() const {
+    return options_.extra / static_cast<double>(options_.entries);
   }
 
   retry_budget_options options_;
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -6,6 +6,13 @@
 
 namespace fuchsiafall {
 
+namespace {
+
+/// Beyond, a server that was about to load has done so.
+constexpr milliseconds kAnswerLimitAge{1500};
+
+}  // namespace
+
 void server_board::SetIndex(time_point now, const site_index* index) {
   index_ = index;
   const auto& servers = index_->View().servers;
@@ -63,7 +70,9 @@
          options_.weights_bound - options_.weights_margin;
 }
 
-double server_board::Score(time_point now, const site_server& server) {
+double server_board::Score(time_point now,
+                           const site_server& server,
+                           const server_query& query) {
   server_note& note = notes_[server.id];
   const double slots = std::max(1U, server.slots);
   const double age = ToSeconds(now - note.load_at);
@@ -74,6 +83,11 @@
     score += options_.own_domain_bonus;
   if (now < note.full_until)
     score += 1;
+  // It is about to load, and takes only what is over by then.
+  const bool is_too_long = note.most_answer_tokens > 0 &&
+                           query.answer_tokens > note.most_answer_tokens;
+  if (is_too_long && now - note.load_at < kAnswerLimitAge)
+    score += 2;
   // Equal servers share at random, so that entries don't move as a herd.
   return score + std::uniform_real_distribution<>(0, 0.05)(random_);
 }
@@ -91,8 +105,8 @@
     if (!IsEligible(now, *server, query))
       continue;
     ++eligible;
-    candidates.push_back(
-        {server, Score(now, *server), now < notes_[server->id].ejected_until});
+    candidates.push_back({server, Score(now, *server, query),
+                          now < notes_[server->id].ejected_until});
   }
   const auto kept =
       std::count_if(candidates.begin(), candidates.end(),
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -29,7 +29,7 @@
   milliseconds most_eject{8000};
   milliseconds weights_bound{8000};  ///< In which new weights replace old ones.
   /// Subtracted from it, for the wait of a request at its server.
-  milliseconds weights_margin{600};
+  milliseconds weights_margin{500};
   /// Share of a service's servers that stays in use whatever fails.
   double floor = 0.5;
   uint64_t seed = 1;
@@ -41,6 +41,8 @@
   double load = 0;         ///< Places taken, as last told.
   uint32_t slots = 0;
   time_point load_at{};
+  /// Longest answer that it takes before it loads, as last told; 0 for any.
+  uint32_t most_answer_tokens = 0;
   time_point full_until{};  ///< Denied a place until then.
   uint32_t failures = 0;    ///< In a row.
   uint32_t ejections = 0;   ///< In a row.
@@ -59,6 +61,7 @@
   const std::set<std::string>* tried = nullptr;  ///< Ids to leave out.
   /// Whether the request would be sent without the word of the server's agent.
   bool is_unasked = false;
+  uint32_t answer_tokens = 0;  ///< Expected.
 };
 
 /// Chooses servers by load, with the own domain first, and keeps those away
@@ -79,6 +82,9 @@
               const std::string& id,
               uint32_t load,
               uint32_t slots);
+  void OnAnswerLimit(const std::string& id, uint32_t most_tokens) {
+    notes_[id].most_answer_tokens = most_tokens;
+  }
   void OnFull(time_point now, const std::string& id, milliseconds for_span);
   void OnSuccess(const std::string& id);
   void OnFailure(time_point now, const std::string& id);
@@ -100,7 +106,9 @@
                   const std::string& model,
                   uint64_t served,
                   bool is_unasked) const;
-  double Score(time_point now, const site_server& server);
+  double Score(time_point now,
+               const site_server& server,
+               const server_query& query);
 
   server_board_options options_;
   std::mt19937_64 random_;
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -33,8 +33,8 @@
   milliseconds grace{8000};   ///< From SIGTERM to the kill.
   milliseconds revoke{5000};  ///< In which a revoked key stops to work.
   milliseconds weights_bound{8000};  ///< In which new weights replace old ones.
-  double retry_share = 0.2;      ///< Retries a request, over all entries.
-  double retry_extra = 0;        ///< Retries beside that in each window.
+  double retry_share = 0.2;          ///< Retries a request, over all entries.
+  double retry_extra = 0;            ///< Retries beside that in each window.
   milliseconds retry_window{10000};
   double cold_factor = 1.5;  ///< Over a cold server's rate that is borne.
   double cold_extra = 5;     ///< Requests beside that, each second.
@@ -67,18 +67,18 @@
 /// Figures of the engines of one service.
 struct engine_figures {
   uint32_t slots = 1;
-  uint32_t stride = 1;      ///< Token steps of one pass.
-  double step_ms = 0;       ///< Of one token step.
-  double per_sequence_ms = 0;  ///< More for each running request.
+  uint32_t stride = 1;          ///< Token steps of one pass.
+  double step_ms = 0;           ///< Of one token step.
+  double per_sequence_ms = 0;   ///< More for each running request.
   double context_ms_per_k = 0;  ///< More for 1,000 tokens of context.
   double prefill_per_s = 0;     ///< Prompt tokens read in a second.
-  double pairs_ms_per_m = 0;  ///< More for a million pairs of prompt tokens.
-  double usual_prompt = 0;    ///< Mean tokens of a prompt.
-  double usual_answer = 0;    ///< Mean tokens of an answer.
+  double pairs_ms_per_m = 0;    ///< More for a million pairs of prompt tokens.
+  double usual_prompt = 0;      ///< Mean tokens of a prompt.
+  double usual_answer = 0;      ///< Mean tokens of an answer.
   uint32_t layers = 1;
-  uint32_t chunks = 0;       ///< Pieces of the weights.
+  uint32_t chunks = 0;  ///< Pieces of the weights.
   uint32_t chunk_bytes = 0;
-  double load_s = 0;         ///< To load all layers that are staged.
+  double load_s = 0;  ///< To load all layers that are staged.
   std::vector<std::string> models;
 };
 
@@ -164,11 +164,12 @@
 
 /// All that a process believes of the site. Never changed once published.
 struct site_view {
-  uint64_t revision = 0;  ///< Of the store.
+  uint64_t revision = 0;                ///< Of the store.
   uint64_t configuration_revision = 0;  ///< Of the item it was read from.
   site_configuration configuration;
   std::map<std::string, site_server> servers;  ///< By id.
   std::set<std::string> evacuated;             ///< Failure domains.
+  size_t entries = 0;  ///< Registered in all failure domains.
   std::map<std::string, wanted_weights> weights;  ///< By model.
 };
 
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -207,9 +207,9 @@
                  std::to_string(view->configuration.routes.size()) +
                  " sound_ms=" + std::to_string(ToMs(now - mirror_.SoundAt())));
   }
+  view->entries = UpdateRelays();
   view_ = view;
   relay_.Update(now, mirror_);
-  UpdateRelays();
   options_.on_news(view_, mirror_.SoundAt());
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
@@ -222,11 +222,13 @@
   }
 }
 
-void site_watch::UpdateRelays() {
+size_t site_watch::UpdateRelays() {
   std::vector<relay_place> places;
+  size_t registered = 0;
   for (const auto& [key, item] : mirror_.Items()) {
     if (!key.starts_with(kRegisteredPrefix))
       continue;
+    ++registered;
     // The value names the domain and the address.
     const size_t at = item.value.find(' ');
     if (at != std::string::npos && item.value.substr(0, at) == options_.domain)
@@ -234,6 +236,7 @@
           {key.substr(kRegisteredPrefix.size()), item.value.substr(at + 1)});
   }
   source_.SetRelays(places);
+  return registered;
 }
 
 void site_watch::Register(time_point now) {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -65,7 +65,8 @@
             std::function<void(time_point, int status, std::string body)> done);
   void OnAnswer(time_point now, const store_answer& answer);
   void Publish(time_point now);
-  void UpdateRelays();
+  /// @return Entries that are registered in all domains.
+  size_t UpdateRelays();
   void Register(time_point now);
   void OnRelayRequest(time_point now,
                       const std::shared_ptr<http_server_connection>& from,
--- /dev/null
+++ b/src/tests/call_dispatch_test.cc
@@ -0,0 +1,204 @@
+/// @file call_dispatch_test.cc Requests at a hosted entry: at most once, true
+/// refusals, resumed streams, places.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fake_site.h"
+
+namespace fuchsiafall::tests {
+
+BOOST_AUTO_TEST_SUITE(call_dispatch_suite)
+
+BOOST_AUTO_TEST_CASE(a_plain_call_gets_its_whole_answer) {
+  fake_entry it;
+  it.Request(1, "plain");
+  BOOST_REQUIRE(it.attempts.size() == 1u);
+  BOOST_TEST(it.attempts[0].terms.tenant == "acme");
+  BOOST_TEST(it.attempts[0].terms.instance == it.attempts[0].server);
+  BOOST_TEST(it.attempts[0].terms.time_left.count() == 900);
+  it.Head(200, false);
+  it.Body("whole");
+  it.End(exchange_end::kComplete);
+  BOOST_TEST(it.text == "[whole]");
+  BOOST_TEST(it.dispatch.Open() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_have_run_once_is_not_sent_again) {
+  fake_entry it;
+  it.Request(1, "plain");
+  it.End(exchange_end::kBroken);
+  BOOST_TEST(it.attempts.size() == 1u);
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 502);
+  BOOST_TEST(!it.own[0].retry_after.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(what_proved_not_to_run_is_sent_elsewhere) {
+  fake_entry it;
+  it.Request(1, "plain");
+  it.Head(503, false, true);
+  it.End(exchange_end::kComplete);
+  BOOST_REQUIRE(it.attempts.size() == 2u);
+  it.End(exchange_end::kNotConnected);
+  BOOST_REQUIRE(it.attempts.size() == 3u);
+  it.Head(200, false);
+  it.End(exchange_end::kComplete);
+  BOOST_TEST(it.own.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_booking_is_waited_for_and_never_called_not_run) {
+  fake_entry it;
+  it.Request(1, "plain");
+  it.Pass(milliseconds(1000));
+  BOOST_TEST(it.attempts.size() == 1u);
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 504);
+  BOOST_TEST(it.aborted.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_reading_is_repeated_at_another_server) {
+  fake_entry it;
+  it.Request(1, "plain", "/read/x");
+  it.Pass(milliseconds(400));
+  BOOST_REQUIRE(it.attempts.size() == 2u);
+  BOOST_TEST(it.attempts[0].server != it.attempts[1].server);
+  BOOST_TEST(it.attempts[1].terms.time_left.count() < 700);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_skipped) {
+  fake_entry it;
+  it.Request(1, "plain");
+  const begun_attempt& last = it.attempts.back();
+  BOOST_TEST(!it.dispatch.OnHead(
+      it.now, last.call, last.number,
+      {.status = 200, .call_id = "other", .is_sealed = true}, false));
+  BOOST_TEST(it.Head(200, false));
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_proof_is_not_passed_on) {
+  fake_entry it;
+  it.Request(1, "plain");
+  const begun_attempt last = it.attempts.back();
+  it.dispatch.OnHead(it.now, last.call, last.number,
+                     {.status = 200, .call_id = "r1"}, false);
+  it.Body("forged");
+  it.End(exchange_end::kComplete);
+  BOOST_TEST(it.text.empty());
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_elsewhere_after_the_last_whole_event) {
+  fake_entry it;
+  it.Request(1, "models");
+  it.Grant();
+  it.Head(200, true);
+  it.Body("id:1\n\nid:2\n\nid:");
+  it.End(exchange_end::kBroken);
+  BOOST_REQUIRE(it.asks.size() == 2u);
+  BOOST_TEST(it.asks[1].is_resumed);
+  it.Grant();
+  BOOST_REQUIRE(it.attempts.size() == 2u);
+  BOOST_TEST((it.attempts[1].terms.last_event == 2u));
+  it.Head(200, true);
+  it.Body("id:2\n\nid:3\n\n");
+  it.End(exchange_end::kComplete);
+  BOOST_TEST(it.text == "<id:1\n\nid:2\n\nid:3\n\n>");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_does_not_look_complete) {
+  fake_entry it;
+  it.Request(1, "models");
+  for (int i = 0; i < 2; ++i) {
+    it.Grant();
+    it.Head(200, true);
+    it.Body("id:" + std::to_string(i + 1) + "\n\n");
+    it.End(exchange_end::kBroken);
+  }
+  BOOST_TEST(it.text == "<id:1\n\nid:2\n\n|");
+}
+
+BOOST_AUTO_TEST_CASE(every_place_is_given_back) {
+  fake_entry it;
+  it.Request(1, "models");
+  it.Grant();
+  it.Head(200, true);
+  it.Body("id:1\n\n");
+  it.End(exchange_end::kComplete);
+  BOOST_TEST((it.returned == std::vector<uint64_t>{it.asks[0].call}));
+  it.Request(2, "models");
+  it.dispatch.OnGone(it.now, 2);
+  BOOST_TEST(it.returned.size() == 2u);
+  it.Request(3, "models");
+  it.Pass(milliseconds(100));  // The agent does not answer.
+  BOOST_TEST(it.returned.size() >= 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_grant_of_a_dropped_question_starts_nothing) {
+  fake_entry it;
+  it.Request(1, "models");
+  const uint64_t question = it.asks[0].call;
+  it.Pass(milliseconds(80));
+  BOOST_REQUIRE(it.asks.size() == 2u);
+  it.dispatch.OnPlace(it.now, question, {.is_granted = true, .slots = 16});
+  BOOST_TEST(it.attempts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(without_any_place_the_refusal_is_at_once_and_true) {
+  fake_entry it;
+  it.Request(1, "models");
+  while (it.own.empty()) {
+    it.now += milliseconds(2);
+    it.dispatch.OnPlace(it.now, it.asks.back().call,
+                        {.free_after = milliseconds(500), .slots = 16});
+  }
+  BOOST_TEST(it.own[0].status == 503);
+  BOOST_REQUIRE(it.own[0].retry_after.has_value());
+  BOOST_TEST(it.own[0].retry_after->count() >= 500);
+  BOOST_TEST(it.attempts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(keys_fail_closed_when_the_belief_is_old) {
+  fake_entry it;
+  it.now += milliseconds(4800);
+  it.Request(1, "plain");
+  BOOST_TEST(it.attempts.empty());
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_key_is_refused_only_by_a_fresh_belief) {
+  fake_entry it;
+  caller_call call{.id = "r", .host = "plain", .key = "new"};
+  it.dispatch.OnRequest(it.now, 1, call, "/x", it.now);
+  it.now += seconds(5);
+  it.dispatch.OnRequest(it.now, 2, call, "/x", it.now);
+  BOOST_REQUIRE(it.own.size() == 2u);
+  BOOST_TEST(it.own[0].status == 401);
+  BOOST_TEST(it.own[1].status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_begins_on_a_version_past_its_bound) {
+  fake_entry it;
+  site_view view = it.site.index->View();
+  view.weights["model"] = {
+      .version = 2, .namings = {{2, {.seen_at = it.now, .was_watched = true}}}};
+  it.site.Set(view);
+  it.dispatch.SetIndex(it.now, it.site.index.get());
+  it.Request(1, "models");
+  BOOST_TEST(it.asks.size() == 1u);
+  it.now += milliseconds(7600);
+  it.dispatch.SetSound(it.now);
+  it.Request(2, "models");
+  BOOST_TEST(it.asks.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_chooses_the_route) {
+  fake_site site;
+  BOOST_TEST(site.index->FindRoute("plain", "/read/1")->name == "reading");
+  BOOST_TEST(site.index->FindRoute("plain", "/readers")->name == "booking");
+  BOOST_TEST((site.index->FindRoute("other", "/") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- /dev/null
+++ b/src/tests/place_table_test.cc
@@ -0,0 +1,192 @@
+/// @file place_table_test.cc Places of a model server under the load patterns
+/// that they answer, against a small model of a batch.
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <random>
+
+#include "engine_model_func.h"
+#include "place_table_base.h"
+#include "tests/fake_site.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+place_table OpenTable(double cold_rate = 0) {
+  place_table table{{}};
+  table.SetFigures(SomeEngine(), cold_rate);
+  table.SetAccepting(true);
+  return table;
+}
+
+place_ask Fresh(uint64_t call) {
+  return {.entry = "e:1",
+          .call = call,
+          .prompt_tokens = 900,
+          .answer_tokens = 106,
+          .patience = milliseconds(400),
+          .time_left = milliseconds(6000)};
+}
+
+/// Requests that run for a time each, in a batch with a queue before it.
+struct batch_model {
+  struct request {
+    uint64_t call;
+    int passes;
+    time_point granted_at;
+  };
+  /// Runs one pass.
+  /// @return Its time.
+  duration Pass(time_point now, place_table* table) {
+    const engine_figures engine = SomeEngine();
+    duration time = PassTime(engine, static_cast<uint32_t>(running.size()));
+    while (running.size() < engine.slots && !queue.empty()) {
+      running.push_back(queue.front());
+      time += PrefillTime(engine, 900);
+      waits.push_back(now + time - queue.front().granted_at);
+      queue.pop_front();
+    }
+    for (auto it = running.begin(); it != running.end();) {
+      if (--it->passes > 0) {
+        ++it;
+        continue;
+      }
+      table->Return(now, "e:1", it->call);
+      it = running.erase(it);
+    }
+    table->OnReport(now, {.waiting = static_cast<uint32_t>(queue.size()),
+                          .running = static_cast<uint32_t>(running.size())});
+    return time;
+  }
+
+  std::deque<request> queue;
+  std::deque<request> running;
+  std::vector<duration> waits;  ///< To the first token.
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(place_table_suite)
+
+BOOST_AUTO_TEST_CASE(steady_overload_keeps_first_tokens_on_time) {
+  // 1.4 times of what the engine can do, for 30 seconds.
+  place_table table = OpenTable();
+  batch_model batch;
+  std::mt19937_64 random(7);
+  const double rate = 1.4 / ToSeconds(PlaceInterval(SomeEngine()));
+  std::exponential_distribution<> gap(rate);
+  time_point now = kStart;
+  time_point next_ask = now;
+  int asked = 0;
+  int granted = 0;
+  while (now < kStart + seconds(30)) {
+    const time_point end = now + batch.Pass(now, &table);
+    while (next_ask < end) {
+      ++asked;
+      const auto call = static_cast<uint64_t>(asked);
+      if (table.Ask(next_ask, Fresh(call)).is_granted) {
+        ++granted;
+        batch.queue.push_back(
+            {call, 1 + static_cast<int>(random() % 35), next_ask});
+      }
+      next_ask += std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(gap(random)));
+    }
+    now = end;
+  }
+  const auto late =
+      std::count_if(batch.waits.begin(), batch.waits.end(),
+                    [](duration wait) { return wait > milliseconds(400); });
+  // The users count an answer as on time within 400 ms; nine in ten are to be.
+  BOOST_TEST(late * 10 < static_cast<int64_t>(batch.waits.size()));
+  // The engine is kept busy: at least nine tenths of what it can do.
+  BOOST_TEST(granted * 1.4 > asked * 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(the_cold_limit_holds_whatever_many_entries_ask) {
+  place_table table = OpenTable(10);
+  table.SetCold(kStart + seconds(3));
+  std::vector<time_point> grants;
+  uint64_t call = 0;
+  for (milliseconds t{0}; t < seconds(3); t += milliseconds(5)) {
+    place_ask ask = Fresh(++call);
+    ask.entry = "e:" + std::to_string(call % 18);
+    if (table.Ask(kStart + t, ask).is_granted) {
+      grants.push_back(kStart + t);
+      table.Return(kStart + t, ask.entry, call);
+    }
+  }
+  BOOST_TEST(grants.size() >= 20u);
+  for (size_t i = 0; i + 10 < grants.size(); ++i)
+    BOOST_TEST((grants[i + 10] - grants[i] >= seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_question_takes_one_place) {
+  place_table table = OpenTable();
+  BOOST_TEST(table.Ask(kStart, Fresh(1)).is_granted);
+  BOOST_TEST(table.Ask(kStart, Fresh(1)).is_granted);
+  BOOST_TEST(table.Granted() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_place_whose_return_got_lost_is_found) {
+  place_table table = OpenTable();
+  table.Ask(kStart, Fresh(1));
+  time_point now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(100);
+    table.OnReport(now, {});
+  }
+  BOOST_TEST(table.Granted() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(places_end_with_the_time_of_their_callers) {
+  place_table table = OpenTable();
+  for (uint64_t call = 1; call <= 16; ++call)
+    table.Ask(kStart, Fresh(call));
+  table.OnReport(kStart + seconds(7), {.running = 16});
+  BOOST_TEST(table.Granted() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(late_ones_get_free_places_only) {
+  place_table table = OpenTable();
+  time_point now = kStart;
+  for (uint64_t call = 1; call <= 16; ++call) {
+    now += milliseconds(150);
+    BOOST_TEST(table.Ask(now, Fresh(call)).is_granted);
+  }
+  now += milliseconds(150);
+  place_ask late = Fresh(17);
+  late.patience = milliseconds(0);
+  const place_reply reply = table.Ask(now, late);
+  BOOST_TEST(!reply.is_granted);
+  BOOST_TEST(reply.free_after.count() > 0);
+  BOOST_TEST(table.Ask(now, Fresh(18)).is_granted);
+}
+
+BOOST_AUTO_TEST_CASE(before_a_load_only_short_answers_are_let_in) {
+  place_table table = OpenTable();
+  table.SetEnd(kStart + milliseconds(700));
+  place_ask ask = Fresh(1);
+  ask.answer_tokens = 300;
+  const place_reply reply = table.Ask(kStart, ask);
+  BOOST_TEST(!reply.is_granted);
+  BOOST_TEST(reply.most_answer_tokens > 0u);
+  BOOST_TEST(reply.most_answer_tokens < 100u);
+  ask.answer_tokens = 6;
+  BOOST_TEST(table.Ask(kStart, ask).is_granted);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_granted_while_the_engine_takes_nothing) {
+  place_table table = OpenTable();
+  table.SetAccepting(false);
+  const place_reply reply = table.Ask(kStart, Fresh(1));
+  BOOST_TEST(!reply.is_granted);
+  BOOST_TEST(reply.slots == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- /dev/null
+++ b/src/tests/platform_test.cc
@@ -0,0 +1,199 @@
+/// @file platform_test.cc The adapter to the hosting platform, and the framing
+/// of messages: documents as they come, malformed ones, smuggling.
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+#include "network/http_message.h"
+#include "network/packing.h"
+#include "platform/documents.h"
+#include "platform/headers.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+using status_type = store_answer::status_type;
+
+store_mirror MirrorOf(const std::vector<store_item>& items) {
+  store_mirror mirror{{}};
+  const time_point now{std::chrono::hours(1)};
+  mirror.NextCall(now);
+  mirror.OnAnswer(now,
+                  {.status = status_type::kOk, .items = items, .revision = 9});
+  return mirror;
+}
+
+bool IsRequestRefused(const std::string& head) {
+  auto read = ParseRequestHead(head);
+  return !read || !FramingOf(*read);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_suite)
+
+BOOST_AUTO_TEST_CASE(entries_of_other_writers_name_no_server) {
+  const std::string good =
+      R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready",)"
+      R"("Slots":6,"born":123})";
+  std::vector<std::string> problems;
+  const site_view view = platform::BuildView(
+      time_point{},
+      MirrorOf({{.key = "servers/good", .value = good, .revision = 1},
+                {.key = "servers/bytes", .value = "\x01\x02", .revision = 2},
+                {.key = "servers/type",
+                 .value = R"({"Service":7,"Address":"a","Zone":"z",)"
+                          R"("State":"ready"})",
+                 .revision = 3},
+                {.key = "servers/state",
+                 .value = R"({"Service":"s","Address":"a","Zone":"z",)"
+                          R"("State":"odd"})",
+                 .revision = 4}}),
+      {}, &problems);
+  BOOST_TEST(view.servers.size() == 1u);
+  BOOST_TEST(view.servers.at("good").slots == 6u);
+  BOOST_TEST(view.servers.at("good").born_ms == 123);
+  BOOST_TEST(problems.size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_changes_nothing) {
+  std::vector<std::string> problems;
+  site_view before;
+  before.configuration.version = 5;
+  before.configuration_revision = 1;
+  const site_view view = platform::BuildView(
+      time_point{},
+      MirrorOf({{.key = "op/config", .value = "{", .revision = 8}}), before,
+      &problems);
+  BOOST_TEST(view.configuration.version == 5u);
+  BOOST_TEST(problems.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_configuration_never_replaces_a_newer_one) {
+  std::vector<std::string> problems;
+  site_view before;
+  before.configuration.version = 5;
+  before.configuration_revision = 1;
+  const site_view view =
+      platform::BuildView(time_point{},
+                          MirrorOf({{.key = "op/config",
+                                     .value = R"({"Version":4,"Routes":[]})",
+                                     .revision = 8}}),
+                          before, &problems);
+  BOOST_TEST(view.configuration.version == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(answers_of_the_store_are_told_apart) {
+  const auto list = store_call::kind_type::kList;
+  const auto watch = store_call::kind_type::kWatch;
+  BOOST_TEST((platform::DecodeStoreAnswer(watch, 410, "").status ==
+              status_type::kHistoryGone));
+  BOOST_TEST((platform::DecodeStoreAnswer(watch, 503, "").status ==
+              status_type::kRefused));
+  BOOST_TEST((platform::DecodeStoreAnswer(watch, 200, "garbage").status ==
+              status_type::kSilent));
+  const store_answer answer = platform::DecodeStoreAnswer(
+      list, 200,
+      R"({"Items":[{"Key":"a","Value":"aGk=","Revision":4}],)"
+      R"("HasMore":true,"At":7})");
+  BOOST_TEST((answer.status == status_type::kOk));
+  BOOST_TEST(answer.has_more);
+  BOOST_TEST(answer.revision == 7u);
+  BOOST_REQUIRE(answer.items.size() == 1u);
+  BOOST_TEST(answer.items[0].value == "hi");
+}
+
+BOOST_AUTO_TEST_CASE(the_callers_key_and_claims_do_not_reach_the_server) {
+  auto head = ParseRequestHead(
+      "POST /p HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline-Ms: 700\r\n"
+      "Authorization: Bearer secret\r\nTenant: forged\r\n"
+      "Expect-Instance: forged\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+      "X-Kept: yes\r\n\r\n");
+  BOOST_REQUIRE(head);
+  const caller_call call = platform::DecodeCall(*head);
+  BOOST_TEST(call.key == "secret");
+  BOOST_TEST((call.time_left == milliseconds(700)));
+  const std::string sent = WriteHead(platform::EncodeAttempt(
+      *head,
+      {.instance = "i", .tenant = "acme", .time_left = milliseconds(650)}));
+  BOOST_TEST(sent.find("secret") == std::string::npos);
+  BOOST_TEST(sent.find("forged") == std::string::npos);
+  BOOST_TEST(sent.find("X-Hop") == std::string::npos);
+  BOOST_TEST(sent.find("X-Kept: yes") != std::string::npos);
+  BOOST_TEST(sent.find("Tenant: acme") != std::string::npos);
+  BOOST_TEST(sent.find("Deadline-Ms: 650") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(heads_that_could_be_framed_in_two_ways_are_refused) {
+  const std::string start = "POST /p HTTP/1.1\r\nHost: h\r\n";
+  BOOST_TEST(!IsRequestRefused(start + "Content-Length: 3\r\n\r\n"));
+  BOOST_TEST(!IsRequestRefused(start + "Transfer-Encoding: chunked\r\n\r\n"));
+  for (const char* fields :
+       {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        "Content-Length: +3\r\n\r\n", "Content-Length: 3, 3\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n",
+        "Transfer-Encoding : chunked\r\n\r\n", "A: b\r\n c: d\r\n\r\n",
+        "A: b\nContent-Length: 3\r\n\r\n", "Host: other\r\n\r\n"}) {
+    BOOST_TEST(IsRequestRefused(start + fields), fields);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(chunked_bodies_are_read_in_any_pieces) {
+  const std::string text =
+      "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\nnext";
+  for (size_t step = 1; step < text.size(); ++step) {
+    body_reader reader;
+    reader.Start(body_framing::kChunked, 0);
+    std::string input;
+    std::string body;
+    auto progress = read_progress::kNeedsMore;
+    for (size_t at = 0;
+         at < text.size() && progress == read_progress::kNeedsMore;
+         at += step) {
+      input += text.substr(at, step);
+      progress = reader.Read(&input, &body);
+    }
+    BOOST_TEST((progress == read_progress::kDone));
+    BOOST_TEST(body == "hello world");
+  }
+  body_reader reader;
+  reader.Start(body_framing::kChunked, 0);
+  std::string input = "5\r\nhelloXX";
+  std::string body;
+  BOOST_TEST((reader.Read(&input, &body) == read_progress::kNeedsMore));
+  input += "\r\n";
+  BOOST_TEST((reader.Read(&input, &body) == read_progress::kMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_checked) {
+  const std::string path = "/tmp/fuchsiafall-settings-test.conf";
+  std::ofstream(path) << "Node=n\nIp=10.0.0.1\nZone=z\n"
+                         "Platform.Address=10.0.0.9:1\n"
+                         "InternalPorts=7700,7715\nBounds.RevokeMs=4000\n"
+                         "Zones.z=east\nUnknown.Field=1\n";
+  auto read = platform::ReadSiteSettings(path);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->first_port == 7700);
+  BOOST_TEST((read->revoke == milliseconds(4000)));
+  BOOST_TEST(read->regions.at("z") == "east");
+  std::ofstream(path) << "Node=n\nIp=10.0.0.1\nZone=z\n"
+                         "Platform.Address=a:1\nBounds.RevokeMs=soon\n";
+  read = platform::ReadSiteSettings(path);
+  BOOST_TEST(!read);
+  BOOST_TEST(read.LastReason().find("Bounds.RevokeMs") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(packed_bodies_come_back_or_are_refused) {
+  const std::string text(100000, 'x');
+  const std::string packed = Deflate(text);
+  BOOST_TEST(packed.size() < text.size() / 10);
+  BOOST_TEST((*Inflate(packed, 1U << 20) == text));
+  BOOST_TEST(!Inflate(packed, 1000));
+  BOOST_TEST(!Inflate("not packed", 1000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr milliseconds kMapInterval{
-    100};  // Between have-maps to the same neighbours.
 constexpr milliseconds kMapRefresh{
     1500};  // Between have-maps that make up for lost ones.
 constexpr milliseconds kLeastQueue{
@@ -100,7 +98,8 @@
 void weight_transfer::SendMaps(time_point now,
                                artifact* item,
                                output_list* out) {
-  bool is_due = item->map_changed && now - item->last_map_sent >= kMapInterval;
+  bool is_due =
+      item->map_changed && now - item->last_map_sent >= options_.map_interval;
   bool is_refresh = item->stage != transfer_stage::kComplete &&
                     now - item->last_map_sent >= kMapRefresh;
   if (!is_due && !is_refresh)
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -18,8 +18,6 @@
     3;  // Chunks for which the own link is booked ahead.
 constexpr milliseconds kLeastAhead{
     60};  // Least time for which it is booked ahead.
-constexpr milliseconds kOutsideProbe{
-    250};  // Between probes of holders in other domains.
 constexpr milliseconds kChainProbe{
     1000};  // Between probes of importers ahead in the order.
 constexpr seconds kOriginDeadline{120};
@@ -175,7 +173,7 @@
       continue;
     std::vector<vm_id> there = ImportOrder(item, id, item.part.manifest);
     for (size_t i = 0; i < std::min<size_t>(2, there.size()); ++i) {
-      Probe(now, &item, there[i], kOutsideProbe, out);
+      Probe(now, &item, there[i], options_.outside_probe, out);
     }
   }
   std::optional<outside_source> source =
@@ -212,7 +210,7 @@
         continue;
       std::vector<vm_id> there = ImportOrder(item, id, item.chunks[chunk]);
       for (size_t i = 0; i < std::min<size_t>(2, there.size()); ++i) {
-        probe(there[i], kOutsideProbe);
+        probe(there[i], options_.outside_probe);
       }
     }
     if (outside >= kMostOutsidePending || !HasRoom(now))
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -29,6 +29,10 @@
   uint64_t staging_bytes = 1ULL << 36;
   size_t neighbours =
       10;  ///< Servers of the own domain to exchange chunks with.
+  milliseconds map_interval{
+      100};  ///< Between have-maps to the same neighbours.
+  milliseconds outside_probe{
+      250};                ///< Between probes of holders in other domains.
   bool is_direct = false;  ///< Draws everything from the origin by itself.
   uint64_t seed = 1;       ///< Of the random choices among equals.
 };
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -49,19 +49,28 @@
     return outdated_at + PartOf(options.bound, part);
   };
   if (newest.progress >= 1) {
-    if (now >= turn_from(options.turns_begin))
+    plan.load_at = turn_from(options.turns_begin);
+    if (now >= *plan.load_at)
       plan.load = newest.version;
     return plan;
   }
+  if (newest.progress >= options.likely_share &&
+      turn_from(options.turns_begin) > now) {
+    plan.load_at = turn_from(options.turns_begin);
+  }
   if (makeshift == nullptr)
     return plan;
+  // Most turns would be over before the newest has arrived.
+  const double middle = (options.turns_begin + options.turns_end) / 2;
   const bool is_newest_too_late =
       newest.named_at + PartOf(options.bound, options.turns_begin) >
-      outdated_at + PartOf(options.bound, options.turns_end);
+      outdated_at + PartOf(options.bound, middle);
   const time_point makeshift_at = turn_from(
       is_newest_too_late ? options.turns_begin : options.makeshift_begin);
-  if (is_newest_too_late || now >= makeshift_at)
+  if (is_newest_too_late || now >= makeshift_at) {
     plan.stage = makeshift->version;
+    plan.load_at = makeshift_at;
+  }
   if (now >= makeshift_at)
     plan.load = makeshift->version;
   return plan;
--- a/src/weights_plan_func.h
+++ b/src/weights_plan_func.h
@@ -16,13 +16,15 @@
   /// Before it the weights are still spreading. What runs when an engine is
   /// ordered may end on the old version; only what begins later breaks the
   /// bound.
-  double turns_begin = 0.42;
-  double turns_end = 0.88;
+  double turns_begin = 0.48;
+  double turns_end = 0.92;
   /// Part from which a version that is not the newest is loaded, because the
   /// newest has not arrived.
   double makeshift_begin = 0.68;
   /// Progress at which a transfer is finished although a newer one is wanted.
   double finish_share = 0.7;
+  /// Progress from which a transfer is expected to be complete at its turn.
+  double likely_share = 0.5;
 };
 
 /// Version of the weights as this server knows it.
@@ -35,7 +37,10 @@
 struct weights_plan {
   std::vector<uint64_t> fetch;   ///< Versions to transfer, most urgent first.
   std::optional<uint64_t> load;  ///< Version to load now.
-  uint64_t stage = 0;            ///< Version to stage at the engine.
+  /// When the version that is staged is to be loaded, once it is known; what is
+  /// begun before should be over by then.
+  std::optional<time_point> load_at;
+  uint64_t stage = 0;  ///< Version to stage at the engine.
 };
 
 /// Plans for versions named in quick succession: a nearly complete older one is
