Fix: Notice an origin that is back, and don't count its stalls against importers

Change: the longest pause is an option, 0.6 s on a hosting platform; patience leaves out times in which no chunk moved at all.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -23,7 +23,10 @@
 constexpr milliseconds kTick{20};             // While weights are on their way.
 constexpr milliseconds kLocalTimeout{1000};   // Of calls to the engine.
 /// A piece takes 30 ms over the origin's link, and a few may wait there.
-constexpr milliseconds kOriginTimeout{2500};
+constexpr milliseconds kOriginTimeout{1500};
+/// Nothing may begin on weights past their bound, so an origin that is back has
+/// to be noticed at once.
+constexpr milliseconds kMostOriginBackoff{600};
 constexpr milliseconds kManifestRetry{300};
 /// Of a holder of pieces: its queue and the way, several times over.
 constexpr milliseconds kChunkTimeout{700};
@@ -69,6 +72,7 @@
                    .chunk_timeout = kChunkTimeout,
                    .map_interval = kMapInterval,
                    .outside_probe = kOutsideProbe,
+                   .most_origin_backoff = kMostOriginBackoff,
                    .seed = base_.OwnIncarnation().value},
                   blobs_),
         stager_({}),
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -46,8 +46,9 @@
   std::string node;  ///< Of this process.
   std::string store_address;
   size_t relays = 2;  ///< Of a domain; they ask the store themselves.
-  /// Age of a relay's word at which it counts as cut off from the store.
-  milliseconds most_age{2200};
+  /// Age of a relay's word at which it counts as cut off from the store. One
+  /// that is not hears from it every half second.
+  milliseconds most_age{900};
   milliseconds avoid{3000};  ///< Of a source that failed.
 };
 
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -50,15 +50,15 @@
 struct store_mirror_options {
   /// Longest wait of a watch. Two of them in a row, at the worst, are the age
   /// of the last sound word.
-  milliseconds watch{1000};
+  milliseconds watch{500};
   /// Longest wait of a watch at a relay, which costs the store nothing.
-  milliseconds relayed_watch{500};
+  milliseconds relayed_watch{400};
   /// Least time between two answers, so that a storm is read in batches.
   milliseconds spacing{250};
   /// After a call that failed. Short, since a machine that is reachable again
   /// has to know within seconds what it missed.
   milliseconds backoff{200};
-  milliseconds most_backoff{400};
+  milliseconds most_backoff{600};
   /// When all entries lapsed while the store was away, those still missing
   /// after this time count as gone; what lives has written its own again by
   /// then.
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -44,6 +44,7 @@
   before.resize(count, false);
   who.chunks.assign(
       item->stage == transfer_stage::kManifest ? map.count() : count, false);
+  const size_t count_before = who.count;
   who.count = 0;
   for (size_t i = 0; i < who.chunks.size() && i / 8 < map.bits().size(); ++i) {
     bool has =
@@ -51,6 +52,8 @@
     who.chunks[i] = has;
     who.count += has ? 1 : 0;
   }
+  if (who.count > count_before)
+    NoteProgress(now, item);
   for (size_t i = 0; i < count && who.is_neighbour; ++i) {
     if (who.chunks[i] && !before[i])
       ++item->rarity[i];
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -17,7 +17,6 @@
 constexpr seconds kCorruptAvoidance{60};
 constexpr milliseconds kBusyPause{40};
 constexpr milliseconds kLeastOriginBackoff{500};
-constexpr milliseconds kMostOriginBackoff{60000};
 
 /// Checks the shape of a manifest before it is trusted with sizes.
 outcome<done> CheckManifest(const proto::manifest& manifest) {
@@ -135,6 +134,7 @@
     return;
   item.have[*request->chunk] = true;
   item.map_changed = true;
+  NoteProgress(now, &item);
   if (++item.have_count < item.chunks.size())
     return;
   item.stage = transfer_stage::kComplete;
@@ -446,9 +446,19 @@
     item.last_reason = "the origin's manifest does not match its digest";
 }
 
+void weight_transfer::NoteProgress(time_point now, artifact* item) const {
+  const time_point before = std::max(item->progress_at, item->since);
+  const duration stall = now - before;
+  // While nothing moves at all, the origin is away: no importer is late for
+  // that, and others that took over would draw further copies.
+  if (stall > options_.chunk_timeout)
+    item->since += stall;
+  item->progress_at = now;
+}
+
 void weight_transfer::AvoidOrigin(time_point now) {
-  origin_backoff_ =
-      std::clamp(origin_backoff_ * 2, kLeastOriginBackoff, kMostOriginBackoff);
+  origin_backoff_ = std::clamp(origin_backoff_ * 2, kLeastOriginBackoff,
+                               options_.most_origin_backoff);
   origin_avoided_until_ = now + origin_backoff_;
 }
 
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -32,7 +32,9 @@
   milliseconds map_interval{
       100};  ///< Between have-maps to the same neighbours.
   milliseconds outside_probe{
-      250};                ///< Between probes of holders in other domains.
+      250};  ///< Between probes of holders in other domains.
+  milliseconds most_origin_backoff{
+      60000};              ///< Longest pause for an origin that fails.
   bool is_direct = false;  ///< Draws everything from the origin by itself.
   uint64_t seed = 1;       ///< Of the random choices among equals.
 };
@@ -87,9 +89,10 @@
   std::map<std::string, std::vector<vm_id>>
       chains;  ///< Importers by domain, in order.
   std::map<size_t, size_t>
-      import_place;      ///< Own place in the order for each chunk.
-  time_point since{};    ///< When it became a target.
-  bool is_late = false;  ///< May have joined a swarm that was under way.
+      import_place;          ///< Own place in the order for each chunk.
+  time_point since{};        ///< When it became a target, stalls left out.
+  time_point progress_at{};  ///< When a chunk last arrived here or nearby.
+  bool is_late = false;      ///< May have joined a swarm that was under way.
   bool map_changed = true;
   time_point last_map_sent{};
   time_point next_manifest_try{};
@@ -213,6 +216,7 @@
                      output_list* out);
   void OnCorruptBlob(time_point now, const pending& request, output_list* out);
   void AvoidOrigin(time_point now);
+  void NoteProgress(time_point now, artifact* item) const;
   void CountSource(const pending& request, uint64_t bytes, output_list* out);
 
   // Have-maps.
