Change: Take over a slow importer's pieces near the end, count waits at 1.5 times their mean

Change: a server that has had nothing on its way for 0.2 s imports the missing pieces itself once it has half; the wait for a place counts with the spread of the ends of passes.

--- a/src/engine_model.cc
+++ b/src/engine_model.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Places become free at the ends of passes, several or none at once, so that
+/// nine in ten waits are within this multiple of the mean.
+constexpr double kWaitSpread = 1.5;
+
 duration Ms(double ms) {
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::milli>(ms));
@@ -86,7 +90,8 @@
       running + ahead >= engine.slots
           ? PlaceInterval(engine) * static_cast<int>(ahead + 1)
           : duration(0);
-  return joining + reading + place;
+  return joining + reading +
+         std::chrono::duration_cast<duration>(place * kWaitSpread);
 }
 
 }  // namespace fuchsiafall
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kLocalTimeout{1000};   // Of calls to the engine.
 /// A piece takes 30 ms over the origin's link, and a few may wait there.
 constexpr milliseconds kOriginTimeout{1500};
+/// Several pieces over a link of the usual rate.
+constexpr milliseconds kIdleTakeover{200};
 /// Nothing may begin on weights past their bound, so an origin that is back has
 /// to be noticed at once.
 constexpr milliseconds kMostOriginBackoff{600};
@@ -72,6 +74,7 @@
                    .chunk_timeout = kChunkTimeout,
                    .map_interval = kMapInterval,
                    .outside_probe = kOutsideProbe,
+                   .idle_takeover = kIdleTakeover,
                    .most_origin_backoff = kMostOriginBackoff,
                    .seed = base_.OwnIncarnation().value},
                   blobs_),
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -40,6 +40,7 @@
       case transfer_stage::kChunks:
         RequestImports(now, i, out);
         RequestFromNeighbours(now, i, out);
+        NoteIdle(now, i);
         break;
       default:
         break;
@@ -48,6 +49,16 @@
   }
 }
 
+void weight_transfer::NoteIdle(time_point now, size_t index) {
+  auto is_of = [index](const auto& entry) {
+    return entry.second.artifact_index == index;
+  };
+  if (std::any_of(pending_.begin(), pending_.end(), is_of) ||
+      std::any_of(origin_pending_.begin(), origin_pending_.end(), is_of)) {
+    artifacts_[index].idle_since = now;
+  }
+}
+
 bool weight_transfer::IsSilent(time_point now, const holder& who) const {
   return who.was_asked && now - who.asked_since > options_.chunk_timeout;
 }
@@ -102,6 +113,11 @@
   }
   if (now - item->since > static_cast<int>(place) * Patience(*item))
     return true;
+  const bool is_near_end = item->have_count * 2 >= item->chunks.size();
+  if (is_near_end && now - item->idle_since >
+                         static_cast<int>(place) * options_.idle_takeover) {
+    return true;
+  }
   return std::all_of(
       order.begin(), order.begin() + static_cast<ptrdiff_t>(place),
       [&](const vm_id& id) { return IsPassedOver(now, item->holders[id]); });
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -300,6 +300,7 @@
   }
   item->map_changed = true;
   item->since = now;
+  item->idle_since = now;
   out->Log(log_event::kManifestVerified, "part=" + item->part.name);
   CheckMemory(item, out);
   if (item->stage != transfer_stage::kChunks)
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -33,6 +33,9 @@
       100};  ///< Between have-maps to the same neighbours.
   milliseconds outside_probe{
       250};  ///< Between probes of holders in other domains.
+  /// Time without any request on its way after which, near the end, another
+  /// server's imports are taken over: its link may be far slower than ours.
+  milliseconds idle_takeover{60000};
   milliseconds most_origin_backoff{
       60000};              ///< Longest pause for an origin that fails.
   bool is_direct = false;  ///< Draws everything from the origin by itself.
@@ -91,6 +94,7 @@
   std::map<size_t, size_t>
       import_place;          ///< Own place in the order for each chunk.
   time_point since{};        ///< When it became a target, stalls left out.
+  time_point idle_since{};   ///< Since when nothing is on its way.
   time_point progress_at{};  ///< When a chunk last arrived here or nearby.
   bool is_late = false;      ///< May have joined a swarm that was under way.
   bool map_changed = true;
@@ -217,6 +221,7 @@
   void OnCorruptBlob(time_point now, const pending& request, output_list* out);
   void AvoidOrigin(time_point now);
   void NoteProgress(time_point now, artifact* item) const;
+  void NoteIdle(time_point now, size_t index);
   void CountSource(const pending& request, uint64_t bytes, output_list* out);
 
   // Have-maps.
