Feature: Hold requests that crash the servers that run them

Cause: a request may crash each server that begins it and comes again at any entry; nothing known at one entry stops it at the others. Change: entries tell the agent when a server broke off; an agent that sees its engine restarted tells all agents which requests it broke off, and a request in two crashes gets no place any more. Plain services by each entry's own count. Result: call_dispatch_suite (the culprit is held, its neighbours are not).

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
@@ -134,6 +133,8 @@
   item.is_model = service != nullptr && service->engine.has_value() &&
                   !request.model.empty();
   budget_.OnRequest(now);
+  if (crashes_.IsHeld(now, request.print))
+    return Refuse(now, &item, call_refusal::kQuarantined);
   Place(now, &item);
 }
 
@@ -184,7 +185,8 @@
     place_ask ask{.call = item->question,
                   .prompt_tokens = item->request.prompt_tokens,
                   .answer_tokens = item->request.hinted_tokens,
-                  .is_resumed = item->is_streaming};
+                  .is_resumed = item->is_streaming,
+                  .print = item->request.print};
     ask.patience = std::chrono::duration_cast<milliseconds>(
         std::max<duration>(duration(0), item->on_time_until - now));
     ask.time_left =
@@ -219,6 +221,8 @@
     Send(now, &item);
     return;
   }
+  if (reply.is_quarantined)
+    return Refuse(now, &item, call_refusal::kQuarantined);
   board_.OnFull(now, item.server.id, reply.free_after);
   if (reply.slots > 0 &&
       (!item.free_after || reply.free_after < *item.free_after)) {
@@ -335,7 +339,10 @@
   call* item = Find(id, attempt);
   if (item == nullptr)
     return;
-  Release(item);
+  const bool was_broken = end == exchange_end::kBroken;
+  Release(item, was_broken);
+  if (was_broken && !item->is_model)
+    crashes_.Count(now, item->request.print);
   if (end == exchange_end::kNotConnected) {
     board_.OnFailure(now, item->server.id);
     --item->sends;
@@ -407,11 +414,11 @@
   hooks_.answer(id, body);
 }
 
-void call_dispatch::Release(call* item) {
+void call_dispatch::Release(call* item, bool was_broken) {
   board_.OnEnded(item->server.id);
   if (item->has_place) {
     item->has_place = false;
-    hooks_.give_back(item->server, item->question);
+    hooks_.give_back(item->server, item->question, was_broken);
   }
   item->at = stage::kAsking;
 }
@@ -419,7 +426,7 @@
 void call_dispatch::DropQuestion(call* item) {
   if (questions_.erase(item->question) > 0) {
     // The place may have been granted, with the answer on its way.
-    hooks_.give_back(item->server, item->question);
+    hooks_.give_back(item->server, item->question, false);
   }
 }
 
@@ -464,9 +471,6 @@
     case call_refusal::kUnknownKey:
       answer.status = kUnauthorized;
       break;
-    case call_refusal::kBadRequest:
-      answer.status = kBadRequest;
-      break;
     case call_refusal::kServerFailed:
       answer.status = kBadGateway;
       break;
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "caller_call_type.h"
+#include "crash_ledger_base.h"
 #include "event_splitter_base.h"
 #include "log_event_func.h"
 #include "network/http_exchange.h"
@@ -31,7 +32,7 @@
   kNoPlace,   ///< No server answers it in time.
   kTimedOut,
   kServerFailed,  ///< Sent, and it may have run.
-  kBadRequest,
+  kQuarantined,   ///< It crashes the servers that run it.
   kCount,
 };
 
@@ -76,7 +77,9 @@
 struct call_dispatch_hooks {
   /// Asks for a place; the answer comes back with the question's number.
   std::function<void(const site_server&, const place_ask&)> ask;
-  std::function<void(const site_server&, uint64_t question)> give_back;
+  /// @param was_broken Whether the server broke off.
+  std::function<void(const site_server&, uint64_t question, bool was_broken)>
+      give_back;
   /// Sends an attempt; its answer comes back with the attempt's number.
   std::function<void(uint64_t call,
                      uint32_t attempt,
@@ -179,7 +182,7 @@
   void Retry(time_point now, call* item, bool may_have_run);
   void FinishWhole(time_point now, call* item);
   void FinishStream(time_point now, call* item);
-  void Release(call* item);
+  void Release(call* item, bool was_broken = false);
   void DropQuestion(call* item);
   void Refuse(time_point now, call* item, call_refusal why);
   void Erase(uint64_t id) { calls_.erase(id); }
@@ -196,6 +199,7 @@
   retry_budget budget_;
   const site_index* index_ = nullptr;
   time_point sound_at_{};
+  crash_ledger crashes_{{}};  ///< Of plain services, as seen here.
   std::map<uint64_t, call> calls_;
   std::map<uint64_t, uint64_t> questions_;  ///< Calls that ask, by question.
   uint64_t next_question_ = 1;
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -7,21 +7,24 @@
 #include <optional>
 #include <string>
 
+#include "ids_type.h"
 #include "time_type.h"
 
 namespace fuchsiafall {
 
 /// What a caller's request says of itself.
 struct caller_call {
-  std::string id;    ///< Of this attempt of the caller.
-  std::string host;  ///< Without a port.
-  std::string key;   ///< Empty when it has none.
+  std::string id;                         ///< Of this attempt of the caller.
+  std::string host;                       ///< Without a port.
+  std::string key;                        ///< Empty when it has none.
   std::optional<milliseconds> time_left;  ///< For which the caller waits.
   std::string model;
   uint32_t prompt_tokens = 0;
   uint32_t answer_tokens = 0;  ///< The most that may be generated.
   uint32_t hinted_tokens = 0;  ///< The caller's estimate; 0 where it has none.
   std::optional<uint64_t> last_event;  ///< Event after which a stream goes on.
+  /// Same for each request of a caller with the same path and body.
+  fingerprint print;
 };
 
 /// What an attempt adds to the caller's request.
@@ -37,7 +40,7 @@
 /// What a server's answer says beside its body.
 struct server_answer {
   int status = 0;
-  std::string call_id;  ///< Of the request that it answers.
+  std::string call_id;       ///< Of the request that it answers.
   bool did_not_run = false;  ///< Whether the server says that it did not run.
   bool is_sealed = false;    ///< Whether it bears the server's proof.
   bool has_load = false;
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <zmq.hpp>
 
+#include "crash_ledger_base.h"
 #include "engine_steward_base.h"
 #include "hash_func.h"
 #include "hosted_process.h"
@@ -568,6 +569,7 @@
                  "born=" + std::to_string(report->born_ms));
         places_.OnRestart(now);
         stager_.Recheck();
+        SpreadCrash(now);
       }
       places_.OnReport(now, *report);
       if (report->cold_left > milliseconds(0))
@@ -589,6 +591,26 @@
     Stage(now);
   }
 
+  /// Tells all agents which requests ran when this engine crashed.
+  void SpreadCrash(time_point now) {
+    proto::envelope message;
+    message.set_vm(self_.value);
+    message.set_incarnation(base_.OwnIncarnation().value);
+    for (const fingerprint& print : crashes_.OnRestart(now)) {
+      crashes_.Count(now, print);
+      message.mutable_crash_note()->add_fingerprints(print.value);
+    }
+    if (!message.has_crash_note())
+      return;
+    base_.Metrics().Count("crashes_spread");
+    for (const auto& [ip, domain] : members_) {
+      if (ip != self_.value) {
+        control_.Send(ip + ":" + std::to_string(base_.Settings().first_port),
+                      message);
+      }
+    }
+  }
+
   // ---- Places ----
 
   void OnMessage(time_point now,
@@ -603,8 +625,15 @@
                     .answer_tokens = question.answer_tokens(),
                     .patience = milliseconds(question.patience_ms()),
                     .time_left = milliseconds(question.time_left_ms()),
-                    .is_resumed = question.is_resumed()};
-      const place_reply reply = places_.Ask(now, ask);
+                    .is_resumed = question.is_resumed(),
+                    .print = fingerprint(question.fingerprint())};
+      place_reply reply;
+      if (crashes_.IsHeld(now, ask.print)) {
+        reply.is_quarantined = true;
+        base_.Metrics().Count("places_quarantined");
+      } else {
+        reply = places_.Ask(now, ask);
+      }
       base_.Metrics().Count(reply.is_granted ? "places_granted"
                                              : "places_denied");
       proto::envelope back;
@@ -615,12 +644,19 @@
       answer->set_is_granted(reply.is_granted);
       answer->set_free_after_ms(
           static_cast<uint32_t>(reply.free_after.count()));
+      answer->set_is_quarantined(reply.is_quarantined);
       answer->set_load(reply.load);
       answer->set_slots(reply.slots);
       answer->set_most_answer_tokens(reply.most_answer_tokens);
       control_.Send(from, back);
     } else if (message.has_place_return()) {
-      places_.Return(now, from, message.place_return().call());
+      const auto print =
+          places_.Return(now, from, message.place_return().call());
+      if (print && message.place_return().was_broken())
+        crashes_.OnBrokenOff(now, *print);
+    } else if (message.has_crash_note()) {
+      for (uint64_t print : message.crash_note().fingerprints())
+        crashes_.Count(now, fingerprint(print));
     } else if (message.has_have()) {
       output_list out;
       transfer_.OnHaveMap(now, vm_id(message.vm()), message.have(), &out);
@@ -692,6 +728,7 @@
   piece_stager stager_;
   engine_steward steward_;
   place_table places_;
+  crash_ledger crashes_{{}};
   http_client_pool pool_;
   datagram_link control_;
   std::unique_ptr<zmq::context_t> context_;
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "call_dispatch_base.h"
+#include "hash_func.h"
 #include "hosted_process.h"
 #include "network/datagram_link.h"
 #include "platform/headers.h"
@@ -134,11 +135,14 @@
       question->set_patience_ms(static_cast<uint32_t>(ask.patience.count()));
       question->set_time_left_ms(static_cast<uint32_t>(ask.time_left.count()));
       question->set_is_resumed(ask.is_resumed);
+      question->set_fingerprint(ask.print.value);
       agents_.Send(AgentOf(server), message);
     };
-    hooks.give_back = [this](const site_server& server, uint64_t question) {
+    hooks.give_back = [this](const site_server& server, uint64_t question,
+                             bool was_broken) {
       proto::envelope message = NewMessage();
       message.mutable_place_return()->set_call(question);
+      message.mutable_place_return()->set_was_broken(was_broken);
       agents_.Send(AgentOf(server), message);
     };
     hooks.start = [this](uint64_t call, uint32_t attempt,
@@ -236,8 +240,10 @@
     item.caller = caller;
     item.request = std::move(request);
     by_caller_[caller.get()] = id;
-    const caller_call call = platform::DecodeCall(item.request.head);
+    caller_call call = platform::DecodeCall(item.request.head);
     const std::string target = item.request.head.getURI();
+    call.print =
+        fingerprint(Hash64(item.request.body, Hash64(call.key + " " + target)));
     dispatch_.OnRequest(now, id, call, target, item.request.first_byte_at);
     Schedule();
   }
@@ -303,7 +309,8 @@
                        .free_after = milliseconds(answer.free_after_ms()),
                        .load = answer.load(),
                        .slots = answer.slots(),
-                       .most_answer_tokens = answer.most_answer_tokens()});
+                       .most_answer_tokens = answer.most_answer_tokens(),
+                       .is_quarantined = answer.is_quarantined()});
     Schedule();
   }
 
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -114,17 +114,21 @@
   recent_.push_back(now);
   places_[key] = {.granted_at = now,
                   .expires = now + ask.time_left + kExpiryMargin,
-                  .prompt_tokens = ask.prompt_tokens};
+                  .prompt_tokens = ask.prompt_tokens,
+                  .print = ask.print};
   reply.is_granted = true;
   reply.load = Load();
   return reply;
 }
 
-void place_table::Return(time_point now,
-                         const std::string& entry,
-                         uint64_t call) {
-  if (places_.erase({entry, call}) == 0)
-    return;
+std::optional<fingerprint> place_table::Return(time_point now,
+                                               const std::string& entry,
+                                               uint64_t call) {
+  auto it = places_.find({entry, call});
+  if (it == places_.end())
+    return std::nullopt;
+  const fingerprint print = it->second.print;
+  places_.erase(it);
   // The last report still counts its request.
   if (report_.waiting > 0) {
     --report_.waiting;
@@ -133,6 +137,7 @@
   }
   if (places_.size() <= report_.running + report_.waiting)
     surplus_since_ = now;
+  return print;
 }
 
 }  // namespace fuchsiafall
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "engine_control_type.h"
+#include "ids_type.h"
 #include "site_type.h"
 #include "time_type.h"
 
@@ -33,7 +34,7 @@
   milliseconds patience{0};    ///< In which the first token is on time.
   milliseconds time_left{0};   ///< For which the caller waits.
   bool is_resumed = false;
-  uint64_t weights = 0;  ///< Version that must serve it; 0 for any.
+  fingerprint print;  ///< Of the request.
 };
 
 struct place_reply {
@@ -43,6 +44,7 @@
   uint32_t slots = 0;  ///< 0 while the server takes nothing.
   /// Longest answer that is taken before the engine loads; 0 for any.
   uint32_t most_answer_tokens = 0;
+  bool is_quarantined = false;  ///< The request has crashed several servers.
 };
 
 /// Grants places by the engine's own report and by the places that are taken,
@@ -69,7 +71,10 @@
   void SetCold(time_point until) { cold_until_ = until; }
 
   place_reply Ask(time_point now, const place_ask& ask);
-  void Return(time_point now, const std::string& entry, uint64_t call);
+  /// @return The request that had the place; none where it had none.
+  std::optional<fingerprint> Return(time_point now,
+                                    const std::string& entry,
+                                    uint64_t call);
   uint32_t Load() const;
   size_t Granted() const { return places_.size(); }
 
@@ -78,6 +83,7 @@
     time_point granted_at{};
     time_point expires{};
     uint32_t prompt_tokens = 0;
+    fingerprint print;
   };
   uint64_t UnreadTokens(time_point now) const;
   bool HasColdRoom(time_point now);
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -192,6 +192,32 @@
   BOOST_TEST(it.asks.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_servers_is_held) {
+  crash_ledger ledger{{}};
+  time_point now{std::chrono::hours(1)};
+  const fingerprint culprit(1);
+  for (uint64_t crash = 0; crash < 2; ++crash) {
+    BOOST_TEST(!ledger.IsHeld(now, culprit));
+    ledger.OnBrokenOff(now, culprit);
+    ledger.OnBrokenOff(now, fingerprint(100 + crash));
+    now += seconds(4);
+    for (const fingerprint& suspect : ledger.OnRestart(now))
+      ledger.Count(now, suspect);
+  }
+  BOOST_TEST(ledger.IsHeld(now, culprit));
+  BOOST_TEST(!ledger.IsHeld(now, fingerprint(100)));
+  BOOST_TEST(ledger.OnRestart(now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantined_request_is_refused_as_not_run) {
+  fake_entry it;
+  it.Request(1, "models");
+  it.dispatch.OnPlace(it.now, it.asks.back().call, {.is_quarantined = true});
+  BOOST_TEST(it.attempts.empty());
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_chooses_the_route) {
   fake_site site;
   BOOST_TEST(site.index->FindRoute("plain", "/read/1")->name == "reading");
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -116,7 +116,7 @@
       asks.push_back(ask);
       asked.push_back(server.id);
     };
-    hooks.give_back = [this](const site_server&, uint64_t question) {
+    hooks.give_back = [this](const site_server&, uint64_t question, bool) {
       returned.push_back(question);
     };
     hooks.start = [this](uint64_t call, uint32_t attempt,
