--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -550,7 +550,8 @@
     Call(now, {.address = engine,
                .bytes = platform::WriteReportCall(engine),
                .timeout = kLocalTimeout,
-               .on_done = [this](time_point at, int status, std::string body) {
+               .on_done = [this](time_point at, int status,
+                                 const std::string& body) {
                  OnReport(at, status, body);
                  base_.Loop().StartTimer(
                      at + kReportInterval,
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// Of each event in a second: several times the usual requests of an entry.
+constexpr uint32_t kLogLines = 100;
 /// Port of the relay, after those of the places and of the weights.
 constexpr uint16_t kRelayPortOffset = 2;
 
@@ -102,6 +104,7 @@
     return exit_code::kBadInput;
   }
   SetUpLog("", settings->node);
+  BoundLog(kLogLines);
   LogEvent(log_event::kProcessStarted, "role=" + role +
                                            " node=" + settings->node +
                                            " domain=" + settings->domain);
--- a/src/log_event_func.cc
+++ b/src/log_event_func.cc
@@ -2,6 +2,14 @@
 #include "log_event_func.h"
 
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -31,6 +39,41 @@
   return kLogEventTable[0];
 }
 
+std::atomic<uint32_t> lines_per_second{0};  // Of each event; 0 for all.
+
+/// Lines of one event in the present second.
+struct event_volume {
+  int64_t second = 0;
+  uint32_t lines = 0;
+  uint64_t left_out = 0;  ///< Since the last line that was written.
+};
+
+/// Counts a line against its event's rate.
+/// @param left_out Takes the count of those left out before it.
+/// @return Whether it may be written.
+bool TakeLine(log_event event, uint64_t* left_out) {
+  static std::mutex mutex;
+  static std::map<log_event, event_volume> volumes;
+  const int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count();
+  std::lock_guard lock(mutex);
+  event_volume& volume = volumes[event];
+  if (volume.second != second) {
+    volume.second = second;
+    volume.lines = 0;
+  }
+  if (volume.lines >= lines_per_second) {
+    ++volume.left_out;
+    return false;
+  }
+  ++volume.lines;
+  *left_out = volume.left_out;
+  volume.left_out = 0;
+  return true;
+}
+
 }  // namespace
 
 void SetUpLog(const std::string& file, const std::string& name) {
@@ -48,10 +91,24 @@
   el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+void BoundLog(uint32_t most) {
+  lines_per_second = most;
+  // A reader that does not keep up costs lines, never time.
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
 void LogEvent(log_event event, std::string_view detail) {
   const log_event_info& info = InfoOf(event);
+  uint64_t left_out = 0;
+  if (lines_per_second > 0 && !TakeLine(event, &left_out))
+    return;
+  std::string suffix =
+      left_out > 0 ? " left_out=" + std::to_string(left_out) : "";
+  if (!std::cout)
+    std::cout.clear();
   std::string line = "E" + std::to_string(static_cast<int>(event)) + " " +
-                     std::string(info.text) + ": " + std::string(detail);
+                     std::string(info.text) + ": " + std::string(detail) +
+                     suffix;
   switch (info.level) {
     case el::Level::Error:
       LOG(ERROR) << line;
--- a/src/log_event_func.h
+++ b/src/log_event_func.h
@@ -2,6 +2,7 @@
 #ifndef LOG_EVENT_FUNC_H_
 #define LOG_EVENT_FUNC_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,10 @@
 /// @param name Name of the process, written on each line.
 void SetUpLog(const std::string& file, const std::string& name);
 
+/// Bounds each event to a number of lines a second, with a count of what was
+/// left out, and never waits for the reader of standard output.
+void BoundLog(uint32_t most);
+
 /// Writes one event with its number, level and text from the catalogue.
 /// @param detail What it concerns, as "key=value" words.
 void LogEvent(log_event event, std::string_view detail);
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -107,7 +107,7 @@
     connection_->Send("HTTP/1.1 100 Continue\r\n\r\n");
   closes_ = closes_ || AsksToClose(*head);
   body_.Start(framing->first, framing->second);
-  request_.head = std::move(*head);
+  request_.head = *head;
   request_.body.clear();
   request_.first_byte_at = since_;
   stage_ = stage::kBody;
@@ -204,13 +204,14 @@
     : loop_(loop),
       options_(options),
       hooks_(std::move(hooks)),
-      listener_(loop, [this](time_point now, Poco::Net::StreamSocket socket) {
-        auto made = std::make_shared<http_server_connection>(
-            tcp_connection::Adopt(loop_, std::move(socket), options_), &limits_,
-            &hooks_, now);
-        made->Bind();
-        connections_[made->Id()] = made;
-      }) {}
+      listener_(loop,
+                [this](time_point now, const Poco::Net::StreamSocket& socket) {
+                  auto made = std::make_shared<http_server_connection>(
+                      tcp_connection::Adopt(loop_, socket, options_), &limits_,
+                      &hooks_, now);
+                  made->Bind();
+                  connections_[made->Id()] = made;
+                }) {}
 
 outcome<done> http_listener::Listen(const std::string& address) {
   return listener_.Listen(address);
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -32,10 +32,10 @@
 
 std::shared_ptr<tcp_connection> tcp_connection::Adopt(
     event_loop* loop,
-    Poco::Net::StreamSocket socket,
+    const Poco::Net::StreamSocket& socket,
     tcp_connection_options options) {
   std::shared_ptr<tcp_connection> made(
-      new tcp_connection(loop, std::move(socket), options, true));
+      new tcp_connection(loop, socket, options, true));
   made->Watch();
   return made;
 }
@@ -51,17 +51,17 @@
     return failure{"cannot connect to " + address + ": " + e.displayText()};
   }
   std::shared_ptr<tcp_connection> made(
-      new tcp_connection(loop, std::move(socket), options, false));
+      new tcp_connection(loop, socket, options, false));
   made->Watch();
   return made;
 }
 
 tcp_connection::tcp_connection(event_loop* loop,
-                               Poco::Net::StreamSocket socket,
+                               const Poco::Net::StreamSocket& socket,
                                tcp_connection_options options,
                                bool is_connected)
     : loop_(loop),
-      socket_(std::move(socket)),
+      socket_(socket),
       options_(options),
       is_connected_(is_connected),
       wants_write_(!is_connected) {
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -36,9 +36,10 @@
 class tcp_connection : public std::enable_shared_from_this<tcp_connection> {
  public:
   /// Takes over an accepted socket.
-  static std::shared_ptr<tcp_connection> Adopt(event_loop* loop,
-                                               Poco::Net::StreamSocket socket,
-                                               tcp_connection_options options);
+  static std::shared_ptr<tcp_connection> Adopt(
+      event_loop* loop,
+      const Poco::Net::StreamSocket& socket,
+      tcp_connection_options options);
   /// Begins to connect; a failure is told by on_closed.
   /// @param address ip:port
   static outcome<std::shared_ptr<tcp_connection>> Connect(
@@ -63,7 +64,7 @@
 
  private:
   tcp_connection(event_loop* loop,
-                 Poco::Net::StreamSocket socket,
+                 const Poco::Net::StreamSocket& socket,
                  tcp_connection_options options,
                  bool is_connected);
   void Watch();
@@ -88,7 +89,8 @@
 /// Accepts connections on an address.
 class tcp_listener {
  public:
-  using accept_hook = std::function<void(time_point, Poco::Net::StreamSocket)>;
+  using accept_hook =
+      std::function<void(time_point, const Poco::Net::StreamSocket&)>;
   tcp_listener(event_loop* loop, accept_hook on_accept);
   ~tcp_listener();
   tcp_listener(const tcp_listener&) = delete;
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -23,9 +23,9 @@
 }
 
 const std::string& server_board::RegionOf(const std::string& domain) const {
-  static const std::string kNone;
+  static const std::string none;
   auto it = options_.regions.find(domain);
-  return it == options_.regions.end() ? kNone : it->second;
+  return it == options_.regions.end() ? none : it->second;
 }
 
 bool server_board::IsEligible(time_point now,
--- a/src/site_index.cc
+++ b/src/site_index.cc
@@ -49,13 +49,13 @@
 
 const std::vector<const site_server*>& site_index::Servers(
     const std::string& service) const {
-  static const std::vector<const site_server*> kNone;
+  static const std::vector<const site_server*> none;
   auto it = servers_.find(service);
-  return it == servers_.end() ? kNone : it->second;
+  return it == servers_.end() ? none : it->second;
 }
 
 const std::string& ChooseTarget(const site_route& route, double random) {
-  static const std::string kNone;
+  static const std::string none;
   double total = 0;
   for (const route_target& target : route.targets)
     total += target.weight;
@@ -65,7 +65,7 @@
     if (left < 0)
       return target.service;
   }
-  return route.targets.empty() ? kNone : route.targets.back().service;
+  return route.targets.empty() ? none : route.targets.back().service;
 }
 
 bool IsAllowed(const std::vector<std::string>& regions,
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -131,12 +131,11 @@
        });
 }
 
-void site_watch::Call(
-    time_point now,
-    const std::string& address,
-    const std::string& request,
-    milliseconds timeout,
-    std::function<void(time_point, int status, std::string body)> done) {
+void site_watch::Call(time_point now,
+                      const std::string& address,
+                      const std::string& request,
+                      milliseconds timeout,
+                      const call_hook& done) {
   auto taken = pool_.Take(now, address);
   if (!taken) {
     loop_.Post([done] { done(BootNow(), 0, ""); });
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -42,6 +42,9 @@
   void Stop();
 
  private:
+  using call_hook =
+      std::function<void(time_point, int status, std::string body)>;
+
   /// Process of the domain that waits for news.
   struct waiter {
     std::shared_ptr<http_server_connection> connection;
@@ -62,7 +65,7 @@
             const std::string& address,
             const std::string& request,
             milliseconds timeout,
-            std::function<void(time_point, int status, std::string body)> done);
+            const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
   void Publish(time_point now);
   /// @return Entries that are registered in all domains.
