--- a/src/command_line.cc
+++ b/src/command_line.cc
@@ -3,12 +3,12 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "platform/documents.h"
 #include "agent_process.h"
 #include "entry_process.h"
 #include "hosted_process.h"
 #include "manifest_func.h"
 #include "operator_cmd.h"
+#include "platform/documents.h"
 
 namespace fuchsiafall {
 
--- a/src/engine_control_type.h
+++ b/src/engine_control_type.h
@@ -13,15 +13,15 @@
 /// What an engine says of itself.
 struct staged_engine_report {
   std::vector<held_layers> held;
-  bool is_loading = false;       ///< Whether an order is in progress.
-  uint64_t orders = 0;           ///< Orders begun since its start.
-  uint32_t waiting = 0;          ///< Requests in its queue.
-  uint32_t running = 0;          ///< Requests in its batch.
-  uint64_t memory_used = 0;      ///< In tokens.
-  uint64_t memory = 0;           ///< In tokens.
-  double pace = 1;               ///< Over 1 when it is slower than usual.
+  bool is_loading = false;   ///< Whether an order is in progress.
+  uint64_t orders = 0;       ///< Orders begun since its start.
+  uint32_t waiting = 0;      ///< Requests in its queue.
+  uint32_t running = 0;      ///< Requests in its batch.
+  uint64_t memory_used = 0;  ///< In tokens.
+  uint64_t memory = 0;       ///< In tokens.
+  double pace = 1;           ///< Over 1 when it is slower than usual.
   milliseconds cold_left{0};
-  int64_t born_ms = 0;           ///< Start, since the epoch.
+  int64_t born_ms = 0;  ///< Start, since the epoch.
 };
 
 /// Digests of the pieces of one version.
@@ -37,7 +37,7 @@
 struct start_order {
   std::string model;
   uint64_t version = 0;
-  bool cuts_running = false;  ///< Ends what runs in place of waiting for it.
+  bool cuts_running = false;   ///< Ends what runs in place of waiting for it.
   uint64_t orders_before = 0;  ///< Orders that the engine is known to have had.
 };
 
