Fix: Pass over a relay that is cut off from the store before its readers are late

A relay's word also looked up to a second old in calm times, since a held answer counted from its question. Change: an answer counts from its question plus the time that it was held; a relay whose word is older than 0.75 s answers at once, so that its readers turn to the store. Result: store_mirror_suite holds the new count (held, late on its way, a relay's own age).

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -284,7 +284,7 @@
                .bytes = platform::WriteManifestCall(origin_, model_, version),
                .timeout = kOriginTimeout,
                .on_done = [this, version](time_point at, int status,
-                                          std::string body) {
+                                          const std::string& body) {
                  fetching_.erase(version);
                  OnManifest(at, version, status, body);
                }});
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -48,7 +48,7 @@
   size_t relays = 2;  ///< Of a domain; they ask the store themselves.
   /// Age of a relay's word at which it counts as cut off from the store. One
   /// that is not hears from it every half second.
-  milliseconds most_age{900};
+  milliseconds most_age{750};
   milliseconds avoid{3000};  ///< Of a source that failed.
 };
 
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -40,6 +40,7 @@
                       : store_answer::status_type::kOk;
   answer.revision = message.revision();
   answer.sound_age = milliseconds(message.sound_age_ms());
+  answer.held = milliseconds(message.held_ms());
   for (const proto::mirror_item& item : message.items()) {
     answer.items.push_back({.key = item.key(),
                             .value = item.value(),
@@ -123,11 +124,14 @@
                                                            : "store_watches");
   const auto written = platform::EncodeStoreCall(call, address);
   Call(now, address, written.bytes, written.timeout,
-       [this, kind = call.kind](time_point at, int status,
-                                const std::string& body) {
-         OnAnswer(at, status == 0
-                          ? store_answer{}
-                          : platform::DecodeStoreAnswer(kind, status, body));
+       [this, call](time_point at, int status, const std::string& body) {
+         store_answer answer;
+         if (status != 0)
+           answer = platform::DecodeStoreAnswer(call.kind, status, body);
+         // Without news, a watch is answered only when its wait is over.
+         if (answer.items.empty())
+           answer.held = call.wait;
+         OnAnswer(at, answer);
        });
 }
 
@@ -278,7 +282,7 @@
     time_point now,
     const std::shared_ptr<http_server_connection>& from,
     const http_request& request) {
-  waiter item{.connection = from, .until = now};
+  waiter item{.connection = from, .since = now, .until = now};
   try {
     const Poco::URI uri(request.head.getURI());
     for (const auto& [name, value] : uri.getQueryParameters()) {
@@ -295,22 +299,29 @@
     from->Answer(now, MakeAnswer(503), "nothing to relay\n");
     return;
   }
-  if (relay_.HasNews(item.after)) {
+  if (relay_.HasNews(item.after) || IsStale(now)) {
     AnswerWaiter(now, item);
   } else {
     waiters_.push_back(item);
   }
 }
 
+bool site_watch::IsStale(time_point now) const {
+  return source_.IsTooOld(
+      std::chrono::duration_cast<milliseconds>(now - mirror_.SoundAt()));
+}
+
 void site_watch::AnswerWaiter(time_point now, const waiter& item) {
   auto answer = relay_.Answer(now, item.after);
   answer.set_sound_age_ms(static_cast<uint32_t>(ToMs(now - mirror_.SoundAt())));
+  answer.set_held_ms(static_cast<uint32_t>(ToMs(now - item.since)));
   const bool is_large = answer.items_size() > 0;
   if (!is_large) {
     item.connection->Answer(now, MakeAnswer(200),
                             Deflate(answer.SerializeAsString()));
     return;
   }
+  answer.set_held_ms(0);  // The packed answer is shared.
   if (packed_after_ != item.after || packed_revision_ != answer.revision() ||
       packed_.empty()) {
     packed_ = Deflate(answer.SerializeAsString());
@@ -324,7 +335,7 @@
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
   for (const waiter& item : waiting) {
-    if (now >= item.until) {
+    if (now >= item.until || IsStale(now)) {
       AnswerWaiter(now, item);
     } else {
       waiters_.push_back(item);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -49,6 +49,7 @@
   struct waiter {
     std::shared_ptr<http_server_connection> connection;
     uint64_t after = 0;
+    time_point since{};
     time_point until{};
   };
   struct open_call {
@@ -76,6 +77,8 @@
                       const http_request& request);
   void AnswerWaiter(time_point now, const waiter& item);
   void AnswerWaiters(time_point now);
+  /// Whether those that wait should rather ask another.
+  bool IsStale(time_point now) const;
   http_listener_hooks RelayHooks();
 
   site_watch_options options_;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -61,7 +61,8 @@
     }
     Remove(now, gone);
     revision_ = std::max(revision_, answer.revision);
-    sound_at_ = std::max(sound_at_, sent_at_ - answer.sound_age);
+    const time_point answered_at = std::min(now, sent_at_ + answer.held);
+    sound_at_ = std::max(sound_at_, answered_at - answer.sound_age);
     return !answer.items.empty();
   }
   if (after_key_.empty()) {
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -36,6 +36,9 @@
   uint64_t revision = 0;  ///< Of the store.
   /// Of answers that a relay gives: age of its own last sound word.
   milliseconds sound_age{0};
+  /// For how long the call was held before it was answered, so that the answer
+  /// is known to be that much younger than the call.
+  milliseconds held{0};
 };
 
 /// Call that the mirror wants made.
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -141,13 +141,28 @@
   BOOST_TEST(calls <= 9);
 }
 
-BOOST_AUTO_TEST_CASE(soundness_counts_from_when_a_call_was_sent) {
+BOOST_AUTO_TEST_CASE(soundness_counts_from_when_a_call_was_answered_at_least) {
   listed_mirror it({}, 1);
   it.Next();
-  const time_point sent = it.now;
+  time_point sent = it.now;
   it.now += milliseconds(1400);
   it.Answer(Ok({}, 1));
   BOOST_TEST((it.mirror.SoundAt() == sent));
+  // Held for 500 ms and then long on its way: no younger than that.
+  it.Next();
+  sent = it.now;
+  it.now += milliseconds(1400);
+  store_answer held = Ok({}, 1);
+  held.held = milliseconds(500);
+  it.Answer(held);
+  BOOST_TEST((it.mirror.SoundAt() == sent + milliseconds(500)));
+  // A relay's own age is taken off.
+  it.Next();
+  it.now += milliseconds(1400);
+  held.sound_age = milliseconds(2000);
+  it.Answer(held);
+  BOOST_TEST((it.mirror.SoundAt() == sent + milliseconds(500)));
+  sent += milliseconds(500);
   it.Next();
   it.Answer({.status = status_type::kRefused});
   BOOST_TEST((it.mirror.SoundAt() == sent));
