--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -75,6 +75,7 @@
                    .chunk_timeout = kChunkTimeout,
                    .map_interval = kMapInterval,
                    .outside_probe = kOutsideProbe,
+                   .leaves_out_stalls = true,
                    .idle_takeover = kIdleTakeover,
                    .most_origin_backoff = kMostOriginBackoff,
                    .seed = base_.OwnIncarnation().value},
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -452,8 +452,12 @@
   const duration stall = now - before;
   // While nothing moves at all, the origin is away: no importer is late for
   // that, and others that took over would draw further copies.
-  if (stall > options_.chunk_timeout)
+  // That is granted once: a trickle must not put off a takeover for ever.
+  if (options_.leaves_out_stalls && stall > options_.chunk_timeout &&
+      item->stalled + stall <= Patience(*item)) {
     item->since += stall;
+    item->stalled += stall;
+  }
   item->progress_at = now;
 }
 
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -33,6 +33,8 @@
       100};  ///< Between have-maps to the same neighbours.
   milliseconds outside_probe{
       250};  ///< Between probes of holders in other domains.
+  /// Whether times in which no chunk moved at all are left out of patience.
+  bool leaves_out_stalls = false;
   /// Time without any request on its way after which, near the end, another
   /// server's imports are taken over: its link may be far slower than ours.
   milliseconds idle_takeover{60000};
@@ -94,6 +96,7 @@
   std::map<size_t, size_t>
       import_place;          ///< Own place in the order for each chunk.
   time_point since{};        ///< When it became a target, stalls left out.
+  duration stalled{};        ///< Stalls left out of since.
   time_point idle_since{};   ///< Since when nothing is on its way.
   time_point progress_at{};  ///< When a chunk last arrived here or nearby.
   bool is_late = false;      ///< May have joined a swarm that was under way.
