Fix: Count the end of a transfer only once its pieces are known

Cause: rollout_suite/agent_crashed_at_each_moment_recovers_from_its_peers was red: without a manifest, half of no pieces counted as near the end, so that every server took over the manifest at once and none came through after a crash. Result: rollout_suite green (17 cases). Conclusion: traced by switching the takeover off, which made the case green.

--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -113,7 +113,8 @@
   }
   if (now - item->since > static_cast<int>(place) * Patience(*item))
     return true;
-  const bool is_near_end = item->have_count * 2 >= item->chunks.size();
+  const bool is_near_end =
+      !item->chunks.empty() && item->have_count * 2 >= item->chunks.size();
   if (is_near_end && now - item->idle_since >
                          static_cast<int>(place) * options_.idle_takeover) {
     return true;
