Codechange: One envelope, one HTTP call on a loop, one look for a served version; dead parts removed

Cause: read once more, the hosting change had written again what stood already (NewIncarnation, the envelope of a message in eight places, a whole HTTP call in the agent and in the control thread, the search for a served version in two types), and carried members and options that nothing used. Change: MakeEnvelope, StartLoopCall, ServedVersion, NewIncarnation stand once; a server's turn is computed when the members change, not in each step. Removed for want of a user: connect_timeout, most_cut, the cold figures beside the rate, most_connections, health_path, a few calls of connections and pools. Tests lose an argument that was not used, and no check. Also found and left, as it would change behaviour: a connection that is not made has no time limit of its own, so that a booking over a cut way ends as 504 at its deadline though nothing was sent; the servers' limit on connections is not kept.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "hash_func.h"
 
 namespace fuchsiafall {
@@ -241,9 +242,8 @@
   for (const std::string& id :
        RingNeighbours(own->servers.at(service_), options_.self.value,
                       options_.weights.neighbours)) {
-    proto::envelope message;
-    message.set_vm(options_.self.value);
-    message.set_incarnation(options_.gossip.own_incarnation.value);
+    proto::envelope message =
+        MakeEnvelope(options_.self, options_.gossip.own_incarnation);
     *message.mutable_loaded() = map;
     const proto::vm* vm = gossip_.World()->FindVm(vm_id(id));
     out->Send(plane::kControl, world::AddressOf(*vm, plane::kControl),
--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -51,9 +51,9 @@
       board_(options_.board),
       budget_(options_.budget) {}
 
-void call_dispatch::SetIndex(time_point now, const site_index* index) {
+void call_dispatch::SetIndex(const site_index* index) {
   index_ = index;
-  board_.SetIndex(now, index);
+  board_.SetIndex(index);
   budget_.SetEntries(index->View().entries);
 }
 
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -33,7 +33,6 @@
   kTimedOut,
   kServerFailed,  ///< Sent, and it may have run.
   kQuarantined,   ///< It crashes the servers that run it.
-  kCount,
 };
 
 /// Text of a reason, for logs and counters.
@@ -57,8 +56,6 @@
   /// Silence of an agent after which its server gets requests without a place.
   milliseconds agent_silence{1000};
   uint32_t most_asks = 6;  ///< Servers asked for a place, one after the other.
-  /// To a new connection; beyond, the way there is cut.
-  milliseconds connect_timeout{300};
   /// To the first event of a stream, and between two: a server that is alive
   /// sends one with each pass.
   milliseconds stream_silence{1200};
@@ -108,7 +105,7 @@
  public:
   call_dispatch(call_dispatch_options options, call_dispatch_hooks hooks);
 
-  void SetIndex(time_point now, const site_index* index);
+  void SetIndex(const site_index* index);
   /// Tells up to when the store's word is known to hold.
   void SetSound(time_point at) { sound_at_ = at; }
 
--- a/src/call_table.cc
+++ b/src/call_table.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "hash_func.h"
 
 namespace fuchsiafall {
@@ -189,7 +190,8 @@
     if (now - item.last_sent < options_.keepalive)
       continue;
     item.last_sent = now;
-    proto::envelope message = NewMessage();
+    proto::envelope message =
+        MakeEnvelope(options_.self, options_.own_incarnation);
     message.mutable_part()->set_attempt_id(id.attempt.value);
     message.mutable_part()->set_sequence(item.next_sequence);
     out->Send(plane::kTraffic, item.reply_address, std::move(message));
@@ -237,7 +239,8 @@
     return true;
   }
   out->Count("answers_from_saved");
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::call_part* part = message.mutable_part();
   part->set_attempt_id(id.attempt.value);
   part->set_http_status(static_cast<uint32_t>(saved->second.http_status));
@@ -297,7 +300,8 @@
                         bool may_have_run,
                         output_list* out) {
   out->CountRefusal(why);
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::call_part* part = message.mutable_part();
   part->set_attempt_id(id.attempt.value);
   part->set_sequence(sequence);
@@ -333,7 +337,8 @@
   }
   if (!item->is_idempotent && item->saved.size() <= kMostSavedBytes)
     item->saved += part.data;
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::call_part* body = message.mutable_part();
   body->set_attempt_id(id.attempt.value);
   body->set_sequence(item->next_sequence++);
@@ -348,13 +353,6 @@
   out->Send(plane::kTraffic, item->reply_address, std::move(message));
 }
 
-proto::envelope call_table::NewMessage() const {
-  proto::envelope message;
-  message.set_vm(options_.self.value);
-  message.set_incarnation(options_.own_incarnation.value);
-  return message;
-}
-
 std::string call_table::RecordKey(const proto::call_request& request) const {
   std::string name = request.organisation() + '\n' + request.idempotency_key();
   return "fuchsiafall/once/" + request.service() + "/" +
--- a/src/call_table_base.h
+++ b/src/call_table_base.h
@@ -134,7 +134,6 @@
                 call* item,
                 const engine_part& part,
                 output_list* out);
-  proto::envelope NewMessage() const;
   std::string RecordKey(const proto::call_request& request) const;
   std::string RecordValue(const call_id& id) const;
 
--- a/src/engine_steward.cc
+++ b/src/engine_steward.cc
@@ -3,8 +3,7 @@
 
 namespace fuchsiafall {
 
-bool engine_steward::OnReport(time_point now,
-                              const staged_engine_report& report) {
+bool engine_steward::OnReport(const staged_engine_report& report) {
   const bool is_restarted =
       was_reported_ &&
       (report.born_ms != report_.born_ms || report.orders < report_.orders);
@@ -13,16 +12,11 @@
   is_reachable_ = true;
   if (is_restarted)
     ordered_version_ = 0;
-  (void)now;
   return is_restarted;
 }
 
 uint64_t engine_steward::ServedVersion() const {
-  for (const held_layers& held : report_.held) {
-    if (held.model == model_ && held.from == 0 && held.to >= layers_)
-      return held.version;
-  }
-  return 0;
+  return fuchsiafall::ServedVersion(report_.held, model_, layers_);
 }
 
 bool engine_steward::WantsOrder(time_point now, uint64_t version) const {
--- a/src/engine_steward_base.h
+++ b/src/engine_steward_base.h
@@ -12,9 +12,6 @@
 struct engine_steward_options {
   /// For an order to show in the report.
   milliseconds order_effect{600};
-  /// Most running requests that are cut by a load. Each is read again
-  /// elsewhere, which takes about the time of half a pass.
-  uint32_t most_cut = 4;
 };
 
 /// Joins the engine's reports with the orders that it was given.
@@ -29,7 +26,7 @@
   }
   /// Takes a report.
   /// @return Whether the engine was started anew.
-  bool OnReport(time_point now, const staged_engine_report& report);
+  bool OnReport(const staged_engine_report& report);
   void OnUnreachable() { is_reachable_ = false; }
 
   /// Whether the staged weights should be compared for an order now.
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -1,6 +1,7 @@
 /// @file gossip.cc Heartbeats and the spread of revisions.
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "gossip_base.h"
 #include "hash_func.h"
 
@@ -234,13 +235,6 @@
   }
 }
 
-proto::envelope gossip::NewMessage() const {
-  proto::envelope message;
-  message.set_vm(options_.self.value);
-  message.set_incarnation(options_.own_incarnation.value);
-  return message;
-}
-
 void gossip::FillHeartbeat(time_point now,
                            bool with_state,
                            proto::heartbeat* heartbeat) const {
@@ -270,7 +264,8 @@
     target.was_asked = true;
     target.asked_since = now;
   }
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::heartbeat* heartbeat = message.mutable_heartbeat();
   bool is_extra = extra_.contains(id) && !neighbours_.contains(id);
   heartbeat->set_reply_wanted(is_extra);
@@ -286,7 +281,8 @@
     return;
   last_asked_first_ = now;
   for (const std::string& address : options_.first_peers) {
-    proto::envelope message = NewMessage();
+    proto::envelope message =
+        MakeEnvelope(options_.self, options_.own_incarnation);
     message.set_reply_address(options_.own_address);
     message.mutable_heartbeat()->set_reply_wanted(true);
     out->Send(plane::kControl, address, std::move(message));
@@ -321,13 +317,14 @@
     SendUpdate(from, sender.known_revision, address, out);
   }
   if (heartbeat.vm_list_index() < vm_list_.index()) {
-    proto::envelope list = NewMessage();
+    proto::envelope list =
+        MakeEnvelope(options_.self, options_.own_incarnation);
     *list.mutable_vm_list() = vm_list_;
     out->Send(plane::kControl, address, std::move(list));
   }
   if (!heartbeat.reply_wanted() && !is_new_watcher)
     return;
-  proto::envelope reply = NewMessage();
+  proto::envelope reply = MakeEnvelope(options_.self, options_.own_incarnation);
   FillHeartbeat(now, heartbeat.watch(), reply.mutable_heartbeat());
   out->Send(plane::kControl, address, std::move(reply));
 }
@@ -382,7 +379,8 @@
                         output_list* out) {
   if (address.empty())
     return;
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   log_.WriteUpdate(from, &message);
   out->Count("configuration_updates_sent");
   out->Send(plane::kControl, address, std::move(message));
--- a/src/gossip_base.h
+++ b/src/gossip_base.h
@@ -111,7 +111,6 @@
   void AddWatchers(const failure_domain& own);
   void SendHeartbeat(time_point now, const vm_id& id, output_list* out);
   void AskFirstPeers(time_point now, output_list* out);
-  proto::envelope NewMessage() const;
   void FillHeartbeat(time_point now,
                      bool with_state,
                      proto::heartbeat* heartbeat) const;
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -6,9 +6,11 @@
 
 #include "crash_ledger_base.h"
 #include "engine_steward_base.h"
+#include "envelope_func.h"
 #include "hash_func.h"
 #include "hosted_process.h"
 #include "network/datagram_link.h"
+#include "network/loop_call.h"
 #include "network/message_link.h"
 #include "piece_stager_base.h"
 #include "place_table_base.h"
@@ -43,14 +45,6 @@
 constexpr milliseconds kOutdatedMargin{500};
 constexpr uint64_t kFirstVersion = 1;  // Until operators name another.
 
-/// Call of the agent to its engine or to the origin.
-struct agent_call {
-  std::string address;
-  std::string bytes;
-  milliseconds timeout{0};
-  std::function<void(time_point, int status, std::string body)> on_done;
-};
-
 /// Where a piece stands in the weights.
 struct piece_place {
   uint64_t version = 0;
@@ -82,7 +76,7 @@
                   blobs_),
         stager_({}),
         steward_({}),
-        places_({.cold_factor = settings.cold_factor}),
+        places_({}),
         pool_(&base_.Loop(), {}),
         control_(&base_.Loop(),
                  [this](time_point now,
@@ -152,7 +146,7 @@
                          : naming.seen_at - base_.Settings().weights_bound);
       }
     }
-    UpdateWorld(now, view);
+    UpdateWorld(view);
     Plan(now);
     is_leaving_ = false;
     for (const auto& [id, server] : view.servers) {
@@ -179,7 +173,7 @@
   }
 
   /// Makes the world that the transfer of weights knows out of the servers.
-  void UpdateWorld(time_point now, const site_view& view) {
+  void UpdateWorld(const site_view& view) {
     std::map<std::string, std::string> members;
     for (const auto& [id, server] : view.servers) {
       if (server.service == base_.Settings().service)
@@ -191,8 +185,8 @@
       return;
     members_ = std::move(members);
     world_ = MakeWorld();
+    turn_ = Turn();
     fetched_.clear();  // The transfer has to know the new world.
-    (void)now;
   }
 
   world_ptr MakeWorld() const {
@@ -257,7 +251,7 @@
       return;
     const auto wanted = WantedVersions();
     plan_ = PlanWeights(now, {.bound = base_.Settings().weights_bound},
-                        steward_.ServedVersion(), wanted, Turn());
+                        steward_.ServedVersion(), wanted, turn_);
     places_.SetEnd(steward_.ServedVersion() > 0 ? plan_.load_at : std::nullopt);
     // What is served stays at hand for servers that join.
     std::vector<uint64_t> fetch = plan_.fetch;
@@ -282,7 +276,7 @@
       return;
     }
     Call(now, {.address = origin_,
-               .bytes = platform::WriteManifestCall(origin_, model_, version),
+               .request = platform::WriteManifestCall(origin_, model_, version),
                .timeout = kOriginTimeout,
                .on_done = [this, version](time_point at, int status,
                                           const std::string& body) {
@@ -392,7 +386,7 @@
     if (piece == piece_index_.end())
       return;
     Call(now, {.address = origin_,
-               .bytes = platform::WritePieceCall(
+               .request = platform::WritePieceCall(
                    origin_, model_, piece->second.version, piece->second.index),
                .timeout = kOriginTimeout,
                .on_done = [this, wanted](time_point at, int status,
@@ -480,7 +474,7 @@
       const shared_bytes bytes = blobs_->Find(stager_.Wanted(piece));
       Call(now,
            {.address = engine,
-            .bytes = platform::WriteStageCall(engine, model_, piece, *bytes),
+            .request = platform::WriteStageCall(engine, model_, piece, *bytes),
             .timeout = kLocalTimeout,
             .on_done = [this, version, piece](time_point at, int status,
                                               const std::string&) {
@@ -497,7 +491,7 @@
       return;
     }
     Call(now, {.address = engine,
-               .bytes = platform::WriteStagedCall(engine, model_, piece),
+               .request = platform::WriteStagedCall(engine, model_, piece),
                .timeout = kLocalTimeout,
                .on_done = [this, version, piece](time_point at, int status,
                                                  std::string body) {
@@ -539,7 +533,7 @@
     places_.SetAccepting(false);
     Call(now,
          {.address = engine,
-          .bytes = platform::WriteStartOrder(engine, order),
+          .request = platform::WriteStartOrder(engine, order),
           .timeout = kLocalTimeout,
           .on_done = [this](time_point, int status, const std::string&) {
             base_.Metrics().Count("order_status_" + std::to_string(status));
@@ -549,7 +543,7 @@
   void AskReport(time_point now) {
     const std::string& engine = base_.Settings().engine_address;
     Call(now, {.address = engine,
-               .bytes = platform::WriteReportCall(engine),
+               .request = platform::WriteReportCall(engine),
                .timeout = kLocalTimeout,
                .on_done = [this](time_point at, int status,
                                  const std::string& body) {
@@ -566,7 +560,7 @@
     const bool was_serving = is_serving_;
     const uint64_t served = steward_.ServedVersion();
     if (report) {
-      if (steward_.OnReport(now, *report)) {
+      if (steward_.OnReport(*report)) {
         LogEvent(log_event::kEngineRestarted,
                  "born=" + std::to_string(report->born_ms));
         places_.OnRestart(now);
@@ -595,9 +589,7 @@
 
   /// Tells all agents which requests ran when this engine crashed.
   void SpreadCrash(time_point now) {
-    proto::envelope message;
-    message.set_vm(self_.value);
-    message.set_incarnation(base_.OwnIncarnation().value);
+    proto::envelope message = MakeEnvelope(self_, base_.OwnIncarnation());
     for (const fingerprint& print : crashes_.OnRestart(now)) {
       crashes_.Count(now, print);
       message.mutable_crash_note()->add_fingerprints(print.value);
@@ -621,7 +613,6 @@
     if (message.has_place_question()) {
       const proto::place_question& question = message.place_question();
       place_ask ask{.entry = from,
-                    .incarnation = message.incarnation(),
                     .call = question.call(),
                     .prompt_tokens = question.prompt_tokens(),
                     .answer_tokens = question.answer_tokens(),
@@ -638,9 +629,7 @@
       }
       base_.Metrics().Count(reply.is_granted ? "places_granted"
                                              : "places_denied");
-      proto::envelope back;
-      back.set_vm(self_.value);
-      back.set_incarnation(base_.OwnIncarnation().value);
+      proto::envelope back = MakeEnvelope(self_, base_.OwnIncarnation());
       proto::place_answer* answer = back.mutable_place_answer();
       answer->set_call(ask.call);
       answer->set_is_granted(reply.is_granted);
@@ -668,41 +657,8 @@
 
   // ---- Calls and time ----
 
-  void Call(time_point now, agent_call call) {
-    struct pending {
-      int status = 0;
-      std::string body;
-      timer_id timeout = 0;
-    };
-    auto state = std::make_shared<pending>();
-    auto done =
-        std::make_shared<decltype(call.on_done)>(std::move(call.on_done));
-    auto taken = pool_.Take(now, call.address);
-    if (!taken) {
-      base_.Loop().Post([done] { (*done)(BootNow(), 0, ""); });
-      return;
-    }
-    std::shared_ptr<http_client_connection> connection = *taken;
-    exchange_hooks hooks;
-    hooks.on_head = [state](time_point, const Poco::Net::HTTPResponse& head) {
-      state->status = head.getStatus();
-      return true;
-    };
-    hooks.on_body = [state](time_point, std::string_view bytes) {
-      state->body += bytes;
-    };
-    hooks.on_end = [this, state, done](time_point at, exchange_end end) {
-      base_.Loop().CancelTimer(state->timeout);
-      if (end != exchange_end::kComplete)
-        state->status = 0;
-      (*done)(at, state->status, std::move(state->body));
-    };
-    state->timeout = base_.Loop().StartTimer(now + call.timeout,
-                                             [connection, done](time_point at) {
-                                               connection->Abort();
-                                               (*done)(at, 0, "");
-                                             });
-    connection->Start(call.bytes, false, std::move(hooks));
+  void Call(time_point now, const loop_call& call) {
+    StartLoopCall(now, &base_.Loop(), &pool_, call);
   }
 
   void Tick(time_point now) {
@@ -740,6 +696,7 @@
   std::string origin_;                          ///< ip:port
   std::map<std::string, std::string> members_;  ///< Domain by address.
   world_ptr world_;
+  double turn_ = 0;  ///< Part of all servers that load before this one.
   std::map<uint64_t, time_point> named_at_;  ///< By version.
   std::map<uint64_t, version_manifest> manifests_;
   std::map<digest, piece_place> piece_index_;
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "call_dispatch_base.h"
+#include "envelope_func.h"
 #include "hash_func.h"
 #include "hosted_process.h"
 #include "network/datagram_link.h"
@@ -45,7 +46,7 @@
   explicit hosted_entry(const site_settings& settings)
       : base_(
             settings,
-            [this](time_point now) { OnView(now); },
+            [this](time_point) { OnView(); },
             [this](time_point now) { ShutDown(now); }),
         dispatch_(OptionsOf(settings, base_.OwnIncarnation().value),
                   DispatchHooks()),
@@ -127,7 +128,8 @@
   call_dispatch_hooks DispatchHooks() {
     call_dispatch_hooks hooks;
     hooks.ask = [this](const site_server& server, const place_ask& ask) {
-      proto::envelope message = NewMessage();
+      proto::envelope message =
+          MakeEnvelope(vm_id(base_.Settings().node), base_.OwnIncarnation());
       proto::place_question* question = message.mutable_place_question();
       question->set_call(ask.call);
       question->set_prompt_tokens(ask.prompt_tokens);
@@ -140,7 +142,8 @@
     };
     hooks.give_back = [this](const site_server& server, uint64_t question,
                              bool was_broken) {
-      proto::envelope message = NewMessage();
+      proto::envelope message =
+          MakeEnvelope(vm_id(base_.Settings().node), base_.OwnIncarnation());
       message.mutable_place_return()->set_call(question);
       message.mutable_place_return()->set_was_broken(was_broken);
       agents_.Send(AgentOf(server), message);
@@ -206,22 +209,15 @@
     return hooks;
   }
 
-  proto::envelope NewMessage() {
-    proto::envelope message;
-    message.set_vm(base_.Settings().node);
-    message.set_incarnation(base_.OwnIncarnation().value);
-    return message;
-  }
-
   /// The agent has the address of its server, and the first port of all.
   std::string AgentOf(const site_server& server) const {
     return server.address.substr(0, server.address.rfind(':') + 1) +
            std::to_string(base_.Settings().first_port);
   }
 
-  void OnView(time_point now) {
+  void OnView() {
     if (base_.Index() != nullptr) {
-      dispatch_.SetIndex(now, base_.Index());
+      dispatch_.SetIndex(base_.Index());
       callers_.SetLimits(base_.Index()->View().configuration.limits);
     }
     dispatch_.SetSound(base_.Sound());
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -18,13 +18,6 @@
 /// Port of the relay, after those of the places and of the weights.
 constexpr uint16_t kRelayPortOffset = 2;
 
-incarnation NewIncarnation() {
-  auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return incarnation(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-          .count()));
-}
-
 }  // namespace
 
 hosted_base::hosted_base(site_settings settings,
--- a/src/network/event_loop.cc
+++ b/src/network/event_loop.cc
@@ -52,10 +52,6 @@
   epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event);
 }
 
-void event_loop::SetWantsWrite(int fd, bool wants_write) {
-  SetWants(fd, true, wants_write);
-}
-
 void event_loop::SetWants(int fd, bool wants_read, bool wants_write) {
   epoll_event event{};
   event.events = MaskOf(wants_read, wants_write);
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -41,7 +41,6 @@
 
   /// Watches a socket for reading, and for writing when asked to.
   void Add(int fd, bool wants_write, socket_hook hook);
-  void SetWantsWrite(int fd, bool wants_write);
   void SetWants(int fd, bool wants_read, bool wants_write);
   /// Forgets a socket; to be called before it is closed.
   void Remove(int fd);
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -52,7 +52,6 @@
   is_busy_ = true;
   is_head_ = is_head;
   has_head_ = false;
-  ++exchanges_;
   connection_->Send(request);
 }
 
@@ -177,10 +176,9 @@
 
 outcome<std::shared_ptr<http_client_connection>> http_client_pool::Take(
     time_point now,
-    const std::string& address,
-    bool must_be_new) {
+    const std::string& address) {
   auto& kept = idle_[address];
-  while (!kept.empty() && !must_be_new) {
+  while (!kept.empty()) {
     auto one = kept.back();
     kept.pop_back();
     if (one->IsOpen() && now < one->KeptUntil() - options_.idle_margin) {
@@ -224,14 +222,4 @@
   std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
 }
 
-void http_client_pool::Forget(const std::string& address) {
-  auto it = idle_.find(address);
-  if (it == idle_.end())
-    return;
-  auto old = std::move(it->second);
-  idle_.erase(it);
-  for (auto& one : old)
-    one->Abort();
-}
-
 }  // namespace fuchsiafall
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -45,7 +45,6 @@
   /// Ends the exchange without its answer, and with it the connection.
   void Abort();
   bool IsOpen() const { return connection_->IsOpen(); }
-  bool IsReused() const { return exchanges_ > 1; }
   time_point KeptUntil() const { return kept_until_; }
 
  private:
@@ -68,7 +67,6 @@
   bool must_close_ = false;
   time_point kept_until_{};
   milliseconds keep_{};
-  int exchanges_ = 0;  ///< Begun on this connection.
 };
 
 struct http_client_pool_options {
@@ -89,13 +87,11 @@
   http_client_pool& operator=(const http_client_pool&) = delete;
 
   /// Takes an idle connection, or begins a new one.
-  /// @param must_be_new Leaves idle ones alone, which may have gone silent.
-  outcome<std::shared_ptr<http_client_connection>>
-  Take(time_point now, const std::string& address, bool must_be_new = false);
+  outcome<std::shared_ptr<http_client_connection>> Take(
+      time_point now,
+      const std::string& address);
   /// Closes idle connections that are too old.
   void CloseIdle(time_point now);
-  /// Closes all idle connections to an address.
-  void Forget(const std::string& address);
   uint64_t Opened() const { return opened_; }
 
  private:
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -106,8 +106,6 @@
   void CheckTimes(time_point now);
   /// Closes each connection once it has nothing to answer.
   void CloseWhenIdle();
-  void StopListening() { listener_.Close(); }
-  size_t Connections() const { return connections_.size(); }
 
  private:
   event_loop* loop_;
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -27,7 +27,6 @@
   /// Moves decoded bytes from the front of the input to the output.
   read_progress Read(std::string* input, std::string* output);
   body_framing Framing() const { return framing_; }
-  bool IsDone() const { return is_done_; }
 
  private:
   enum class chunk_stage { kSize, kData, kDataEnd, kTrailer };
--- /dev/null
+++ b/src/network/loop_call.cc
@@ -0,0 +1,56 @@
+/// @file loop_call.cc One HTTP call on an event loop, answered as a whole.
+#include "network/loop_call.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+/// Call that has no answer yet.
+struct open_call {
+  loop_call call;
+  std::shared_ptr<http_client_connection> connection;
+  int status = 0;
+  std::string body;
+  timer_id timeout = 0;
+};
+
+}  // namespace
+
+void StartLoopCall(time_point now,
+                   event_loop* loop,
+                   http_client_pool* pool,
+                   const loop_call& call) {
+  auto taken = pool->Take(now, call.address);
+  if (!taken) {
+    loop->Post([done = call.on_done] { done(BootNow(), 0, ""); });
+    return;
+  }
+  auto open = std::make_shared<open_call>();
+  open->call = call;
+  open->connection = *taken;
+  exchange_hooks hooks;
+  hooks.on_head = [open](time_point, const Poco::Net::HTTPResponse& head) {
+    open->status = head.getStatus();
+    return true;
+  };
+  hooks.on_body = [open](time_point, std::string_view bytes) {
+    open->body += bytes;
+  };
+  hooks.on_end = [loop, open](time_point at, exchange_end end) {
+    loop->CancelTimer(open->timeout);
+    open->connection.reset();
+    open->call.on_done(at, end == exchange_end::kComplete ? open->status : 0,
+                       std::move(open->body));
+  };
+  open->timeout = loop->StartTimer(now + call.timeout, [open](time_point at) {
+    auto silent = std::move(open->connection);
+    open->connection.reset();
+    silent->Abort();
+    if (open->call.on_timeout)
+      open->call.on_timeout();
+    open->call.on_done(at, 0, "");
+  });
+  open->connection->Start(call.request, false, std::move(hooks));
+}
+
+}  // namespace fuchsiafall
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -29,13 +29,6 @@
 constexpr seconds kVmListInterval{3};
 constexpr long kSignalPollNs = 100000000;
 
-incarnation NewIncarnation() {
-  auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return incarnation(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-          .count()));
-}
-
 /// Reads the memory that the process holds, in KiB.
 int64_t ResidentKb() {
   std::ifstream file("/proc/self/statm");
@@ -60,6 +53,13 @@
 
 }  // namespace
 
+incarnation NewIncarnation() {
+  auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return incarnation(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+          .count()));
+}
+
 void BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
--- a/src/network/node_runtime.h
+++ b/src/network/node_runtime.h
@@ -88,6 +88,9 @@
   std::thread signal_thread_;
 };
 
+/// Numbers a process by the time of its start.
+incarnation NewIncarnation();
+
 /// Blocks the signals that order a graceful shutdown; call before any thread
 /// starts.
 void BlockSignals();
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -102,7 +102,7 @@
   std::array<char, kReadBytes> buffer{};
   bool is_at_end = false;
   close_cause cause = close_cause::kPeerClosed;
-  while (is_open_ && is_reading_) {
+  while (is_open_) {
     int count = 0;
     try {
       count = socket_.receiveBytes(buffer.data(), kReadBytes);
@@ -149,7 +149,7 @@
   unsent_.append(bytes.substr(sent));
   if (!unsent_.empty() && !wants_write_) {
     wants_write_ = true;
-    loop_->SetWants(socket_.impl()->sockfd(), is_reading_, true);
+    loop_->SetWants(socket_.impl()->sockfd(), true, true);
   }
 }
 
@@ -173,17 +173,10 @@
   }
   if (wants_write_) {
     wants_write_ = false;
-    loop_->SetWants(socket_.impl()->sockfd(), is_reading_, false);
+    loop_->SetWants(socket_.impl()->sockfd(), true, false);
   }
 }
 
-void tcp_connection::SetReading(bool is_reading) {
-  if (!is_open_ || is_reading == is_reading_)
-    return;
-  is_reading_ = is_reading;
-  loop_->SetWants(socket_.impl()->sockfd(), is_reading_, wants_write_);
-}
-
 void tcp_connection::CloseWhenSent() {
   closes_when_sent_ = true;
   if (unsent_.empty())
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -55,11 +55,8 @@
   /// Closes once everything has been sent.
   void CloseWhenSent();
   void Close();
-  /// Stops or goes on with reading, which holds back the peer.
-  void SetReading(bool is_reading);
   bool IsOpen() const { return is_open_; }
   bool IsConnected() const { return is_connected_; }
-  size_t Unsent() const { return unsent_.size(); }
   std::string* Input() { return &input_; }
 
  private:
@@ -82,7 +79,6 @@
   bool is_open_ = true;
   bool is_connected_;
   bool wants_write_;
-  bool is_reading_ = true;
   bool closes_when_sent_ = false;
 };
 
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -18,7 +18,6 @@
 
 void place_table::OnReport(time_point now, const staged_engine_report& report) {
   report_ = report;
-  reported_at_ = now;
   std::erase_if(places_,
                 [&](const auto& item) { return now >= item.second.expires; });
   const size_t requests = report.running + report.waiting;
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -15,7 +15,6 @@
 namespace fuchsiafall {
 
 struct place_table_options {
-  double cold_factor = 1.5;  ///< Over a cold server's rate that it bears.
   /// Most requests that may wait in the engine's queue. Each holds its caller
   /// for about a tenth of a second there.
   uint32_t most_ahead = 4;
@@ -27,7 +26,6 @@
 /// Question of an entry for a place.
 struct place_ask {
   std::string entry;  ///< ip:port
-  uint64_t incarnation = 0;
   uint64_t call = 0;
   uint32_t prompt_tokens = 0;
   uint32_t answer_tokens = 0;  ///< Expected; 0 where it is not known.
@@ -64,7 +62,7 @@
   /// Stops or goes on with granting.
   void SetAccepting(bool is_accepting) { is_accepting_ = is_accepting; }
   /// Lets only requests in that are over by a time: the engine will be ordered
-  /// to load then, and what still runs would be cut.
+  /// to load then, and what still runs holds up the load.
   void SetEnd(std::optional<time_point> end) { end_ = end; }
   /// Drops what is held for the engine's former life.
   void OnRestart(time_point now);
@@ -92,7 +90,6 @@
   engine_figures figures_;
   double cold_rate_ = 0;
   staged_engine_report report_;
-  time_point reported_at_{};
   bool is_accepting_ = false;
   time_point cold_until_{};
   std::optional<time_point> end_;  ///< Of the batch, before a load.
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "hash_func.h"
 
 namespace fuchsiafall {
@@ -258,7 +259,8 @@
   routes_->OnSent(server);
   out->Count("attempts");
 
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::call_request* call = message.mutable_call();
   *call = item->call;
   call->set_attempt_id(item->attempt.value);
@@ -406,7 +408,8 @@
   const proto::vm* vm = members_->World()->FindVm(item->server);
   if (vm == nullptr)
     return;
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   message.mutable_cancel()->set_attempt_id(item->attempt.value);
   message.mutable_cancel()->set_was_silent(was_silent);
   out->Send(plane::kTraffic, world::AddressOf(*vm, plane::kTraffic),
@@ -428,11 +431,4 @@
   out->Log(log_event::kServerEjected, "server=" + item->server.value);
 }
 
-proto::envelope request_table::NewMessage() const {
-  proto::envelope message;
-  message.set_vm(options_.self.value);
-  message.set_incarnation(options_.own_incarnation.value);
-  return message;
-}
-
 }  // namespace fuchsiafall
--- a/src/request_table_base.h
+++ b/src/request_table_base.h
@@ -113,7 +113,6 @@
   void ResetLink(const request& item, output_list* out);
   void CancelAttempt(request* item, bool was_silent, output_list* out);
   void EndAttempt(time_point now, request* item, bool failed, output_list* out);
-  proto::envelope NewMessage() const;
 
   request_table_options options_;
   router* routes_;
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -13,13 +13,12 @@
 
 }  // namespace
 
-void server_board::SetIndex(time_point now, const site_index* index) {
+void server_board::SetIndex(const site_index* index) {
   index_ = index;
   const auto& servers = index_->View().servers;
   std::erase_if(notes_, [&](const auto& item) {
     return !servers.contains(item.first) && item.second.in_flight == 0;
   });
-  (void)now;
 }
 
 const std::string& server_board::RegionOf(const std::string& domain) const {
@@ -48,7 +47,7 @@
   const site_service* service = index_->FindService(query.service);
   const uint32_t layers =
       service != nullptr && service->engine ? service->engine->layers : 1;
-  const uint64_t served = server.ServedVersion(query.model, layers);
+  const uint64_t served = ServedVersion(server.models, query.model, layers);
   return served > 0 && !IsOutdated(now, query.model, served, query.is_unasked);
 }
 
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -71,7 +71,7 @@
   explicit server_board(server_board_options options)
       : options_(std::move(options)), random_(options_.seed) {}
 
-  void SetIndex(time_point now, const site_index* index);
+  void SetIndex(const site_index* index);
   /// Ranks the servers that may take a request, best first.
   std::vector<const site_server*> Rank(time_point now,
                                        const server_query& query);
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -36,8 +36,6 @@
   double retry_share = 0.2;          ///< Retries a request, over all entries.
   double retry_extra = 0;            ///< Retries beside that in each window.
   milliseconds retry_window{10000};
-  double cold_factor = 1.5;  ///< Over a cold server's rate that is borne.
-  double cold_extra = 5;     ///< Requests beside that, each second.
 };
 
 /// What may be repeated on a route.
@@ -84,9 +82,7 @@
 
 struct site_service {
   std::string name;
-  std::string health_path;
-  uint32_t most_connections = 0;  ///< That a server accepts from all.
-  milliseconds cold{0};           ///< After a start.
+  milliseconds cold{0};  ///< After a start.
   double cold_rate = 0;  ///< Requests a second that a cold server bears.
   std::optional<engine_figures> engine;
   std::string origin_address;  ///< Of the origin of weights; ip:port.
@@ -116,6 +112,17 @@
   uint32_t to = 0;  ///< Exclusive.
 };
 
+/// Finds the version of a model that is held with all its layers; 0 for none.
+inline uint64_t ServedVersion(const std::vector<held_layers>& all,
+                              const std::string& model,
+                              uint32_t layers) {
+  for (const held_layers& held : all) {
+    if (held.model == model && held.from == 0 && held.to >= layers)
+      return held.version;
+  }
+  return 0;
+}
+
 /// Server as its own entry in the platform's list describes it.
 struct site_server {
   std::string id;  ///< Instance that a request names as the one expected.
@@ -130,16 +137,6 @@
   int64_t born_ms = 0;    ///< Start, since the epoch; 0 where it is not told.
   uint64_t revision = 0;  ///< Of the entry in the store.
   time_point seen_at{};   ///< When this revision was first seen here.
-
-  /// Finds the version that it serves on its own; 0 when it holds no whole
-  /// model.
-  uint64_t ServedVersion(const std::string& model, uint32_t layers) const {
-    for (const held_layers& held : models) {
-      if (held.model == model && held.from == 0 && held.to >= layers)
-        return held.version;
-    }
-    return 0;
-  }
 };
 
 /// When a version of the weights was named.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -140,36 +140,13 @@
                       const std::string& request,
                       milliseconds timeout,
                       const call_hook& done) {
-  auto taken = pool_.Take(now, address);
-  if (!taken) {
-    loop_.Post([done] { done(BootNow(), 0, ""); });
-    return;
-  }
-  auto call = std::make_shared<open_call>();
-  call->connection = *taken;
-  exchange_hooks hooks;
-  hooks.on_head = [call](time_point, const Poco::Net::HTTPResponse& head) {
-    call->status = head.getStatus();
-    return true;
-  };
-  hooks.on_body = [call](time_point, std::string_view bytes) {
-    call->body += bytes;
-  };
-  hooks.on_end = [this, call, done](time_point at, exchange_end end) {
-    loop_.CancelTimer(call->timeout);
-    call->connection.reset();
-    done(at, end == exchange_end::kComplete ? call->status : 0,
-         std::move(call->body));
-  };
-  call->timeout =
-      loop_.StartTimer(now + timeout, [this, call, done](time_point at) {
-        auto silent = std::move(call->connection);
-        call->connection.reset();
-        silent->Abort();
-        options_.count("control_calls_silent");
-        done(at, 0, "");
-      });
-  call->connection->Start(request, false, std::move(hooks));
+  StartLoopCall(
+      now, &loop_, &pool_,
+      {.address = address,
+       .request = request,
+       .timeout = timeout,
+       .on_done = done,
+       .on_timeout = [this] { options_.count("control_calls_silent"); }});
 }
 
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -8,8 +8,8 @@
 #include <thread>
 
 #include "mirror_relay_base.h"
-#include "network/http_exchange.h"
 #include "network/http_listener.h"
+#include "network/loop_call.h"
 #include "site_type.h"
 
 namespace fuchsiafall {
@@ -52,13 +52,6 @@
     time_point since{};
     time_point until{};
   };
-  struct open_call {
-    std::shared_ptr<http_client_connection> connection;
-    std::string address;
-    int status = 0;
-    std::string body;
-    timer_id timeout = 0;
-  };
 
   void Step(time_point now);
   void CallMirror(time_point now, const store_call& call);
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -183,7 +183,7 @@
   view.weights["model"] = {
       .version = 2, .namings = {{2, {.seen_at = it.now, .was_watched = true}}}};
   it.site.Set(view);
-  it.dispatch.SetIndex(it.now, it.site.index.get());
+  it.dispatch.SetIndex(it.site.index.get());
   it.Request(1, "models");
   BOOST_TEST(it.asks.size() == 1u);
   it.now += milliseconds(7600);
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -99,7 +99,7 @@
 struct fake_entry {
   explicit fake_entry(call_dispatch_options options = {})
       : dispatch(With(std::move(options)), Hooks()) {
-    dispatch.SetIndex(now, site.index.get());
+    dispatch.SetIndex(site.index.get());
     dispatch.SetSound(now);
   }
 
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -114,7 +114,7 @@
       .held = {{.model = "m", .version = 1, .from = 0, .to = 16}},
       .orders = 1,
       .born_ms = 77};
-  steward.OnReport(kNamed, report);
+  steward.OnReport(report);
   BOOST_TEST(steward.IsServing(kNamed));
   BOOST_TEST(!steward.Order(kNamed, 2, false).has_value());
   BOOST_REQUIRE(steward.Order(kNamed, 2, true).has_value());
@@ -122,11 +122,11 @@
   BOOST_TEST(!steward.Order(kNamed + milliseconds(100), 2, true).has_value());
   BOOST_TEST(steward.Order(kNamed + milliseconds(700), 2, true).has_value());
   report.held[0].version = 2;
-  BOOST_TEST(!steward.OnReport(kNamed + seconds(1), report));
+  BOOST_TEST(!steward.OnReport(report));
   BOOST_TEST(!steward.WantsOrder(kNamed + seconds(1), 2));
   report.held.clear();
   report.born_ms = 99;
-  BOOST_TEST(steward.OnReport(kNamed + seconds(2), report));
+  BOOST_TEST(steward.OnReport(report));
   BOOST_TEST(steward.WantsOrder(kNamed + seconds(2), 2));
 }
 
@@ -134,7 +134,7 @@
   engine_steward steward({});
   steward.SetModel("m", 16);
   steward.OnReport(
-      kNamed, {.held = {{.model = "m", .version = 1, .from = 0, .to = 8}}});
+      {.held = {{.model = "m", .version = 1, .from = 0, .to = 8}}});
   BOOST_TEST(steward.ServedVersion() == 0u);
   BOOST_TEST(!steward.IsServing(kNamed));
 }
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -2,6 +2,7 @@
 /// servers.
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "weight_transfer_base.h"
 
 namespace fuchsiafall {
@@ -74,7 +75,9 @@
   if (address.empty())
     return;
   send_message answer{
-      .where = plane::kBulk, .address = address, .message = NewMessage()};
+      .where = plane::kBulk,
+      .address = address,
+      .message = MakeEnvelope(options_.self, options_.own_incarnation)};
   proto::blob_answer* body = answer.message.mutable_blob_answer();
   body->set_digest(request.digest());
   body->set_request_id(request.request_id());
@@ -129,7 +132,8 @@
   std::string address = AddressOf(to, plane::kControl);
   if (address.empty())
     return;
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   proto::have_map* map = message.mutable_have();
   map->set_manifest_digest(manifest.value);
   map->set_count(static_cast<uint32_t>(have.size()));
@@ -165,11 +169,4 @@
   return vm == nullptr ? "" : world::AddressOf(*vm, where);
 }
 
-proto::envelope weight_transfer::NewMessage() const {
-  proto::envelope message;
-  message.set_vm(options_.self.value);
-  message.set_incarnation(options_.own_incarnation.value);
-  return message;
-}
-
 }  // namespace fuchsiafall
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -1,6 +1,7 @@
 /// @file weight_source.cc Choice of the source of each chunk.
 #include <algorithm>
 
+#include "envelope_func.h"
 #include "hash_func.h"
 #include "weight_transfer_base.h"
 
@@ -345,7 +346,8 @@
   duration queued = static_cast<int>(options_.upload_queue + 1) *
                     upload_.TimeFor(request.bytes);
   request.deadline = now + options_.chunk_timeout + queued;
-  proto::envelope message = NewMessage();
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
   message.mutable_blob_request()->set_digest(wanted.value);
   message.mutable_blob_request()->set_request_id(next_request_id_);
   pending_[next_request_id_++] = request;
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -243,7 +243,6 @@
 
   artifact* FindArtifact(const std::string& manifest);
   std::string AddressOf(const vm_id& id, plane where) const;
-  proto::envelope NewMessage() const;
 
   weight_transfer_options options_;
   std::shared_ptr<blob_store> blobs_;
