Fix: Read a doubtful manifest again; let a reborn server come back

Cause: nothing seals a manifest, so one hex digit that the origin spoilt left a piece that never matches, and the server never loaded that version. A server that once answered 421 for another instance was left out for good, also when it wrote itself down anew. Change: manifest_book keeps the readings of each version; a wrong piece of the origin has the manifest read again until two readings agree. server_board remembers the revision of the entry that was wrong. The agent's manifests move out of hosted_agent.cc. Measured: manifest_book_suite (4 cases) and the new case of call_dispatch_suite pass; both faults stood in the code before.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -356,7 +356,7 @@
   if (item->head.did_not_run) {
     --item->sends;
     if (item->head.status == kMisdirected) {
-      board_.OnGone(item->server.id);
+      board_.OnGone(item->server);
     } else {
       board_.OnFull(now, item->server.id, options_.least_attempt);
       // A full server is none that fails: it may be asked again.
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -9,6 +9,7 @@
 #include "envelope_func.h"
 #include "hash_func.h"
 #include "hosted_process.h"
+#include "manifest_book_base.h"
 #include "network/datagram_link.h"
 #include "network/loop_call.h"
 #include "network/message_link.h"
@@ -32,7 +33,6 @@
 /// Nothing may begin on weights past their bound, so an origin that is back has
 /// to be noticed at once.
 constexpr milliseconds kMostOriginBackoff{600};
-constexpr milliseconds kManifestRetry{300};
 /// Of a holder of pieces: its queue and the way, several times over.
 constexpr milliseconds kChunkTimeout{700};
 /// A piece takes 27 ms over a link; news of it should not take much longer.
@@ -45,12 +45,6 @@
 constexpr milliseconds kOutdatedMargin{500};
 constexpr uint64_t kFirstVersion = 1;  // Until operators name another.
 
-/// Where a piece stands in the weights.
-struct piece_place {
-  uint64_t version = 0;
-  uint32_t index = 0;
-};
-
 /// The agent with its sockets. Everything runs in the traffic loop, but for
 /// the bulk link's own thread.
 class hosted_agent {
@@ -235,10 +229,10 @@
   }
 
   double ProgressOf(uint64_t version) const {
-    auto it = manifests_.find(version);
-    if (it == manifests_.end() || it->second.pieces.empty())
+    const version_manifest* manifest = manifests_.Find(version);
+    if (manifest == nullptr)
       return 0;
-    const auto& pieces = it->second.pieces;
+    const auto& pieces = manifest->pieces;
     const auto held = std::count_if(
         pieces.begin(), pieces.end(),
         [this](const digest& piece) { return blobs_->Find(piece) != nullptr; });
@@ -261,9 +255,10 @@
       FetchManifest(now, version);
     const uint64_t stage =
         plan_.stage != 0 ? plan_.stage : steward_.ServedVersion();
-    if (stage != staged_version_ && manifests_.contains(stage)) {
+    const version_manifest* manifest = manifests_.Find(stage);
+    if (stage != staged_version_ && manifest != nullptr) {
       staged_version_ = stage;
-      stager_.SetTarget(manifests_[stage].pieces);
+      stager_.SetTarget(manifest->pieces);
     }
     if (!stager_.HasTarget() || !stager_.IsSurveyed())
       return;  // What lies at the engine need not be fetched.
@@ -271,16 +266,14 @@
   }
 
   void FetchManifest(time_point now, uint64_t version) {
-    if (manifests_.contains(version) || now < manifest_retry_at_ ||
-        !fetching_.insert(version).second) {
+    if (!manifests_.WantsReading(now, version))
       return;
-    }
+    manifests_.OnSent(version);
     Call(now, {.address = origin_,
                .request = platform::WriteManifestCall(origin_, model_, version),
                .timeout = kOriginTimeout,
                .on_done = [this, version](time_point at, int status,
                                           const std::string& body) {
-                 fetching_.erase(version);
                  OnManifest(at, version, status, body);
                }});
   }
@@ -291,60 +284,32 @@
                   const std::string& body) {
     auto read = status == 200 ? platform::DecodeManifest(body)
                               : failure{"status " + std::to_string(status)};
-    auto made = read ? MakeManifest(*read) : failure{read.LastReason()};
-    if (made && read->version != version)
-      made = failure{"another version"};
-    if (!made) {
+    const auto is_changed = manifests_.OnAnswer(now, version, read);
+    if (!is_changed) {
       LogEvent(log_event::kOriginFailed,
                "manifest version=" + std::to_string(version) +
-                   " why=" + made.LastReason());
+                   " why=" + is_changed.LastReason());
       base_.Metrics().Count("origin_failed");
-      manifest_retry_at_ = now + kManifestRetry;
       return;
     }
-    for (uint32_t i = 0; i < made->pieces.size(); ++i)
-      piece_index_[made->pieces[i]] = {version, i};
-    manifests_[version] = std::move(*made);
+    if (!*is_changed)
+      return;
+    // What was taken from another reading has to be set anew.
+    fetched_.clear();
+    if (staged_version_ == version)
+      staged_version_ = 0;
     Tick(now);
   }
 
-  /// Manifest of one version in the project's own form.
-  struct version_manifest {
-    digest name;
-    shared_bytes bytes;
-    std::vector<digest> pieces;
-  };
-
-  static outcome<version_manifest> MakeManifest(const weights_manifest& from) {
-    version_manifest made;
-    proto::manifest manifest;
-    manifest.set_chunk_bytes(from.chunk_bytes);
-    manifest.set_total_bytes(static_cast<uint64_t>(from.chunk_bytes) *
-                             from.digests.size());
-    std::string all;
-    for (const std::string& hex : from.digests) {
-      auto piece = DigestFromHex(hex);
-      if (!piece)
-        return failure{piece.LastReason()};
-      manifest.add_chunk_digests(piece->value);
-      all += piece->value;
-      made.pieces.push_back(*piece);
-    }
-    manifest.set_whole_digest(DigestOf(all).value);
-    made.bytes = std::make_shared<std::string>(manifest.SerializeAsString());
-    made.name = DigestOf(*made.bytes);
-    return made;
-  }
-
   void SetTransferTarget(time_point now, const std::vector<uint64_t>& fetch) {
     std::vector<load_part> parts;
     std::vector<uint64_t> versions;
     for (uint64_t version : fetch) {
-      auto it = manifests_.find(version);
-      if (it == manifests_.end())
+      const version_manifest* manifest = manifests_.Find(version);
+      if (manifest == nullptr)
         continue;
-      blobs_->Put(it->second.name, it->second.bytes);
-      parts.push_back({std::to_string(version), it->second.name});
+      blobs_->Put(manifest->name, manifest->bytes);
+      parts.push_back({std::to_string(version), manifest->name});
       versions.push_back(version);
     }
     if (parts.empty() || versions == fetched_)
@@ -382,18 +347,20 @@
   }
 
   void FetchPiece(time_point now, const digest& wanted) {
-    auto piece = piece_index_.find(wanted);
-    if (piece == piece_index_.end())
+    const auto piece = manifests_.PlaceOf(wanted);
+    if (!piece)
       return;
     Call(now, {.address = origin_,
                .request = platform::WritePieceCall(
-                   origin_, model_, piece->second.version, piece->second.index),
+                   origin_, model_, piece->version, piece->index),
                .timeout = kOriginTimeout,
                .on_done = [this, wanted](time_point at, int status,
                                          std::string body) {
                  blob_arrival blob{.wanted = wanted};
                  if (status == 200) {
                    blob.actual = DigestOf(body);
+                   if (blob.actual != wanted)
+                     manifests_.OnWrongPiece(wanted);
                    blob.bytes = std::make_shared<std::string>(std::move(body));
                  } else {
                    blob.status = blob_arrival::status_type::kUnreachable;
@@ -698,10 +665,7 @@
   world_ptr world_;
   double turn_ = 0;  ///< Part of all servers that load before this one.
   std::map<uint64_t, time_point> named_at_;  ///< By version.
-  std::map<uint64_t, version_manifest> manifests_;
-  std::map<digest, piece_place> piece_index_;
-  std::set<uint64_t> fetching_;  ///< Versions whose manifests are asked for.
-  time_point manifest_retry_at_{};
+  manifest_book manifests_{{}};
   weights_plan plan_;
   uint64_t staged_version_ = 0;
   std::vector<uint64_t> fetched_;  ///< Versions that the transfer knows.
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -40,7 +40,9 @@
   if (query.tried != nullptr && query.tried->contains(server.id))
     return false;
   auto note = notes_.find(server.id);
-  if (note != notes_.end() && note->second.is_gone)
+  // The server may have written itself down anew since.
+  if (note != notes_.end() && note->second.gone_revision &&
+      *note->second.gone_revision >= server.revision)
     return false;
   if (query.model.empty() || !server.tells_models)
     return true;
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -47,7 +47,8 @@
   uint32_t failures = 0;    ///< In a row.
   uint32_t ejections = 0;   ///< In a row.
   time_point ejected_until{};
-  bool is_gone = false;      ///< Another instance has its address.
+  /// Revision of its entry when another instance answered at its address.
+  std::optional<uint64_t> gone_revision;
   uint32_t silent_asks = 0;  ///< Questions for a place unanswered in a row.
   time_point silent_since{};
 };
@@ -89,7 +90,9 @@
   void OnSuccess(const std::string& id);
   void OnFailure(time_point now, const std::string& id);
   /// The address belongs to another instance now.
-  void OnGone(const std::string& id) { notes_[id].is_gone = true; }
+  void OnGone(const site_server& server) {
+    notes_[server.id].gone_revision = server.revision;
+  }
   void OnAskSilent(time_point now, const std::string& id);
   void OnAskAnswered(const std::string& id) { notes_[id].silent_asks = 0; }
   server_note& Note(const std::string& id) { return notes_[id]; }
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -192,6 +192,37 @@
   BOOST_TEST(it.asks.size() == 1u);
 }
 
+// An address that was used again answers 421 for the instance that had it. An
+// instance that starts again writes a new entry.
+BOOST_AUTO_TEST_CASE(a_server_whose_address_changed_hands_may_come_back) {
+  fake_entry it;
+  auto elsewhere = [&] {
+    it.Request(it.attempts.size() + 1, "plain");
+    const std::string first = it.attempts.back().server;
+    it.Head(421, false, true);
+    it.End(exchange_end::kComplete);
+    it.Head(200, false);
+    it.End(exchange_end::kComplete);
+    return first;
+  };
+  elsewhere();
+  const std::string stays = it.attempts.back().server;
+  const std::string gone = stays == "d1" ? "d2" : "d1";
+  for (int i = 0; i < 20; ++i) {
+    it.Request(100 + static_cast<uint64_t>(i), "plain");
+    BOOST_TEST(it.attempts.back().server == stays);
+    it.Head(200, false);
+    it.End(exchange_end::kComplete);
+  }
+  site_view view = it.site.index->View();
+  view.servers[gone].revision = 11;
+  view.servers[stays].is_draining = true;
+  it.site.Set(view);
+  it.dispatch.SetIndex(it.site.index.get());
+  it.Request(200, "plain");
+  BOOST_TEST(it.attempts.back().server == gone);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_servers_is_held) {
   crash_ledger ledger{{}};
   time_point now{std::chrono::hours(1)};
--- /dev/null
+++ b/src/tests/manifest_book_test.cc
@@ -0,0 +1,84 @@
+/// @file manifest_book_test.cc Manifests told by an origin that spoils a part
+/// of what it sends.
+#include <boost/test/unit_test.hpp>
+
+#include "manifest_book_base.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+constexpr uint64_t kVersion = 2;
+const time_point kStart{std::chrono::hours(1)};
+
+weights_manifest Told(char last_digit = '0') {
+  weights_manifest manifest{
+      .model = "model", .version = kVersion, .chunk_bytes = 10};
+  for (char piece : {'a', 'b', 'c'})
+    manifest.digests.push_back(std::string(64, piece));
+  manifest.digests.back().back() = last_digit;
+  return manifest;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(manifest_book_suite)
+
+BOOST_AUTO_TEST_CASE(one_good_reading_is_enough_without_a_doubt) {
+  manifest_book book{{}};
+  BOOST_TEST(book.WantsReading(kStart, kVersion));
+  book.OnSent(kVersion);
+  BOOST_TEST(!book.WantsReading(kStart, kVersion));
+  const auto changed = book.OnAnswer(kStart, kVersion, Told());
+  BOOST_REQUIRE(changed.Value().has_value());
+  BOOST_TEST(*changed);
+  BOOST_TEST(!book.WantsReading(kStart + seconds(60), kVersion));
+  BOOST_REQUIRE(book.Find(kVersion) != nullptr);
+  const auto place = book.PlaceOf(book.Find(kVersion)->pieces[1]);
+  BOOST_REQUIRE(place.has_value());
+  BOOST_TEST(place->index == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_cannot_be_used_is_asked_for_again) {
+  manifest_book book{{}};
+  book.OnSent(kVersion);
+  BOOST_TEST(!book.OnAnswer(kStart, kVersion, failure{"status 0"}));
+  BOOST_TEST(!book.WantsReading(kStart, kVersion));
+  BOOST_TEST(book.WantsReading(kStart + seconds(1), kVersion));
+  weights_manifest other = Told();
+  other.version = kVersion + 1;
+  BOOST_TEST(!book.OnAnswer(kStart, kVersion, other));
+  BOOST_TEST((book.Find(kVersion) == nullptr));
+}
+
+// One digit of a digest was spoilt on the way: the piece never matches.
+BOOST_AUTO_TEST_CASE(a_piece_that_never_matches_has_the_manifest_read_again) {
+  manifest_book book{{}};
+  time_point now = kStart;
+  BOOST_TEST(*book.OnAnswer(now, kVersion, Told('1')));
+  book.OnWrongPiece(book.Find(kVersion)->pieces.back());
+  now += seconds(1);
+  BOOST_REQUIRE(book.WantsReading(now, kVersion));
+  // Two readings that differ settle nothing; the first stays in use.
+  BOOST_TEST(!*book.OnAnswer(now, kVersion, Told('0')));
+  now += seconds(1);
+  BOOST_REQUIRE(book.WantsReading(now, kVersion));
+  BOOST_TEST(*book.OnAnswer(now, kVersion, Told('0')));
+  BOOST_TEST((book.Find(kVersion)->pieces.back().value.back() == '\xc0'));
+  BOOST_TEST(!book.WantsReading(now + seconds(60), kVersion));
+}
+
+BOOST_AUTO_TEST_CASE(a_spoilt_piece_costs_one_more_reading_at_most) {
+  manifest_book book{{}};
+  time_point now = kStart;
+  BOOST_TEST(*book.OnAnswer(now, kVersion, Told()));
+  book.OnWrongPiece(book.Find(kVersion)->pieces.front());
+  now += seconds(1);
+  BOOST_TEST(!*book.OnAnswer(now, kVersion, Told()));
+  book.OnWrongPiece(book.Find(kVersion)->pieces.front());
+  BOOST_TEST(!book.WantsReading(now + seconds(60), kVersion));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
