Fix: Read a storm of configurations by listings, not by each of its versions

Cause: a watch tells every version of an item. Change: when one watch answer has a large item twice, listings stand in for the watch, 350 ms apart and at most 500 KB/s, until one brings no news. Measured: a_storm_of_large_changes_is_read_by_its_last_ones fails before (3.6 MB in 4 s, most 2.0 MB).

--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -63,6 +63,8 @@
     revision_ = std::max(revision_, answer.revision);
     const time_point answered_at = std::min(now, sent_at_ + answer.held);
     sound_at_ = std::max(sound_at_, answered_at - answer.sound_age);
+    if (IsStorm(answer.items))
+      BeginStorm(now);
     return !answer.items.empty();
   }
   if (after_key_.empty()) {
@@ -70,6 +72,11 @@
     listing_sent_at_ = sent_at_ - answer.sound_age;
   }
   for (const store_item& item : answer.items) {
+    auto known = items_.find(item.key);
+    has_large_news_ =
+        has_large_news_ ||
+        (item.value.size() >= options_.storm_item && known != items_.end() &&
+         known->second.revision < item.revision);
     listed_[item.key] = item;
     after_key_ = item.key;
   }
@@ -78,9 +85,38 @@
     return false;
   }
   FinishListing(now);
+  if (is_storm_ && has_large_news_) {
+    BeginStorm(now);
+  } else {
+    is_storm_ = false;
+  }
   return true;
 }
 
+bool store_mirror::IsStorm(const std::vector<store_item>& news) const {
+  std::set<std::string> seen;
+  return std::any_of(news.begin(), news.end(), [&](const store_item& item) {
+    return item.value.size() >= options_.storm_item &&
+           !seen.insert(item.key).second;
+  });
+}
+
+void store_mirror::BeginStorm(time_point now) {
+  is_storm_ = true;
+  is_listing_ = true;
+  has_large_news_ = false;
+  after_key_.clear();
+  listed_.clear();
+  uint64_t bytes = 0;
+  for (const auto& [key, item] : items_)
+    bytes += item.value.size();
+  const duration paced =
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+          static_cast<double>(bytes) / options_.storm_rate));
+  next_at_ = std::max<time_point>(now, sent_at_) +
+             std::max<duration>(options_.storm_spacing, paced);
+}
+
 bool store_mirror::Step(time_point now) {
   if (missing_.empty() || MayHaveLapsed(now))
     return false;
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -58,6 +58,14 @@
   milliseconds relayed_watch{400};
   /// Least time between two answers, so that a storm is read in batches.
   milliseconds spacing{250};
+  /// Between two listings while changes come in a storm. A watch tells every
+  /// version of an item that changed, a listing only the last one.
+  milliseconds storm_spacing{350};
+  /// Bytes a second that listings take in a storm: two relays leave room for
+  /// requests on a link between regions of 20 Mbit/s.
+  double storm_rate = 500000;
+  /// Size from which an item that changes again and again makes a storm.
+  size_t storm_item = 8192;
   /// After a call that failed. Short, since a machine that is reachable again
   /// has to know within seconds what it missed.
   milliseconds backoff{200};
@@ -101,6 +109,9 @@
   void Remove(time_point now, const std::vector<store_item>& gone);
   void FinishListing(time_point now);
   bool MayHaveLapsed(time_point now) const;
+  bool IsStorm(const std::vector<store_item>& news) const;
+  /// Has listings stand in for the watch, paced by the size of all items.
+  void BeginStorm(time_point now);
 
   store_mirror_options options_;
   std::map<std::string, store_item> items_;
@@ -112,8 +123,10 @@
   std::string after_key_;
   bool is_known_ = false;
   bool is_listing_ = true;
-  bool is_waiting_ = false;  ///< Whether a call is on its way.
-  uint32_t failures_ = 0;    ///< Failed calls in a row.
+  bool is_storm_ = false;        ///< Whether listings stand in for the watch.
+  bool has_large_news_ = false;  ///< Whether the present listing has.
+  bool is_waiting_ = false;      ///< Whether a call is on its way.
+  uint32_t failures_ = 0;        ///< Failed calls in a row.
   time_point sent_at_{};
   time_point next_at_{};
   time_point sound_at_{};
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -141,6 +141,49 @@
   BOOST_TEST(calls <= 9);
 }
 
+// A storm of configurations: a change each 60 ms for 4 s, of 55 KB each. A
+// watch that told each of them would fill the links between regions.
+BOOST_AUTO_TEST_CASE(a_storm_of_large_changes_is_read_by_its_last_ones) {
+  const store_mirror_options options;
+  const std::string document(55000, 'x');
+  listed_mirror it({{.key = "op/config", .value = document, .revision = 1},
+                    {.key = "servers/s0", .value = "y", .revision = 1}},
+                   1);
+  const time_point begin = it.now;
+  const time_point end = begin + seconds(4);
+  uint64_t bytes = 0;
+  duration oldest{};
+  time_point read_at = begin;
+  while (it.now < end) {
+    const store_call call = it.Next();
+    const auto at = static_cast<uint64_t>((it.now - begin) / milliseconds(60));
+    std::vector<store_item> told;
+    const uint64_t newest = 1 + at;
+    if (call.kind == store_call::kind_type::kList) {
+      told = {{.key = "op/config", .value = document, .revision = newest},
+              {.key = "servers/s0", .value = "y", .revision = 1}};
+    } else {
+      for (uint64_t i = call.after_revision + 1; i <= newest; ++i)
+        told.push_back({.key = "op/config", .value = document, .revision = i});
+    }
+    for (const store_item& item : told)
+      bytes += item.value.size();
+    it.Answer(Ok(told, newest));
+    oldest = std::max<duration>(oldest, it.now - read_at);
+    read_at = it.now;
+  }
+  BOOST_TEST(static_cast<double>(bytes) < 4 * options.storm_rate);
+  BOOST_TEST((oldest < milliseconds(500)));
+  // One listing without news ends it.
+  it.Next();
+  const uint64_t last = it.mirror.Items().at("op/config").revision;
+  it.Answer(Ok({{.key = "op/config", .value = document, .revision = last},
+                {.key = "servers/s0", .value = "y", .revision = 1}},
+               last));
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kWatch));
+  BOOST_TEST(it.mirror.Items().size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(soundness_counts_from_when_a_call_was_answered_at_least) {
   listed_mirror it({}, 1);
   it.Next();
