--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -5,7 +5,7 @@
 PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy pkg-config \
 libpoco-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler \
 libboost-dev libboost-program-options-dev libboost-test-dev libeasyloggingpp-dev \
-librapidcheck-dev libxxhash-dev"
+librapidcheck-dev libxxhash-dev rapidjson-dev libssl-dev"
 
 install_packages() {
   local missing=""
