Change: One relay of a domain reads the store; lost registrations are removed

Change: a relay asks those before it, so that the second stands by; a relay that only fails for 20 s has its registration removed by whoever reads the store, and registers again if it lives. Conclusion: age tells a reader of a cut relay as before, so that a ring of relays that ask each other cannot last.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -58,27 +58,36 @@
     nodes.push_back(place.node);
   relays_.clear();
   for (size_t i : RendezvousRank("relay", nodes, options_.relays)) {
-    if (nodes[i] == options_.node) {
-      // A relay has its word from the store alone.
-      relays_.clear();
+    // A relay asks only those before it, so that none waits for itself.
+    if (nodes[i] == options_.node)
       return;
-    }
-    relays_.push_back(registered[i].address);
+    relays_.push_back(registered[i]);
   }
 }
 
 const std::string& mirror_source::Choose(time_point now) const {
-  for (const std::string& address : relays_) {
-    auto it = avoided_until_.find(address);
+  for (const relay_place& relay : relays_) {
+    auto it = avoided_until_.find(relay.address);
     if (it == avoided_until_.end() || now >= it->second)
-      return address;
+      return relay.address;
   }
   return options_.store_address;
 }
 
 void mirror_source::OnFailed(time_point now, const std::string& address) {
-  if (IsRelay(address))
-    avoided_until_[address] = now + options_.avoid;
+  if (!IsRelay(address))
+    return;
+  avoided_until_[address] = now + options_.avoid;
+  failing_since_.emplace(address, now);
+}
+
+std::optional<std::string> mirror_source::LostRelay(time_point now) const {
+  for (const relay_place& relay : relays_) {
+    auto it = failing_since_.find(relay.address);
+    if (it != failing_since_.end() && now - it->second >= options_.lost)
+      return relay.node;
+  }
+  return std::nullopt;
 }
 
 }  // namespace fuchsiafall
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -45,11 +45,15 @@
 struct mirror_source_options {
   std::string node;  ///< Of this process.
   std::string store_address;
-  size_t relays = 2;  ///< Of a domain; they ask the store themselves.
+  /// Of a domain. The first asks the store; the second asks the first, and
+  /// takes its part when that is silent or cut off.
+  size_t relays = 2;
   /// Age of a relay's word at which it counts as cut off from the store. One
   /// that is not hears from it every half second.
   milliseconds most_age{750};
   milliseconds avoid{3000};  ///< Of a source that failed.
+  /// After which a relay that only failed counts as removed for good.
+  milliseconds lost{20000};
 };
 
 /// Chooses whom to ask for the store's items: a relay of the own domain, or the
@@ -66,13 +70,19 @@
     return address != options_.store_address;
   }
   void OnFailed(time_point now, const std::string& address);
+  void OnAnswered(const std::string& address) { failing_since_.erase(address); }
+  /// Finds a relay that has failed for so long that its registration is stale.
+  /// It registers again if it lives.
+  /// @return Its node; none where all answer.
+  std::optional<std::string> LostRelay(time_point now) const;
   /// Whether a relay's word is too old to go on with it.
   bool IsTooOld(milliseconds age) const { return age > options_.most_age; }
 
  private:
   mirror_source_options options_;
-  std::vector<std::string> relays_;  ///< Addresses, best first.
-  std::map<std::string, time_point> avoided_until_;
+  std::vector<relay_place> relays_;                  ///< Best first.
+  std::map<std::string, time_point> avoided_until_;  ///< By address.
+  std::map<std::string, time_point> failing_since_;  ///< By address.
 };
 
 }  // namespace fuchsiafall
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -17,6 +17,7 @@
 /// Way to a relay of the own domain and back, with its work, beyond the wait.
 constexpr milliseconds kRelayTimeout{400};
 constexpr milliseconds kRegisterTimeout{1000};
+constexpr milliseconds kRegisterPause{2000};  // For the watch to tell of it.
 constexpr size_t kMostMirrorBytes = 64U << 20;
 constexpr size_t kMostWaiters = 512;
 constexpr std::string_view kRegisteredPrefix = "relays/";
@@ -115,6 +116,8 @@
            if (is_bad) {
              options_.count("relay_failed");
              source_.OnFailed(at, address);
+           } else {
+             source_.OnAnswered(address);
            }
            OnAnswer(at, answer);
          });
@@ -131,6 +134,8 @@
          // Without news, a watch is answered only when its wait is over.
          if (answer.items.empty())
            answer.held = call.wait;
+         if (answer.status == store_answer::status_type::kOk)
+           RemoveLostRelay(at);
          OnAnswer(at, answer);
        });
 }
@@ -219,6 +224,32 @@
   return registered;
 }
 
+void site_watch::RemoveLostRelay(time_point now) {
+  const auto node = source_.LostRelay(now);
+  if (!node || is_registering_)
+    return;
+  const auto known =
+      mirror_.Items().find(std::string(kRegisteredPrefix) + *node);
+  if (known == mirror_.Items().end())
+    return;
+  LogEvent(log_event::kRelayRemoved, "node=" + *node);
+  options_.count("store_relays_removed");
+  CallRegistry(now,
+               platform::EncodeStoreRemove(options_.store_address, known->first,
+                                           known->second.revision));
+}
+
+void site_watch::CallRegistry(time_point now, const std::string& request) {
+  is_registering_ = true;
+  Call(now, options_.store_address, request, kRegisterTimeout,
+       [this](time_point at, int, const std::string&) {
+         // The watch tells whether it took effect; till then others do the
+         // relaying.
+         loop_.StartTimer(at + kRegisterPause,
+                          [this](time_point) { is_registering_ = false; });
+       });
+}
+
 void site_watch::Register(time_point now) {
   if (options_.relay_address.empty() || is_registering_)
     return;
@@ -227,18 +258,11 @@
   auto known = mirror_.Items().find(key);
   if (known != mirror_.Items().end() && known->second.value == value)
     return;
-  is_registering_ = true;
   options_.count("store_registrations");
   const uint64_t revision =
       known == mirror_.Items().end() ? 0 : known->second.revision;
-  Call(now, options_.store_address,
-       platform::EncodeStorePut(options_.store_address, key, value, revision),
-       kRegisterTimeout, [this](time_point at, int, const std::string&) {
-         // The watch tells whether it took effect; till then others do the
-         // relaying.
-         loop_.StartTimer(at + seconds(2),
-                          [this](time_point) { is_registering_ = false; });
-       });
+  CallRegistry(now, platform::EncodeStorePut(options_.store_address, key, value,
+                                             revision));
 }
 
 http_listener_hooks site_watch::RelayHooks() {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -65,6 +65,10 @@
   /// @return Entries that are registered in all domains.
   size_t UpdateRelays();
   void Register(time_point now);
+  /// Removes the registration of a relay that is gone for good.
+  void RemoveLostRelay(time_point now);
+  /// Makes a call that changes the registrations.
+  void CallRegistry(time_point now, const std::string& request);
   void OnRelayRequest(time_point now,
                       const std::shared_ptr<http_server_connection>& from,
                       const http_request& request);
--- /dev/null
+++ b/src/tests/mirror_relay_test.cc
@@ -0,0 +1,83 @@
+/// @file mirror_relay_test.cc Who reads the store for a failure domain.
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "mirror_relay_base.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+constexpr char kStore[] = "store:1";
+const time_point kStart{std::chrono::hours(1)};
+
+std::vector<relay_place> Registered(int count) {
+  std::vector<relay_place> places;
+  for (int i = 0; i < count; ++i) {
+    const std::string node = "n" + std::to_string(i);
+    places.push_back({node, node + ":2"});
+  }
+  return places;
+}
+
+mirror_source SourceOf(const std::string& node, int count) {
+  mirror_source source({.node = node, .store_address = kStore});
+  source.SetRelays(Registered(count));
+  return source;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(mirror_relay_suite)
+
+BOOST_AUTO_TEST_CASE(one_process_of_a_domain_reads_the_store) {
+  constexpr int kProcesses = 20;
+  std::multiset<std::string> asked;
+  for (int i = 0; i < kProcesses; ++i)
+    asked.insert(SourceOf("n" + std::to_string(i), kProcesses).Choose(kStart));
+  BOOST_TEST(asked.count(kStore) == 1u);
+  // All others ask that one.
+  for (const std::string& address : asked)
+    BOOST_TEST((address == kStore || asked.count(address) == kProcesses - 1));
+}
+
+BOOST_AUTO_TEST_CASE(the_second_takes_over_and_then_the_store_is_asked) {
+  constexpr int kProcesses = 20;
+  mirror_source reader = SourceOf("other", kProcesses);
+  const std::string first = reader.Choose(kStart);
+  reader.OnFailed(kStart, first);
+  const std::string second = reader.Choose(kStart);
+  BOOST_TEST(second != first);
+  BOOST_TEST(reader.IsRelay(second));
+  // The second goes to the store itself when the first fails.
+  mirror_source standby =
+      SourceOf(second.substr(0, second.find(':')), kProcesses);
+  BOOST_TEST(standby.Choose(kStart) == first);
+  standby.OnFailed(kStart, first);
+  BOOST_TEST(standby.Choose(kStart) == kStore);
+  reader.OnFailed(kStart, second);
+  BOOST_TEST(reader.Choose(kStart) == kStore);
+  BOOST_TEST(reader.Choose(kStart + seconds(4)) == first);
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_only_fails_is_lost_after_a_while) {
+  mirror_source reader = SourceOf("other", 3);
+  const std::string first = reader.Choose(kStart);
+  time_point now = kStart;
+  for (int i = 0; i < 5; ++i) {
+    reader.OnFailed(now, first);
+    BOOST_TEST(!reader.LostRelay(now).has_value());
+    now += seconds(4);
+  }
+  const auto lost = reader.LostRelay(now);
+  BOOST_REQUIRE(lost.has_value());
+  BOOST_TEST(*lost == first.substr(0, first.find(':')));
+  // One answer clears it.
+  reader.OnAnswered(first);
+  BOOST_TEST(!reader.LostRelay(now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
