--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -33,13 +33,15 @@
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
   is_waiting_ = false;
   if (answer.status == store_answer::status_type::kHistoryGone) {
-    is_listing_ = true;
-    after_key_.clear();
-    listed_.clear();
+    BeginListing();
     next_at_ = now;
     return false;
   }
   if (answer.status != store_answer::status_type::kOk) {
+    // A watch may have too much to tell for the time that it has, and more each
+    // time that it is asked again; what a listing tells is bounded.
+    if (answer.status == store_answer::status_type::kSilent && !is_listing_)
+      BeginListing();
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
     ++failures_;
     next_at_ = now + std::min<duration>(doubled, options_.most_backoff);
@@ -101,12 +103,16 @@
   });
 }
 
-void store_mirror::BeginStorm(time_point now) {
-  is_storm_ = true;
+void store_mirror::BeginListing() {
   is_listing_ = true;
   has_large_news_ = false;
   after_key_.clear();
   listed_.clear();
+}
+
+void store_mirror::BeginStorm(time_point now) {
+  is_storm_ = true;
+  BeginListing();
   uint64_t bytes = 0;
   for (const auto& [key, item] : items_)
     bytes += item.value.size();
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -110,6 +110,7 @@
   void FinishListing(time_point now);
   bool MayHaveLapsed(time_point now) const;
   bool IsStorm(const std::vector<store_item>& news) const;
+  void BeginListing();
   /// Has listings stand in for the watch, paced by the size of all items.
   void BeginStorm(time_point now);
 
