--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -17,6 +17,10 @@
 constexpr uint32_t kLogLines = 100;
 /// Port of the relay, after those of the places and of the weights.
 constexpr uint16_t kRelayPortOffset = 2;
+/// Part of the bound in which a configuration is in force that may pass before
+/// a relay counts as cut off. The rest is left for a call to it, a call to the
+/// store and the change itself.
+constexpr double kRelayAgeShare = 0.55;
 
 }  // namespace
 
@@ -35,6 +39,8 @@
                                    : settings_.ip + ":" +
                                          std::to_string(settings_.first_port +
                                                         kRelayPortOffset),
+              .most_relay_age = std::chrono::duration_cast<milliseconds>(
+                  kRelayAgeShare * settings_.config_bound),
               .on_news =
                   [this](std::shared_ptr<const site_view> view,
                          time_point sound) { OnNews(std::move(view), sound); },
--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -74,11 +74,15 @@
   return options_.store_address;
 }
 
-void mirror_source::OnFailed(time_point now, const std::string& address) {
+void mirror_source::OnFailed(time_point now,
+                             const std::string& address,
+                             bool is_old) {
   if (!IsRelay(address))
     return;
-  avoided_until_[address] = now + options_.avoid;
-  failing_since_.emplace(address, now);
+  avoided_until_[address] =
+      now + (is_old ? options_.avoid_old : options_.avoid);
+  if (!is_old)
+    failing_since_.emplace(address, now);
 }
 
 std::optional<std::string> mirror_source::LostRelay(time_point now) const {
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -49,9 +49,12 @@
   /// takes its part when that is silent or cut off.
   size_t relays = 2;
   /// Age of a relay's word at which it counts as cut off from the store. One
-  /// that is not hears from it every half second.
-  milliseconds most_age{750};
-  milliseconds avoid{3000};  ///< Of a source that failed.
+  /// that is not hears from it every half second, and somewhat later when its
+  /// processor is busy.
+  milliseconds most_age{1100};
+  milliseconds avoid{3000};  ///< Of a source that is silent.
+  /// Of one whose word is too old: it may be fresh again with its next answer.
+  milliseconds avoid_old{600};
   /// After which a relay that only failed counts as removed for good.
   milliseconds lost{20000};
 };
@@ -69,7 +72,8 @@
   bool IsRelay(const std::string& address) const {
     return address != options_.store_address;
   }
-  void OnFailed(time_point now, const std::string& address);
+  /// @param is_old Whether it answered, with a word that is too old.
+  void OnFailed(time_point now, const std::string& address, bool is_old);
   void OnAnswered(const std::string& address) { failing_since_.erase(address); }
   /// Finds a relay that has failed for so long that its registration is stale.
   /// It registers again if it lives.
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -29,9 +29,10 @@
   std::string service;            ///< Of the engine on this VM.
   std::string store_address;      ///< ip:port
   double link_bytes = 0;          ///< Of this VM each way, bytes per second.
-  milliseconds drain{2000};   ///< In which a leaving server still takes work.
-  milliseconds grace{8000};   ///< From SIGTERM to the kill.
-  milliseconds revoke{5000};  ///< In which a revoked key stops to work.
+  milliseconds drain{2000};  ///< In which a leaving server still takes work.
+  milliseconds grace{8000};  ///< From SIGTERM to the kill.
+  milliseconds config_bound{2000};   ///< In which a configuration is in force.
+  milliseconds revoke{5000};         ///< In which a revoked key stops to work.
   milliseconds weights_bound{8000};  ///< In which new weights replace old ones.
   double retry_share = 0.2;          ///< Retries a request, over all entries.
   double retry_extra = 0;            ///< Retries beside that in each window.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -57,7 +57,9 @@
     : options_(std::move(options)),
       pool_(&loop_, {}),
       mirror_(options_.mirror),
-      source_({.node = options_.node, .store_address = options_.store_address}),
+      source_({.node = options_.node,
+               .store_address = options_.store_address,
+               .most_age = options_.most_relay_age}),
       listener_(&loop_, {}, RelayHooks()) {}
 
 site_watch::~site_watch() {
@@ -110,12 +112,11 @@
     Call(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
          [this, address](time_point at, int status, const std::string& body) {
            store_answer answer = ReadRelayAnswer(status, body);
-           const bool is_bad =
-               answer.status == store_answer::status_type::kSilent ||
-               source_.IsTooOld(answer.sound_age);
-           if (is_bad) {
-             options_.count("relay_failed");
-             source_.OnFailed(at, address);
+           const bool is_silent =
+               answer.status == store_answer::status_type::kSilent;
+           if (is_silent || source_.IsTooOld(answer.sound_age)) {
+             options_.count(is_silent ? "relay_failed" : "relay_too_old");
+             source_.OnFailed(at, address, !is_silent);
            } else {
              source_.OnAnswered(address);
            }
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -21,6 +21,7 @@
   /// Where this process relays; empty when it only asks others.
   std::string relay_address;
   store_mirror_options mirror;
+  milliseconds most_relay_age{1100};  ///< Of the word of a relay.
   /// Takes news in the control thread.
   /// @param view Null when only the time of the last sound word has changed.
   std::function<void(std::shared_ptr<const site_view> view, time_point sound)>
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -46,7 +46,7 @@
   constexpr int kProcesses = 20;
   mirror_source reader = SourceOf("other", kProcesses);
   const std::string first = reader.Choose(kStart);
-  reader.OnFailed(kStart, first);
+  reader.OnFailed(kStart, first, false);
   const std::string second = reader.Choose(kStart);
   BOOST_TEST(second != first);
   BOOST_TEST(reader.IsRelay(second));
@@ -54,19 +54,31 @@
   mirror_source standby =
       SourceOf(second.substr(0, second.find(':')), kProcesses);
   BOOST_TEST(standby.Choose(kStart) == first);
-  standby.OnFailed(kStart, first);
+  standby.OnFailed(kStart, first, false);
   BOOST_TEST(standby.Choose(kStart) == kStore);
-  reader.OnFailed(kStart, second);
+  reader.OnFailed(kStart, second, false);
   BOOST_TEST(reader.Choose(kStart) == kStore);
   BOOST_TEST(reader.Choose(kStart + seconds(4)) == first);
 }
 
+// A relay whose processor is busy hears from the store somewhat late; all its
+// readers at the store for seconds would cost far more than one call each.
+BOOST_AUTO_TEST_CASE(a_relay_with_an_old_word_is_asked_again_soon) {
+  mirror_source reader = SourceOf("other", 3);
+  const std::string first = reader.Choose(kStart);
+  reader.OnFailed(kStart, first, true);
+  BOOST_TEST(reader.Choose(kStart) != first);
+  BOOST_TEST(reader.Choose(kStart + milliseconds(700)) == first);
+  // It answers, so it is not lost.
+  BOOST_TEST(!reader.LostRelay(kStart + seconds(60)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_that_only_fails_is_lost_after_a_while) {
   mirror_source reader = SourceOf("other", 3);
   const std::string first = reader.Choose(kStart);
   time_point now = kStart;
   for (int i = 0; i < 5; ++i) {
-    reader.OnFailed(now, first);
+    reader.OnFailed(now, first, false);
     BOOST_TEST(!reader.LostRelay(now).has_value());
     now += seconds(4);
   }
