Change: Readers pass from one relay that is cut off to the next

Change: four relays a domain, each asking those before it; a relay without the store answers 503 at once, also those that wait, and the next one is asked without a pause. After two silent ones the store is asked.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -66,10 +66,14 @@
 }
 
 const std::string& mirror_source::Choose(time_point now) const {
+  size_t silent = 0;
   for (const relay_place& relay : relays_) {
-    auto it = avoided_until_.find(relay.address);
-    if (it == avoided_until_.end() || now >= it->second)
+    auto it = avoided_.find(relay.address);
+    if (it == avoided_.end() || now >= it->second.until)
       return relay.address;
+    silent += it->second.is_silent ? 1 : 0;
+    if (silent >= options_.most_silent)
+      break;  // Each costs the time of a call.
   }
   return options_.store_address;
 }
@@ -79,8 +83,9 @@
                              bool is_old) {
   if (!IsRelay(address))
     return;
-  avoided_until_[address] =
-      now + (is_old ? options_.avoid_old : options_.avoid);
+  avoided_[address] = {
+      .until = now + (is_old ? options_.avoid_old : options_.avoid),
+      .is_silent = !is_old};
   if (!is_old)
     failing_since_.emplace(address, now);
 }
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -45,9 +45,11 @@
 struct mirror_source_options {
   std::string node;  ///< Of this process.
   std::string store_address;
-  /// Of a domain. The first asks the store; the second asks the first, and
-  /// takes its part when that is silent or cut off.
-  size_t relays = 2;
+  /// Of a domain. The first asks the store; each other one asks those before
+  /// it, and takes their part when they are silent or cut off. The store may
+  /// turn a third of all machines away.
+  size_t relays = 4;
+  size_t most_silent = 2;  ///< Silent ones before the store is asked.
   /// Age of a relay's word at which it counts as cut off from the store. One
   /// that is not hears from it every half second, and somewhat later when its
   /// processor is busy.
@@ -84,8 +86,13 @@
 
  private:
   mirror_source_options options_;
-  std::vector<relay_place> relays_;                  ///< Best first.
-  std::map<std::string, time_point> avoided_until_;  ///< By address.
+  std::vector<relay_place> relays_;  ///< Best first.
+  struct avoidance {
+    time_point until{};
+    bool is_silent = false;
+  };
+
+  std::map<std::string, avoidance> avoided_;         ///< By address.
   std::map<std::string, time_point> failing_since_;  ///< By address.
 };
 
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -20,6 +20,7 @@
 constexpr milliseconds kRegisterPause{2000};  // For the watch to tell of it.
 constexpr size_t kMostMirrorBytes = 64U << 20;
 constexpr size_t kMostWaiters = 512;
+constexpr int kCutOff = 503;  // Of a relay that has no word from the store.
 constexpr std::string_view kRegisteredPrefix = "relays/";
 
 std::string RelayRequest(const store_call& call, const std::string& address) {
@@ -30,6 +31,8 @@
 
 store_answer ReadRelayAnswer(int status, const std::string& body) {
   store_answer answer;
+  if (status == kCutOff)
+    answer.status = store_answer::status_type::kRefused;
   if (status != 200)
     return answer;
   auto bytes = Inflate(body, kMostMirrorBytes);
@@ -114,13 +117,20 @@
            store_answer answer = ReadRelayAnswer(status, body);
            const bool is_silent =
                answer.status == store_answer::status_type::kSilent;
-           if (is_silent || source_.IsTooOld(answer.sound_age)) {
-             options_.count(is_silent ? "relay_failed" : "relay_too_old");
+           const bool is_cut_off =
+               answer.status == store_answer::status_type::kRefused;
+           if (is_silent || is_cut_off || source_.IsTooOld(answer.sound_age)) {
+             options_.count(is_silent    ? "relay_failed"
+                            : is_cut_off ? "relay_cut_off"
+                                         : "relay_too_old");
              source_.OnFailed(at, address, !is_silent);
            } else {
              source_.OnAnswered(address);
            }
-           OnAnswer(at, answer);
+           if (!is_silent && !is_cut_off)
+             return OnAnswer(at, answer);
+           mirror_.Withdraw(at);
+           loop_.Post([this] { Step(BootNow()); });
          });
     return;
   }
@@ -159,6 +169,8 @@
   const bool has_news = mirror_.OnAnswer(now, answer);
   if (mirror_.IsReachable() != was_reachable_) {
     was_reachable_ = mirror_.IsReachable();
+    if (!was_reachable_)
+      TurnWaitersAway(now);
     LogEvent(was_reachable_ ? log_event::kStoreReachable
                             : log_event::kStoreUnreachable,
              options_.store_address +
@@ -297,8 +309,9 @@
     from->Answer(now, MakeAnswer(400), "malformed query\n");
     return;
   }
-  if (!mirror_.IsKnown() || waiters_.size() >= kMostWaiters) {
-    from->Answer(now, MakeAnswer(503), "nothing to relay\n");
+  if (!mirror_.IsKnown() || !mirror_.IsReachable() ||
+      waiters_.size() >= kMostWaiters) {
+    from->Answer(now, MakeAnswer(kCutOff), "nothing to relay\n");
     return;
   }
   if (relay_.HasNews(item.after) || IsStale(now)) {
@@ -333,6 +346,13 @@
   item.connection->Answer(now, MakeAnswer(200), packed_);
 }
 
+void site_watch::TurnWaitersAway(time_point now) {
+  std::vector<waiter> waiting;
+  waiting.swap(waiters_);
+  for (const waiter& item : waiting)
+    item.connection->Answer(now, MakeAnswer(kCutOff), "nothing to relay\n");
+}
+
 void site_watch::AnswerWaiters(time_point now) {
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -75,6 +75,8 @@
                       const http_request& request);
   void AnswerWaiter(time_point now, const waiter& item);
   void AnswerWaiters(time_point now);
+  /// Sends all that wait to another relay.
+  void TurnWaitersAway(time_point now);
   /// Whether those that wait should rather ask another.
   bool IsStale(time_point now) const;
   http_listener_hooks RelayHooks();
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -90,6 +90,12 @@
   /// Takes the answer to the last call.
   /// @return Whether what is believed has changed.
   bool OnAnswer(time_point now, const store_answer& answer);
+  /// Drops the call on its way, whose source has nothing to tell; another
+  /// source may be asked at once.
+  void Withdraw(time_point now) {
+    is_waiting_ = false;
+    next_at_ = now;
+  }
   /// Drops missing entries whose time to come back is over.
   /// @return Whether any was dropped.
   bool Step(time_point now);
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -61,6 +61,20 @@
   BOOST_TEST(reader.Choose(kStart + seconds(4)) == first);
 }
 
+// The store turned away a third of all machines, the relays among them; all
+// their readers at the store at once filled the link between regions.
+BOOST_AUTO_TEST_CASE(relays_that_are_cut_off_are_passed_over_one_by_one) {
+  mirror_source reader = SourceOf("other", 20);
+  std::set<std::string> asked;
+  for (int i = 0; i < 4; ++i) {
+    const std::string address = reader.Choose(kStart);
+    BOOST_TEST(reader.IsRelay(address));
+    BOOST_TEST(asked.insert(address).second);
+    reader.OnFailed(kStart, address, true);
+  }
+  BOOST_TEST(reader.Choose(kStart) == kStore);
+}
+
 // A relay whose processor is busy hears from the store somewhat late; all its
 // readers at the store for seconds would cost far more than one call each.
 BOOST_AUTO_TEST_CASE(a_relay_with_an_old_word_is_asked_again_soon) {
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -114,6 +114,16 @@
   BOOST_TEST(it.mirror.Items().size() == 4u);
 }
 
+BOOST_AUTO_TEST_CASE(a_withdrawn_call_is_made_elsewhere_at_once) {
+  listed_mirror it(Servers(2), 5);
+  it.Next();
+  it.mirror.Withdraw(it.now);
+  const auto call = it.mirror.NextCall(it.now);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kWatch));
+  BOOST_TEST(it.mirror.IsReachable());
+}
+
 // A configuration changed so often that all that a watch had to tell took
 // longer than its answer may, and each new try had more to tell.
 BOOST_AUTO_TEST_CASE(a_watch_without_an_answer_is_followed_by_a_listing) {
