--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -68,7 +68,8 @@
           .tenant_regions = &item.tenant_regions,
           .model = item.is_model ? item.request.model : std::string(),
           .tried = &item.tried,
-          .answer_tokens = item.request.hinted_tokens};
+          .answer_tokens = item.request.hinted_tokens,
+          .weights = item.weights};
 }
 
 std::string call_dispatch::Describe(time_point now, const call& item) const {
@@ -253,7 +254,8 @@
   item->step_at = now + limit;
   attempt_terms terms{.instance = item->server.id,
                       .tenant = item->tenant,
-                      .last_event = item->last_event};
+                      .last_event = item->last_event,
+                      .weights = item->weights};
   terms.time_left =
       std::chrono::duration_cast<milliseconds>(item->deadline - now);
   hooks_.log(log_event::kAttemptSent,
@@ -295,6 +297,7 @@
     item->step_at = std::min(item->deadline, now + options_.stream_silence);
     if (!item->is_streaming) {
       item->is_streaming = true;
+      item->weights = head.weights;
       hooks_.begin_stream(id);
     }
   }
@@ -356,7 +359,12 @@
   if (item->head.did_not_run) {
     --item->sends;
     if (item->head.status == kMisdirected) {
-      board_.OnGone(item->server);
+      // It may also be there with another version than the one expected.
+      const bool is_other = item->head.instance.empty()
+                                ? !item->weights.has_value()
+                                : item->head.instance != item->server.id;
+      if (is_other)
+        board_.OnGone(item->server);
     } else {
       board_.OnFull(now, item->server.id, options_.least_attempt);
       // A full server is none that fails: it may be asked again.
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -167,6 +167,7 @@
     server_answer head;
     bool is_streaming = false;  ///< Whether the caller has the head.
     std::optional<uint64_t> last_event;
+    std::optional<uint64_t> weights;  ///< Version that the stream began with.
     event_splitter events;
     std::string body;  ///< Of answers that are not streamed.
     std::optional<milliseconds> free_after;  ///< Least one told by denials.
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -48,6 +48,7 @@
   uint32_t waiting = 0;
   uint32_t slots = 0;
   std::string instance;
+  std::optional<uint64_t> weights;  ///< Version that a stream begins with.
 };
 
 }  // namespace fuchsiafall
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -50,6 +50,8 @@
   const uint32_t layers =
       service != nullptr && service->engine ? service->engine->layers : 1;
   const uint64_t served = ServedVersion(server.models, query.model, layers);
+  if (query.weights && served != *query.weights)
+    return false;
   return served > 0 && !IsOutdated(now, query.model, served, query.is_unasked);
 }
 
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -63,6 +63,8 @@
   /// Whether the request would be sent without the word of the server's agent.
   bool is_unasked = false;
   uint32_t answer_tokens = 0;  ///< Expected.
+  /// Only version that may serve it: the one that began a resumed stream.
+  std::optional<uint64_t> weights;
 };
 
 /// Chooses servers by load, with the own domain first, and keeps those away
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -1,5 +1,6 @@
 /// @file call_dispatch_test.cc Requests at a hosted entry: at most once, true
 /// refusals, resumed streams, places.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fake_site.h"
@@ -105,6 +106,54 @@
   BOOST_TEST(it.text == "<id:1\n\nid:2\n\nid:3\n\n>");
 }
 
+// While a version is rolled out, servers of both serve side by side.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_never_mixes_two_versions) {
+  fake_entry it;
+  it.Request(1, "models");
+  it.Grant();
+  const begun_attempt first = it.attempts.back();
+  it.dispatch.OnHead(
+      it.now, first.call, first.number,
+      {.status = 200, .call_id = "r1", .is_sealed = true, .weights = 1}, true);
+  it.Body("id:1\n\n");
+  site_view view = it.site.index->View();
+  const std::string other = first.server == "m1" ? "m2" : "m1";
+  view.servers[other].models = {{"model", 2, 0, 16}};
+  it.site.Set(view);
+  it.dispatch.SetIndex(it.site.index.get());
+  it.End(exchange_end::kBroken);
+  // The only other server has the next version.
+  BOOST_TEST(it.attempts.size() == 1u);
+  BOOST_TEST(it.text == "<id:1\n\n|");
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_names_the_version_that_began_it) {
+  fake_entry it;
+  it.Request(1, "models");
+  it.Grant();
+  const begun_attempt first = it.attempts.back();
+  BOOST_TEST(!first.terms.weights.has_value());
+  it.dispatch.OnHead(
+      it.now, first.call, first.number,
+      {.status = 200, .call_id = "r1", .is_sealed = true, .weights = 1}, true);
+  it.Body("id:1\n\n");
+  it.End(exchange_end::kBroken);
+  it.Grant();
+  BOOST_REQUIRE(it.attempts.size() == 2u);
+  BOOST_TEST(it.attempts.back().terms.weights.value_or(0) == 1u);
+  // It has loaded meanwhile: nothing is wrong with the server for others.
+  const std::string loaded = it.attempts.back().server;
+  it.Head(421, false, true);
+  it.End(exchange_end::kComplete);
+  BOOST_TEST(it.text.ends_with("|"));
+  it.Request(2, "models");
+  it.asked.clear();
+  it.dispatch.OnPlace(it.now, it.asks.back().call, {.slots = 0});
+  it.Request(3, "models");
+  it.dispatch.OnPlace(it.now, it.asks.back().call, {.slots = 0});
+  BOOST_TEST(std::count(it.asked.begin(), it.asked.end(), loaded) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_does_not_look_complete) {
   fake_entry it;
   it.Request(1, "models");
