Feature: A soak of the hosted processes; readers wait for their relays after an outage

Change: a process whose relays are there but without the store asks it directly only every 1 to 3 s after a failure; the relays hear of its return first.

--- a/src/harness/child_process.cc
+++ b/src/harness/child_process.cc
@@ -14,8 +14,11 @@
 namespace fuchsiafall::harness {
 
 child_process::child_process(std::vector<std::string> arguments,
-                             std::string log)
-    : arguments_(std::move(arguments)), log_(std::move(log)) {}
+                             std::string log,
+                             std::vector<std::string> variables)
+    : arguments_(std::move(arguments)),
+      log_(std::move(log)),
+      variables_(std::move(variables)) {}
 
 child_process::~child_process() {
   if (IsRunning())
@@ -28,13 +31,20 @@
   for (std::string& argument : arguments_)
     argv.push_back(argument.data());
   argv.push_back(nullptr);
+  std::vector<char*> environment;
+  for (char** variable = environ; *variable != nullptr; ++variable)
+    environment.push_back(*variable);
+  for (std::string& variable : variables_)
+    environment.push_back(variable.data());
+  environment.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   exit_code_.reset();
-  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) != 0)
+  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(),
+                  environment.data()) != 0)
     pid_ = -1;
   posix_spawn_file_actions_destroy(&actions);
 }
--- a/src/harness/fleet.cc
+++ b/src/harness/fleet.cc
@@ -32,10 +32,6 @@
 constexpr seconds kStartLongest{30};
 constexpr seconds kStopLongest{20};
 
-std::string ProgramFolder() {
-  return std::filesystem::read_symlink("/proc/self/exe").parent_path();
-}
-
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   return {(std::istreambuf_iterator<char>(file)),
@@ -107,6 +103,10 @@
   }
 }
 
+std::string ProgramFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
 std::string NewFolder(const std::string& name) {
   std::string folder =
       (std::filesystem::temp_directory_path() / ("fuchsiafall-" + name))
--- a/src/harness/fleet.h
+++ b/src/harness/fleet.h
@@ -21,7 +21,10 @@
 /// Process that is ended with the object.
 class child_process {
  public:
-  child_process(std::vector<std::string> arguments, std::string log);
+  /// @param variables Added to the environment, as NAME=VALUE.
+  child_process(std::vector<std::string> arguments,
+                std::string log,
+                std::vector<std::string> variables = {});
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
@@ -43,6 +46,7 @@
  private:
   std::vector<std::string> arguments_;
   std::string log_;
+  std::vector<std::string> variables_;
   pid_t pid_ = -1;
   std::optional<int> exit_code_;
 };
@@ -182,6 +186,9 @@
                                       const std::string& name);
 std::string ReadJsonText(const std::string& text, const std::string& name);
 
+/// Folder of this program and of those built beside it.
+std::string ProgramFolder();
+
 /// Folder for a run's settings and logs, empty at its start.
 std::string NewFolder(const std::string& name);
 
--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -57,15 +57,19 @@
   for (const relay_place& place : registered)
     nodes.push_back(place.node);
   relays_.clear();
+  is_relay_ = false;
   for (size_t i : RendezvousRank("relay", nodes, options_.relays)) {
     // A relay asks only those before it, so that none waits for itself.
-    if (nodes[i] == options_.node)
+    if (nodes[i] == options_.node) {
+      is_relay_ = true;
       return;
+    }
     relays_.push_back(registered[i]);
   }
 }
 
 const std::string& mirror_source::Choose(time_point now) const {
+  static const std::string none;
   size_t silent = 0;
   for (const relay_place& relay : relays_) {
     auto it = avoided_.find(relay.address);
@@ -73,9 +77,10 @@
       return relay.address;
     silent += it->second.is_silent ? 1 : 0;
     if (silent >= options_.most_silent)
-      break;  // Each costs the time of a call.
+      return options_.store_address;  // Each costs the time of a call.
   }
-  return options_.store_address;
+  const bool has_relays = !is_relay_ && relays_.size() > silent;
+  return has_relays && now < direct_at_ ? none : options_.store_address;
 }
 
 void mirror_source::OnFailed(time_point now,
@@ -90,6 +95,14 @@
     failing_since_.emplace(address, now);
 }
 
+void mirror_source::OnStoreFailed(time_point now) {
+  const double share =
+      static_cast<double>(Hash64(options_.node, 0) % 1000) / 1000;
+  direct_at_ =
+      now + options_.direct_pause / 2 +
+      std::chrono::duration_cast<duration>(options_.direct_pause * share);
+}
+
 std::optional<std::string> mirror_source::LostRelay(time_point now) const {
   for (const relay_place& relay : relays_) {
     auto it = failing_since_.find(relay.address);
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -57,6 +57,11 @@
   milliseconds avoid{3000};  ///< Of a source that is silent.
   /// Of one whose word is too old: it may be fresh again with its next answer.
   milliseconds avoid_old{600};
+  /// Between two calls to the store that fail, of one whose relays are there
+  /// and have no word from it either: they hear of its return first, and all
+  /// their readers at it would fill the link just then. Varies by a half with
+  /// the process.
+  milliseconds direct_pause{2000};
   /// After which a relay that only failed counts as removed for good.
   milliseconds lost{20000};
 };
@@ -69,10 +74,12 @@
       : options_(std::move(options)) {}
 
   void SetRelays(const std::vector<relay_place>& registered);
-  /// Address to ask now.
+  /// Address to ask now; empty while the relays are to be asked first.
   const std::string& Choose(time_point now) const;
+  /// The store has failed to answer this process itself.
+  void OnStoreFailed(time_point now);
   bool IsRelay(const std::string& address) const {
-    return address != options_.store_address;
+    return !address.empty() && address != options_.store_address;
   }
   /// @param is_old Whether it answered, with a word that is too old.
   void OnFailed(time_point now, const std::string& address, bool is_old);
@@ -87,6 +94,8 @@
  private:
   mirror_source_options options_;
   std::vector<relay_place> relays_;  ///< Best first.
+  bool is_relay_ = false;            ///< Whether others ask this process.
+  time_point direct_at_{};           ///< The store is not asked before.
   struct avoidance {
     time_point until{};
     bool is_silent = false;
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -96,10 +96,13 @@
   if (mirror_.Step(now))
     Publish(now);
   pool_.CloseIdle(now);
-  const bool is_relayed = source_.IsRelay(source_.Choose(now));
-  if (auto call = mirror_.NextCall(now, is_relayed))
-    CallMirror(now, *call);
+  const std::string& address = source_.Choose(now);
   time_point next = now + kMirrorStep;
+  if (address.empty()) {
+    next = now + kWaiterStep;  // A relay may be asked again soon.
+  } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address))) {
+    CallMirror(now, *call);
+  }
   if (mirror_.NextCallAt() > now)
     next = std::min(next, mirror_.NextCallAt());
   next_step_ = loop_.StartTimer(next, [this](time_point at) {
@@ -145,8 +148,11 @@
          // Without news, a watch is answered only when its wait is over.
          if (answer.items.empty())
            answer.held = call.wait;
-         if (answer.status == store_answer::status_type::kOk)
+         if (answer.status == store_answer::status_type::kOk) {
            RemoveLostRelay(at);
+         } else if (answer.status != store_answer::status_type::kHistoryGone) {
+           source_.OnStoreFailed(at);
+         }
          OnAnswer(at, answer);
        });
 }
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -77,6 +77,38 @@
 
 // A relay whose processor is busy hears from the store somewhat late; all its
 // readers at the store for seconds would cost far more than one call each.
+// The store was away for seconds. When it came back, every process listed it at
+// once, and the link between regions carried none of the listings in time.
+BOOST_AUTO_TEST_CASE(
+    few_readers_ask_a_store_that_comes_back_before_the_relays) {
+  constexpr int kProcesses = 40;
+  int direct = 0;
+  int relays = 0;
+  const time_point back = kStart + milliseconds(300);
+  for (int i = 0; i < kProcesses; ++i) {
+    mirror_source source = SourceOf("n" + std::to_string(i), kProcesses);
+    // All relays answer that they are cut off; the store has failed just now.
+    while (source.IsRelay(source.Choose(kStart)))
+      source.OnFailed(kStart, source.Choose(kStart), true);
+    const bool is_relay = source.Choose(kStart) == kStore;
+    source.OnStoreFailed(kStart);
+    relays += source.Choose(back) == kStore ? 1 : 0;
+    BOOST_TEST(is_relay);
+    // A relay hears of it within 0.9 s; till then its readers wait for it.
+    for (int ms = 0; ms < 900; ms += 100) {
+      const time_point at = back + milliseconds(ms);
+      while (source.IsRelay(source.Choose(at)))
+        source.OnFailed(at, source.Choose(at), true);
+      if (source.Choose(at) == kStore) {
+        ++direct;
+        break;
+      }
+    }
+  }
+  BOOST_TEST(relays == 4);
+  BOOST_TEST(direct - relays <= kProcesses / 4);
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_with_an_old_word_is_asked_again_soon) {
   mirror_source reader = SourceOf("other", 3);
   const std::string first = reader.Choose(kStart);
--- /dev/null
+++ b/src/tests/soak/store_standin.cc
@@ -0,0 +1,237 @@
+/// @file store_standin.cc The platform's store for the soak.
+#include "tests/soak/store_standin.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/URI.h>
+
+#include <sstream>
+
+namespace fuchsiafall::soak {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr size_t kPage = 50;  // Items of one page.
+constexpr milliseconds kWatchStep{50};
+
+std::string ToBase64(const std::string& text) {
+  std::ostringstream out;
+  Poco::Base64Encoder encoder(out);
+  encoder.rdbuf()->setLineLength(0);
+  encoder << text;
+  encoder.close();
+  return out.str();
+}
+
+std::string FromBase64(const std::string& text) {
+  std::istringstream in(text);
+  Poco::Base64Decoder decoder(in);
+  return std::string(std::istreambuf_iterator<char>(decoder), {});
+}
+
+std::string ToText(const Object& body) {
+  std::ostringstream text;
+  body.stringify(text);
+  return text.str();
+}
+
+std::map<std::string, std::string> QueryOf(const Poco::URI& uri) {
+  std::map<std::string, std::string> query;
+  for (const auto& [name, value] : uri.getQueryParameters())
+    query[name] = value;
+  return query;
+}
+
+}  // namespace
+
+store_standin::store_standin(event_loop* loop, uint64_t seed)
+    : loop_(loop),
+      random_(seed),
+      listener_(loop,
+                {},
+                {.on_request =
+                     [this](time_point now,
+                            const auto& from,
+                            http_request&& request) {
+                       OnRequest(now, from, request);
+                     },
+                 .on_gone =
+                     [this](time_point, http_server_connection* gone) {
+                       std::erase_if(watchers_, [gone](const watcher& item) {
+                         return item.connection.get() == gone;
+                       });
+                     }}) {}
+
+outcome<done> store_standin::Listen(const std::string& address) {
+  auto listening = listener_.Listen(address);
+  if (listening)
+    AnswerWatchers(BootNow());
+  return listening;
+}
+
+void store_standin::OnRequest(
+    time_point now,
+    const std::shared_ptr<http_server_connection>& from,
+    const http_request& request) {
+  ++calls;
+  if (mode == store_mode::kSilent)
+    return;
+  if (mode == store_mode::kReset)
+    return from->Break();
+  if (mode == store_mode::kBusy)
+    return Answer(from, 503, "{}");
+  const Poco::URI uri(request.head.getURI());
+  auto query = QueryOf(uri);
+  if (uri.getPath() == "/kv-range")
+    return Answer(from, 200, Range(query["Prefix"], query["After"]));
+  if (uri.getPath() == "/kv-watch") {
+    return Watch(now,
+                 {.connection = from,
+                  .prefix = query["Prefix"],
+                  .after = std::stoull(query["After"]),
+                  .until = now + milliseconds(std::stol(query["WaitMs"]))});
+  }
+  if (uri.getPath() == "/kv-txn")
+    return Change(now, from, request.body);
+  Answer(from, 404, "{}");
+}
+
+void store_standin::Answer(const std::shared_ptr<http_server_connection>& to,
+                           int status,
+                           const std::string& body) {
+  auto send = [to, status, body](time_point now) {
+    auto head = MakeAnswer(status);
+    head.setContentType("application/json");
+    to->Answer(now, head, body);
+  };
+  if (delay == milliseconds(0))
+    return send(BootNow());
+  loop_->StartTimer(BootNow() + delay, send);
+}
+
+std::string store_standin::Range(const std::string& prefix,
+                                 const std::string& after) const {
+  Array found;
+  bool has_more = false;
+  for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
+    if (!it->first.starts_with(prefix))
+      continue;
+    if (found.size() >= kPage) {
+      has_more = true;
+      break;
+    }
+    Object row;
+    row.set("Key", it->first);
+    row.set("Value", ToBase64(it->second.value));
+    row.set("Revision", it->second.revision);
+    row.set("LeaseId", 0);
+    found.add(row);
+  }
+  Object body;
+  body.set("Items", found);
+  body.set("HasMore", has_more);
+  body.set("At", revision_);
+  return ToText(body);
+}
+
+void store_standin::Watch(time_point now, const watcher& item) {
+  if (item.after < compacted_)
+    return Answer(item.connection, 410, "{}");
+  if (!AnswerWatch(item, now >= item.until))
+    watchers_.push_back(item);
+}
+
+bool store_standin::AnswerWatch(const watcher& item, bool is_over) {
+  Array events;
+  for (auto it = history_.upper_bound(item.after); it != history_.end(); ++it) {
+    if (!it->second.key.starts_with(item.prefix))
+      continue;
+    Object row;
+    row.set("Key", it->second.key);
+    row.set("Revision", it->first);
+    if (it->second.is_deleted) {
+      row.set("Deleted", true);
+    } else {
+      row.set("Value", ToBase64(it->second.value));
+    }
+    events.add(row);
+  }
+  if (events.size() == 0 && !is_over)
+    return false;
+  Object body;
+  body.set("events", events);
+  body.set("At", revision_);
+  Answer(item.connection, 200, ToText(body));
+  return true;
+}
+
+void store_standin::AnswerWatchers(time_point now) {
+  if (mode == store_mode::kOpen) {
+    std::erase_if(watchers_, [&](const watcher& item) {
+      return AnswerWatch(item, now >= item.until);
+    });
+  }
+  listener_.CheckTimes(now);
+  loop_->StartTimer(now + kWatchStep,
+                    [this](time_point at) { AnswerWatchers(at); });
+}
+
+void store_standin::Change(time_point,
+                           const std::shared_ptr<http_server_connection>& from,
+                           const std::string& body) {
+  const auto wanted_change =
+      Poco::JSON::Parser().parse(body).extract<Object::Ptr>();
+  for (const auto& row : *wanted_change->getArray("Precondition")) {
+    const auto wanted = row.extract<Object::Ptr>();
+    auto known = items_.find(wanted->getValue<std::string>("Key"));
+    const uint64_t revision =
+        known == items_.end() ? 0 : known->second.revision;
+    if (revision != wanted->getValue<uint64_t>("Revision"))
+      return Answer(from, 412, R"({"Items":[]})");
+  }
+  for (const auto& row : *wanted_change->getArray("Puts")) {
+    const auto put = row.extract<Object::Ptr>();
+    const std::string value = FromBase64(put->getValue<std::string>("Value"));
+    Apply(put->getValue<std::string>("Key"), &value);
+  }
+  for (const auto& key : *wanted_change->getArray("Remove"))
+    Apply(key.convert<std::string>(), nullptr);
+  if (std::uniform_real_distribution<double>(0, 1)(random_) < lose_share)
+    return from->Break();
+  Answer(from, 200, "{\"Revision\":" + std::to_string(revision_) + "}");
+}
+
+void store_standin::Apply(const std::string& key, const std::string* value) {
+  ++revision_;
+  if (value != nullptr) {
+    items_[key] = {*value, revision_};
+    history_[revision_] = {key, *value, false};
+  } else {
+    items_.erase(key);
+    history_[revision_] = {key, "", true};
+  }
+}
+
+void store_standin::Put(const std::string& key, const std::string& value) {
+  Apply(key, &value);
+}
+
+void store_standin::Remove(const std::string& key) {
+  if (items_.contains(key))
+    Apply(key, nullptr);
+}
+
+void store_standin::Compact() {
+  compacted_ = revision_;
+  history_.clear();
+  for (const watcher& item : watchers_)
+    item.connection->Break();
+  watchers_.clear();
+}
+
+}  // namespace fuchsiafall::soak
--- /dev/null
+++ b/src/tests/soak/store_standin.h
@@ -0,0 +1,79 @@
+/// @file store_standin.h The platform's store for the soak: items, watches,
+/// conditions, and its own faults.
+#ifndef TESTS_SOAK_STORE_STANDIN_H_
+#define TESTS_SOAK_STORE_STANDIN_H_
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "network/http_listener.h"
+
+namespace fuchsiafall::soak {
+
+/// How the store treats calls.
+enum class store_mode { kOpen, kSilent, kBusy, kReset };
+
+/// Speaks the platform's protocol out of memory, in the soak's loop.
+class store_standin {
+ public:
+  store_standin(event_loop* loop, uint64_t seed);
+  outcome<done> Listen(const std::string& address);
+
+  /// Writes as the operator or a server does, which no fault holds up.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  /// Drops the history; watches that wait are cut.
+  void Compact();
+
+  store_mode mode = store_mode::kOpen;
+  milliseconds delay{0};  ///< Before each answer.
+  double lose_share = 0;  ///< Of the answers to writes that were done.
+  uint64_t calls = 0;
+
+ private:
+  struct stored_item {
+    std::string value;
+    uint64_t revision = 0;
+  };
+  struct stored_change {
+    std::string key;
+    std::string value;
+    bool is_deleted = false;
+  };
+  struct watcher {
+    std::shared_ptr<http_server_connection> connection;
+    std::string prefix;
+    uint64_t after = 0;
+    time_point until{};
+  };
+
+  void OnRequest(time_point now,
+                 const std::shared_ptr<http_server_connection>& from,
+                 const http_request& request);
+  void Answer(const std::shared_ptr<http_server_connection>& to,
+              int status,
+              const std::string& body);
+  std::string Range(const std::string& prefix, const std::string& after) const;
+  void Watch(time_point now, const watcher& item);
+  bool AnswerWatch(const watcher& item, bool is_over);
+  void Change(time_point now,
+              const std::shared_ptr<http_server_connection>& from,
+              const std::string& body);
+  void Apply(const std::string& key, const std::string* value);
+  void AnswerWatchers(time_point now);
+
+  event_loop* loop_;
+  std::mt19937_64 random_;
+  http_listener listener_;
+  std::map<std::string, stored_item> items_;
+  std::map<uint64_t, stored_change> history_;
+  uint64_t revision_ = 1;
+  uint64_t compacted_ = 0;  ///< History up to here is gone.
+  std::vector<watcher> watchers_;
+};
+
+}  // namespace fuchsiafall::soak
+
+#endif  // TESTS_SOAK_STORE_STANDIN_H_
