--- a/src/manifest_book.cc
+++ b/src/manifest_book.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr uint32_t kAgreeing = 2;  // Readings that settle a doubt.
+/// Wrong answers for one piece after which a settled manifest is in doubt
+/// again: two readings may have been spoilt in the same way.
+constexpr uint32_t kPersistent = 4;
 
 outcome<version_manifest> MakeManifest(const weights_manifest& from) {
   version_manifest made;
@@ -82,6 +85,11 @@
   if (place == places_.end())
     return;
   note& item = notes_[place->second.version];
+  if (++item.wrong[piece] >= kPersistent) {
+    item.wrong.clear();
+    for (reading& read : item.readings)
+      read.times = 0;
+  }
   const bool is_settled =
       std::any_of(item.readings.begin(), item.readings.end(),
                   [](const reading& read) { return read.times >= kAgreeing; });
--- a/src/manifest_book_base.h
+++ b/src/manifest_book_base.h
@@ -66,7 +66,8 @@
     size_t used = 0;  ///< Among the readings.
     bool is_reading = false;
     bool is_doubted = false;
-    time_point next_at{};  ///< Not read again before.
+    time_point next_at{};              ///< Not read again before.
+    std::map<digest, uint32_t> wrong;  ///< Wrong answers, by piece.
   };
   void Index(uint64_t version, const version_manifest& manifest);
 
--- a/src/tests/manifest_book_test.cc
+++ b/src/tests/manifest_book_test.cc
@@ -68,6 +68,22 @@
   BOOST_TEST(!book.WantsReading(now + seconds(60), kVersion));
 }
 
+// Seed 11 of the soak: the origin spoilt both readings in the same way.
+BOOST_AUTO_TEST_CASE(two_readings_that_agree_may_both_be_wrong) {
+  manifest_book book{{}};
+  time_point now = kStart;
+  for (int i = 0; i < 2; ++i) {
+    (void)book.OnAnswer(now, kVersion, Told('1'));
+    now += seconds(1);
+  }
+  const digest wrong = book.Find(kVersion)->pieces.back();
+  for (int i = 0; i < 4; ++i)
+    book.OnWrongPiece(wrong);
+  BOOST_REQUIRE(book.WantsReading(now, kVersion));
+  BOOST_TEST(*book.OnAnswer(now, kVersion, Told('0')));
+  BOOST_TEST((book.Find(kVersion)->pieces.back() != wrong));
+}
+
 BOOST_AUTO_TEST_CASE(a_spoilt_piece_costs_one_more_reading_at_most) {
   manifest_book book{{}};
   time_point now = kStart;
