Codechange: The soak ends what it started when a signal ends it; constants once

Cause: a soak that was ended left its processes running; some constants stood twice. Change: SIGTERM and SIGINT end its loop, and the processes with it.

--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -63,9 +63,7 @@
   broken.push_back(promise + ": " + detail);
 }
 
-void run_book::OnRun(time_point now,
-                     const std::string& id,
-                     milliseconds revoke) {
+void run_book::OnRun(const std::string& id, milliseconds revoke) {
   auto it = requests.find(id);
   if (it == requests.end())
     return Break("unasked", id);
@@ -79,7 +77,6 @@
   auto gone = revoked.find(item.key);
   if (gone != revoked.end() && item.sent_at > gone->second + revoke)
     Break("revoked key", id);
-  (void)now;
 }
 
 server_standin::server_standin(event_loop* loop,
@@ -274,10 +271,10 @@
       return refuse(421);
     if (loading_ > 0 || held_ == 0 || streams_.size() >= kSlots)
       return refuse(503);
-    book_->OnRun(now, id, kRevoke);
+    book_->OnRun(id, kRevoke);
     return BeginStream(now, from, request);
   }
-  book_->OnRun(now, id, kRevoke);
+  book_->OnRun(id, kRevoke);
   const bool is_lost = Draw(&random_) < faults_->lose_answers;
   loop_->StartTimer(now + kCallTime, [from, id, is_lost](time_point at) {
     if (is_lost)
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -42,7 +42,7 @@
 
   void Break(const std::string& promise, const std::string& detail);
   /// Notes that a server began to run a request.
-  void OnRun(time_point now, const std::string& id, milliseconds revoke);
+  void OnRun(const std::string& id, milliseconds revoke);
 };
 
 struct site_faults {
--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr char kProxyControl[] = "127.33.0.3:8100";
 constexpr seconds kControlTimeout{2};
 constexpr int kLeastPauseMs = 200;  // Between two faults.
 constexpr int kMostPauseMs = 1800;
--- a/src/tests/soak/soak_main.cc
+++ b/src/tests/soak/soak_main.cc
@@ -1,6 +1,8 @@
 /// @file soak_main.cc Command line of the soak: real processes on loopback
 /// under faults from outside, with the promises checked by what callers and
 /// servers see.
+#include <sys/signalfd.h>
+
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
@@ -44,6 +46,15 @@
   options.folder = harness::NewFolder("soak-" + std::to_string(options.seed));
   std::signal(SIGPIPE, SIG_IGN);
   event_loop loop;
+  // Ended by a signal, it ends what it started.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const int signal_fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  loop.Add(signal_fd, false,
+           [&loop](time_point, socket_events) { loop.Stop(); });
   soak::soak_site site(&loop, options);
   auto started = site.Start();
   if (!started) {
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -16,15 +16,11 @@
 constexpr char kStoreReal[] = "127.33.0.1:8107";
 constexpr char kOriginReal[] = "127.33.0.2:8106";
 constexpr char kOriginShown[] = "127.33.0.2:8006";
-constexpr char kProxyControl[] = "127.33.0.3:8100";
 constexpr uint64_t kMostRoutes = 30;   // Probe routes of a long run.
-constexpr size_t kLeastKeys = 3;       // That are never taken away.
 constexpr milliseconds kRestart{300};  // Between an end and the next start.
 constexpr seconds kGrace{8};
 constexpr seconds kGraceSlack{2};
 constexpr seconds kWarmUp{4};  // From the start to the first fault.
-constexpr seconds kSettle{8};  // From the last fault to the window.
-constexpr seconds kWindow{4};  // In which calm service is measured.
 constexpr double kLeastServed = 0.9;
 constexpr milliseconds kKeepStep{100};
 
@@ -174,7 +170,6 @@
 
 void soak_site::WriteConfiguration() {
   configuration_ = std::min(configuration_ + 1, kMostRoutes);
-  static uint64_t version = 0;
   std::ostringstream text;
   auto route = [&](const std::string& name, const std::string& host,
                    const std::string& prefix, const std::string& kind,
@@ -188,7 +183,7 @@
          << (kind == "streaming" ? "true" : "false")
          << R"(,"TargetGapMs":300,"AllowedRegions":[]})";
   };
-  text << R"({"Version":)" << ++version << R"(,"Routes":[)";
+  text << R"({"Version":)" << ++configuration_version_ << R"(,"Routes":[)";
   route("stream", "models.example", "/", "streaming", kModelService, 6000, 2);
   text << ",";
   route("book", "desk.example", "/book/", "non_idempotent", kPlainService, 1000,
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -12,6 +12,9 @@
 
 namespace fuchsiafall::soak {
 
+/// Control page of the proxy; ip:port.
+inline constexpr char kProxyControl[] = "127.33.0.3:8100";
+
 struct soak_options {
   uint64_t seed = 1;
   seconds span{30};       ///< Under faults.
@@ -78,7 +81,8 @@
   std::unique_ptr<soak_callers> callers_;
   std::unique_ptr<harness::child_process> proxy_;
   http_client_pool control_pool_;
-  uint64_t configuration_ = 0;
+  uint64_t configuration_ = 0;          ///< Probe routes of the newest one.
+  uint64_t configuration_version_ = 0;  ///< Of the newest one.
   uint64_t weights_ = 1;
   std::vector<std::string> keys_;
   bool is_healing_ = false;
