--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -247,7 +247,7 @@
   fake_entry it;
   auto elsewhere = [&] {
     it.Request(it.attempts.size() + 1, "plain");
-    const std::string first = it.attempts.back().server;
+    std::string first = it.attempts.back().server;
     it.Head(421, false, true);
     it.End(exchange_end::kComplete);
     it.Head(200, false);
--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -168,8 +168,7 @@
     case 2:
       Note("drain " + server.Id());
       server.Drain();
-      Until(Span(3000, 4000),
-            [this, &server] { server.Crash(BootNow(), true); });
+      Until(Span(3000, 4000), [&server] { server.Crash(BootNow(), true); });
       break;
     case 3:
       Note("answers lost");
