--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -131,7 +131,7 @@
 }
 
 std::string soak_site::WriteSettings(const soak_process& item) const {
-  const std::string path = options_.folder + "/" + item.name + ".conf";
+  std::string path = options_.folder + "/" + item.name + ".conf";
   const std::string ip =
       item.is_entry ? EntryIp(item.place) : ServerIp(item.place);
   std::ofstream file(path);
--- a/src/tests/soak/store_standin.cc
+++ b/src/tests/soak/store_standin.cc
@@ -187,7 +187,7 @@
   const auto wanted_change =
       Poco::JSON::Parser().parse(body).extract<Object::Ptr>();
   for (const auto& row : *wanted_change->getArray("Precondition")) {
-    const auto wanted = row.extract<Object::Ptr>();
+    const auto& wanted = row.extract<Object::Ptr>();
     auto known = items_.find(wanted->getValue<std::string>("Key"));
     const uint64_t revision =
         known == items_.end() ? 0 : known->second.revision;
@@ -195,7 +195,7 @@
       return Answer(from, 412, R"({"Items":[]})");
   }
   for (const auto& row : *wanted_change->getArray("Puts")) {
-    const auto put = row.extract<Object::Ptr>();
+    const auto& put = row.extract<Object::Ptr>();
     const std::string value = FromBase64(put->getValue<std::string>("Value"));
     Apply(put->getValue<std::string>("Key"), &value);
   }
