--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -235,14 +235,14 @@
       ++book_->counts["rotted just before an order"];
       continue;
     }
-    book_->Break("weights",
-                 id_ + " ordered to load version " + std::to_string(version) +
-                     " with piece " + std::to_string(i) + " wrong" +
-                     (rotted == rotted_at_.end()
-                          ? ""
-                          : ", rotted " +
-                                std::to_string(ToMs(now - rotted->second)) +
-                                " ms before"));
+    book_->Break(
+        "weights",
+        id_ + " ordered to load version " + std::to_string(version) +
+            " with piece " + std::to_string(i) + " wrong" +
+            (rotted == rotted_at_.end()
+                 ? ""
+                 : ", rotted " + std::to_string(ToMs(now - rotted->second)) +
+                       " ms before"));
     break;
   }
   loading_ = version;
