Fix: Count a naming from the store's last word before it, and grant less at a full link

A naming was counted from when this process read it, up to half a second after the store had accepted it; and requests waited 1.1 to 1.3 s behind pieces of weights at the link of a model server's VM, which its agent cannot see.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -41,9 +41,6 @@
 /// Part of the link for weights; questions for places share it, and datagrams
 /// are lost when it is full.
 constexpr double kBulkShare = 0.9;
-/// A granted request begins within this time: its wait in the engine's queue,
-/// with the passes that read the prompts before it (0.57 s was seen).
-constexpr milliseconds kOutdatedMargin{800};
 constexpr uint64_t kFirstVersion = 1;  // Until operators name another.
 
 /// The agent with its sockets. Everything runs in the traffic loop, but for
@@ -137,8 +134,8 @@
         // One named before this process watched may be due already.
         named_at_.emplace(
             version, naming.was_watched
-                         ? naming.seen_at
-                         : naming.seen_at - base_.Settings().weights_bound);
+                         ? naming.named_after
+                         : naming.named_after - base_.Settings().weights_bound);
       }
     }
     UpdateWorld(view);
@@ -226,7 +223,7 @@
     auto next = named_at_.upper_bound(steward_.ServedVersion());
     return next != named_at_.end() &&
            now - next->second >
-               base_.Settings().weights_bound - kOutdatedMargin;
+               base_.Settings().weights_bound - GrantMargin(now, piece_at_);
   }
 
   double ProgressOf(uint64_t version) const {
@@ -371,6 +368,8 @@
   }
 
   void OnBlob(time_point now, const blob_arrival& blob) {
+    if (blob.bytes)
+      piece_at_ = now;
     output_list out;
     transfer_.OnBlob(now, blob, &out);
     transfer_.Step(now, &out);
@@ -669,7 +668,8 @@
   manifest_book manifests_{{}};
   weights_plan plan_;
   uint64_t staged_version_ = 0;
-  std::vector<uint64_t> fetched_;  ///< Versions that the transfer knows.
+  std::vector<uint64_t> fetched_;       ///< Versions that the transfer knows.
+  std::optional<time_point> piece_at_;  ///< When one arrived last.
   bool has_transfer_ = false;
   bool is_staging_ = false;
   bool is_serving_ = false;
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -69,7 +69,7 @@
   // worst is assumed.
   if (!naming->was_watched)
     return is_unasked;
-  return now - naming->seen_at >
+  return now - naming->named_after >
          options_.weights_bound - options_.weights_margin;
 }
 
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -142,7 +142,9 @@
 
 /// When a version of the weights was named.
 struct version_naming {
-  time_point seen_at{};
+  /// Earliest time that it may have been named, by the store's last word
+  /// without it.
+  time_point named_after{};
   /// Whether it was named while this process watched; else it is older than it
   /// was first seen.
   bool was_watched = false;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -52,6 +52,7 @@
     away_until_ = now;
   }
   next_at_ = std::max(now, sent_at_ + options_.spacing);
+  news_after_ = sound_at_;
   if (!is_listing_) {
     std::vector<store_item> gone;
     for (const store_item& item : answer.items) {
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -107,6 +107,8 @@
   /// Time up to which the store is known to have held nothing else: when the
   /// last call that was answered had been sent.
   time_point SoundAt() const { return sound_at_; }
+  /// Time up to which the store is known not to have held the last news yet.
+  time_point NewsAfter() const { return news_after_; }
   bool IsReachable() const { return failures_ == 0; }
   time_point NextCallAt() const { return next_at_; }
 
@@ -137,6 +139,7 @@
   time_point sent_at_{};
   time_point next_at_{};
   time_point sound_at_{};
+  time_point news_after_{};
   time_point away_until_{};  ///< When the store last came back.
 };
 
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -84,6 +84,39 @@
   BOOST_TEST(view.configuration.version == 5u);
 }
 
+BOOST_AUTO_TEST_CASE(a_naming_counts_from_the_last_word_before_it) {
+  store_mirror mirror = MirrorOf({});
+  std::vector<std::string> problems;
+  time_point now{std::chrono::hours(1)};
+  const site_view before = platform::BuildView(now, mirror, {}, &problems);
+  auto named_at = [&](uint64_t version, milliseconds held) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    now += held;
+    mirror.OnAnswer(
+        now,
+        {.status = status_type::kOk,
+         .items = {{.key = "op/version/m",
+                    .value = R"({"Version":)" + std::to_string(version) + "}",
+                    .revision = 8 + version}},
+         .revision = 8 + version,
+         .held = held});
+    return platform::BuildView(now, mirror, before, &problems)
+        .weights.at("m")
+        .namings.at(version)
+        .named_after;
+  };
+  // The store may have accepted it right after its last word, at the listing.
+  const time_point listed = mirror.SoundAt();
+  BOOST_TEST((named_at(2, milliseconds(0)) == listed));
+  // After an outage nobody knows; the bound counts from its end.
+  const time_point sound = mirror.SoundAt();
+  now += seconds(20);
+  const time_point late = named_at(3, milliseconds(0));
+  BOOST_TEST((late > sound + seconds(18)));
+  BOOST_TEST((late < now));
+}
+
 BOOST_AUTO_TEST_CASE(answers_of_the_store_are_told_apart) {
   const auto list = store_call::kind_type::kList;
   const auto watch = store_call::kind_type::kWatch;
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -12,6 +12,16 @@
       std::chrono::duration<double>(part * ToSeconds(whole)));
 }
 
+/// Wait of a request in the engine's queue, with the passes that read the
+/// prompts before it (0.57 s was seen).
+constexpr milliseconds kEngineWait{800};
+/// Wait behind pieces of weights at a link that they fill (1.3 s were seen,
+/// with the engine's).
+constexpr milliseconds kLinkWait{700};
+/// Pieces that arrived this lately may still fill the link: several of them
+/// over a link of a tenth of its rate.
+constexpr milliseconds kLinkFull{1500};
+
 }  // namespace
 
 weights_plan PlanWeights(time_point now,
@@ -76,4 +86,9 @@
   return plan;
 }
 
+milliseconds GrantMargin(time_point now, std::optional<time_point> last_piece) {
+  return last_piece && now - *last_piece < kLinkFull ? kEngineWait + kLinkWait
+                                                     : kEngineWait;
+}
+
 }  // namespace fuchsiafall
--- a/src/weights_plan_func.h
+++ b/src/weights_plan_func.h
@@ -55,6 +55,11 @@
                          const std::vector<known_version>& wanted,
                          double turn);
 
+/// Time before the bound of what is served from which nothing may be granted on
+/// it. A granted request still travels to the engine, and waits there.
+/// @param last_piece When a piece of weights last arrived.
+milliseconds GrantMargin(time_point now, std::optional<time_point> last_piece);
+
 }  // namespace fuchsiafall
 
 #endif  // WEIGHTS_PLAN_FUNC_H_
