Change: A process that starts reads only who relays, and then asks these

Change: the first call lists only the registrations of relays (and may be stale); with any, the process asks its relays, and leaves the store to them for 1 to 3 s, in which a failed relay is asked again after 0.25 s. Result: unit tests, of 50 processes with relays that have nothing for 1.2 s: the store is asked by the four relays only (before: by all).

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -76,9 +76,12 @@
     if (it == avoided_.end() || now >= it->second.until)
       return relay.address;
     silent += it->second.is_silent ? 1 : 0;
-    if (silent >= options_.most_silent)
-      return options_.store_address;  // Each costs the time of a call.
+    // Each costs the time of a call.
+    if (silent >= options_.most_silent && now >= settled_at_)
+      return options_.store_address;
   }
+  if (!is_relay_ && !relays_.empty() && now < settled_at_)
+    return none;
   const bool has_relays = !is_relay_ && relays_.size() > silent;
   return has_relays && now < direct_at_ ? none : options_.store_address;
 }
@@ -88,19 +91,26 @@
                              bool is_old) {
   if (!IsRelay(address))
     return;
-  avoided_[address] = {
-      .until = now + (is_old ? options_.avoid_old : options_.avoid),
-      .is_silent = !is_old};
+  const milliseconds pause = now < settled_at_ ? options_.avoid_starting
+                             : is_old          ? options_.avoid_old
+                                               : options_.avoid;
+  avoided_[address] = {.until = now + pause, .is_silent = !is_old};
   if (!is_old)
     failing_since_.emplace(address, now);
 }
 
-void mirror_source::OnStoreFailed(time_point now) {
+duration mirror_source::Spread(milliseconds pause) const {
   const double share =
       static_cast<double>(Hash64(options_.node, 0) % 1000) / 1000;
-  direct_at_ =
-      now + options_.direct_pause / 2 +
-      std::chrono::duration_cast<duration>(options_.direct_pause * share);
+  return pause / 2 + std::chrono::duration_cast<duration>(pause * share);
+}
+
+void mirror_source::Settle(time_point now) {
+  settled_at_ = now + Spread(options_.settle);
+}
+
+void mirror_source::OnStoreFailed(time_point now) {
+  direct_at_ = now + Spread(options_.direct_pause);
 }
 
 std::optional<std::string> mirror_source::LostRelay(time_point now) const {
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -62,6 +62,12 @@
   /// their readers at it would fill the link just then. Varies by a half with
   /// the process.
   milliseconds direct_pause{2000};
+  /// Time that a process which has just started leaves its relays to read the
+  /// store, when all of a domain start at once; varies like the pause above. A
+  /// listing over a link between regions takes half a second.
+  milliseconds settle{2000};
+  /// Of a relay that fails meanwhile: it may be starting too.
+  milliseconds avoid_starting{250};
   /// After which a relay that only failed counts as removed for good.
   milliseconds lost{20000};
 };
@@ -76,6 +82,8 @@
   void SetRelays(const std::vector<relay_place>& registered);
   /// Address to ask now; empty while the relays are to be asked first.
   const std::string& Choose(time_point now) const;
+  /// This process knows nothing yet but who relays.
+  void Settle(time_point now);
   /// The store has failed to answer this process itself.
   void OnStoreFailed(time_point now);
   bool IsRelay(const std::string& address) const {
@@ -96,11 +104,15 @@
   std::vector<relay_place> relays_;  ///< Best first.
   bool is_relay_ = false;            ///< Whether others ask this process.
   time_point direct_at_{};           ///< The store is not asked before.
+  time_point settled_at_{};          ///< Nor before this, if there are relays.
   struct avoidance {
     time_point until{};
     bool is_silent = false;
   };
 
+  /// Varies a pause by a half with the process.
+  duration Spread(milliseconds pause) const;
+
   std::map<std::string, avoidance> avoided_;         ///< By address.
   std::map<std::string, time_point> failing_since_;  ///< By address.
 };
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -76,7 +76,7 @@
       return listening;
   }
   thread_ = std::thread([this] {
-    Step(BootNow());
+    ReadRelays(BootNow());
     AnswerWaiters(BootNow());
     loop_.Run();
   });
@@ -111,6 +111,29 @@
   });
 }
 
+void site_watch::ReadRelays(time_point now) {
+  const store_call call{.prefix = std::string(kRegisteredPrefix),
+                        .may_be_stale = true};
+  options_.count("store_relay_listings");
+  const auto written = platform::EncodeStoreCall(call, options_.store_address);
+  Call(now, options_.store_address, written.bytes, written.timeout,
+       [this, call](time_point at, int status, const std::string& body) {
+         // Without an answer the store is asked as if there were none.
+         store_answer answer;
+         if (status != 0)
+           answer = platform::DecodeStoreAnswer(call.kind, status, body);
+         std::map<std::string, store_item> items;
+         for (const store_item& item : answer.items)
+           items[item.key] = item;
+         if (UpdateRelays(items) > 0)
+           source_.Settle(at);
+         LogEvent(log_event::kRelaysRead,
+                  "status=" + std::to_string(status) +
+                      " relays=" + std::to_string(items.size()));
+         loop_.Post([this] { Step(BootNow()); });
+       });
+}
+
 void site_watch::CallMirror(time_point now, const store_call& call) {
   const std::string address = source_.Choose(now);
   if (source_.IsRelay(address)) {
@@ -211,7 +234,7 @@
                  std::to_string(view->configuration.routes.size()) +
                  " sound_ms=" + std::to_string(ToMs(now - mirror_.SoundAt())));
   }
-  view->entries = UpdateRelays();
+  view->entries = UpdateRelays(mirror_.Items());
   view_ = view;
   relay_.Update(now, mirror_);
   options_.on_news(view_, mirror_.SoundAt());
@@ -226,10 +249,11 @@
   }
 }
 
-size_t site_watch::UpdateRelays() {
+size_t site_watch::UpdateRelays(
+    const std::map<std::string, store_item>& items) {
   std::vector<relay_place> places;
   size_t registered = 0;
-  for (const auto& [key, item] : mirror_.Items()) {
+  for (const auto& [key, item] : items) {
     if (!key.starts_with(kRegisteredPrefix))
       continue;
     ++registered;
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -56,6 +56,8 @@
 
   void Step(time_point now);
   void CallMirror(time_point now, const store_call& call);
+  /// Reads only who relays, before anything else.
+  void ReadRelays(time_point now);
   void Call(time_point now,
             const std::string& address,
             const std::string& request,
@@ -64,7 +66,7 @@
   void OnAnswer(time_point now, const store_answer& answer);
   void Publish(time_point now);
   /// @return Entries that are registered in all domains.
-  size_t UpdateRelays();
+  size_t UpdateRelays(const std::map<std::string, store_item>& items);
   void Register(time_point now);
   /// Removes the registration of a relay that is gone for good.
   void RemoveLostRelay(time_point now);
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -45,6 +45,8 @@
 struct store_call {
   enum class kind_type { kList, kWatch };
   kind_type kind = kind_type::kList;
+  std::string prefix;           ///< Of listings: of the keys to be listed.
+  bool may_be_stale = false;    ///< Of listings: may be some seconds old.
   std::string after_key;        ///< Of listings: where the page begins.
   uint64_t after_revision = 0;  ///< Of watches.
   milliseconds wait{0};         ///< Of watches: longest time without news.
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -42,6 +42,50 @@
     BOOST_TEST((address == kStore || asked.count(address) == kProcesses - 1));
 }
 
+// All machines lost power at once. Every process listed the store by itself,
+// over links between regions that took ten seconds for it: all timed out, and
+// began again.
+BOOST_AUTO_TEST_CASE(processes_that_all_start_leave_the_store_to_the_relays) {
+  constexpr int kProcesses = 50;
+  std::vector<mirror_source> sources;
+  for (int i = 0; i < kProcesses; ++i) {
+    sources.push_back(SourceOf("n" + std::to_string(i), kProcesses));
+    sources.back().Settle(kStart);
+  }
+  const time_point known_at = kStart + milliseconds(1200);
+  std::set<int> asked_store;
+  std::set<int> served;
+  for (time_point now = kStart; now < kStart + seconds(4);
+       now += milliseconds(50)) {
+    for (int i = 0; i < kProcesses; ++i) {
+      const std::string address = sources[i].Choose(now);
+      if (address == kStore) {
+        asked_store.insert(i);
+      } else if (!address.empty() && now < known_at) {
+        // Refused, by a relay that is starting, or has nothing yet.
+        sources[i].OnFailed(now, address, i % 2 == 0);
+      } else if (!address.empty()) {
+        served.insert(i);
+      }
+    }
+  }
+  BOOST_TEST(asked_store.size() <= 4u);
+  BOOST_TEST(served.size() >= kProcesses - 4u);
+}
+
+BOOST_AUTO_TEST_CASE(relays_that_never_answer_leave_the_store) {
+  mirror_source source = SourceOf("other", 20);
+  source.Settle(kStart);
+  std::string last;
+  for (time_point now = kStart; now < kStart + seconds(4);
+       now += milliseconds(50)) {
+    last = source.Choose(now);
+    if (!last.empty() && last != kStore)
+      source.OnFailed(now, last, false);
+  }
+  BOOST_TEST(last == kStore);
+}
+
 BOOST_AUTO_TEST_CASE(the_second_takes_over_and_then_the_store_is_asked) {
   constexpr int kProcesses = 20;
   mirror_source reader = SourceOf("other", kProcesses);
