--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -106,7 +106,7 @@
 }
 
 void mirror_source::Settle(time_point now) {
-  settled_at_ = now + Spread(options_.settle);
+  settled_at_ = now + options_.settle / 2 + Spread(options_.settle);
 }
 
 void mirror_source::OnStoreFailed(time_point now) {
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -62,10 +62,10 @@
   /// their readers at it would fill the link just then. Varies by a half with
   /// the process.
   milliseconds direct_pause{2000};
-  /// Time that a process which has just started leaves its relays to read the
-  /// store, when all of a domain start at once; varies like the pause above. A
-  /// listing over a link between regions takes half a second.
-  milliseconds settle{2000};
+  /// Least time that a process which has just started leaves its relays to read
+  /// the store, when all of a domain start at once, and up to twice that by the
+  /// process. A listing over a link between regions takes half a second.
+  milliseconds settle{1500};
   /// Of a relay that fails meanwhile: it may be starting too.
   milliseconds avoid_starting{250};
   /// After which a relay that only failed counts as removed for good.
