Change: Requests for pieces of weights have a window; late pieces are taken

Change: at most 8 requests on their way, 4 at first; halved when some expire, then growing by one a window. A piece that comes late is taken if it is right.

--- a/src/tests/rollout_test.cc
+++ b/src/tests/rollout_test.cc
@@ -1,8 +1,11 @@
 /// @file rollout_test.cc Rollouts in virtual time: faults at every stage.
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
+
 #include "hash_func.h"
 #include "tests/fake_network.h"
+#include "weights_plan_func.h"
 
 namespace fuchsiafall::tests {
 
@@ -186,6 +189,73 @@
   BOOST_TEST((answer.send_at <= now));
 }
 
+// A link of a tenth of its rate: pieces came after their requests had expired,
+// were thrown away and asked for again, and calls waited seconds behind them.
+BOOST_AUTO_TEST_CASE(a_link_far_slower_than_its_rate_is_not_overfilled) {
+  constexpr milliseconds kPerChunk{300};
+  constexpr int kChunks = kBytes / kChunk;
+  std::shared_ptr<blob_store> blobs = std::make_shared<blob_store>();
+  weight_transfer transfer({.self = vm_id("western-2"),
+                            .domain = domain_id("western"),
+                            .rate = 10.0 * kChunk / 0.3,
+                            .chunk_timeout = milliseconds(700)},
+                           blobs);
+  fake_weights v1 = MakeWeights(kBytes, kChunk, 1);
+  blobs->Put(v1.manifest,
+             std::make_shared<std::string>(v1.blobs.at(v1.manifest)));
+  proto::configuration configuration;
+  *configuration.mutable_inventory() = MakeInventory({.servers = 40});
+  auto where = std::make_shared<world>(configuration);
+  time_point now{std::chrono::hours(1)};
+  output_list out;
+  transfer.SetTarget(now, where, "assistant", {{"v1", v1.manifest}}, true,
+                     &out);
+  std::deque<std::pair<time_point, blob_arrival>> link;
+  time_point link_free = now;
+  size_t most_waiting = 0;
+  const time_point start = now;
+  for (; now < start + 2 * kChunks * kPerChunk && !transfer.IsComplete();
+       now += milliseconds(20)) {
+    for (const std::string& id :
+         where->FindDomain("western")->servers.at("assistant")) {
+      proto::have_map map;
+      map.set_manifest_digest(v1.manifest.value);
+      map.set_bits(std::string(kChunks / 8, '\xff'));
+      map.set_count(kChunks);
+      transfer.OnHaveMap(now, vm_id(id), map, &out);
+    }
+    transfer.Step(now, &out);
+    for (output& item : out.Items()) {
+      auto* sent = std::get_if<send_message>(&item);
+      if (sent == nullptr || !sent->message.has_blob_request())
+        continue;
+      const digest wanted(sent->message.blob_request().digest());
+      const std::string giver =
+          sent->address.substr(0, sent->address.find(':'));
+      blob_arrival blob{.request_id = sent->message.blob_request().request_id(),
+                        .wanted = wanted,
+                        .actual = wanted};
+      for (const proto::vm& vm : configuration.inventory().vms()) {
+        if (vm.ip() == giver)
+          blob.giver = vm_id(vm.id());
+      }
+      blob.bytes = std::make_shared<std::string>(v1.blobs.at(wanted));
+      link_free = std::max(now, link_free) + kPerChunk;
+      link.emplace_back(link_free, blob);
+    }
+    out = output_list();
+    while (!link.empty() && link.front().first <= now) {
+      transfer.OnBlob(now, link.front().second, &out);
+      link.pop_front();
+    }
+    if (now - start > seconds(4))
+      most_waiting = std::max(most_waiting, link.size());
+  }
+  BOOST_TEST(transfer.IsComplete());
+  // A call that waits behind them begins within the margin of its grant.
+  BOOST_TEST((most_waiting * kPerChunk < GrantMargin(now, now)));
+}
+
 BOOST_AUTO_TEST_CASE(version_changed_at_each_stage_ends_with_the_newest) {
   for (int stage_ms = 100; stage_ms <= 2500; stage_ms += 300) {
     fake_network net = NewNetwork();
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -318,6 +318,8 @@
   for (const artifact& item : artifacts_) {
     chunk_bytes = std::max<uint64_t>(chunk_bytes, item.manifest.chunk_bytes());
   }
+  if (static_cast<double>(pending_.size() + origin_pending_.size()) >= window_)
+    return false;
   duration ahead = kChunksAhead * download_.TimeFor(chunk_bytes);
   return download_.Backlog(now) < std::max<duration>(ahead, kLeastAhead);
 }
@@ -361,6 +363,11 @@
       continue;
     }
     out->Count("blobs_timed_out");
+    if (now - window_cut_at_ >= options_.chunk_timeout) {
+      window_ = std::max(window_ / 2, 1.0);
+      slow_from_ = window_;
+      window_cut_at_ = now;
+    }
     holder& giver =
         artifacts_[it->second.artifact_index].holders[*it->second.giver];
     Avoid(now, &giver);
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -106,6 +106,7 @@
   std::optional<pending> request = TakePending(blob);
   if (!request) {
     out->Count("blobs_unexpected");
+    TakeLate(now, blob, out);
     return;
   }
   artifact& item = artifacts_[request->artifact_index];
@@ -122,17 +123,52 @@
   }
   if (request->giver)
     item.holders[*request->giver].failures = 0;
-  CountSource(*request, blob.bytes->size(), out);
-  blobs_->Put(blob.wanted, blob.bytes);
   if (!request->giver)
     origin_backoff_ = milliseconds(0);
-  if (!request->chunk) {
-    AdoptManifest(now, &item, blob.bytes, out);
+  window_ =
+      std::min(window_ + (window_ < slow_from_ ? 1 : 1 / window_), kMostWindow);
+  if (request->chunk) {
+    TakeChunk(now, *request, blob, out);
+    return;
+  }
+  CountSource(*request, blob.bytes->size(), out);
+  blobs_->Put(blob.wanted, blob.bytes);
+  AdoptManifest(now, &item, blob.bytes, out);
+}
+
+void weight_transfer::TakeLate(time_point now,
+                               const blob_arrival& blob,
+                               output_list* out) {
+  if (!blob.giver || blob.status != blob_arrival::status_type::kOk ||
+      blob.actual != blob.wanted) {
     return;
   }
-  if (item.have[*request->chunk])
+  for (size_t i = 0; i < artifacts_.size(); ++i) {
+    const artifact& item = artifacts_[i];
+    const auto found =
+        std::find(item.chunks.begin(), item.chunks.end(), blob.wanted);
+    if (item.stage != transfer_stage::kChunks || found == item.chunks.end())
+      continue;
+    out->Count("blobs_late");
+    TakeChunk(now,
+              {.artifact_index = i,
+               .chunk = static_cast<size_t>(found - item.chunks.begin()),
+               .giver = blob.giver},
+              blob, out);
+    return;
+  }
+}
+
+void weight_transfer::TakeChunk(time_point now,
+                                const pending& request,
+                                const blob_arrival& blob,
+                                output_list* out) {
+  artifact& item = artifacts_[request.artifact_index];
+  CountSource(request, blob.bytes->size(), out);
+  blobs_->Put(blob.wanted, blob.bytes);
+  if (item.have[*request.chunk])
     return;
-  item.have[*request->chunk] = true;
+  item.have[*request.chunk] = true;
   item.map_changed = true;
   NoteProgress(now, &item);
   if (++item.have_count < item.chunks.size())
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -214,6 +214,13 @@
                output_list* out);
   void Expire(time_point now, output_list* out);
   void Release(const pending& request, bool refund);
+  /// Takes a chunk that arrived after its request had expired.
+  void TakeLate(time_point now, const blob_arrival& blob, output_list* out);
+  /// Keeps a chunk that arrived whole.
+  void TakeChunk(time_point now,
+                 const pending& request,
+                 const blob_arrival& blob,
+                 output_list* out);
   std::optional<pending> TakePending(const blob_arrival& blob);
 
   // Arrivals.
@@ -258,6 +265,17 @@
   uint64_t next_request_id_ = 1;
   rate_pacer upload_;
   rate_pacer download_;
+  /// Most requests on their way; enough for pieces that wait in the queues of
+  /// their holders (four pieces) and on the way.
+  static constexpr double kMostWindow = 8;
+  static constexpr double kFirstWindow = 4;
+  /// Requests that may be on their way. Grows by one with each piece that comes
+  /// and, once some have expired, only by one for all of them together. Halved
+  /// when some expire, since what is on its way fills a link that is slower
+  /// than it should be, and calls wait behind it.
+  double window_ = kFirstWindow;
+  double slow_from_ = kMostWindow;  ///< Where the slower growth begins.
+  time_point window_cut_at_{};      ///< Last halving.
   time_point origin_avoided_until_{};
   milliseconds origin_backoff_{0};
 };
