--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -49,6 +49,10 @@
 
 /// Arguments after the bench's name.
 using bench_arguments = std::vector<std::string>;
+/// Reads the count that a bench may be given; ends the program with a line on
+/// what is wrong with another argument.
+/// @param otherwise The count where no argument is given.
+size_t CountOf(const bench_arguments& arguments, size_t otherwise);
 
 void RunQuickstart(const bench_arguments& arguments, report* result);
 void RunRolloutBench(const bench_arguments& arguments, report* result);
--- a/src/bench/bench_main.cc
+++ b/src/bench/bench_main.cc
@@ -3,6 +3,8 @@
 #include <Poco/JSON/Object.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdlib>
 #include <iomanip>
 #include <iostream>
 #include <string_view>
@@ -113,6 +115,21 @@
   std::cerr << ".. " << text << std::endl;
 }
 
+size_t CountOf(const bench_arguments& arguments, size_t otherwise) {
+  if (arguments.empty())
+    return otherwise;
+  const std::string& text = arguments.front();
+  size_t count = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), count);
+  if (read.ec != std::errc() || read.ptr != text.data() + text.size() ||
+      count == 0) {
+    std::cerr << "bench: found '" << text << "'; a count is a number over 0\n";
+    std::exit(2);
+  }
+  return count;
+}
+
 }  // namespace fuchsiafall::bench
 
 int main(int argc, char** argv) {
--- a/src/bench/config_bench.cc
+++ b/src/bench/config_bench.cc
@@ -336,8 +336,7 @@
 }  // namespace
 
 void RunConfigBench(const bench_arguments& arguments, report* result) {
-  const size_t processes =
-      arguments.empty() ? kProcesses : std::stoul(arguments.front());
+  const size_t processes = CountOf(arguments, kProcesses);
   harness::fleet_options options = OptionsOf("config", processes);
   options.has_proxy = true;
   fleet system(options);
--- a/src/bench/once_bench.cc
+++ b/src/bench/once_bench.cc
@@ -246,8 +246,7 @@
 }  // namespace
 
 void RunOnceBench(const bench_arguments& arguments, report* result) {
-  const size_t calls =
-      arguments.empty() ? kCalls : std::stoul(arguments.front());
+  const size_t calls = CountOf(arguments, kCalls);
   harness::fleet_options options;
   options.folder = harness::NewFolder("once");
   options.entries = 2;
--- a/src/bench/rollout_bench.cc
+++ b/src/bench/rollout_bench.cc
@@ -260,7 +260,7 @@
 void RunRolloutBench(const bench_arguments& arguments, report* result) {
   std::vector<size_t> sizes{12, 48, 96};
   if (!arguments.empty())
-    sizes = {std::stoul(arguments.front())};
+    sizes = {CountOf(arguments, 0)};
   std::map<size_t, run_result> runs;
   for (size_t servers : sizes) {
     Progress("N=" + std::to_string(servers));
