Fix: Grants on replaced weights end earlier while requests wait at the engine

Change: the margin is 1.5 s instead of 0.8 s while the engine reports waiting requests, as for a full link.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -223,7 +223,8 @@
     auto next = named_at_.upper_bound(steward_.ServedVersion());
     return next != named_at_.end() &&
            now - next->second >
-               base_.Settings().weights_bound - GrantMargin(now, piece_at_);
+               base_.Settings().weights_bound -
+                   GrantMargin(now, piece_at_, steward_.Report().waiting);
   }
 
   double ProgressOf(uint64_t version) const {
--- a/src/tests/rollout_test.cc
+++ b/src/tests/rollout_test.cc
@@ -253,7 +253,7 @@
   }
   BOOST_TEST(transfer.IsComplete());
   // A call that waits behind them begins within the margin of its grant.
-  BOOST_TEST((most_waiting * kPerChunk < GrantMargin(now, now)));
+  BOOST_TEST((most_waiting * kPerChunk < GrantMargin(now, now, 0)));
 }
 
 BOOST_AUTO_TEST_CASE(version_changed_at_each_stage_ends_with_the_newest) {
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -21,12 +21,14 @@
 
 BOOST_AUTO_TEST_SUITE(weights_plan_suite)
 
-BOOST_AUTO_TEST_CASE(grants_end_earlier_while_pieces_fill_the_link) {
-  // Requests waited up to 1.3 s at a full link and in the engine's queue.
-  BOOST_TEST((GrantMargin(kNamed, kNamed) > milliseconds(1300)));
-  BOOST_TEST((GrantMargin(kNamed, std::nullopt) < milliseconds(1000)));
+BOOST_AUTO_TEST_CASE(grants_end_earlier_where_a_request_waits_long) {
+  // Requests waited up to 1.3 s at a full link, and 1.06 s in a queue.
+  BOOST_TEST((GrantMargin(kNamed, kNamed, 0) > milliseconds(1300)));
+  BOOST_TEST((GrantMargin(kNamed, std::nullopt, 1) > milliseconds(1060)));
+  BOOST_TEST((GrantMargin(kNamed, std::nullopt, 0) < milliseconds(1000)));
   // The origin being away costs no service.
-  BOOST_TEST((GrantMargin(kNamed + seconds(5), kNamed) < milliseconds(1000)));
+  BOOST_TEST(
+      (GrantMargin(kNamed + seconds(5), kNamed, 0) < milliseconds(1000)));
 }
 
 BOOST_AUTO_TEST_CASE(an_empty_engine_loads_as_soon_as_the_weights_are_whole) {
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -15,9 +15,9 @@
 /// Wait of a request in the engine's queue, with the passes that read the
 /// prompts before it (0.57 s was seen).
 constexpr milliseconds kEngineWait{800};
-/// Wait behind pieces of weights at a link that they fill (1.3 s were seen,
-/// with the engine's).
-constexpr milliseconds kLinkWait{700};
+/// Further wait behind pieces of weights at a link that they fill (1.3 s were
+/// seen, with the engine's), or behind others in the queue (1.06 s).
+constexpr milliseconds kQueueWait{700};
 /// Pieces that arrived this lately may still fill the link: several of them
 /// over a link of a tenth of its rate.
 constexpr milliseconds kLinkFull{1500};
@@ -86,9 +86,11 @@
   return plan;
 }
 
-milliseconds GrantMargin(time_point now, std::optional<time_point> last_piece) {
-  return last_piece && now - *last_piece < kLinkFull ? kEngineWait + kLinkWait
-                                                     : kEngineWait;
+milliseconds GrantMargin(time_point now,
+                         std::optional<time_point> last_piece,
+                         uint32_t waiting) {
+  const bool is_link_full = last_piece && now - *last_piece < kLinkFull;
+  return is_link_full || waiting > 0 ? kEngineWait + kQueueWait : kEngineWait;
 }
 
 }  // namespace fuchsiafall
--- a/src/weights_plan_func.h
+++ b/src/weights_plan_func.h
@@ -58,7 +58,10 @@
 /// Time before the bound of what is served from which nothing may be granted on
 /// it. A granted request still travels to the engine, and waits there.
 /// @param last_piece When a piece of weights last arrived.
-milliseconds GrantMargin(time_point now, std::optional<time_point> last_piece);
+/// @param waiting Requests that wait in the engine's queue already.
+milliseconds GrantMargin(time_point now,
+                         std::optional<time_point> last_piece,
+                         uint32_t waiting);
 
 }  // namespace fuchsiafall
 
