--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -230,7 +230,8 @@
   fake_entry it;
   site_view view = it.site.index->View();
   view.weights["model"] = {
-      .version = 2, .namings = {{2, {.named_after = it.now, .was_watched = true}}}};
+      .version = 2,
+      .namings = {{2, {.named_after = it.now, .was_watched = true}}}};
   it.site.Set(view);
   it.dispatch.SetIndex(it.site.index.get());
   it.Request(1, "models");
