Fix: An entry that ends soon refuses what it could not answer whole

Change: a request that comes when less time is left than it takes (4 s for a stream, else its route's time limit) is refused at once, as not run. The counter of quarantined requests had another reason's text.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -30,7 +30,8 @@
     "no place in time",
     "timed out",
     "server failed",
-    "bad request",
+    "quarantined",
+    "leaving",
 };
 
 bool IsSuccess(int status) {
@@ -106,6 +107,12 @@
     return Refuse(now, &item, call_refusal::kNoRoute);
   item.route = *route;
   item.kind = route->kind;
+  const milliseconds needed =
+      route->timeout > milliseconds(0)
+          ? std::min(route->timeout, options_.whole_stream)
+          : options_.whole_stream;
+  if (ends_at_ && now + needed > *ends_at_)
+    return Refuse(now, &item, call_refusal::kLeaving);
   if (!route->is_anonymous && !index_->View().configuration.tenants.empty()) {
     const site_tenant* tenant = index_->FindTenant(request.key);
     if (tenant == nullptr) {
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -33,6 +33,7 @@
   kTimedOut,
   kServerFailed,  ///< Sent, and it may have run.
   kQuarantined,   ///< It crashes the servers that run it.
+  kLeaving,       ///< This process ends before the answer would be whole.
 };
 
 /// Text of a reason, for logs and counters.
@@ -55,6 +56,9 @@
   milliseconds ask_timeout{70};
   /// Silence of an agent after which its server gets requests without a place.
   milliseconds agent_silence{1000};
+  /// Time that most streams take, with their wait. What comes when less than
+  /// this is left before the process ends is better off elsewhere.
+  milliseconds whole_stream{4000};
   uint32_t most_asks = 6;  ///< Servers asked for a place, one after the other.
   /// To the first event of a stream, and between two: a server that is alive
   /// sends one with each pass.
@@ -108,6 +112,8 @@
   void SetIndex(const site_index* index);
   /// Tells up to when the store's word is known to hold.
   void SetSound(time_point at) { sound_at_ = at; }
+  /// Tells when this process ends; answers have to be whole by then.
+  void SetEnd(time_point at) { ends_at_ = at; }
 
   /// Takes a request with its body.
   void OnRequest(time_point now,
@@ -197,6 +203,7 @@
   retry_budget budget_;
   const site_index* index_ = nullptr;
   time_point sound_at_{};
+  std::optional<time_point> ends_at_;
   crash_ledger crashes_{{}};  ///< Of plain services, as seen here.
   std::map<uint64_t, call> calls_;
   std::map<uint64_t, uint64_t> questions_;  ///< Calls that ask, by question.
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -336,6 +336,7 @@
   void ShutDown(time_point now) {
     if (!shutdown_at_)
       shutdown_at_ = now;
+    dispatch_.SetEnd(*shutdown_at_ + base_.Settings().grace - kGraceMargin);
     callers_.CloseWhenIdle();
   }
 
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -65,6 +65,24 @@
   BOOST_TEST(it.attempts[1].terms.time_left.count() < 700);
 }
 
+// An entry took a stream on an open connection 5.7 s after SIGTERM, and ended
+// in the middle of it.
+BOOST_AUTO_TEST_CASE(what_would_not_be_whole_before_the_end_is_not_begun) {
+  fake_entry it;
+  it.dispatch.SetEnd(it.now + milliseconds(3000));
+  it.Request(1, "models");
+  BOOST_TEST(it.asks.empty());
+  BOOST_REQUIRE(it.own.size() == 1u);
+  BOOST_TEST(it.own[0].status == 503);
+  BOOST_TEST(it.own[0].retry_after.has_value());
+  // A plain call takes a second at most.
+  it.Request(2, "plain");
+  BOOST_TEST(it.attempts.size() == 1u);
+  it.dispatch.SetEnd(it.now + milliseconds(7000));
+  it.Request(3, "models");
+  BOOST_TEST(it.asks.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_skipped) {
   fake_entry it;
   it.Request(1, "plain");
