Change: [Soak] One copy of what its stand-ins repeat

Cause: the soak's stand-ins wrote again what the project has: splitting of queries and base64 of the other stand-ins, three times the wiring of a listener, twice the layers of a server, and draws of a share; two tests began a stream alike. Change: the soak links standin_func (SplitQuery, EncodeBase64 moved there); listeners bind their function; HeldFields, Draws, CloseLink and BeginStreamOfVersion serve both places each. Numbers are still read strictly, tests keep their assertions. The product's code is untouched.

--- a/src/standins/platform_standin.cc
+++ b/src/standins/platform_standin.cc
@@ -1,7 +1,6 @@
 /// @file platform_standin.cc Stand-in of the platform: store with
 /// compare-and-swap, leases and watches (a part of Consul's KV and session
 /// API), and the lagging list of VMs.
-#include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Object.h>
 
 #include <condition_variable>
@@ -25,15 +24,6 @@
 constexpr size_t kMostValueBytes = 1024 * 1024;
 constexpr int kMostWaitMs = 60000;
 
-std::string EncodeBase64(const std::string& bytes) {
-  std::ostringstream text;
-  Poco::Base64Encoder encoder(text);
-  encoder.rdbuf()->setLineLength(0);
-  encoder << bytes;
-  encoder.close();
-  return text.str();
-}
-
 class platform_standin {
  public:
   explicit platform_standin(const standin_options& options)
--- a/src/standins/standin_func.cc
+++ b/src/standins/standin_func.cc
@@ -1,6 +1,7 @@
 /// @file standin_func.cc What the stand-ins have in common.
 #include "standins/standin_func.h"
 
+#include <Poco/Base64Encoder.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/URI.h>
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <sstream>
 
 namespace fuchsiafall::standins {
 
@@ -30,6 +32,15 @@
   return it == query.end() ? otherwise : std::atof(it->second.c_str());
 }
 
+std::string EncodeBase64(const std::string& bytes) {
+  std::ostringstream text;
+  Poco::Base64Encoder encoder(text);
+  encoder.rdbuf()->setLineLength(0);
+  encoder << bytes;
+  encoder.close();
+  return text.str();
+}
+
 void BreakConnection(Poco::Net::HTTPServerRequest* request) {
   auto& impl = static_cast<Poco::Net::HTTPServerRequestImpl&>(*request);
   impl.socket().setLinger(true, 0);
--- a/src/standins/standin_func.h
+++ b/src/standins/standin_func.h
@@ -49,6 +49,9 @@
                 const std::string& name,
                 double otherwise);
 
+/// Encodes a value of a store, on one line.
+std::string EncodeBase64(const std::string& bytes);
+
 /// Ends a connection without an answer, as a crash would.
 void BreakConnection(Poco::Net::HTTPServerRequest* request);
 
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -7,6 +7,23 @@
 
 namespace fuchsiafall::tests {
 
+namespace {
+
+/// Has a server of some version answer the first event of request 1.
+begun_attempt BeginStreamOfVersion(fake_entry* it, uint64_t version) {
+  it->Request(1, "models");
+  it->Grant();
+  begun_attempt first = it->attempts.back();
+  it->dispatch.OnHead(
+      it->now, first.call, first.number,
+      {.status = 200, .call_id = "r1", .is_sealed = true, .weights = version},
+      true);
+  it->Body("id:1\n\n");
+  return first;
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(call_dispatch_suite)
 
 BOOST_AUTO_TEST_CASE(a_plain_call_gets_its_whole_answer) {
@@ -127,13 +144,7 @@
 // While a version is rolled out, servers of both serve side by side.
 BOOST_AUTO_TEST_CASE(a_resumed_stream_never_mixes_two_versions) {
   fake_entry it;
-  it.Request(1, "models");
-  it.Grant();
-  const begun_attempt first = it.attempts.back();
-  it.dispatch.OnHead(
-      it.now, first.call, first.number,
-      {.status = 200, .call_id = "r1", .is_sealed = true, .weights = 1}, true);
-  it.Body("id:1\n\n");
+  const begun_attempt first = BeginStreamOfVersion(&it, 1);
   site_view view = it.site.index->View();
   const std::string other = first.server == "m1" ? "m2" : "m1";
   view.servers[other].models = {{"model", 2, 0, 16}};
@@ -147,14 +158,8 @@
 
 BOOST_AUTO_TEST_CASE(a_resumed_stream_names_the_version_that_began_it) {
   fake_entry it;
-  it.Request(1, "models");
-  it.Grant();
-  const begun_attempt first = it.attempts.back();
+  const begun_attempt first = BeginStreamOfVersion(&it, 1);
   BOOST_TEST(!first.terms.weights.has_value());
-  it.dispatch.OnHead(
-      it.now, first.call, first.number,
-      {.status = 200, .call_id = "r1", .is_sealed = true, .weights = 1}, true);
-  it.Body("id:1\n\n");
   it.End(exchange_end::kBroken);
   it.Grant();
   BOOST_REQUIRE(it.attempts.size() == 2u);
--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -5,9 +5,12 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
+#include <functional>
+#include <optional>
 #include <sstream>
 
 #include "hash_func.h"
+#include "standins/standin_func.h"
 
 namespace fuchsiafall::soak {
 
@@ -23,10 +26,6 @@
 constexpr milliseconds kRevoke{5000};
 constexpr char kSealValue[] = "1.2.3";
 
-double Draw(std::mt19937_64* random) {
-  return std::uniform_real_distribution<double>(0, 1)(*random);
-}
-
 void AnswerText(const std::shared_ptr<http_server_connection>& to,
                 time_point now,
                 int status,
@@ -35,15 +34,12 @@
   to->Answer(now, head, body);
 }
 
-uint32_t PieceNumber(const Poco::URI& uri, bool* has_piece) {
-  for (const auto& [name, value] : uri.getQueryParameters()) {
-    if (name == "SampleCount") {
-      *has_piece = true;
-      return static_cast<uint32_t>(std::stoul(value));
-    }
-  }
-  *has_piece = false;
-  return 0;
+/// Piece that a call names; none where it names none.
+std::optional<uint32_t> PieceNumber(const standins::query_map& query) {
+  auto it = query.find("SampleCount");
+  if (it == query.end())
+    return std::nullopt;
+  return static_cast<uint32_t>(std::stoul(it->second));
 }
 
 }  // namespace
@@ -96,18 +92,13 @@
       born_ms_(std::chrono::duration_cast<milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count()),
-      listener_(loop,
-                {},
-                {.on_request =
-                     [this](time_point now,
-                            const auto& from,
-                            http_request&& request) {
-                       OnRequest(now, from, request);
-                     },
-                 .on_gone =
-                     [this](time_point, http_server_connection* gone) {
-                       streams_.erase(gone);
-                     }}) {}
+      listener_(
+          loop,
+          {},
+          {.on_request = std::bind_front(&server_standin::OnRequest, this),
+           .on_gone = [this](time_point, http_server_connection* gone) {
+             streams_.erase(gone);
+           }}) {}
 
 outcome<done> server_standin::Listen(const std::string& address,
                                      const std::string& shown) {
@@ -134,14 +125,8 @@
        << R"(","Version":"v1","Slots":)" << kSlots << R"(,"State":")"
        << (is_draining_ ? "draining" : "ready")
        << R"(","ColdRemainingMs":0,"born":)" << born_ms_;
-  if (is_model_) {
-    text << R"(,"Stage":"combined","Models":[)";
-    if (held_ > 0)
-      text << R"({"Name":")" << kModel << R"(","Version":)" << held_ << "}";
-    text << "]";
-    if (held_ > 0)
-      text << R"(,"layers":{"From":0,"To":4,"Version":)" << held_ << "}";
-  }
+  if (is_model_)
+    text << "," << HeldFields();
   text << "}";
   store_->Put("servers/" + id_, text.str());
 }
@@ -182,14 +167,20 @@
   WriteEntry();
 }
 
-std::string server_standin::Report() const {
+std::string server_standin::HeldFields() const {
   std::ostringstream text;
-  text << R"({"Stage":"combined","Models":[)";
+  text << R"("Stage":"combined","Models":[)";
   if (held_ > 0)
     text << R"({"Name":")" << kModel << R"(","Version":)" << held_ << "}";
   text << "]";
   if (held_ > 0)
     text << R"(,"layers":{"From":0,"To":4,"Version":)" << held_ << "}";
+  return text.str();
+}
+
+std::string server_standin::Report() const {
+  std::ostringstream text;
+  text << "{" << HeldFields();
   text << R"(,"Busy":)" << (loading_ > 0 ? "true" : "false")
        << R"(,"Sequence":)" << orders_ << R"(,"QueuedRequests":0,)"
        << R"("ActiveRequests":)" << streams_.size()
@@ -255,16 +246,16 @@
     time_point now,
     const std::shared_ptr<http_server_connection>& from,
     const http_request& request) {
-  const Poco::URI uri(request.head.getURI());
-  bool has_piece = false;
-  const uint32_t piece = PieceNumber(uri, &has_piece);
-  if (uri.getPath().starts_with("/stage-put/")) {
-    staged_[piece] = request.body;
-    rotted_at_.erase(piece);
+  standins::query_map query;
+  const std::string path = standins::SplitQuery(request.head.getURI(), &query);
+  const auto piece = PieceNumber(query);
+  if (path.starts_with("/stage-put/")) {
+    staged_[piece.value_or(0)] = request.body;
+    rotted_at_.erase(piece.value_or(0));
     return AnswerText(from, now, 200, "");
   }
-  auto it = staged_.find(piece);
-  if (!has_piece || it == staged_.end())
+  auto it = staged_.find(piece.value_or(0));
+  if (!piece || it == staged_.end())
     return AnswerText(from, now, 404, "");
   AnswerText(from, now, 200, it->second);
 }
@@ -291,7 +282,7 @@
     return BeginStream(now, from, request);
   }
   book_->OnRun(id, kRevoke);
-  const bool is_lost = Draw(&random_) < faults_->lose_answers;
+  const bool is_lost = Draws(faults_->lose_answers, &random_);
   loop_->StartTimer(now + kCallTime, [from, id, is_lost](time_point at) {
     if (is_lost)
       return from->Break();
@@ -358,15 +349,11 @@
 
 origin_standin::origin_standin(event_loop* loop, site_faults* faults)
     : faults_(faults),
-      listener_(loop,
-                {},
-                {.on_request =
-                     [this](time_point now,
-                            const auto& from,
-                            http_request&& request) {
-                       OnRequest(now, from, request);
-                     },
-                 .on_gone = [](time_point, http_server_connection*) {}}) {}
+      listener_(
+          loop,
+          {},
+          {.on_request = std::bind_front(&origin_standin::OnRequest, this),
+           .on_gone = [](time_point, http_server_connection*) {}}) {}
 
 outcome<done> origin_standin::Listen(const std::string& address) {
   return listener_.Listen(address);
@@ -378,17 +365,14 @@
     const http_request& request) {
   if (faults_->is_origin_down)
     return from->Break();
-  const Poco::URI uri(request.head.getURI());
-  uint64_t version = 1;
-  for (const auto& [name, value] : uri.getQueryParameters()) {
-    if (name == "Version")
-      version = std::stoull(value);
-  }
-  bool has_piece = false;
-  const uint32_t piece = PieceNumber(uri, &has_piece);
+  standins::query_map query;
+  standins::SplitQuery(request.head.getURI(), &query);
+  auto named = query.find("Version");
+  const uint64_t version =
+      named == query.end() ? 1 : std::stoull(named->second);
   std::string body;
-  if (has_piece) {
-    body = PieceOf(version, piece);
+  if (const auto piece = PieceNumber(query)) {
+    body = PieceOf(version, *piece);
   } else {
     body = R"({"Model":")" + std::string(kModel) + R"(","Version":)" +
            std::to_string(version) + R"(,"ChunkBytes":)" +
@@ -398,7 +382,7 @@
               ToHex(DigestOf(PieceOf(version, i)).value) + "\"";
     body += "]}";
   }
-  if (Draw(&random_) < faults_->origin_spoils) {
+  if (Draws(faults_->origin_spoils, &random_)) {
     // One hex digit of a manifest, or one byte of a piece.
     char& byte = body[body.size() * 3 / 4];
     byte = byte == 'a' ? 'b' : 'a';
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -96,6 +96,8 @@
                    const std::shared_ptr<http_server_connection>& from,
                    const http_request& request);
   void Pass(time_point now);
+  /// Fields of its entry and of its report that tell which layers it has.
+  std::string HeldFields() const;
   std::string Report() const;
   void WriteEntry();
 
--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -41,6 +41,12 @@
                  .on_done = [](time_point, int, const std::string&) {}});
 }
 
+void soak_site::CloseLink(const std::string& group, const std::string& mode) {
+  Note(mode + " " + group);
+  SetLink(group, "mode=" + mode);
+  Until(Span(300, 4000), [this, group] { SetLink(group, "mode=open"); });
+}
+
 void soak_site::Inject(time_point now) {
   if (now >= ends_at_)
     return Heal(now);
@@ -134,14 +140,10 @@
   const std::string group = link.substr(0, link.find('='));
   switch (random_() % 4) {
     case 0:
-      Note("cut " + group);
-      SetLink(group, "mode=cut");
-      Until(Span(300, 4000), [this, group] { SetLink(group, "mode=open"); });
+      CloseLink(group, "cut");
       break;
     case 1:
-      Note("hold " + group);
-      SetLink(group, "mode=hold");
-      Until(Span(300, 4000), [this, group] { SetLink(group, "mode=open"); });
+      CloseLink(group, "hold");
       break;
     case 2:
       Note("silence " + group);
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -57,6 +57,8 @@
   void Heal(time_point now);
   void Finish(time_point now);
   void SetLink(const std::string& group, const std::string& what);
+  /// Has the proxy close a link in one of its ways for a while.
+  void CloseLink(const std::string& group, const std::string& mode);
   void Until(milliseconds span, const std::function<void()>& act);
   // Faults.
   void DisturbProcess(time_point now);
--- a/src/tests/soak/store_standin.cc
+++ b/src/tests/soak/store_standin.cc
@@ -2,13 +2,14 @@
 #include "tests/soak/store_standin.h"
 
 #include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/URI.h>
 
+#include <functional>
 #include <sstream>
 
+#include "standins/standin_func.h"
+
 namespace fuchsiafall::soak {
 
 namespace {
@@ -19,15 +20,6 @@
 constexpr size_t kPage = 50;  // Items of one page.
 constexpr milliseconds kWatchStep{50};
 
-std::string ToBase64(const std::string& text) {
-  std::ostringstream out;
-  Poco::Base64Encoder encoder(out);
-  encoder.rdbuf()->setLineLength(0);
-  encoder << text;
-  encoder.close();
-  return out.str();
-}
-
 std::string FromBase64(const std::string& text) {
   std::istringstream in(text);
   Poco::Base64Decoder decoder(in);
@@ -40,32 +32,23 @@
   return text.str();
 }
 
-std::map<std::string, std::string> QueryOf(const Poco::URI& uri) {
-  std::map<std::string, std::string> query;
-  for (const auto& [name, value] : uri.getQueryParameters())
-    query[name] = value;
-  return query;
-}
-
 }  // namespace
 
+bool Draws(double share, std::mt19937_64* random) {
+  return std::uniform_real_distribution<double>(0, 1)(*random) < share;
+}
+
 store_standin::store_standin(event_loop* loop, uint64_t seed)
     : loop_(loop),
       random_(seed),
       listener_(loop,
                 {},
-                {.on_request =
-                     [this](time_point now,
-                            const auto& from,
-                            http_request&& request) {
-                       OnRequest(now, from, request);
-                     },
-                 .on_gone =
-                     [this](time_point, http_server_connection* gone) {
-                       std::erase_if(watchers_, [gone](const watcher& item) {
-                         return item.connection.get() == gone;
-                       });
-                     }}) {}
+                {.on_request = std::bind_front(&store_standin::OnRequest, this),
+                 .on_gone = [this](time_point, http_server_connection* gone) {
+                   std::erase_if(watchers_, [gone](const watcher& item) {
+                     return item.connection.get() == gone;
+                   });
+                 }}) {}
 
 outcome<done> store_standin::Listen(const std::string& address) {
   auto listening = listener_.Listen(address);
@@ -85,18 +68,18 @@
     return from->Break();
   if (mode == store_mode::kBusy)
     return Answer(from, 503, "{}");
-  const Poco::URI uri(request.head.getURI());
-  auto query = QueryOf(uri);
-  if (uri.getPath() == "/kv-range")
+  standins::query_map query;
+  const std::string path = standins::SplitQuery(request.head.getURI(), &query);
+  if (path == "/kv-range")
     return Answer(from, 200, Range(query["Prefix"], query["After"]));
-  if (uri.getPath() == "/kv-watch") {
+  if (path == "/kv-watch") {
     return Watch(now,
                  {.connection = from,
                   .prefix = query["Prefix"],
                   .after = std::stoull(query["After"]),
                   .until = now + milliseconds(std::stol(query["WaitMs"]))});
   }
-  if (uri.getPath() == "/kv-txn")
+  if (path == "/kv-txn")
     return Change(now, from, request.body);
   Answer(from, 404, "{}");
 }
@@ -127,7 +110,7 @@
     }
     Object row;
     row.set("Key", it->first);
-    row.set("Value", ToBase64(it->second.value));
+    row.set("Value", standins::EncodeBase64(it->second.value));
     row.set("Revision", it->second.revision);
     row.set("LeaseId", 0);
     found.add(row);
@@ -157,7 +140,7 @@
     if (it->second.is_deleted) {
       row.set("Deleted", true);
     } else {
-      row.set("Value", ToBase64(it->second.value));
+      row.set("Value", standins::EncodeBase64(it->second.value));
     }
     events.add(row);
   }
@@ -201,7 +184,7 @@
   }
   for (const auto& key : *wanted_change->getArray("Remove"))
     Apply(key.convert<std::string>(), nullptr);
-  if (std::uniform_real_distribution<double>(0, 1)(random_) < lose_share)
+  if (Draws(lose_share, &random_))
     return from->Break();
   Answer(from, 200, "{\"Revision\":" + std::to_string(revision_) + "}");
 }
--- a/src/tests/soak/store_standin.h
+++ b/src/tests/soak/store_standin.h
@@ -12,6 +12,9 @@
 
 namespace fuchsiafall::soak {
 
+/// Draws whether something of a given share happens.
+bool Draws(double share, std::mt19937_64* random);
+
 /// How the store treats calls.
 enum class store_mode { kOpen, kSilent, kBusy, kReset };
 
