Change: One function calls the store, and the source is chosen once

Cause: the listing of relays at start wrote again how the mirror's call is encoded and its answer decoded; each step chose the source twice; one function made two kinds of call. Change: CallStore serves both, CallRelay stands apart, the chosen address is passed on. Behaviour is meant to be the same.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -96,12 +96,12 @@
   if (mirror_.Step(now))
     Publish(now);
   pool_.CloseIdle(now);
-  const std::string& address = source_.Choose(now);
+  const std::string address = source_.Choose(now);
   time_point next = now + kMirrorStep;
   if (address.empty()) {
     next = now + kWaiterStep;  // A relay may be asked again soon.
   } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address))) {
-    CallMirror(now, *call);
+    CallMirror(now, address, *call);
   }
   if (mirror_.NextCallAt() > now)
     next = std::min(next, mirror_.NextCallAt());
@@ -112,71 +112,80 @@
 }
 
 void site_watch::ReadRelays(time_point now) {
-  const store_call call{.prefix = std::string(kRegisteredPrefix),
-                        .may_be_stale = true};
   options_.count("store_relay_listings");
-  const auto written = platform::EncodeStoreCall(call, options_.store_address);
-  Call(now, options_.store_address, written.bytes, written.timeout,
-       [this, call](time_point at, int status, const std::string& body) {
-         // Without an answer the store is asked as if there were none.
-         store_answer answer;
-         if (status != 0)
-           answer = platform::DecodeStoreAnswer(call.kind, status, body);
-         std::map<std::string, store_item> items;
-         for (const store_item& item : answer.items)
-           items[item.key] = item;
-         if (UpdateRelays(items) > 0)
-           source_.Settle(at);
-         LogEvent(log_event::kRelaysRead,
-                  "status=" + std::to_string(status) +
-                      " relays=" + std::to_string(items.size()));
-         loop_.Post([this] { Step(BootNow()); });
-       });
+  CallStore(now,
+            {.prefix = std::string(kRegisteredPrefix), .may_be_stale = true},
+            [this](time_point at, int status, const store_answer& answer) {
+              // Without an answer the store is asked as if there were none.
+              std::map<std::string, store_item> items;
+              for (const store_item& item : answer.items)
+                items[item.key] = item;
+              if (UpdateRelays(items) > 0)
+                source_.Settle(at);
+              LogEvent(log_event::kRelaysRead,
+                       "status=" + std::to_string(status) +
+                           " relays=" + std::to_string(items.size()));
+              loop_.Post([this] { Step(BootNow()); });
+            });
 }
 
-void site_watch::CallMirror(time_point now, const store_call& call) {
-  const std::string address = source_.Choose(now);
-  if (source_.IsRelay(address)) {
-    options_.count("relay_calls");
-    Call(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
-         [this, address](time_point at, int status, const std::string& body) {
-           store_answer answer = ReadRelayAnswer(status, body);
-           const bool is_silent =
-               answer.status == store_answer::status_type::kSilent;
-           const bool is_cut_off =
-               answer.status == store_answer::status_type::kRefused;
-           if (is_silent || is_cut_off || source_.IsTooOld(answer.sound_age)) {
-             options_.count(is_silent    ? "relay_failed"
-                            : is_cut_off ? "relay_cut_off"
-                                         : "relay_too_old");
-             source_.OnFailed(at, address, !is_silent);
-           } else {
-             source_.OnAnswered(address);
-           }
-           if (!is_silent && !is_cut_off)
-             return OnAnswer(at, answer);
-           mirror_.Withdraw(at);
-           loop_.Post([this] { Step(BootNow()); });
-         });
-    return;
-  }
+void site_watch::CallMirror(time_point now,
+                            const std::string& address,
+                            const store_call& call) {
+  if (source_.IsRelay(address))
+    return CallRelay(now, address, call);
   options_.count(call.kind == store_call::kind_type::kList ? "store_listings"
                                                            : "store_watches");
-  const auto written = platform::EncodeStoreCall(call, address);
-  Call(now, address, written.bytes, written.timeout,
-       [this, call](time_point at, int status, const std::string& body) {
+  CallStore(now, call, [this, call](time_point at, int, store_answer answer) {
+    // Without news, a watch is answered only when its wait is over.
+    if (answer.items.empty())
+      answer.held = call.wait;
+    if (answer.status == store_answer::status_type::kOk) {
+      RemoveLostRelay(at);
+    } else if (answer.status != store_answer::status_type::kHistoryGone) {
+      source_.OnStoreFailed(at);
+    }
+    OnAnswer(at, answer);
+  });
+}
+
+void site_watch::CallRelay(time_point now,
+                           const std::string& address,
+                           const store_call& call) {
+  options_.count("relay_calls");
+  Call(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
+       [this, address](time_point at, int status, const std::string& body) {
+         store_answer answer = ReadRelayAnswer(status, body);
+         const bool is_silent =
+             answer.status == store_answer::status_type::kSilent;
+         const bool is_cut_off =
+             answer.status == store_answer::status_type::kRefused;
+         if (is_silent || is_cut_off || source_.IsTooOld(answer.sound_age)) {
+           options_.count(is_silent    ? "relay_failed"
+                          : is_cut_off ? "relay_cut_off"
+                                       : "relay_too_old");
+           source_.OnFailed(at, address, !is_silent);
+         } else {
+           source_.OnAnswered(address);
+         }
+         if (!is_silent && !is_cut_off)
+           return OnAnswer(at, answer);
+         mirror_.Withdraw(at);
+         loop_.Post([this] { Step(BootNow()); });
+       });
+}
+
+void site_watch::CallStore(time_point now,
+                           const store_call& call,
+                           const store_hook& done) {
+  const auto written = platform::EncodeStoreCall(call, options_.store_address);
+  Call(now, options_.store_address, written.bytes, written.timeout,
+       [kind = call.kind, done](time_point at, int status,
+                                const std::string& body) {
          store_answer answer;
          if (status != 0)
-           answer = platform::DecodeStoreAnswer(call.kind, status, body);
-         // Without news, a watch is answered only when its wait is over.
-         if (answer.items.empty())
-           answer.held = call.wait;
-         if (answer.status == store_answer::status_type::kOk) {
-           RemoveLostRelay(at);
-         } else if (answer.status != store_answer::status_type::kHistoryGone) {
-           source_.OnStoreFailed(at);
-         }
-         OnAnswer(at, answer);
+           answer = platform::DecodeStoreAnswer(kind, status, body);
+         done(at, status, std::move(answer));
        });
 }
 
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -46,6 +46,9 @@
   using call_hook =
       std::function<void(time_point, int status, std::string body)>;
 
+  /// Takes the store's answer; its status is 0 where none came.
+  using store_hook = std::function<void(time_point, int status, store_answer)>;
+
   /// Process of the domain that waits for news.
   struct waiter {
     std::shared_ptr<http_server_connection> connection;
@@ -55,7 +58,16 @@
   };
 
   void Step(time_point now);
-  void CallMirror(time_point now, const store_call& call);
+  /// Makes the mirror's call at the source that was chosen.
+  void CallMirror(time_point now,
+                  const std::string& address,
+                  const store_call& call);
+  void CallRelay(time_point now,
+                 const std::string& address,
+                 const store_call& call);
+  void CallStore(time_point now,
+                 const store_call& call,
+                 const store_hook& done);
   /// Reads only who relays, before anything else.
   void ReadRelays(time_point now);
   void Call(time_point now,
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -121,10 +121,11 @@
     OnCorruptBlob(now, *request, out);
     return;
   }
-  if (request->giver)
+  if (request->giver) {
     item.holders[*request->giver].failures = 0;
-  if (!request->giver)
+  } else {
     origin_backoff_ = milliseconds(0);
+  }
   window_ =
       std::min(window_ + (window_ < slow_from_ ? 1 : 1 / window_), kMostWindow);
   if (request->chunk) {
