Fix: Load no version whose replacement is already due

An engine without weights loaded the newest complete older version, also when a newer one should have replaced it by then. Nothing may begin on such a version, so the load only delayed the next one. Versions past their bound are now neither fetched nor loaded.

an_empty_engine_loads_no_version_past_its_bound failed before: the plan loaded version 1 nine seconds after it was set and eight after it was replaced.

--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -41,6 +41,16 @@
   BOOST_TEST((plan.load == 1u));
 }
 
+BOOST_AUTO_TEST_CASE(an_empty_engine_loads_no_version_past_its_bound) {
+  const std::vector<wanted_version> wanted{{1, kTargetSince, 1},
+                                           {2, kTargetSince + seconds(1), 0.2}};
+  auto plan = PlanWeights(kTargetSince + seconds(8), kOptions, 0, wanted, 0.9);
+  BOOST_TEST((plan.load == 1u));
+  plan = PlanWeights(kTargetSince + seconds(9), kOptions, 0, wanted, 0.9);
+  BOOST_TEST(!plan.load.has_value());
+  BOOST_TEST((plan.fetch == std::vector<uint64_t>{2}));
+}
+
 BOOST_AUTO_TEST_CASE(load_slots_are_staggered_and_all_begin_within_the_bound) {
   std::vector<milliseconds> starts;
   for (int i = 0; i < 20; ++i) {
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -37,6 +37,8 @@
   const wanted_version& newest = wanted.back();
   const wanted_version* fallback = nullptr;  // Newest complete older version.
   for (auto it = wanted.begin(); it + 1 < wanted.end(); ++it) {
+    if (now >= (it + 1)->target_since + options.bound)
+      continue;  // No request may begin on it anymore.
     if (it->progress >= options.min_finish_progress)
       plan.fetch.push_back(it->version);
     if (it->progress >= 1)
