--- a/src/engine_control_type.h
+++ b/src/engine_control_type.h
@@ -33,12 +33,13 @@
   std::vector<std::string> digests;  ///< SHA-256 in hex, one per piece.
 };
 
-/// Order to load the staged weights.
+/// Order to load the staged weights, or to unload the served ones.
 struct load_order {
   std::string model;
   uint64_t version = 0;
   bool aborts_running =
-      false;  ///< Aborts running requests instead of draining.
+      false;               ///< Aborts running requests instead of draining.
+  bool is_unload = false;  ///< Unloads the version instead of loading it.
   uint64_t reported_orders = 0;  ///< Order count in the engine's last report.
 };
 
--- a/src/engine_monitor.cc
+++ b/src/engine_monitor.cc
@@ -12,6 +12,8 @@
   is_reachable_ = true;
   if (is_restarted)
     ordered_version_ = 0;
+  if (is_restarted || report.is_loading || ServedVersion() == 0)
+    unloading_version_ = 0;
   return is_restarted;
 }
 
@@ -19,9 +21,17 @@
   return fuchsiafall::ServedVersion(report_.held, model_, layers_);
 }
 
+bool engine_monitor::IsOrderPending(time_point now) const {
+  const bool is_ordered =
+      unloading_version_ > 0 || ordered_version_ > ServedVersion();
+  return is_ordered && now - ordered_at_ < options_.order_timeout;
+}
+
 bool engine_monitor::IsOrderDue(time_point now, uint64_t version) const {
   if (!is_reachable_ || report_.is_loading || ServedVersion() >= version)
     return false;
+  if (unloading_version_ > 0)
+    return !IsOrderPending(now);
   return ordered_version_ != version ||
          now - ordered_at_ >= options_.order_timeout;
 }
@@ -33,19 +43,31 @@
     return std::nullopt;
   ordered_at_ = now;
   ordered_version_ = version;
+  unloading_version_ = 0;
   return load_order{
       .model = model_, .version = version, .reported_orders = report_.orders};
 }
 
+std::optional<load_order> engine_monitor::MakeUnloadOrder(time_point now) {
+  const uint64_t served = ServedVersion();
+  if (!is_reachable_ || report_.is_loading || served == 0 ||
+      IsOrderPending(now))
+    return std::nullopt;
+  ordered_at_ = now;
+  unloading_version_ = served;
+  return load_order{.model = model_,
+                    .version = served,
+                    .is_unload = true,
+                    .reported_orders = report_.orders};
+}
+
 bool engine_monitor::IsServing(time_point now) const {
   const uint64_t served = ServedVersion();
   if (!is_reachable_ || served == 0 || report_.is_loading)
     return false;
   // After an order the engine drains its batch before its report shows the
   // load.
-  const bool is_switching =
-      served < ordered_version_ && now - ordered_at_ < options_.order_timeout;
-  return !is_switching;
+  return !IsOrderPending(now);
 }
 
 }  // namespace fuchsiafall
--- a/src/engine_monitor_base.h
+++ b/src/engine_monitor_base.h
@@ -39,6 +39,10 @@
   std::optional<load_order> MakeOrder(time_point now,
                                       uint64_t version,
                                       bool is_verified);
+  /// Creates the order to unload the served version, unless an order is in
+  /// progress. The engine then rejects the requests in its queue as not run,
+  /// and finishes the running ones.
+  std::optional<load_order> MakeUnloadOrder(time_point now);
   /// Whether the engine accepts requests.
   bool IsServing(time_point now) const;
   uint64_t ServedVersion() const;
@@ -46,6 +50,9 @@
   bool IsReachable() const { return is_reachable_; }
 
  private:
+  /// Whether an order was sent whose effect no report has shown yet.
+  bool IsOrderPending(time_point now) const;
+
   engine_monitor_options options_;
   std::string model_;
   uint32_t layers_ = 1;
@@ -53,7 +60,8 @@
   bool is_reachable_ = false;
   bool has_report_ = false;
   time_point ordered_at_{};
-  uint64_t ordered_version_ = 0;
+  uint64_t ordered_version_ = 0;    ///< Of the last load order; 0 for none.
+  uint64_t unloading_version_ = 0;  ///< Ordered to be unloaded; 0 for none.
 };
 
 }  // namespace fuchsiafall
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -224,15 +224,31 @@
     return wanted;
   }
 
-  /// Whether the served version was replaced so long ago that no request may
-  /// begin on it.
-  bool IsOutdated(time_point now) const {
+  /// Returns when the served version must be out of use, because a newer one
+  /// was set; nullopt while there is none.
+  std::optional<time_point> OutdatedAt() const {
     auto next = target_since_.upper_bound(engine_monitor_.ServedVersion());
-    return next != target_since_.end() &&
-           now - next->second >
-               process_.Settings().weights_bound -
-                   GrantMargin(now, last_piece_at_,
-                               engine_monitor_.Report().waiting);
+    if (next == target_since_.end())
+      return std::nullopt;
+    return next->second + process_.Settings().weights_bound;
+  }
+
+  /// Whether no more requests may be granted on the served version.
+  bool IsOutdated(time_point now) const {
+    const auto outdated_at = OutdatedAt();
+    return outdated_at &&
+           now > *outdated_at - GrantMargin(now, last_piece_at_,
+                                            engine_monitor_.Report().waiting);
+  }
+
+  /// Unloads the served version right before it is outdated, so that the engine
+  /// itself begins no request that waits in its queue or arrives late.
+  void UnloadOutdated(time_point now) {
+    const auto outdated_at = OutdatedAt();
+    if (!outdated_at || !IsUnloadDue(now, *outdated_at))
+      return;
+    if (auto order = engine_monitor_.MakeUnloadOrder(now))
+      SendOrder(now, *order);
   }
 
   double ProgressOf(uint64_t version) const {
@@ -504,10 +520,11 @@
 
   void SendOrder(time_point now, const load_order& order) {
     const std::string& engine = process_.Settings().engine_address;
-    LogEvent(log_event::kEngineOrdered,
-             "version=" + std::to_string(order.version) +
-                 " served=" + std::to_string(engine_monitor_.ServedVersion()) +
-                 " orders=" + std::to_string(order.reported_orders));
+    LogEvent(
+        order.is_unload ? log_event::kEngineUnloads : log_event::kEngineOrdered,
+        "version=" + std::to_string(order.version) +
+            " served=" + std::to_string(engine_monitor_.ServedVersion()) +
+            " orders=" + std::to_string(order.reported_orders));
     process_.Metrics().Count("orders");
     places_.SetAccepting(false);
     Call(now,
@@ -653,6 +670,7 @@
     Perform(now, &out);
     Plan(now);
     Stage(now);
+    UnloadOutdated(now);
     pool_.CloseIdle(now);
     const bool is_busy = has_transfer_ && !transfer_.IsComplete();
     tick_timer_ = process_.Loop().StartTimer(
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -46,3 +46,7 @@
 LOG_EVENT(kEngineOrdered, 622, Info, "engine ordered to load staged weights")
 LOG_EVENT(kEngineState, 623, Info, "engine state changed")
 LOG_EVENT(kOriginFailed, 624, Warning, "origin of weights gave no answer")
+LOG_EVENT(kEngineUnloads,
+          625,
+          Info,
+          "engine ordered to unload replaced weights")
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -160,6 +160,17 @@
   BOOST_TEST(sent.find("Deadline-Ms: 650") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(an_unload_order_names_an_empty_range_of_layers) {
+  const load_order unload{.model = "m", .version = 3, .is_unload = true};
+  const std::string call = platform::EncodeLoadOrder("10.0.0.1:80", unload);
+  BOOST_TEST(call.find(R"("From":0)") != std::string::npos);
+  BOOST_TEST(call.find(R"("To":0)") != std::string::npos);
+  BOOST_TEST(call.find(R"("Version":3)") != std::string::npos);
+  BOOST_TEST(
+      platform::EncodeLoadOrder("10.0.0.1:80", {.model = "m"}).find("From") ==
+      std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(heads_that_could_be_framed_in_two_ways_are_refused) {
   const std::string start = "POST /p HTTP/1.1\r\nHost: h\r\n";
   BOOST_TEST(!IsRequestRefused(start + "Content-Length: 3\r\n\r\n"));
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -113,6 +113,7 @@
   /// layers.
   std::string LayerFields() const;
   std::string Report() const;
+  bool IsBusy() const { return loading_version_ > 0 || is_unloading_; }
   /// Writes its record to the store.
   void WriteServerRecord();
 
@@ -130,6 +131,7 @@
   bool is_draining_ = false;
   uint64_t loaded_version_ = 0;   ///< Version of the loaded layers; 0 for none.
   uint64_t loading_version_ = 0;  ///< Version that is being loaded; 0 for none.
+  bool is_unloading_ = false;     ///< Whether the loaded version is unloaded.
   uint64_t orders_ = 0;
   std::map<uint32_t, std::string> staged_chunks_;
   std::map<uint32_t, time_point> corrupted_at_;  ///< By chunk.
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -24,6 +24,10 @@
 /// pieces over a link at a tenth of its nominal rate.
 constexpr milliseconds kLinkSaturation{1500};
 
+/// Time before the end of the bound at which replaced weights are unloaded:
+/// several intervals of the check, plus the call to the engine on the same VM.
+constexpr milliseconds kUnloadMargin{300};
+
 }  // namespace
 
 weights_plan PlanWeights(time_point now,
@@ -37,8 +41,8 @@
   const wanted_version& newest = wanted.back();
   const wanted_version* fallback = nullptr;  // Newest complete older version.
   for (auto it = wanted.begin(); it + 1 < wanted.end(); ++it) {
-    if (now >= (it + 1)->target_since + options.bound)
-      continue;  // No request may begin on it anymore.
+    if (now + options.min_use > (it + 1)->target_since + options.bound)
+      continue;  // Hardly any request may begin on it anymore.
     if (it->progress >= options.min_finish_progress)
       plan.fetch.push_back(it->version);
     if (it->progress >= 1)
@@ -102,4 +106,8 @@
                                           : kEngineWait;
 }
 
+bool IsUnloadDue(time_point now, time_point outdated_at) {
+  return now >= outdated_at - kUnloadMargin;
+}
+
 }  // namespace fuchsiafall
--- a/src/weights_plan_func.h
+++ b/src/weights_plan_func.h
@@ -28,6 +28,8 @@
   /// Progress from which a transfer is expected to complete before its load
   /// slot.
   double min_likely_progress = 0.5;
+  /// An older version is not loaded with less time than this left in its bound.
+  milliseconds min_use{1500};
 };
 
 /// Version of the weights with the local progress of its transfer.
@@ -69,6 +71,10 @@
                          std::optional<time_point> last_piece,
                          uint32_t waiting);
 
+/// Whether the served version must be unloaded now, so that the engine itself
+/// begins no request on it when it is outdated.
+bool IsUnloadDue(time_point now, time_point outdated_at);
+
 }  // namespace fuchsiafall
 
 #endif  // WEIGHTS_PLAN_FUNC_H_
