--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -68,10 +68,13 @@
       wanted->second.FindReplacement(served);
   if (replacement == nullptr)
     return false;
-  // If the time of the replacement is unknown, the agent decides when it grants
-  // a place; without a place, the version counts as outdated.
+  // Only its agent can make an engine stop at the bound, so without a place
+  // granted by it, a replaced version counts as outdated.
+  if (is_without_place)
+    return true;
+  // If the time of the replacement is unknown, the agent decides.
   if (!replacement->was_watched)
-    return is_without_place;
+    return false;
   return now - replacement->announced_after >
          options_.weights_bound - options_.weights_margin;
 }
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -275,6 +275,29 @@
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
+// Only an agent that answers can keep the bound of replaced weights at its
+// engine.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_without_a_place_to_replaced_weights) {
+  for (const bool is_replaced : {false, true}) {
+    fake_entry entry;
+    site_view view = entry.site.index->View();
+    if (is_replaced) {
+      view.weights["model"] = {
+          .version = 2,
+          .announcements = {
+              {2, {.announced_after = entry.now, .was_watched = true}}}};
+    }
+    entry.site.Set(view);
+    entry.dispatch.SetIndex(entry.site.index.get());
+    // No agent answers.
+    for (uint64_t id = 1; id <= 20; ++id) {
+      entry.SendRequest(id, "models");
+      entry.Advance(milliseconds(150));
+    }
+    BOOST_TEST(entry.attempts.empty() == is_replaced);
+  }
+}
+
 // An instance at a reused address answers 421 to requests for the previous
 // instance. A restarted instance registers with a newer revision.
 BOOST_AUTO_TEST_CASE(a_replaced_server_is_used_again_once_it_registers) {
