Fix: Quarantine parts of prompts that crash servers

Seen by callers: requests of one kind, no two alike, crash backend servers one after the other; sound requests that share their caller or other parts get no answer.

Cause: crashes were counted by the fingerprint of the whole request only. Also, agents told of a crash only when their engine was back, seconds later, and an entry repeated a request that had crashed a server at the next one at once.

Change: agents record crashes with all requests that they aborted, as soon as the engine refuses connections after it broke off attempts, and send the records to all agents. The parts of a prompt, except the last, count besides the whole request. A part is quarantined after three crashes with different requests unless it is known to be sound by a full answer; agents that know this object. A crash that a quarantined part explains counts against nothing else, and a full answer after the last crash releases a part. Quarantines are passed on to restarted agents and to entries, which then refuse without asking. A request with a suspect part that a server breaks off is not repeated. An answer that ends with its connection shows a part to be sound only if the engine still runs.

a_request_that_crashes_servers_is_quarantined now runs against crash_monitor, which replaced the functions that it called; its checks are the same, and one is added.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -142,8 +142,6 @@
   call.is_model = service != nullptr && service->engine.has_value() &&
                   !request.model.empty();
   budget_.OnRequest(now);
-  if (crashes_.IsQuarantined(now, request.request_fingerprint))
-    return Refuse(now, &call, call_refusal::kQuarantined);
   Dispatch(now, &call);
 }
 
@@ -152,8 +150,11 @@
     return Refuse(now, call, call_refusal::kTimedOut);
   if (call->has_key && !IsFresh(now))
     return Refuse(now, call, call_refusal::kStateTooOld);
+  if (crashes_.FindQuarantined(now, call->request.traits))
+    return Refuse(now, call, call_refusal::kQuarantined);
   call->current_stage = stage::kRequestingPlace;
   call->has_place = false;
+  call->is_suspect = false;
   if (call->is_model) {
     DispatchModelCall(now, call);
   } else {
@@ -192,12 +193,11 @@
     call->timeout_at = now + options_.place_timeout;
     call->place_request_id = next_place_request_id_++;
     open_place_requests_[call->place_request_id] = call->id;
-    place_request request{
-        .call = call->place_request_id,
-        .prompt_tokens = call->request.prompt_tokens,
-        .answer_tokens = call->request.hinted_tokens,
-        .is_resumed = call->is_streaming,
-        .request_fingerprint = call->request.request_fingerprint};
+    place_request request{.call = call->place_request_id,
+                          .prompt_tokens = call->request.prompt_tokens,
+                          .answer_tokens = call->request.hinted_tokens,
+                          .is_resumed = call->is_streaming,
+                          .traits = call->request.traits};
     request.first_token_budget = std::chrono::duration_cast<milliseconds>(
         std::max<duration>(duration(0), call->target_deadline - now));
     request.time_left =
@@ -229,11 +229,14 @@
   selector_.SetAnswerLimit(call.server.id, reply.max_answer_tokens);
   if (reply.is_granted) {
     call.has_place = true;
+    call.is_suspect = reply.is_suspect;
     Send(now, &call);
     return;
   }
-  if (reply.is_quarantined)
+  if (reply.is_quarantined) {
+    OnQuarantined(now, reply.quarantined_trait);
     return Refuse(now, &call, call_refusal::kQuarantined);
+  }
   selector_.OnFull(now, call.server.id, reply.expected_free_in);
   if (reply.slots > 0 && (!call.expected_free_in ||
                           reply.expected_free_in < *call.expected_free_in)) {
@@ -247,6 +250,7 @@
   ++call->attempt;
   call->current_stage = stage::kSent;
   call->has_head = false;
+  call->has_events = false;
   call->body.clear();
   call->events.Clear();
   call->tried.insert(call->server.id);
@@ -276,6 +280,23 @@
   hooks_.start_attempt(call->id, call->attempt, call->server, headers);
 }
 
+void call_dispatch::OnQuarantined(time_point now, fingerprint trait) {
+  if (trait.value != 0)
+    crashes_.Adopt(now, {.trait = trait}, now + options_.quarantine_time);
+}
+
+void call_dispatch::RecordAbort(time_point now, const call_state& call) {
+  if (call.is_model)
+    return;  // Agents observe the crashes of engines.
+  crash_record crash;
+  crash.id.server = call.server.id;
+  crash.id.ordinal = next_crash_++;
+  crash.at = now;
+  crash.requests.push_back(call.request.traits);
+  crashes_.AddCrash(now, crash);
+  crashes_.Decide(now);
+}
+
 call_dispatch::call_state* call_dispatch::Find(uint64_t id, uint32_t attempt) {
   auto it = calls_.find(id);
   if (it == calls_.end() || it->second.attempt != attempt ||
@@ -331,6 +352,7 @@
   std::string out;
   std::string event;
   while (call->events.Next(&event)) {
+    call->has_events = true;
     const auto event_id = hooks_.event_id(event);
     if (event_id) {
       if (call->last_event && *event_id <= *call->last_event)
@@ -352,10 +374,9 @@
   call_state* call = Find(id, attempt);
   if (call == nullptr)
     return;
-  const bool was_broken = end == exchange_end::kBroken;
-  EndAttempt(call, was_broken);
-  if (was_broken && !call->is_model)
-    crashes_.RecordCrash(now, call->request.request_fingerprint);
+  EndAttempt(call, ResultOf(*call, end));
+  if (end == exchange_end::kBroken)
+    RecordAbort(now, *call);
   if (end == exchange_end::kNotConnected) {
     selector_.OnFailure(now, call->server.id);
     --call->possible_runs;
@@ -365,6 +386,10 @@
   if (end != exchange_end::kComplete || !call->has_head) {
     selector_.OnFailure(now, call->server.id);
     hooks_.count("attempts_broken");
+    if (call->is_suspect) {
+      hooks_.count("retries_suspect");
+      return Refuse(now, call, call_refusal::kServerFailed);
+    }
     return Retry(now, call, true);
   }
   if (call->head.did_not_run) {
@@ -432,11 +457,27 @@
   hooks_.answer(id, body);
 }
 
-void call_dispatch::EndAttempt(call_state* call, bool was_broken) {
+attempt_result call_dispatch::ResultOf(const call_state& call,
+                                       exchange_end end) {
+  if (end == exchange_end::kBroken)
+    return attempt_result::kBroken;
+  if (end != exchange_end::kComplete || !call.has_head ||
+      !IsSuccess(call.head.status)) {
+    return attempt_result::kOther;
+  }
+  if (call.head.ends_by_close)
+    return attempt_result::kClosed;
+  const bool is_whole = !call.is_streaming ||
+                        (call.has_events && call.events.Incomplete().empty());
+  return call.head.is_sealed && is_whole ? attempt_result::kAnswered
+                                         : attempt_result::kOther;
+}
+
+void call_dispatch::EndAttempt(call_state* call, attempt_result result) {
   selector_.OnAttemptEnded(call->server.id);
   if (call->has_place) {
     call->has_place = false;
-    hooks_.release_place(call->server, call->place_request_id, was_broken);
+    hooks_.release_place(call->server, call->place_request_id, result);
   }
   call->current_stage = stage::kRequestingPlace;
 }
@@ -444,7 +485,8 @@
 void call_dispatch::CancelPlaceRequest(call_state* call) {
   if (open_place_requests_.erase(call->place_request_id) > 0) {
     // The place may have been granted and the reply not received yet.
-    hooks_.release_place(call->server, call->place_request_id, false);
+    hooks_.release_place(call->server, call->place_request_id,
+                         attempt_result::kOther);
   }
 }
 
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -72,6 +72,8 @@
   milliseconds min_attempt_timeout{250};
   /// Maximum of requests in flight at a server whose agent does not answer.
   uint32_t max_without_place = 2;
+  /// Time for which a quarantine told by agents is kept.
+  seconds quarantine_time{30};
   milliseconds min_retry_after{300};
   milliseconds retry_after_spread{2000};  ///< Range of the random part.
   retry_budget_options budget;
@@ -84,9 +86,8 @@
   /// id.
   std::function<void(const site_server&, const place_request&)> request_place;
   /// Releases a place, or one that may have been granted.
-  /// @param was_broken Whether the server ended the attempt prematurely.
   std::function<
-      void(const site_server&, uint64_t place_request_id, bool was_broken)>
+      void(const site_server&, uint64_t place_request_id, attempt_result)>
       release_place;
   /// Starts an attempt. Its answer is passed back with the attempt's number.
   std::function<void(uint64_t call,
@@ -139,6 +140,8 @@
   void OnPlaceReply(time_point now,
                     uint64_t place_request_id,
                     const place_reply& reply);
+  /// Handles the quarantine of a trait of requests by the agents.
+  void OnQuarantined(time_point now, fingerprint trait);
   /// Handles the head of an answer.
   /// @return Whether it belongs to this request.
   bool OnAnswerHead(time_point now,
@@ -185,12 +188,14 @@
     std::set<std::string> asked_servers;
     site_server server;  ///< Of the current place request or attempt.
     bool has_place = false;
-    uint64_t place_request_id = 0;     ///< Id of the current place request.
+    bool is_suspect = false;        ///< Of crashing servers, as its agent says.
+    uint64_t place_request_id = 0;  ///< Id of the current place request.
     uint32_t place_request_count = 0;  ///< Since the last attempt.
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     time_point timeout_at{};           ///< Timeout of the current stage.
     bool has_head = false;
+    bool has_events = false;  ///< Whether the attempt has delivered an event.
     server_answer head;
     bool is_streaming = false;  ///< Whether a streamed answer has begun.
     std::optional<uint64_t> last_event;
@@ -211,7 +216,11 @@
   void FinishBuffered(time_point now, call_state* call);
   void FinishStream(time_point now, call_state* call);
   /// Ends the current attempt and releases its place.
-  void EndAttempt(call_state* call, bool was_broken = false);
+  static attempt_result ResultOf(const call_state& call, exchange_end end);
+  void EndAttempt(call_state* call,
+                  attempt_result result = attempt_result::kOther);
+  /// Records that a server of a plain service aborted a request.
+  void RecordAbort(time_point now, const call_state& call);
   /// Gives up the open place request, and releases its place if granted.
   void CancelPlaceRequest(call_state* call);
   void Refuse(time_point now, call_state* call, call_refusal reason);
@@ -232,7 +241,9 @@
   const site_index* index_ = nullptr;
   time_point confirmed_at_{};
   std::optional<time_point> exit_at_;
-  crash_history crashes_{{}};  ///< Crashes of plain services.
+  /// Crashes of plain services, and quarantines told by agents.
+  crash_history crashes_{{}};
+  uint64_t next_crash_ = 1;
   std::map<uint64_t, call_state> calls_;
   /// Call ids by place request id.
   std::map<uint64_t, uint64_t> open_place_requests_;
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "ids_type.h"
+#include "request_traits_type.h"
 #include "time_type.h"
 
 namespace fuchsiafall {
@@ -23,8 +23,7 @@
   uint32_t answer_tokens = 0;  ///< Maximum number of generated tokens.
   uint32_t hinted_tokens = 0;  ///< Caller's estimate of the answer; 0 if none.
   std::optional<uint64_t> last_event;  ///< Last event that the caller received.
-  /// Hash of API key, path and body; retries of a caller have the same one.
-  fingerprint request_fingerprint;
+  request_traits traits;
 };
 
 /// Headers that an attempt adds to the caller's request.
@@ -45,6 +44,9 @@
   /// Whether it has the server's response seal. A success without it is not
   /// trusted: it is not forwarded, and the attempt counts as failed.
   bool is_sealed = false;
+  /// Whether its end is that of the connection, which does not tell a complete
+  /// answer from one that a crash has cut off.
+  bool ends_by_close = false;
   bool has_load = false;
   uint32_t running = 0;
   uint32_t waiting = 0;
--- /dev/null
+++ b/src/crash_monitor_base.h
@@ -0,0 +1,138 @@
+/// @file crash_monitor_base.h Observes the crashes of an agent's own engine,
+/// and exchanges crashes, full answers and quarantines with other agents.
+#ifndef CRASH_MONITOR_BASE_H_
+#define CRASH_MONITOR_BASE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "crash_ledger_base.h"
+#include "log_event_func.h"
+#include "place_table_base.h"
+#include "proto/fuchsiafall.pb.h"
+
+namespace fuchsiafall {
+
+struct crash_monitor_options {
+  vm_id self;
+  incarnation own_incarnation;
+  crash_history_options history;
+  /// Requests aborted within this time before an engine becomes unreachable
+  /// were aborted by its crash.
+  milliseconds unreachable_window{1000};
+  /// The same before a restart of the engine is observed.
+  milliseconds restart_window{10000};
+  /// Time after a crash within which further aborted requests belong to it.
+  milliseconds late_window{3000};
+  /// Times at which a crash is sent again, with what has been added meanwhile.
+  std::vector<milliseconds> resend_after{milliseconds(150), milliseconds(600)};
+  milliseconds gossip_interval{1000};
+  size_t gossip_peers = 3;  ///< That get the quarantines in each interval.
+  /// Entries that requested a place within this time get quarantines.
+  seconds entry_retention{60};
+  /// Time after which a report shows that the engine had not crashed.
+  milliseconds alive_after{200};
+  size_t max_ended = 4096;
+  size_t max_entries = 4096;
+  size_t max_requests_sent = 64;  ///< Or quarantines, in one message.
+  uint64_t seed = 1;
+};
+
+struct crash_monitor_hooks {
+  /// Sends a message, which may be lost.
+  std::function<void(const std::string& address, const proto::envelope&)> send;
+  std::function<void(log_event, const std::string& detail)> log;
+  std::function<void(const std::string& counter)> count;
+};
+
+/// What is known about the traits of a request for a place.
+struct trait_verdict {
+  std::optional<fingerprint> quarantined;
+  bool is_suspect = false;
+};
+
+/// Each agent observes its own engine and tells all other agents of a crash at
+/// once, since one may cause the next within a second. All agents know all
+/// crashes, so that each decides alone which traits to quarantine.
+class crash_monitor {
+ public:
+  crash_monitor(crash_monitor_options options, crash_monitor_hooks hooks);
+
+  /// Sets the agents whose servers are registered. Those that are gone from the
+  /// list remain known for a time, since a server that has crashed is not
+  /// registered until it is back.
+  void SetAgents(time_point now, const std::vector<std::string>& agents);
+  /// Judges a request for a place.
+  /// @param entry Address of the entry that requests it.
+  trait_verdict Judge(time_point now,
+                      const std::string& entry,
+                      const request_traits& traits);
+  void OnPlaceReleased(time_point now,
+                       const released_place& place,
+                       attempt_result result);
+  /// Handles the result of requesting a report from the engine.
+  void OnEngineReport(time_point now, bool is_reachable, bool is_restarted);
+  /// @param from Address of the sender.
+  void OnMessage(time_point now,
+                 const std::string& from,
+                 const proto::envelope& message);
+  /// Sends what is due and decides on quarantines.
+  void RunDue(time_point now);
+
+  const crash_history& History() const { return history_; }
+
+ private:
+  /// Crash of the own engine.
+  struct own_crash {
+    crash_record record;
+    time_point observed_at{};
+    size_t sent = 0;  ///< Times that it was sent, besides the first.
+  };
+
+  void AddCrash(time_point now, duration window);
+  void OnAnswered(time_point now, const released_place& place);
+  /// Counts answers as complete that ended with their connections, since the
+  /// engine is still running.
+  void OnEngineAlive(time_point now);
+  void SendCrash(time_point now, const own_crash& crash);
+  void Decide(time_point now);
+  void OnCrash(time_point now,
+               const std::string& from,
+               const proto::envelope& message);
+  void OnQuarantined(time_point now,
+                     const std::string& from,
+                     const proto::crash_note& note);
+  void SendSound(time_point now,
+                 const std::string& to,
+                 const std::vector<fingerprint>& traits);
+  /// Tells all agents that traits are released from quarantine.
+  void SendReleased(time_point now, const std::vector<fingerprint>& traits);
+  /// Sends the quarantines to some agents and entries.
+  void Gossip(time_point now);
+
+  crash_monitor_options options_;
+  crash_monitor_hooks hooks_;
+  crash_history history_;
+  std::mt19937_64 random_;
+  std::map<std::string, time_point> agents_;   ///< When each is forgotten.
+  std::map<std::string, time_point> entries_;  ///< When each last asked.
+  struct ended_attempt {
+    time_point at{};
+    released_place place;
+    bool was_closed = false;  ///< Complete unless the engine has crashed.
+  };
+  std::deque<ended_attempt> ended_;    ///< Perhaps by a crash.
+  std::deque<own_crash> own_crashes_;  ///< Within late_window.
+  bool is_down_ = false;  ///< Whether the engine is down after a known crash.
+  uint64_t next_ordinal_ = 1;
+  time_point gossip_at_{};
+};
+
+}  // namespace fuchsiafall
+
+#endif  // CRASH_MONITOR_BASE_H_
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <zmq.hpp>
 
-#include "crash_ledger_base.h"
+#include "crash_monitor_base.h"
 #include "engine_monitor_base.h"
 #include "envelope_func.h"
 #include "hash_func.h"
@@ -74,6 +74,10 @@
         stager_({}),
         engine_monitor_({}),
         places_({}),
+        crash_monitor_({.self = self_,
+                        .own_incarnation = process_.OwnIncarnation(),
+                        .seed = process_.OwnIncarnation().value},
+                       CrashHooks()),
         pool_(&process_.Loop(), {}),
         control_(&process_.Loop(),
                  [this](time_point now,
@@ -144,7 +148,7 @@
                                         process_.Settings().weights_bound);
       }
     }
-    UpdateTopology(view);
+    UpdateTopology(now, view);
     Plan(now);
     is_draining_ = false;
     for (const auto& [id, server] : view.servers) {
@@ -171,7 +175,7 @@
   }
 
   /// Rebuilds the topology for the weight transfer when the servers change.
-  void UpdateTopology(const site_view& view) {
+  void UpdateTopology(time_point now, const site_view& view) {
     std::map<std::string, std::string> members;
     for (const auto& [id, server] : view.servers) {
       if (server.service == process_.Settings().service)
@@ -182,6 +186,7 @@
     if (members == members_)
       return;
     members_ = std::move(members);
+    crash_monitor_.SetAgents(now, OtherAgents());
     topology_ = MakeTopology();
     load_slot_ = ComputeLoadSlot();
     // Makes the next plan give the new topology to the transfer.
@@ -555,13 +560,14 @@
                                 : failure{"status " + std::to_string(status)};
     const bool was_serving = is_serving_;
     const uint64_t served = engine_monitor_.ServedVersion();
+    bool is_restarted = false;
     if (report) {
-      if (engine_monitor_.OnReport(*report)) {
+      is_restarted = engine_monitor_.OnReport(*report);
+      if (is_restarted) {
         LogEvent(log_event::kEngineRestarted,
                  "born=" + std::to_string(report->started_at_ms));
         places_.OnEngineRestart(now);
         stager_.Invalidate();
-        BroadcastCrash(now);
       }
       places_.OnReport(now, *report);
       if (report->cold_remaining > milliseconds(0))
@@ -569,6 +575,7 @@
     } else {
       engine_monitor_.OnUnreachable();
     }
+    crash_monitor_.OnEngineReport(now, static_cast<bool>(report), is_restarted);
     is_serving_ = engine_monitor_.IsServing(now) && !is_draining_ &&
                   !is_evacuated_ && !IsOutdated(now);
     places_.SetAccepting(is_serving_);
@@ -585,23 +592,32 @@
     Stage(now);
   }
 
-  /// Notifies all agents of the requests that were running when this engine
-  /// crashed.
-  void BroadcastCrash(time_point now) {
-    proto::envelope message = MakeEnvelope(self_, process_.OwnIncarnation());
-    for (const fingerprint& request : crashes_.OnEngineRestart(now)) {
-      crashes_.RecordCrash(now, request);
-      message.mutable_crash_note()->add_fingerprints(request.value);
-    }
-    if (!message.has_crash_note())
-      return;
-    process_.Metrics().Count("crashes_spread");
+  // ---- Crashes ----
+
+  crash_monitor_hooks CrashHooks() {
+    crash_monitor_hooks hooks;
+    hooks.send = [this](const std::string& address,
+                        const proto::envelope& message) {
+      control_.Send(address, message);
+    };
+    hooks.log = [](log_event event, const std::string& detail) {
+      LogEvent(event, detail);
+    };
+    hooks.count = [this](const std::string& name) {
+      process_.Metrics().Count(name);
+    };
+    return hooks;
+  }
+
+  std::vector<std::string> OtherAgents() const {
+    std::vector<std::string> agents;
     for (const auto& [ip, domain] : members_) {
       if (ip != self_.value) {
-        control_.Send(ip + ":" + std::to_string(process_.Settings().first_port),
-                      message);
+        agents.push_back(ip + ":" +
+                         std::to_string(process_.Settings().first_port));
       }
     }
+    return agents;
   }
 
   // ---- Places ----
@@ -619,13 +635,20 @@
           .first_token_budget = milliseconds(question.patience_ms()),
           .time_left = milliseconds(question.time_left_ms()),
           .is_resumed = question.is_resumed(),
-          .request_fingerprint = fingerprint(question.fingerprint())};
+          .traits = {.request = fingerprint(question.fingerprint()),
+                     .parts = {}}};
+      for (uint64_t part : question.parts())
+        request.traits.parts.emplace_back(part);
+      const trait_verdict verdict =
+          crash_monitor_.Judge(now, from, request.traits);
       place_reply reply;
-      if (crashes_.IsQuarantined(now, request.request_fingerprint)) {
+      if (verdict.quarantined) {
         reply.is_quarantined = true;
+        reply.quarantined_trait = *verdict.quarantined;
         process_.Metrics().Count("places_quarantined");
       } else {
         reply = places_.RequestPlace(now, request);
+        reply.is_suspect = verdict.is_suspect;
       }
       process_.Metrics().Count(reply.is_granted ? "places_granted"
                                                 : "places_denied");
@@ -636,18 +659,25 @@
       answer->set_free_after_ms(
           static_cast<uint32_t>(reply.expected_free_in.count()));
       answer->set_is_quarantined(reply.is_quarantined);
+      answer->set_quarantined_trait(reply.quarantined_trait.value);
+      answer->set_is_suspect(reply.is_suspect);
       answer->set_load(reply.load);
       answer->set_slots(reply.slots);
       answer->set_most_answer_tokens(reply.max_answer_tokens);
       control_.Send(from, envelope);
     } else if (message.has_place_return()) {
-      const auto released =
-          places_.Release(now, from, message.place_return().call());
-      if (released && message.place_return().was_broken())
-        crashes_.OnRequestAborted(now, *released);
+      const proto::place_return& returned = message.place_return();
+      const auto released = places_.Release(now, from, returned.call());
+      if (released) {
+        crash_monitor_.OnPlaceReleased(
+            now, *released,
+            returned.was_broken()     ? attempt_result::kBroken
+            : returned.was_answered() ? attempt_result::kAnswered
+            : returned.was_closed()   ? attempt_result::kClosed
+                                      : attempt_result::kOther);
+      }
     } else if (message.has_crash_note()) {
-      for (uint64_t crashed : message.crash_note().fingerprints())
-        crashes_.RecordCrash(now, fingerprint(crashed));
+      crash_monitor_.OnMessage(now, from, message);
     } else if (message.has_have()) {
       output_list out;
       transfer_.OnHaveMap(now, vm_id(message.vm()), message.have(), &out);
@@ -668,6 +698,7 @@
     if (has_transfer_)
       transfer_.RunDue(now, &out);
     Perform(now, &out);
+    crash_monitor_.RunDue(now);
     Plan(now);
     Stage(now);
     UnloadOutdated(now);
@@ -688,7 +719,7 @@
   piece_stager stager_;
   engine_monitor engine_monitor_;
   place_table places_;
-  crash_history crashes_{{}};
+  crash_monitor crash_monitor_;
   http_client_pool pool_;
   datagram_link control_;
   std::unique_ptr<zmq::context_t> context_;
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -149,15 +149,21 @@
       question->set_time_left_ms(
           static_cast<uint32_t>(request.time_left.count()));
       question->set_is_resumed(request.is_resumed);
-      question->set_fingerprint(request.request_fingerprint.value);
+      question->set_fingerprint(request.traits.request.value);
+      for (const fingerprint& part : request.traits.parts)
+        question->add_parts(part.value);
       agents_.Send(AgentAddressOf(server), message);
     };
     hooks.release_place = [this](const site_server& server,
-                                 uint64_t place_request_id, bool was_broken) {
+                                 uint64_t place_request_id,
+                                 attempt_result result) {
       proto::envelope message = MakeEnvelope(vm_id(process_.Settings().node),
                                              process_.OwnIncarnation());
-      message.mutable_place_return()->set_call(place_request_id);
-      message.mutable_place_return()->set_was_broken(was_broken);
+      proto::place_return* release = message.mutable_place_return();
+      release->set_call(place_request_id);
+      release->set_was_broken(result == attempt_result::kBroken);
+      release->set_was_answered(result == attempt_result::kAnswered);
+      release->set_was_closed(result == attempt_result::kClosed);
       agents_.Send(AgentAddressOf(server), message);
     };
     hooks.start_attempt = [this](uint64_t call, uint32_t attempt,
@@ -252,7 +258,7 @@
     by_caller_[caller.get()] = id;
     caller_call call = platform::DecodeCall(item.request.head);
     const std::string target = item.request.head.getURI();
-    call.request_fingerprint =
+    call.traits.request =
         fingerprint(Hash64(item.request.body, Hash64(call.key + " " + target)));
     dispatch_.OnRequest(now, id, call, target, item.request.first_byte_at);
     Schedule();
@@ -312,6 +318,8 @@
   }
 
   void OnAgent(time_point now, const proto::envelope& message) {
+    for (const auto& item : message.crash_note().quarantined())
+      dispatch_.OnQuarantined(now, fingerprint(item.trait()));
     if (!message.has_place_answer())
       return;
     const proto::place_answer& answer = message.place_answer();
@@ -322,7 +330,9 @@
          .load = answer.load(),
          .slots = answer.slots(),
          .max_answer_tokens = answer.most_answer_tokens(),
-         .is_quarantined = answer.is_quarantined()});
+         .is_quarantined = answer.is_quarantined(),
+         .quarantined_trait = fingerprint(answer.quarantined_trait()),
+         .is_suspect = answer.is_suspect()});
     Schedule();
   }
 
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -123,19 +123,20 @@
   places_[key] = {.granted_at = now,
                   .expires_at = now + request.time_left + kExpiryMargin,
                   .prompt_tokens = request.prompt_tokens,
-                  .request_fingerprint = request.request_fingerprint};
+                  .traits = request.traits};
   reply.is_granted = true;
   reply.load = Load();
   return reply;
 }
 
-std::optional<fingerprint> place_table::Release(time_point now,
-                                                const std::string& entry,
-                                                uint64_t call) {
+std::optional<released_place> place_table::Release(time_point now,
+                                                   const std::string& entry,
+                                                   uint64_t call) {
   auto it = places_.find({entry, call});
   if (it == places_.end())
     return std::nullopt;
-  const fingerprint request_fingerprint = it->second.request_fingerprint;
+  released_place released{.granted_at = it->second.granted_at,
+                          .traits = std::move(it->second.traits)};
   places_.erase(it);
   // The last engine report still includes this request.
   if (report_.waiting > 0) {
@@ -145,7 +146,7 @@
   }
   if (places_.size() <= report_.running + report_.waiting)
     surplus_since_ = now;
-  return request_fingerprint;
+  return released;
 }
 
 }  // namespace fuchsiafall
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "engine_control_type.h"
-#include "ids_type.h"
+#include "request_traits_type.h"
 #include "site_type.h"
 #include "time_type.h"
 
@@ -33,9 +33,9 @@
   uint32_t answer_tokens = 0;  ///< Expected answer length; 0 if unknown.
   /// Time left until the first token would be late; 0 if it is late already.
   milliseconds first_token_budget{0};
-  milliseconds time_left{0};        ///< Until the caller's timeout.
-  bool is_resumed = false;          ///< Whether it resumes a stream.
-  fingerprint request_fingerprint;  ///< Fingerprint of the caller's request.
+  milliseconds time_left{0};  ///< Until the caller's timeout.
+  bool is_resumed = false;    ///< Whether it resumes a stream.
+  request_traits traits;      ///< Of the caller's request.
 };
 
 /// Answer of an agent to a request for a place.
@@ -47,7 +47,24 @@
   uint32_t slots = 0;  ///< 0 while the server accepts no requests.
   /// Longest answer accepted before the engine loads new weights; 0 for any.
   uint32_t max_answer_tokens = 0;
-  bool is_quarantined = false;  ///< The request crashed several servers.
+  bool is_quarantined = false;    ///< The request crashed several servers.
+  fingerprint quarantined_trait;  ///< Trait of the request that did so.
+  /// In grants: whether it may crash the server, so that it is not retried
+  /// elsewhere if the server aborts it.
+  bool is_suspect = false;
+};
+
+/// How an attempt ended.
+enum class attempt_result {
+  kOther,
+  kBroken,    ///< The server aborted it.
+  kAnswered,  ///< Successfully and in full.
+  kClosed,    ///< With its connection, so that it may have been cut off.
+};
+
+struct released_place {
+  time_point granted_at{};
+  request_traits traits;  ///< Of its request.
 };
 
 /// Grants places based on the engine's reports and the places already granted,
@@ -84,10 +101,10 @@
   place_reply RequestPlace(time_point now, const place_request& request);
   /// Releases a place.
   /// @param call Id of the place request.
-  /// @return Fingerprint of its request; nullopt if there was no such place.
-  std::optional<fingerprint> Release(time_point now,
-                                     const std::string& entry,
-                                     uint64_t call);
+  /// @return The place; nullopt if there was no such place.
+  std::optional<released_place> Release(time_point now,
+                                        const std::string& entry,
+                                        uint64_t call);
   /// Requests at the engine, reported or granted, whichever is more.
   uint32_t Load() const;
   size_t GrantedCount() const { return places_.size(); }
@@ -97,7 +114,7 @@
     time_point granted_at{};
     time_point expires_at{};
     uint32_t prompt_tokens = 0;
-    fingerprint request_fingerprint;
+    request_traits traits;
   };
   /// Counts the prompt tokens of places granted too recently to be prefilled.
   uint64_t PendingPromptTokens(time_point now) const;
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -33,9 +33,11 @@
           308,
           Info,
           "fetches from outside in place of another server")
+LOG_EVENT(kEngineCrashed, 309, Warning, "engine crashed")
 LOG_EVENT(kLimitLowered, 400, Warning, "admission limit lowered")
 LOG_EVENT(kRequestQuarantined, 401, Warning, "request quarantined")
 LOG_EVENT(kServerEjected, 402, Info, "server ejected from routing")
+LOG_EVENT(kQuarantineReleased, 403, Info, "quarantine released")
 LOG_EVENT(kMessageDropped, 500, Warning, "malformed message dropped")
 LOG_EVENT(kAttemptSent, 600, Info, "attempt sent")
 LOG_EVENT(kAttemptRepeated, 601, Info, "attempt repeated")
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
+#include "crash_monitor_base.h"
 #include "tests/fake_site.h"
 
 namespace fuchsiafall::tests {
@@ -330,20 +331,104 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_servers_is_quarantined) {
-  crash_history history{{}};
+  crash_monitor monitor(
+      {.self = vm_id("a")},
+      {.send = [](const std::string&, const proto::envelope&) {},
+       .log = [](log_event, const std::string&) {},
+       .count = [](const std::string&) {}});
   time_point now{std::chrono::hours(1)};
-  const fingerprint culprit(1);
+  auto is_quarantined = [&](uint64_t request) {
+    return monitor.Judge(now, "e", {.request = fingerprint(request)})
+        .quarantined.has_value();
+  };
+  auto abort = [&](uint64_t request) {
+    monitor.OnPlaceReleased(
+        now, {.granted_at = now, .traits = {.request = fingerprint(request)}},
+        attempt_result::kBroken);
+  };
+  const uint64_t culprit = 1;
   for (uint64_t crash = 0; crash < 2; ++crash) {
-    BOOST_TEST(!history.IsQuarantined(now, culprit));
-    history.OnRequestAborted(now, culprit);
-    history.OnRequestAborted(now, fingerprint(100 + crash));
+    BOOST_TEST(!is_quarantined(culprit));
+    abort(culprit);
+    abort(100 + crash);
     now += seconds(4);
-    for (const fingerprint& suspect : history.OnEngineRestart(now))
-      history.RecordCrash(now, suspect);
+    monitor.OnEngineReport(now, true, true);
   }
-  BOOST_TEST(history.IsQuarantined(now, culprit));
-  BOOST_TEST(!history.IsQuarantined(now, fingerprint(100)));
-  BOOST_TEST(history.OnEngineRestart(now).empty());
+  BOOST_TEST(is_quarantined(culprit));
+  BOOST_TEST(!is_quarantined(100));
+  // Each aborted request counts for one crash only.
+  now += seconds(4);
+  monitor.OnEngineReport(now, true, true);
+  BOOST_TEST(!is_quarantined(100));
+}
+
+// Regression: each retry of a stream that crashes its servers crashed another
+// one.
+BOOST_AUTO_TEST_CASE(a_suspect_that_breaks_a_server_is_not_retried) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  entry.dispatch.OnPlaceReply(
+      entry.now, entry.place_requests.back().call,
+      {.is_granted = true, .slots = 16, .is_suspect = true});
+  entry.EndExchange(exchange_end::kBroken);
+  BOOST_TEST(entry.place_requests.size() == 1u);
+  BOOST_REQUIRE(entry.refusals.size() == 1u);
+  BOOST_TEST(entry.refusals[0].status == 502);
+  BOOST_TEST((entry.attempt_results.back() == attempt_result::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantined_part_is_refused_without_asking_an_agent) {
+  fake_entry entry;
+  caller_call call{.id = "r1",
+                   .host = "models",
+                   .key = "key",
+                   .time_left = milliseconds(6000),
+                   .model = "model"};
+  call.traits = {.request = fingerprint(1), .parts = {fingerprint(7)}};
+  entry.dispatch.OnRequest(entry.now, 1, call, "/x", entry.now);
+  BOOST_REQUIRE(entry.place_requests.size() == 1u);
+  BOOST_TEST(entry.place_requests[0].traits.parts == call.traits.parts);
+  entry.dispatch.OnPlaceReply(
+      entry.now, entry.place_requests.back().call,
+      {.is_quarantined = true, .quarantined_trait = fingerprint(7)});
+  call.traits.request = fingerprint(2);
+  entry.dispatch.OnRequest(entry.now, 2, call, "/x", entry.now);
+  BOOST_TEST(entry.place_requests.size() == 1u);
+  BOOST_TEST(entry.refusals.size() == 2u);
+  call.traits.parts = {fingerprint(8)};
+  entry.dispatch.OnRequest(entry.now, 3, call, "/x", entry.now);
+  BOOST_TEST(entry.place_requests.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(only_a_full_answer_counts_as_answered) {
+  fake_entry entry;
+  auto begin = [&](uint64_t id) {
+    entry.SendRequest(id, "models");
+    entry.GrantPlace();
+    entry.DeliverHead(200, true);
+  };
+  begin(1);
+  entry.DeliverBody("id:1\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST((entry.attempt_results.back() == attempt_result::kAnswered));
+  begin(2);
+  entry.DeliverBody("id:1\n\nid:");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST((entry.attempt_results.back() == attempt_result::kOther));
+  begin(3);
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST((entry.attempt_results.back() == attempt_result::kOther));
+  begin(4);
+  const started_attempt last = entry.attempts.back();
+  entry.dispatch.OnAnswerHead(entry.now, last.call, last.number,
+                              {.status = 200,
+                               .call_id = "r4",
+                               .is_sealed = true,
+                               .ends_by_close = true},
+                              true);
+  entry.DeliverBody("id:1\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST((entry.attempt_results.back() == attempt_result::kClosed));
 }
 
 BOOST_AUTO_TEST_CASE(a_quarantined_request_is_refused_as_not_run) {
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -118,8 +118,9 @@
       requested_servers.push_back(server.id);
     };
     hooks.release_place = [this](const site_server&, uint64_t place_request_id,
-                                 bool) {
+                                 attempt_result result) {
       released_requests.push_back(place_request_id);
+      attempt_results.push_back(result);
     };
     hooks.start_attempt = [this](uint64_t call, uint32_t attempt,
                                  const site_server& server,
@@ -212,6 +213,7 @@
   std::vector<place_request> place_requests;
   std::vector<std::string> requested_servers;
   std::vector<uint64_t> released_requests;
+  std::vector<attempt_result> attempt_results;  ///< Of released_requests.
   std::vector<started_attempt> attempts;
   std::vector<uint64_t> aborted_calls;
   std::vector<refusal_answer> refusals;
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -171,6 +171,26 @@
       std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(the_last_part_of_a_prompt_is_not_shared) {
+  auto parts_of = [](const std::string& prompt) {
+    const auto head = ParseRequestHead(
+        "POST /p HTTP/1.1\r\nHost: h\r\nPrompt-Prefix: " + prompt + "\r\n\r\n");
+    BOOST_REQUIRE(head);
+    return platform::DecodeCall(*head).traits.parts;
+  };
+  const auto parts = parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  BOOST_REQUIRE(parts.size() == 2u);
+  BOOST_TEST((parts[0] != parts[1]));
+  BOOST_TEST((parts_of("91BD3F06:7, 0a:1") == std::vector{parts[1]}));
+  BOOST_TEST(parts_of("e4402b7d:250").empty());
+  BOOST_TEST(parts_of("").empty());
+  BOOST_TEST(parts_of(",,:1,").empty());
+  std::string many;
+  for (int i = 0; i < 1000; ++i)
+    many += std::to_string(i) + ":1,";
+  BOOST_TEST(parts_of(many + "0:1").size() == 32u);
+}
+
 BOOST_AUTO_TEST_CASE(heads_that_could_be_framed_in_two_ways_are_refused) {
   const std::string start = "POST /p HTTP/1.1\r\nHost: h\r\n";
   BOOST_TEST(!IsRequestRefused(start + "Content-Length: 3\r\n\r\n"));
