Fix: Keep the next server's error out of a stream that has begun

Callers saw: a stream broke off, was resumed at another server, and that server's error text stood in the middle of the stream, which then ended as if it were complete.

Cause: an answer below 500 without success was finished as a whole answer even if the head of a stream had been sent to the caller.

Evidence: resumed_stream_suite/an_error_of_the_next_server_is_not_part_of_ the_stream printed before: "<id:1 [no such thing] != <id:1 |". The same suite shows that a 421 and an end inside an event already cut the stream.

Change: once a stream has begun, each answer without success is retried within the limits of the route, else the caller's connection is closed. Result: the suite passes.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -412,10 +412,10 @@
   if (!IsSuccess(call->head.status)) {
     if (call->head.status >= 500)
       selector_.OnFailure(now, call->server.id);
-    const bool may_repeat = call->kind == call_kind::kIdempotent;
-    if (call->head.status >= 500 &&
-        (call->is_streaming ||
-         (may_repeat && call->possible_runs < call->route.attempts))) {
+    const bool may_repeat = call->kind == call_kind::kIdempotent &&
+                            call->possible_runs < call->route.attempts;
+    // The caller has the head of the first answer, so that no other may follow.
+    if (call->is_streaming || (call->head.status >= 500 && may_repeat)) {
       hooks_.count("attempts_failed");
       return Retry(now, call, true);
     }
--- /dev/null
+++ b/src/tests/resumed_stream_test.cc
@@ -0,0 +1,63 @@
+/// @file resumed_stream_test.cc Streams that are resumed at another server:
+/// only its events reach the caller, and a stream that cannot go on looks cut
+/// off.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fake_site.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+/// Entry whose call 1 has received event 1 and is resumed at another server.
+struct resumed_stream : fake_entry {
+  resumed_stream() {
+    SendRequest(1, "models");
+    GrantPlace();
+    Answer({.status = 200, .is_sealed = true, .weights = 1}, true);
+    DeliverBody("id:1\n\n");
+    EndExchange(exchange_end::kBroken);
+    GrantPlace();
+    BOOST_REQUIRE(attempts.size() == 2u);
+  }
+
+  /// Delivers a head that has the id of the call.
+  void Answer(server_answer head, bool is_event_stream) {
+    const started_attempt& last = attempts.back();
+    head.call_id = "r1";
+    dispatch.OnAnswerHead(now, last.call, last.number, head, is_event_stream);
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(resumed_stream_suite)
+
+BOOST_AUTO_TEST_CASE(an_error_of_the_next_server_is_not_part_of_the_stream) {
+  for (int status : {302, 400, 404, 409, 500}) {
+    resumed_stream entry;
+    entry.DeliverHead(status, false);
+    entry.DeliverBody("no such thing");
+    entry.EndExchange(exchange_end::kComplete);
+    BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_misdirected_resumed_stream_looks_cut_off) {
+  resumed_stream entry;
+  entry.DeliverHead(421, false, true);
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_looks_cut_off) {
+  resumed_stream entry;
+  entry.Answer({.status = 200, .is_sealed = true, .weights = 1}, true);
+  entry.DeliverBody("id:2\n\nid:3\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n|");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
