Fix: Forward only sealed event streams into a stream that has begun

Callers saw: bytes of an unsealed answer, or a body that is no event stream, in the middle of a resumed stream, which ended as complete.

Cause: once a stream had begun, the body of any success was forwarded.

Change: the head decides whether the events of an answer are forwarded: 200, sealed, an event stream, on a streaming route. Any other answer to a resumed stream is discarded, also while it is read, and retried.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
@@ -251,6 +252,7 @@
   call->current_stage = stage::kSent;
   call->has_head = false;
   call->has_events = false;
+  call->forwards_events = false;
   call->body.clear();
   call->events.Clear();
   call->tried.insert(call->server.id);
@@ -324,8 +326,9 @@
   if (head.has_load)
     selector_.OnLoad(now, call->server.id, head.running + head.waiting,
                      head.slots);
-  if (IsSuccess(head.status) && head.is_sealed && is_event_stream &&
-      call->kind == call_kind::kStream) {
+  call->forwards_events = head.status == kOk && head.is_sealed &&
+                          is_event_stream && call->kind == call_kind::kStream;
+  if (call->forwards_events) {
     call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
     if (!call->is_streaming) {
       call->is_streaming = true;
@@ -343,8 +346,9 @@
   call_state* call = Find(id, attempt);
   if (call == nullptr)
     return;
-  if (!call->is_streaming || !IsSuccess(call->head.status)) {
-    call->body += bytes;
+  if (!call->forwards_events) {
+    if (!call->is_streaming)
+      call->body += bytes;
     return;
   }
   call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
@@ -426,6 +430,11 @@
     hooks_.count("attempts_unsealed");
     return Retry(now, call, true);
   }
+  if (call->is_streaming && !call->forwards_events) {
+    selector_.OnFailure(now, call->server.id);
+    hooks_.count("attempts_failed");
+    return Retry(now, call, true);
+  }
   selector_.OnSuccess(call->server.id);
   if (call->is_streaming)
     return FinishStream(now, call);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -198,6 +198,8 @@
     bool has_events = false;  ///< Whether the attempt has delivered an event.
     server_answer head;
     bool is_streaming = false;  ///< Whether a streamed answer has begun.
+    /// Whether the body of the current answer is forwarded as events.
+    bool forwards_events = false;
     std::optional<uint64_t> last_event;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
     event_splitter events;
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -43,6 +43,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_unsealed_answer_is_not_part_of_the_stream) {
+  resumed_stream entry;
+  entry.Answer({.status = 200}, true);
+  entry.DeliverBody("id:2\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+}
+
+BOOST_AUTO_TEST_CASE(a_body_that_is_no_event_stream_is_not_part_of_the_stream) {
+  for (int status : {200, 204, 206}) {
+    resumed_stream entry;
+    entry.Answer({.status = status, .is_sealed = true}, false);
+    entry.DeliverBody("{}\n\n");
+    entry.EndExchange(exchange_end::kComplete);
+    BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_misdirected_resumed_stream_looks_cut_off) {
   resumed_stream entry;
   entry.DeliverHead(421, false, true);
