Fix: Do not end a resumed stream whose answer had no new event

Callers saw: a resumed stream that ended as complete after an empty answer, or one that only repeated events, though pieces were missing.

Cause: any complete event stream without a partial event ended the stream. An answer without length that loses its server right after the head looks like an empty one.

Evidence: an_answer_without_a_new_event_does_not_end_the_stream printed before "<id:1 > != <id:1 |" for an empty body, for a repeated event and for a comment.

Change: an answer without a new event counts as broken off. Events without an id are left out of a resumed answer until its first new event, since their place is unknown. A caller that resumes after the very last event gets a cut stream in place of an empty one.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -253,6 +253,7 @@
   call->has_head = false;
   call->has_events = false;
   call->forwards_events = false;
+  call->has_new_event = false;
   call->body.clear();
   call->events.Clear();
   call->tried.insert(call->server.id);
@@ -330,6 +331,7 @@
                           is_event_stream && call->kind == call_kind::kStream;
   if (call->forwards_events) {
     call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
+    call->is_resumed = call->is_streaming;
     if (!call->is_streaming) {
       call->is_streaming = true;
       call->weights = head.weights;
@@ -364,7 +366,10 @@
       if (!call->last_event)
         hooks_.record_duration("first_event", now - call->arrived_at);
       call->last_event = event_id;
+    } else if (call->is_resumed && !call->has_new_event) {
+      continue;  // Its place in the stream is unknown.
     }
+    call->has_new_event = true;
     out += event;
   }
   if (!out.empty())
@@ -442,8 +447,8 @@
 }
 
 void call_dispatch::FinishStream(time_point now, call_state* call) {
-  if (!call->events.Incomplete().empty()) {
-    // The answer ended in the middle of an event.
+  if (!call->events.Incomplete().empty() || !call->has_new_event) {
+    // The answer ended in the middle of an event, or before its first one.
     hooks_.count("streams_cut");
     return Retry(now, call, true);
   }
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -200,6 +200,8 @@
     bool is_streaming = false;  ///< Whether a streamed answer has begun.
     /// Whether the body of the current answer is forwarded as events.
     bool forwards_events = false;
+    bool is_resumed = false;  ///< Whether an earlier answer began the stream.
+    bool has_new_event = false;  ///< Whether the current answer had an event.
     std::optional<uint64_t> last_event;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
     event_splitter events;
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -61,6 +61,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_a_new_event_does_not_end_the_stream) {
+  for (const char* body : {"", "id:1\n\n", ":\n\n"}) {
+    resumed_stream entry;
+    entry.Answer({.status = 200, .is_sealed = true}, true);
+    entry.DeliverBody(body);
+    entry.EndExchange(exchange_end::kComplete);
+    BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_misdirected_resumed_stream_looks_cut_off) {
   resumed_stream entry;
   entry.DeliverHead(421, false, true);
