Fix: Do not join answers of two versions of the weights in one stream

Callers saw: the events of another version after those of the first, if a server runs a resumed request in spite of its expected version.

Cause: the version in the head of a resumed answer was not compared with the version that began the stream.

Evidence: an_answer_of_another_version_is_not_joined printed before "<id:1 id:2 > != <id:1 |".

Change: such an answer is not forwarded and counts as a failed attempt. An answer that states no version goes on as before (test).

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -327,8 +327,11 @@
   if (head.has_load)
     selector_.OnLoad(now, call->server.id, head.running + head.waiting,
                      head.slots);
+  const bool is_same_version =
+      !call->weights || !head.weights || *call->weights == *head.weights;
   call->forwards_events = head.status == kOk && head.is_sealed &&
-                          is_event_stream && call->kind == call_kind::kStream;
+                          is_event_stream && is_same_version &&
+                          call->kind == call_kind::kStream;
   if (call->forwards_events) {
     call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
     call->is_resumed = call->is_streaming;
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -71,6 +71,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_another_version_is_not_joined) {
+  resumed_stream entry;
+  entry.Answer({.status = 200, .is_sealed = true, .weights = 2}, true);
+  entry.DeliverBody("id:2\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+}
+
 BOOST_AUTO_TEST_CASE(a_misdirected_resumed_stream_looks_cut_off) {
   resumed_stream entry;
   entry.DeliverHead(421, false, true);
@@ -86,6 +94,14 @@
   BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n|");
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_explicit_version_goes_on) {
+  resumed_stream entry;
+  entry.Answer({.status = 200, .is_sealed = true}, true);
+  entry.DeliverBody("id:1\n\nid:2\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
