Fix: Do not pass on a server's failure that reads as not run

Callers saw: 408, 429 or 503 of a server that did not state that the request had not run. Callers take these for a promise and repeat requests that must not run twice.

Cause: failures of non-idempotent calls were passed on with any status.

Change: such an answer counts as an attempt that may have run: idempotent calls are retried, others get the entry's own 502. Result: the suite passes.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -10,7 +10,9 @@
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -36,6 +38,12 @@
     "leaving",
 };
 
+/// Whether callers take a status for the statement that the call did not run.
+bool StatesNotRun(int status) {
+  return status == kRequestTimeout || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 bool IsSuccess(int status) {
   return status / 100 == 2;
 }
@@ -427,7 +435,8 @@
     const bool may_repeat = call->kind == call_kind::kIdempotent &&
                             call->possible_runs < call->route.attempts;
     // The caller has the head of the first answer, so that no other may follow.
-    if (call->is_streaming || (call->head.status >= 500 && may_repeat)) {
+    if (call->is_streaming || (call->head.status >= 500 && may_repeat) ||
+        StatesNotRun(call->head.status)) {
       hooks_.count("attempts_failed");
       return Retry(now, call, true);
     }
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -125,6 +125,19 @@
   BOOST_TEST(entry.refusals[0].status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(a_failure_that_reads_as_not_run_is_not_passed_on) {
+  for (int status : {408, 429, 503}) {
+    fake_entry entry;
+    entry.SendRequest(1, "plain");
+    entry.DeliverHead(status, false);
+    entry.EndExchange(exchange_end::kComplete);
+    BOOST_TEST(entry.attempts.size() == 1u);
+    BOOST_TEST(entry.received_text.empty());
+    BOOST_REQUIRE(entry.refusals.size() == 1u);
+    BOOST_TEST(entry.refusals[0].status == 502);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_resumes_elsewhere_after_the_last_complete_event) {
   fake_entry entry;
   entry.SendRequest(1, "models");
