--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -206,6 +206,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_success_does_not_state_that_a_call_did_not_run) {
+  auto is_not_run = [](const std::string& status) {
+    auto head = ParseResponseHead("HTTP/1.1 " + status +
+                                  " x\r\nNot-Executed: 1\r\n\r\n");
+    return platform::DecodeAnswer(*head).did_not_run;
+  };
+  BOOST_TEST(is_not_run("503"));
+  BOOST_TEST(is_not_run("400"));
+  BOOST_TEST(!is_not_run("200"));
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_read_in_any_pieces) {
   const std::string text =
       "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\nnext";
