Fix: Do not take a repeated answer for that of the next request

Callers saw: 'not run, try again' for requests that ran, after a faulty server wrote an earlier refusal once more on a kept connection.

Cause: two ways in. Bytes behind a complete answer were kept and read as the answer of the exchange that the end of the first one started on the same connection: for a retry at the same server even with the right id. And a copy that had arrived but not been read yet was met by the next request. Calls to the store, engines and the origin have no ids at all.

Evidence: http_exchange_suite/a_second_copy_of_an_answer_is_not_taken_for_ the_next and /a_copy_that_waits_in_the_socket_is_not_taken_for_an_answer printed before: exchanges[1].body == "1" has failed [0 != 1].

Change: a connection with bytes behind its answer is closed, and an idle connection is reused only if nothing waits to be read, neither bytes nor its end. Result: the suite passes; a quiet connection is still reused (test). A copy that arrives after the next call of our own was written is still taken for its answer.

--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -87,9 +87,11 @@
     has_head_ = false;
     if (is_skipped_)
       continue;
+    // Bytes after the answer belong to no request, least of all to the next.
+    if (!input->empty())
+      close_after_answer_ = true;
     Finish(now, exchange_end::kComplete);
-    if (input->empty())
-      return;
+    return;
   }
 }
 
@@ -183,7 +185,7 @@
   while (!connections.empty()) {
     auto one = connections.back();
     connections.pop_back();
-    if (one->IsOpen() && now < one->ReusableUntil() - options_.idle_margin) {
+    if (one->IsQuiet() && now < one->ReusableUntil() - options_.idle_margin) {
       busy_[one.get()] = one;
       return one;
     }
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -50,6 +50,9 @@
   /// Cancels the exchange and closes the connection.
   void Abort();
   bool IsOpen() const { return connection_->IsOpen(); }
+  /// Whether the connection is open and no bytes have arrived outside an
+  /// exchange.
+  bool IsQuiet() const { return IsOpen() && !connection_->HasInput(); }
   time_point ReusableUntil() const { return reusable_until_; }
 
  private:
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 
 namespace fuchsiafall {
 
@@ -125,6 +126,15 @@
     CloseAndNotify(now, cause);
 }
 
+bool tcp_connection::HasInput() const {
+  if (!input_.empty())
+    return true;
+  char byte = 0;
+  const ssize_t count =
+      recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void tcp_connection::Send(std::string_view bytes) {
   if (!is_open_)
     return;
--- /dev/null
+++ b/src/tests/http_exchange_test.cc
@@ -0,0 +1,177 @@
+/// @file http_exchange_test.cc Tests of the HTTP client against a server on
+/// loopback that writes scripted bytes.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "network/async_http_call.h"
+#include "network/http_exchange.h"
+#include "tests/loopback_address.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr char kUntilCloseHead[] = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr milliseconds kTestTimeout{2000};
+
+std::string WholeAnswer(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/// Server on loopback that answers requests by a script.
+class scripted_server {
+ public:
+  /// Answers one request; those of all connections are counted from 0.
+  using script = std::function<void(size_t request, scripted_server*)>;
+
+  scripted_server(event_loop* loop, script answer)
+      : address(FreeAddress()),
+        loop_(loop),
+        answer_(std::move(answer)),
+        listener_(loop,
+                  [this](time_point, const Poco::Net::StreamSocket& from) {
+                    Accept(from);
+                  }) {
+    BOOST_REQUIRE(listener_.Listen(address));
+  }
+
+  /// Sends bytes on the newest connection.
+  void Send(const std::string& bytes) { connections.back()->Send(bytes); }
+  void Close() { connections.back()->CloseWhenSent(); }
+  /// Closes the newest connection with a reset.
+  void Reset() {
+    sockets_.back().setLinger(true, 0);
+    connections.back()->Close();
+  }
+
+  std::string address;
+  std::vector<std::shared_ptr<tcp_connection>> connections;
+  size_t requests = 0;
+  size_t closed_by_client = 0;
+
+ private:
+  void Accept(const Poco::Net::StreamSocket& from) {
+    auto made =
+        tcp_connection::Adopt(loop_, from, {.max_unsent_bytes = 64U << 20});
+    made->SetHooks(
+        {.on_bytes =
+             [this](time_point, std::string* input) {
+               input->clear();
+               answer_(requests++, this);
+             },
+         .on_closed = [this](time_point, close_cause) { ++closed_by_client; }});
+    sockets_.push_back(from);
+    connections.push_back(std::move(made));
+  }
+
+  event_loop* loop_;
+  script answer_;
+  tcp_listener listener_;
+  std::vector<Poco::Net::StreamSocket> sockets_;
+};
+
+/// Exchange as its hooks have reported it.
+struct recorded_exchange {
+  std::string body;
+  std::optional<exchange_end> end;
+};
+
+struct exchange_fixture {
+  explicit exchange_fixture(scripted_server::script script,
+                            http_client_pool_options options = {})
+      : server(&loop, std::move(script)), pool(&loop, options) {}
+
+  /// Makes exchanges one after the other. Each but the first starts in the hook
+  /// that ends the one before it.
+  void Run(size_t count = 1) {
+    loop.Post([this, count] { Start(count); });
+    loop.StartTimer(BootNow() + kTestTimeout,
+                    [this](time_point) { loop.Stop(); });
+    loop.Run();
+  }
+
+  void Start(size_t count) {
+    if (count == 0) {
+      // The server is to notice when its connection is closed.
+      loop.StartTimer(BootNow() + milliseconds(20),
+                      [this](time_point) { loop.Stop(); });
+      return;
+    }
+    exchanges.emplace_back();
+    const size_t index = exchanges.size() - 1;
+    exchange_hooks hooks;
+    hooks.on_head = [this](time_point, const Poco::Net::HTTPResponse& head) {
+      return !skips_answer || !skips_answer(head);
+    };
+    hooks.on_body = [this, index](time_point, std::string_view bytes) {
+      exchanges[index].body += bytes;
+    };
+    hooks.on_end = [this, index, count](time_point, exchange_end end) {
+      exchanges[index].end = end;
+      if (before_next)
+        before_next();
+      Start(count - 1);
+    };
+    auto acquired = pool.Acquire(BootNow(), server.address);
+    BOOST_REQUIRE(acquired);
+    last_connection = *acquired;
+    last_connection->Start(kRequest, false, std::move(hooks));
+  }
+
+  event_loop loop;
+  scripted_server server;
+  http_client_pool pool;
+  std::function<bool(const Poco::Net::HTTPResponse&)> skips_answer;
+  std::function<void()> before_next;  ///< Runs after each exchange.
+  std::vector<recorded_exchange> exchanges;
+  std::shared_ptr<http_client_connection> last_connection;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_exchange_suite)
+
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_is_not_taken_for_the_next) {
+  exchange_fixture fixture([](size_t request, scripted_server* server) {
+    const std::string answer = WholeAnswer(std::to_string(request));
+    server->Send(request == 0 ? answer + answer : answer);
+  });
+  fixture.Run(2);
+  BOOST_REQUIRE(fixture.exchanges.size() == 2u);
+  BOOST_TEST(fixture.exchanges[0].body == "0");
+  BOOST_TEST(fixture.exchanges[1].body == "1");
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_copy_that_waits_in_the_socket_is_not_taken_for_an_answer) {
+  exchange_fixture fixture([](size_t request, scripted_server* server) {
+    server->Send(WholeAnswer(std::to_string(request)));
+  });
+  fixture.before_next = [&] { fixture.server.Send(WholeAnswer("0")); };
+  fixture.Run(2);
+  BOOST_REQUIRE(fixture.exchanges.size() == 2u);
+  BOOST_TEST(fixture.exchanges[1].body == "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_connection_is_used_again) {
+  exchange_fixture fixture([](size_t request, scripted_server* server) {
+    server->Send(WholeAnswer(std::to_string(request)));
+  });
+  fixture.Run(3);
+  BOOST_TEST(fixture.exchanges.back().body == "2");
+  BOOST_TEST(fixture.pool.OpenedCount() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
