Fix: Close a connection on which an answer was skipped

Callers saw (with the fault before): a server that repeats answers went on to do so on the same kept connection.

Cause: after an answer of another request was skipped, the connection was reused as if it were sound.

Evidence: http_exchange_suite/a_connection_with_a_skipped_answer_is_not_ used_again printed before: OpenedCount() == 2u has failed [1 != 2].

Change: it is closed after the exchange. Result: the suite passes.

--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -52,6 +52,7 @@
   is_busy_ = true;
   is_head_request_ = is_head_request;
   has_head_ = false;
+  has_skipped_ = false;
   connection_->Send(request);
 }
 
@@ -125,6 +126,7 @@
                         ? std::min<milliseconds>(*server_timeout, max_idle_)
                         : max_idle_;
     is_skipped_ = hooks_.on_head && !hooks_.on_head(now, *head);
+    has_skipped_ = has_skipped_ || is_skipped_;
     return is_busy_ && connection_->IsOpen();
   }
 }
@@ -154,7 +156,7 @@
   hooks_ = {};
   is_busy_ = false;
   reusable_until_ = now + idle_timeout_;
-  if (end != exchange_end::kComplete || close_after_answer_) {
+  if (end != exchange_end::kComplete || close_after_answer_ || has_skipped_) {
     CloseAndNotify();
   } else if (on_idle_) {
     on_idle_(this);
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -172,6 +172,20 @@
   BOOST_TEST(fixture.pool.OpenedCount() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_with_a_skipped_answer_is_not_used_again) {
+  exchange_fixture fixture([](size_t request, scripted_server* server) {
+    server->Send(
+        "HTTP/1.1 503 Full\r\nSkipped: 1\r\nContent-Length: 0\r\n\r\n" +
+        WholeAnswer(std::to_string(request)));
+  });
+  fixture.skips_answer = [](const Poco::Net::HTTPResponse& answer) {
+    return answer.has("Skipped");
+  };
+  fixture.Run(2);
+  BOOST_TEST(fixture.exchanges.back().body == "1");
+  BOOST_TEST(fixture.pool.OpenedCount() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
