Fix: Do not repeat a request on a connection that has carried it

Callers saw: a request that a full server refused was sent to it again on the same connection with the same id. A copy of the first refusal then matched, so that the caller was told "not run" while it ran, or it ran at a second server as well.

Cause: the id of a request cannot tell its attempts apart.

Evidence: http_exchange_suite/an_excluded_connection_stays_for_other_ requests, run with the exclusion taken out: "other->Id() != used->Id() has failed [1 == 1]".

Change: each open call keeps the connections that have carried it; the pool leaves these to other requests. Result: the suite passes.

--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -90,6 +90,9 @@
     std::shared_ptr<http_server_connection> caller;
     http_request request;
     std::shared_ptr<http_client_connection> exchange;
+    /// Ids of the connections that have carried the request. A repeated answer
+    /// to an earlier attempt has the same request id.
+    std::set<uint64_t> used_connections;
     Poco::Net::HTTPResponse answer_head;
   };
 
@@ -270,7 +273,8 @@
                     const attempt_headers& headers) {
     open_call& item = calls_.at(call);
     const time_point now = BootNow();
-    auto connection = servers_.Acquire(now, server.address);
+    auto connection =
+        servers_.Acquire(now, server.address, item.used_connections);
     if (!connection) {
       process_.Loop().Post([this, call, attempt] {
         dispatch_.OnExchangeEnd(BootNow(), call, attempt,
@@ -280,6 +284,7 @@
       return;
     }
     item.exchange = *connection;
+    item.used_connections.insert(item.exchange->Id());
     auto head = platform::EncodeAttempt(item.request.head, headers);
     const bool is_head = head.getMethod() == "HEAD";
     if (!item.request.body.empty() || head.getMethod() == "POST")
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -28,11 +28,13 @@
 }  // namespace
 
 http_client_connection::http_client_connection(
+    uint64_t id,
     std::shared_ptr<tcp_connection> connection,
     milliseconds max_idle,
     std::function<void(http_client_connection*)> on_idle,
     std::function<void(http_client_connection*)> on_closed)
-    : connection_(std::move(connection)),
+    : id_(id),
+      connection_(std::move(connection)),
       max_idle_(max_idle),
       on_idle_(std::move(on_idle)),
       on_closed_(std::move(on_closed)) {}
@@ -48,6 +50,7 @@
 void http_client_connection::Start(std::string_view request,
                                    bool is_head_request,
                                    exchange_hooks hooks) {
+  ++exchange_count_;
   hooks_ = std::move(hooks);
   is_busy_ = true;
   is_head_request_ = is_head_request;
@@ -182,11 +185,14 @@
 
 outcome<std::shared_ptr<http_client_connection>> http_client_pool::Acquire(
     time_point now,
-    const std::string& address) {
+    const std::string& address,
+    const std::set<uint64_t>& excluded) {
   auto& connections = idle_[address];
-  while (!connections.empty()) {
-    auto one = connections.back();
-    connections.pop_back();
+  for (size_t i = connections.size(); i-- > 0;) {
+    auto one = connections[i];
+    if (excluded.contains(one->Id()))
+      continue;
+    connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
     if (one->IsQuiet() && now < one->ReusableUntil() - options_.idle_margin) {
       busy_[one.get()] = one;
       return one;
@@ -199,7 +205,7 @@
     return failure{connection.LastReason()};
   ++opened_;
   auto made = std::make_shared<http_client_connection>(
-      *connection, options_.max_idle,
+      opened_, *connection, options_.max_idle,
       [this, address](http_client_connection* one) {
         auto it = busy_.find(one);
         if (it == busy_.end())
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "network/http_message.h"
@@ -34,9 +35,11 @@
 class http_client_connection
     : public std::enable_shared_from_this<http_client_connection> {
  public:
+  /// @param id Number of the connection, unique in its pool.
   /// @param max_idle Longest time to stay idle; a shorter Keep-Alive timeout of
   /// the server takes precedence.
   http_client_connection(
+      uint64_t id,
       std::shared_ptr<tcp_connection> connection,
       milliseconds max_idle,
       std::function<void(http_client_connection*)> on_idle,
@@ -54,6 +57,12 @@
   /// exchange.
   bool IsQuiet() const { return IsOpen() && !connection_->HasInput(); }
   time_point ReusableUntil() const { return reusable_until_; }
+  uint64_t Id() const { return id_; }
+  /// Whether an exchange has been started before the current one, whose answer
+  /// the server may repeat.
+  bool HasCarriedExchange() const {
+    return exchange_count_ > (is_busy_ ? 1U : 0U);
+  }
 
  private:
   void OnBytes(time_point now, std::string* input);
@@ -63,12 +72,14 @@
   /// Closes the connection and calls on_closed.
   void CloseAndNotify();
 
+  uint64_t id_;
   std::shared_ptr<tcp_connection> connection_;
   milliseconds max_idle_;
   std::function<void(http_client_connection*)> on_idle_;
   std::function<void(http_client_connection*)> on_closed_;
   exchange_hooks hooks_;
   body_reader body_;
+  uint64_t exchange_count_ = 0;
   bool is_busy_ = false;
   bool is_head_request_ = false;  ///< Whether the request was a HEAD.
   bool has_head_ = false;         ///< Whether the answer's head has been read.
@@ -100,9 +111,11 @@
   http_client_pool& operator=(const http_client_pool&) = delete;
 
   /// Takes an idle connection, or opens a new one.
+  /// @param excluded Ids of connections not to be taken.
   outcome<std::shared_ptr<http_client_connection>> Acquire(
       time_point now,
-      const std::string& address);
+      const std::string& address,
+      const std::set<uint64_t>& excluded = {});
   /// Closes connections that were idle for too long.
   void CloseIdle(time_point now);
   uint64_t OpenedCount() const { return opened_; }
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -186,6 +186,21 @@
   BOOST_TEST(fixture.pool.OpenedCount() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(an_excluded_connection_stays_for_other_requests) {
+  exchange_fixture fixture([](size_t request, scripted_server* server) {
+    server->Send(WholeAnswer(std::to_string(request)));
+  });
+  fixture.Run(1);
+  const auto used = fixture.last_connection;
+  BOOST_TEST(used->HasCarriedExchange());
+  const time_point now = BootNow();
+  const std::string& address = fixture.server.address;
+  const auto other = *fixture.pool.Acquire(now, address, {used->Id()});
+  BOOST_TEST(other->Id() != used->Id());
+  BOOST_TEST(!other->HasCarriedExchange());
+  BOOST_TEST((*fixture.pool.Acquire(now, address))->Id() == used->Id());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
