Fix: Skip an answer without an id on a connection used before

Cause: an answer without an id was taken for the current request's.

Change: on a connection that has carried earlier exchanges, such an answer is skipped like one with another id. On a new connection it counts, as there is no earlier answer to repeat (test).

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -326,7 +326,8 @@
   if (call == nullptr)
     return false;
   // A server sets the id of the answered request, unless it has not read it.
-  if (!head.call_id.empty() && head.call_id != call->request.id) {
+  const bool is_unidentified = head.call_id.empty() && !head.may_be_repeated;
+  if (head.call_id != call->request.id && !is_unidentified) {
     hooks_.count("answers_crossed");
     return false;
   }
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -39,7 +39,10 @@
 /// Decoded status and headers of a server's answer.
 struct server_answer {
   int status = 0;
-  std::string call_id;       ///< Id of the answered request.
+  std::string call_id;  ///< Id of the answered request.
+  /// Whether its connection has carried other requests, whose answers a faulty
+  /// server may repeat.
+  bool may_be_repeated = false;
   bool did_not_run = false;  ///< Whether the server states "not run".
   /// Whether it has the server's response seal. A success without it is not
   /// trusted: it is not forwarded, and the attempt counts as failed.
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -290,7 +290,8 @@
     if (!item.request.body.empty() || head.getMethod() == "POST")
       head.set("Content-Length", std::to_string(item.request.body.size()));
     exchange_hooks hooks;
-    hooks.on_head = [this, call, attempt](
+    const bool is_reused = item.exchange->HasCarriedExchange();
+    hooks.on_head = [this, call, attempt, is_reused](
                         time_point at, const Poco::Net::HTTPResponse& answer) {
       auto it = calls_.find(call);
       if (it == calls_.end())
@@ -299,8 +300,9 @@
       it->second.answer_head = answer;
       const bool is_stream =
           answer.getContentType().starts_with("text/event-stream");
-      if (dispatch_.OnAnswerHead(at, call, attempt,
-                                 platform::DecodeAnswer(answer), is_stream)) {
+      server_answer decoded = platform::DecodeAnswer(answer);
+      decoded.may_be_repeated = is_reused;
+      if (dispatch_.OnAnswerHead(at, call, attempt, decoded, is_stream)) {
         return true;
       }
       if (it = calls_.find(call); it != calls_.end())
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -125,6 +125,31 @@
   BOOST_TEST(entry.refusals[0].status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_may_be_one_of_an_earlier_request) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain");
+  const started_attempt last = entry.attempts.back();
+  BOOST_TEST(!entry.dispatch.OnAnswerHead(
+      entry.now, last.call, last.number,
+      {.status = 503, .may_be_repeated = true, .did_not_run = true}, false));
+  entry.DeliverHead(200, false);
+  entry.DeliverBody("whole");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.attempts.size() == 1u);
+  BOOST_TEST(entry.received_text == "[whole]");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_counts_on_a_new_connection) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain");
+  const started_attempt last = entry.attempts.back();
+  BOOST_TEST(entry.dispatch.OnAnswerHead(entry.now, last.call, last.number,
+                                         {.status = 503, .did_not_run = true},
+                                         false));
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(a_failure_that_reads_as_not_run_is_not_passed_on) {
   for (int status : {408, 429, 503}) {
     fake_entry entry;
