Fix: Give up an answer whose bytes do not end

Callers saw (shown by tests): a server that sends without end keeps its attempt, or a call of our own, busy and fills the memory until a timeout.

Cause: only a head without end had a bound.

Change: an exchange has bounds for its head, its number of heads with interim and skipped ones, and its bytes in all (64 MiB; 16 MiB at an entry). Beyond them the connection is closed and the attempt counts as malformed.

--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -25,6 +25,7 @@
 /// Time without acknowledgement after which a connection to a server is closed.
 /// A round trip to the farthest server takes a few milliseconds.
 constexpr milliseconds kUserTimeout{1500};
+constexpr uint64_t kMaxAnswerBytes = 16U << 20;  // Of a server.
 /// Share of the extra retries per window that is used. Retries that were saved
 /// up before a window and earned again within it can nearly double the
 /// spending.
@@ -59,7 +60,8 @@
         callers_(&process_.Loop(), {}, CallerHooks()),
         readiness_(&process_.Loop(), {}, ReadinessHooks()),
         servers_(&process_.Loop(),
-                 {.connection = {.user_timeout = kUserTimeout}}),
+                 {.connection = {.user_timeout = kUserTimeout},
+                  .limits = {.answer_bytes = kMaxAnswerBytes}}),
         agents_(
             &process_.Loop(),
             [this](time_point now,
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr size_t kMaxHeadBytes = 65536;  // Of an answer.
-
 /// Reads the timeout of a Keep-Alive header.
 std::optional<seconds> KeepAliveOf(const Poco::Net::HTTPResponse& head) {
   const std::string& value = head.get("Keep-Alive", "");
@@ -31,11 +29,13 @@
     uint64_t id,
     std::shared_ptr<tcp_connection> connection,
     milliseconds max_idle,
+    http_answer_limits limits,
     std::function<void(http_client_connection*)> on_idle,
     std::function<void(http_client_connection*)> on_closed)
     : id_(id),
       connection_(std::move(connection)),
       max_idle_(max_idle),
+      limits_(limits),
       on_idle_(std::move(on_idle)),
       on_closed_(std::move(on_closed)) {}
 
@@ -56,6 +56,8 @@
   is_head_request_ = is_head_request;
   has_head_ = false;
   has_skipped_ = false;
+  received_bytes_ = 0;
+  head_count_ = 0;
   connection_->Send(request);
 }
 
@@ -77,7 +79,13 @@
     if (!has_head_ && !ReadHead(now, input))
       return;
     std::string bytes;
+    const size_t before = input->size();
     const read_progress progress = body_.Read(input, &bytes);
+    received_bytes_ += before - input->size();
+    if (received_bytes_ > limits_.answer_bytes) {
+      Finish(now, exchange_end::kMalformed);
+      return;
+    }
     if (!bytes.empty() && !is_skipped_ && hooks_.on_body)
       hooks_.on_body(now, bytes);
     if (!connection_->IsOpen() || !is_busy_)
@@ -103,10 +111,15 @@
   while (true) {
     const size_t end = FindHeadEnd(*input);
     if (end == std::string::npos) {
-      if (input->size() > kMaxHeadBytes)
+      if (input->size() > limits_.head_bytes)
         Finish(now, exchange_end::kMalformed);
       return false;
     }
+    received_bytes_ += end;
+    if (++head_count_ > limits_.heads) {
+      Finish(now, exchange_end::kMalformed);
+      return false;
+    }
     auto head = ParseResponseHead(std::string_view(*input).substr(0, end));
     if (!head) {
       Finish(now, exchange_end::kMalformed);
@@ -116,7 +129,7 @@
     if (head->getStatus() / 100 == 1)
       continue;
     auto framing = FramingOf(*head, is_head_request_);
-    if (!framing) {
+    if (!framing || framing->second > limits_.answer_bytes) {
       Finish(now, exchange_end::kMalformed);
       return false;
     }
@@ -205,7 +218,7 @@
     return failure{connection.LastReason()};
   ++opened_;
   auto made = std::make_shared<http_client_connection>(
-      opened_, *connection, options_.max_idle,
+      opened_, *connection, options_.max_idle, options_.limits,
       [this, address](http_client_connection* one) {
         auto it = busy_.find(one);
         if (it == busy_.end())
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -31,6 +31,16 @@
   std::function<void(time_point, exchange_end)> on_end;
 };
 
+/// Bounds on the bytes that a server may send for one request. Beyond them the
+/// answer counts as malformed.
+struct http_answer_limits {
+  size_t head_bytes = 65536;
+  /// Heads, including those of interim and of skipped answers.
+  uint32_t heads = 16;
+  /// Heads and bodies with their framing, including skipped answers.
+  uint64_t answer_bytes = 64U << 20;
+};
+
 /// Connection to a server that carries one exchange at a time.
 class http_client_connection
     : public std::enable_shared_from_this<http_client_connection> {
@@ -42,6 +52,7 @@
       uint64_t id,
       std::shared_ptr<tcp_connection> connection,
       milliseconds max_idle,
+      http_answer_limits limits,
       std::function<void(http_client_connection*)> on_idle,
       std::function<void(http_client_connection*)> on_closed);
   /// Registers the hooks of the TCP connection.
@@ -75,11 +86,14 @@
   uint64_t id_;
   std::shared_ptr<tcp_connection> connection_;
   milliseconds max_idle_;
+  http_answer_limits limits_;
   std::function<void(http_client_connection*)> on_idle_;
   std::function<void(http_client_connection*)> on_closed_;
   exchange_hooks hooks_;
   body_reader body_;
   uint64_t exchange_count_ = 0;
+  uint64_t received_bytes_ = 0;  ///< Of the current exchange.
+  uint32_t head_count_ = 0;      ///< Of the current exchange.
   bool is_busy_ = false;
   bool is_head_request_ = false;  ///< Whether the request was a HEAD.
   bool has_head_ = false;         ///< Whether the answer's head has been read.
@@ -93,6 +107,7 @@
 
 struct http_client_pool_options {
   tcp_connection_options connection;
+  http_answer_limits limits;
   /// Longest time that an idle connection is kept; a shorter Keep-Alive timeout
   /// of the server takes precedence.
   milliseconds max_idle{4000};
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -28,6 +28,13 @@
          "\r\n\r\n" + body;
 }
 
+std::string Repeat(const std::string& text, size_t bytes) {
+  std::string all;
+  while (all.size() < bytes)
+    all += text;
+  return all;
+}
+
 /// Server on loopback that answers requests by a script.
 class scripted_server {
  public:
@@ -137,6 +144,24 @@
   std::shared_ptr<http_client_connection> last_connection;
 };
 
+/// Checks that an answer whose bytes never end is given up at a bound.
+void CheckEndlessAnswer(const std::string& head, const std::string& repeated) {
+  constexpr size_t kSentBytes = 8U << 20;
+  exchange_fixture fixture(
+      [&](size_t, scripted_server* server) {
+        server->Send(head + Repeat(repeated, kSentBytes));
+      },
+      {.limits = {.answer_bytes = 1U << 20}});
+  fixture.skips_answer = [](const Poco::Net::HTTPResponse& answer) {
+    return answer.has("Skipped");
+  };
+  fixture.Run();
+  const recorded_exchange& exchange = fixture.exchanges.at(0);
+  BOOST_TEST((exchange.end == exchange_end::kMalformed));
+  BOOST_TEST(exchange.body.size() <= 1U << 20);
+  BOOST_TEST(fixture.server.closed_by_client == 1u);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_exchange_suite)
@@ -201,6 +226,40 @@
   BOOST_TEST((*fixture.pool.Acquire(now, address))->Id() == used->Id());
 }
 
+BOOST_AUTO_TEST_CASE(a_head_without_end_is_given_up) {
+  CheckEndlessAnswer("HTTP/1.1 200 OK\r\n", "Field: value\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_without_end_are_given_up) {
+  CheckEndlessAnswer("", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_body_without_length_or_end_is_given_up) {
+  CheckEndlessAnswer(kUntilCloseHead, "bytes");
+}
+
+BOOST_AUTO_TEST_CASE(chunks_without_end_are_given_up) {
+  CheckEndlessAnswer(kChunkedHead, "1;extension=value\r\nx\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(trailers_without_end_are_given_up) {
+  CheckEndlessAnswer(std::string(kChunkedHead) + "0\r\n", "Field: value\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(skipped_answers_without_end_are_given_up) {
+  CheckEndlessAnswer(
+      "", "HTTP/1.1 503 Full\r\nSkipped: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_skipped_body_without_end_is_given_up) {
+  CheckEndlessAnswer("HTTP/1.1 503 Full\r\nSkipped: 1\r\n\r\n", "bytes");
+}
+
+BOOST_AUTO_TEST_CASE(a_length_over_the_bound_is_given_up) {
+  CheckEndlessAnswer("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+                     "bytes");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
