Fix: Read a fast sender in steps

Callers saw (shown by a test): a sender that is faster than this process holds the event loop, and its bytes pile up before any bound is checked.

Cause: a connection was read until nothing was left.

Evidence: http_exchange_suite/a_fast_sender_is_read_in_bounded_steps printed before: most <= 1U << 18 has failed [ > 262144].

Change: at most 16 reads of 16 KiB in one round of the loop.

--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kReadBytes = 16384;
+constexpr int kMaxReads = 16;  // Of one socket in one round of the loop.
 constexpr int kBacklog = 256;
 constexpr int kKeepAliveIdleS = 1;      // Before the first probe.
 constexpr int kKeepAliveIntervalS = 1;  // Between probes.
@@ -103,7 +104,9 @@
   std::array<char, kReadBytes> buffer{};
   bool is_at_end = false;
   close_cause cause = close_cause::kPeerClosed;
-  while (is_open_) {
+  // The loop reports the socket again if there is more, after the other
+  // sockets.
+  for (int reads = 0; reads < kMaxReads; ++reads) {
     int count = 0;
     try {
       count = socket_.receiveBytes(buffer.data(), kReadBytes);
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -260,6 +260,36 @@
                      "bytes");
 }
 
+BOOST_AUTO_TEST_CASE(a_fast_sender_is_read_in_bounded_steps) {
+  constexpr size_t kSentBytes = 16U << 20;
+  event_loop loop;
+  Poco::Net::ServerSocket listening{Poco::Net::SocketAddress(FreeAddress())};
+  auto reader =
+      *tcp_connection::Connect(&loop, listening.address().toString(), {});
+  size_t most = 0;
+  size_t received = 0;
+  reader->SetHooks(
+      {.on_bytes =
+           [&](time_point, std::string* input) {
+             most = std::max(most, input->size());
+             received += input->size();
+             input->clear();
+           },
+       .on_closed = [&](time_point, close_cause) { loop.Stop(); }});
+  std::thread sender([&] {
+    Poco::Net::StreamSocket socket = listening.acceptConnection();
+    const std::string bytes(kSentBytes, 'x');
+    for (size_t sent = 0; sent < kSentBytes;)
+      sent += static_cast<size_t>(socket.sendBytes(
+          bytes.data() + sent, static_cast<int>(kSentBytes - sent)));
+  });
+  loop.StartTimer(BootNow() + kTestTimeout, [&](time_point) { loop.Stop(); });
+  loop.Run();
+  sender.join();
+  BOOST_TEST(received == kSentBytes);
+  BOOST_TEST(most <= 1U << 18);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
