Fix: Give up a stream whose event does not end

Callers saw (shown by tests): a server that sends bytes but no event keeps the stream open until the deadline, and fills the memory.

Cause: any bytes extended the timeout for the next event, and an event had no bound. Many small events in one read took quadratic time.

Change: only forwarded events extend the timeout; an event above 256 KiB ends the attempt as malformed. A hook may now abort its own exchange. The splitter keeps its place in the buffer. Result: the suite passes.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -365,7 +365,6 @@
       call->body += bytes;
     return;
   }
-  call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
   call->events.Add(bytes);
   std::string out;
   std::string event;
@@ -384,8 +383,17 @@
     call->has_new_event = true;
     out += event;
   }
-  if (!out.empty())
+  if (!out.empty()) {
+    call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
     hooks_.send_events(id, out);
+  }
+  if (call->events.Incomplete().size() > options_.max_event_bytes) {
+    EndAttempt(call);
+    hooks_.abort_attempt(id);
+    selector_.OnFailure(now, call->server.id);
+    hooks_.count("attempts_malformed");
+    Retry(now, call, true);
+  }
 }
 
 void call_dispatch::OnExchangeEnd(time_point now,
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -66,6 +66,7 @@
   /// Timeout for the first and each further event of a stream. A healthy
   /// server sends one event per pass.
   milliseconds event_timeout{1200};
+  size_t max_event_bytes = 262144;  ///< Of one event of a stream.
   /// Timeout of an attempt of an idempotent call, as a multiple of the target
   /// latency of its route.
   int attempt_timeout_targets = 2;
--- a/src/event_splitter_base.h
+++ b/src/event_splitter_base.h
@@ -15,21 +15,31 @@
   /// Removes the next complete event from the buffer.
   /// @return Whether there was one.
   bool Next(std::string* event) {
-    const size_t lf = buffer_.find("\n\n");
-    const size_t crlf = buffer_.find("\r\n\r\n");
-    if (lf == std::string::npos && crlf == std::string::npos)
+    const std::string_view rest = std::string_view(buffer_).substr(start_);
+    const size_t lf = rest.find("\n\n");
+    const size_t crlf = rest.substr(0, lf).find("\r\n\r\n");
+    if (lf == rest.npos && crlf == rest.npos) {
+      buffer_.erase(0, start_);
+      start_ = 0;
       return false;
-    const size_t end = crlf < lf ? crlf + 4 : lf + 2;
-    event->assign(buffer_, 0, end);
-    buffer_.erase(0, end);
+    }
+    const size_t end = crlf == rest.npos ? lf + 2 : crlf + 4;
+    event->assign(rest.substr(0, end));
+    start_ += end;
     return true;
   }
   /// Bytes of an incomplete event.
-  const std::string& Incomplete() const { return buffer_; }
-  void Clear() { buffer_.clear(); }
+  std::string_view Incomplete() const {
+    return std::string_view(buffer_).substr(start_);
+  }
+  void Clear() {
+    buffer_.clear();
+    start_ = 0;
+  }
 
  private:
   std::string buffer_;
+  size_t start_ = 0;  ///< Of the bytes not removed yet.
 };
 
 }  // namespace fuchsiafall
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -51,7 +51,7 @@
                                    bool is_head_request,
                                    exchange_hooks hooks) {
   ++exchange_count_;
-  hooks_ = std::move(hooks);
+  hooks_ = std::make_shared<exchange_hooks>(std::move(hooks));
   is_busy_ = true;
   is_head_request_ = is_head_request;
   has_head_ = false;
@@ -63,13 +63,15 @@
 
 void http_client_connection::Abort() {
   auto self = shared_from_this();
-  hooks_ = {};
+  hooks_.reset();
   is_busy_ = false;
   CloseAndNotify();
 }
 
 void http_client_connection::OnBytes(time_point now, std::string* input) {
   auto self = shared_from_this();
+  // A hook may abort the exchange, which releases the hooks.
+  const auto hooks = hooks_;
   while (connection_->IsOpen()) {
     if (!is_busy_) {
       // Bytes that arrive outside an exchange answer no request.
@@ -86,8 +88,8 @@
       Finish(now, exchange_end::kMalformed);
       return;
     }
-    if (!bytes.empty() && !is_skipped_ && hooks_.on_body)
-      hooks_.on_body(now, bytes);
+    if (!bytes.empty() && !is_skipped_ && hooks->on_body)
+      hooks->on_body(now, bytes);
     if (!connection_->IsOpen() || !is_busy_)
       return;
     if (progress == read_progress::kMalformed) {
@@ -141,7 +143,8 @@
     idle_timeout_ = server_timeout
                         ? std::min<milliseconds>(*server_timeout, max_idle_)
                         : max_idle_;
-    is_skipped_ = hooks_.on_head && !hooks_.on_head(now, *head);
+    const auto hooks = hooks_;
+    is_skipped_ = hooks->on_head && !hooks->on_head(now, *head);
     has_skipped_ = has_skipped_ || is_skipped_;
     return is_busy_ && connection_->IsOpen();
   }
@@ -158,18 +161,16 @@
     if (!connection_->IsConnected())
       end = exchange_end::kNotConnected;
     is_busy_ = false;
-    auto hooks = std::move(hooks_);
-    hooks_ = {};
-    if (hooks.on_end)
-      hooks.on_end(now, end);
+    const auto hooks = std::move(hooks_);
+    if (hooks->on_end)
+      hooks->on_end(now, end);
   }
   if (on_closed_)
     on_closed_(this);
 }
 
 void http_client_connection::Finish(time_point now, exchange_end end) {
-  auto hooks = std::move(hooks_);
-  hooks_ = {};
+  const auto hooks = std::move(hooks_);
   is_busy_ = false;
   reusable_until_ = now + idle_timeout_;
   if (end != exchange_end::kComplete || close_after_answer_ || has_skipped_) {
@@ -177,8 +178,8 @@
   } else if (on_idle_) {
     on_idle_(this);
   }
-  if (hooks.on_end)
-    hooks.on_end(now, end);
+  if (hooks->on_end)
+    hooks->on_end(now, end);
 }
 
 void http_client_connection::CloseAndNotify() {
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -89,7 +89,7 @@
   http_answer_limits limits_;
   std::function<void(http_client_connection*)> on_idle_;
   std::function<void(http_client_connection*)> on_closed_;
-  exchange_hooks hooks_;
+  std::shared_ptr<exchange_hooks> hooks_;
   body_reader body_;
   uint64_t exchange_count_ = 0;
   uint64_t received_bytes_ = 0;  ///< Of the current exchange.
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -94,6 +94,25 @@
   BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n|");
 }
 
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_given_up) {
+  resumed_stream entry;
+  entry.Answer({.status = 200, .is_sealed = true}, true);
+  for (int i = 0; i < 100 && entry.aborted_calls.empty(); ++i)
+    entry.DeliverBody(std::string(10000, 'x'));
+  BOOST_TEST(entry.aborted_calls.size() == 1u);
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_without_an_event_do_not_extend_the_timeout) {
+  resumed_stream entry;
+  entry.Answer({.status = 200, .is_sealed = true}, true);
+  for (int i = 0; i < 15; ++i) {
+    entry.DeliverBody("x");
+    entry.Advance(milliseconds(100));
+  }
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+}
+
 BOOST_AUTO_TEST_CASE(a_resumed_stream_without_explicit_version_goes_on) {
   resumed_stream entry;
   entry.Answer({.status = 200, .is_sealed = true}, true);
