Codechange: Test answers that end with their connection

An answer may have neither length nor chunks and end with its connection; one that is reset is broken off, and so are chunks without their end.

--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -290,6 +290,34 @@
   BOOST_TEST(most <= 1U << 18);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_length_ends_with_its_connection) {
+  exchange_fixture fixture([](size_t, scripted_server* server) {
+    server->Send(std::string(kUntilCloseHead) + "whole");
+    server->Close();
+  });
+  fixture.Run();
+  BOOST_TEST((fixture.exchanges.at(0).end == exchange_end::kComplete));
+  BOOST_TEST(fixture.exchanges.at(0).body == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_that_is_reset_is_broken) {
+  exchange_fixture fixture([](size_t, scripted_server* server) {
+    server->Send(std::string(kUntilCloseHead) + "part");
+    server->Reset();
+  });
+  fixture.Run();
+  BOOST_TEST((fixture.exchanges.at(0).end == exchange_end::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(chunks_that_end_with_their_connection_are_broken) {
+  exchange_fixture fixture([](size_t, scripted_server* server) {
+    server->Send(std::string(kChunkedHead) + "4\r\npart\r\n");
+    server->Close();
+  });
+  fixture.Run();
+  BOOST_TEST((fixture.exchanges.at(0).end == exchange_end::kBroken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
