Fix: Send no body in an answer to HEAD

Callers saw (shown by a test): bytes after the head of an answer to HEAD, which their client takes for the start of the next answer.

Cause: refusals and streams were written with their body or last chunk.

Evidence: http_listener_suite/an_answer_to_a_head_request_has_no_body printed before: received.ends_with("\r\n\r\n") has failed, and find == size - 4 has failed [41 != 50] and [43 != 58].

Change: the connection of the caller leaves the body out, and an entry does not wait for events of an answer to HEAD. Result: the suite passes.

--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -293,7 +293,7 @@
       head.set("Content-Length", std::to_string(item.request.body.size()));
     exchange_hooks hooks;
     const bool is_reused = item.exchange->HasCarriedExchange();
-    hooks.on_head = [this, call, attempt, is_reused](
+    hooks.on_head = [this, call, attempt, is_reused, is_head](
                         time_point at, const Poco::Net::HTTPResponse& answer) {
       auto it = calls_.find(call);
       if (it == calls_.end())
@@ -301,7 +301,7 @@
       Poco::Net::HTTPResponse previous = it->second.answer_head;
       it->second.answer_head = answer;
       const bool is_stream =
-          answer.getContentType().starts_with("text/event-stream");
+          !is_head && answer.getContentType().starts_with("text/event-stream");
       server_answer decoded = platform::DecodeAnswer(answer);
       decoded.may_be_repeated = is_reused;
       if (dispatch_.OnAnswerHead(at, call, attempt, decoded, is_stream)) {
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -108,6 +108,7 @@
     connection_->Send("HTTP/1.1 100 Continue\r\n\r\n");
   close_after_answer_ = close_after_answer_ || RequestsClose(*head);
   body_.Start(framing->first, framing->second);
+  is_head_request_ = head->getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   request_.head = *head;
   request_.body.clear();
   request_.first_byte_at = timeout_start_;
@@ -143,7 +144,8 @@
   if (close_after_answer_)
     head.set("Connection", "close");
   std::string text = WriteHead(head);
-  text += body;
+  if (!is_head_request_)
+    text += body;
   connection_->Send(text);
   FinishAnswer(now);
 }
@@ -156,12 +158,13 @@
 }
 
 void http_server_connection::SendChunk(std::string_view bytes) {
-  if (!bytes.empty())
+  if (!bytes.empty() && !is_head_request_)
     connection_->Send(WriteChunk(bytes));
 }
 
 void http_server_connection::EndChunks(time_point now) {
-  connection_->Send(kLastChunk);
+  if (!is_head_request_)
+    connection_->Send(kLastChunk);
   FinishAnswer(now);
 }
 
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -93,6 +93,7 @@
   body_reader body_;
   bool is_answer_pending_ =
       false;  ///< Whether a request has not been answered yet.
+  bool is_head_request_ = false;     ///< Whether an answer has no body.
   bool close_after_answer_ = false;  ///< Whether to close after the answer.
   bool has_head_bytes_ = false;      ///< Whether part of a head has arrived.
   time_point timeout_start_;         ///< Start of the current timeout.
