Fix: Send nothing after dropped bytes

Callers saw: answers above 1 MiB closed their connection, though bodies of 4 MiB are let in; and a stream whose events were dropped got its last chunk, so that it looked complete.

Cause: the bound on unsent bytes counted the new bytes too, and after bytes were dropped smaller ones were still sent until the connection was closed.

Change: the bound is on what already waits, and nothing is sent after dropped bytes. Result: the suite passes; a caller that does not read is still closed (test).

--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -139,10 +139,11 @@
 }
 
 void tcp_connection::Send(std::string_view bytes) {
-  if (!is_open_)
+  if (!is_open_ || is_overflowing_)
     return;
-  if (unsent_.size() + bytes.size() > options_.max_unsent_bytes) {
+  if (unsent_.size() > options_.max_unsent_bytes) {
     // The peer reads too slowly; closing the connection bounds the memory used.
+    is_overflowing_ = true;
     loop_->Post([weak = weak_from_this()] {
       if (auto self = weak.lock())
         self->CloseAndNotify(BootNow(), close_cause::kBroken);
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -29,7 +29,8 @@
   /// cut, or the connection has been dropped on the way without a reset, no
   /// packet comes back, and only this timeout detects it.
   milliseconds user_timeout{2000};
-  size_t max_unsent_bytes = 1U << 20;  ///< Bytes buffered for a slow peer.
+  /// Bytes that may wait for a slow peer when more are sent.
+  size_t max_unsent_bytes = 1U << 20;
 };
 
 /// Buffered connection. Hooks run in the loop's thread, and none runs after
@@ -85,6 +86,7 @@
   bool is_connected_;
   bool wants_write_;
   bool closes_when_sent_ = false;
+  bool is_overflowing_ = false;  ///< Whether bytes to be sent were dropped.
 };
 
 /// Accepts connections on an address.
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -77,6 +77,54 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_above_the_bound_of_unsent_bytes_is_whole) {
+  constexpr size_t kBodyBytes = 4U << 20;
+  listener_fixture fixture([](time_point now, http_server_connection* to) {
+    to->Answer(now, MakeAnswerHead(200), std::string(kBodyBytes, 'x'));
+  });
+  const std::string received =
+      fixture.Call("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(received.size() > kBodyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_with_dropped_bytes_does_not_look_complete) {
+  listener_fixture fixture([](time_point now, http_server_connection* to) {
+    to->BeginChunks(MakeAnswerHead(200));
+    to->SendChunk(std::string(2U << 20, 'x'));
+    to->EndChunks(now);
+  });
+  const std::string received =
+      fixture.Call("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const bool looks_complete = received.ends_with(kLastChunk);
+  BOOST_TEST(looks_complete == (received.size() > 2U << 20));
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_caller_gets_nothing_after_dropped_bytes) {
+  event_loop loop;
+  const std::string address = FreeAddress();
+  std::shared_ptr<tcp_connection> sender;
+  bool is_closed = false;
+  tcp_listener listener(&loop, [&](time_point,
+                                   const Poco::Net::StreamSocket& socket) {
+    sender = tcp_connection::Adopt(&loop, socket, {.max_unsent_bytes = 1000});
+    sender->SetHooks({.on_bytes = [](time_point, std::string*) {},
+                      .on_closed =
+                          [&](time_point, close_cause cause) {
+                            is_closed = cause == close_cause::kBroken;
+                            loop.Stop();
+                          }});
+    sender->Send(std::string(32U << 20, 'x'));
+    sender->Send("dropped");
+    sender->Send("after");
+  });
+  BOOST_REQUIRE(listener.Listen(address));
+  // The peer does not read.
+  Poco::Net::StreamSocket peer{Poco::Net::SocketAddress(address)};
+  loop.StartTimer(BootNow() + kTestTime, [&](time_point) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(is_closed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
