Fix: Report a caller that pipelines over the limit as disconnected

Callers saw (shown by a test): the server goes on with the request of a caller whose connection was closed for too much pipelined input.

Cause: the connection was closed without on_disconnected.

Change: it is closed and reported. Result: the suite passes.

--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -46,8 +46,10 @@
   while (connection_->IsOpen()) {
     if (stage_ == stage::kAnswering) {
       // A pipelined request waits until the current one is answered.
-      if (input->size() > limits_->header_bytes + limits_->body_bytes)
-        Abort();
+      if (input->size() > limits_->header_bytes + limits_->body_bytes) {
+        connection_->Close();
+        OnClosed(now);
+      }
       return;
     }
     if (stage_ == stage::kHead && !ReadHead(now))
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -77,6 +77,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_pipelines_over_the_limit_is_reported) {
+  listener_fixture fixture([](time_point, http_server_connection*) {});
+  fixture.listener.SetLimits({.header_bytes = 1000, .body_bytes = 1000});
+  fixture.Call("GET / HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(5000, 'x'));
+  BOOST_TEST(fixture.disconnected == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_above_the_bound_of_unsent_bytes_is_whole) {
   constexpr size_t kBodyBytes = 4U << 20;
   listener_fixture fixture([](time_point now, http_server_connection* to) {
