Fix: Do not keep references to default arguments of Poco's get

Poco returns a reference to the default value, a temporary that is gone at the end of the statement. Found by reading; no test fails before, as the dead memory still held the empty text.

--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -10,7 +10,7 @@
 
 /// Reads the timeout of a Keep-Alive header.
 std::optional<seconds> KeepAliveOf(const Poco::Net::HTTPResponse& head) {
-  const std::string& value = head.get("Keep-Alive", "");
+  const std::string value = head.get("Keep-Alive", "");
   const size_t at = value.find("timeout=");
   if (at == std::string::npos)
     return std::nullopt;
