Fix: State the true age in cached answers of a relay

Operators saw: a process that reads from a relay cut off from the store takes the state for fresher than it is, so that a revoked key may be accepted past its bound.

Cause: the compressed answer that readers share kept the confirmed age of its first packing.

Change: the answer is packed again when the age, rounded up to 50 ms, has changed.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kRegisterTimeout{1000};
 /// Time for the watch to report a change of the registrations.
 constexpr milliseconds kRegisterPause{2000};
+/// Confirmed ages in shared answers are rounded up to this, so that readers at
+/// about the same time share one.
+using age_step = std::chrono::duration<int64_t, std::ratio<1, 20>>;
 constexpr size_t kMaxMirrorBytes = 64U << 20;
 constexpr size_t kMaxWaiters = 512;
 /// Status of a relay that cannot read the store.
@@ -385,10 +388,13 @@
     return;
   }
   answer.set_held_ms(0);  // The compressed answer is shared by all waiters.
-  if (compressed_after_ != item.after ||
+  const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
+  answer.set_sound_age_ms(static_cast<uint32_t>(milliseconds(age).count()));
+  if (compressed_after_ != item.after || compressed_age_ != age ||
       compressed_revision_ != answer.revision() || compressed_answer_.empty()) {
     compressed_answer_ = Deflate(answer.SerializeAsString());
     compressed_after_ = item.after;
+    compressed_age_ = age;
     compressed_revision_ = answer.revision();
   }
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
--- /dev/null
+++ b/src/tests/site_watch_test.cc
@@ -0,0 +1,89 @@
+/// @file site_watch_test.cc Tests of a hosted process's control thread against
+/// a store on loopback.
+#include <boost/test/unit_test.hpp>
+
+#include "network/compression.h"
+#include "proto/fuchsiafall.pb.h"
+#include "site_watch.h"
+#include "tests/loopback_address.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 1U << 20;
+
+/// Reads the confirmed age of a relay's answer.
+int64_t AgeOf(const std::string& body) {
+  proto::mirror_answer answer;
+  auto bytes = Inflate(body, kMaxAnswerBytes);
+  BOOST_REQUIRE(bytes);
+  BOOST_REQUIRE(answer.ParseFromString(*bytes));
+  BOOST_TEST(answer.items_size() == 1);
+  return answer.sound_age_ms();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(site_watch_suite)
+
+BOOST_AUTO_TEST_CASE(a_cached_relay_answer_does_not_look_fresher_than_it_is) {
+  event_loop loop;
+  bool is_down = false;
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&& request) {
+             if (is_down)
+               return;
+             const bool is_listing =
+                 request.head.getURI().starts_with("/kv-range");
+             const std::string answer =
+                 is_listing
+                     ? R"({"Items":[{"Key":"a","Value":"aGk=","Revision":4}],)"
+                       R"("HasMore":false,"At":7})"
+                     : R"({"events":[],"At":7})";
+             loop.StartTimer(now + milliseconds(20),
+                             [from, answer](time_point at) {
+                               from->Answer(at, MakeAnswerHead(200), answer);
+                             });
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  const std::string relay_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  site_watch watch({.node = "n",
+                    .domain = "d",
+                    .store_address = store_address,
+                    .relay_address = relay_address,
+                    .on_change = [](auto, time_point) {},
+                    .count = [](const std::string&) {}});
+  BOOST_REQUIRE(watch.Start());
+  http_client_pool pool(&loop, {});
+  std::vector<int64_t> ages;
+  auto read = [&](time_point now) {
+    StartAsyncHttpCall(
+        now, &loop, &pool,
+        {.address = relay_address,
+         .request = "GET /mirror?after=0&wait=0 HTTP/1.1\r\nHost: h\r\n\r\n",
+         .timeout = milliseconds(300),
+         .on_done = [&](time_point, int status, const std::string& body) {
+           BOOST_REQUIRE(status == 200);
+           ages.push_back(AgeOf(body));
+         }});
+  };
+  const time_point start = BootNow();
+  loop.StartTimer(start + milliseconds(400),
+                  [&](time_point) { is_down = true; });
+  loop.StartTimer(start + milliseconds(450), read);
+  loop.StartTimer(start + milliseconds(950), read);
+  loop.StartTimer(start + milliseconds(1100), [&](time_point) { loop.Stop(); });
+  loop.Run();
+  watch.Stop();
+  BOOST_REQUIRE(ages.size() == 2u);
+  BOOST_TEST(ages[1] - ages[0] > 400);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
