Fix: Do not join a resumed answer that leaves out events

Callers saw (shown by a test): a stream with a missing piece, if the next server begins far after the event that it was asked to go on from.

Cause: any event with a higher id was forwarded.

Change: the first new event of a resumed answer may not be farther from the last one than the largest step seen within the stream; else the attempt counts as malformed. Ids need not be consecutive, so that a gap in a stream of one event so far is not noticed.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -374,6 +374,11 @@
     if (event_id) {
       if (call->last_event && *event_id <= *call->last_event)
         continue;  // The caller already has it.
+      if (HasGapBefore(*call, *event_id))
+        return AbortAttempt(now, call);
+      if (call->has_new_event && call->last_event)
+        call->max_event_step =
+            std::max(call->max_event_step, *event_id - *call->last_event);
       if (!call->last_event)
         hooks_.record_duration("first_event", now - call->arrived_at);
       call->last_event = event_id;
@@ -387,13 +392,22 @@
     call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
     hooks_.send_events(id, out);
   }
-  if (call->events.Incomplete().size() > options_.max_event_bytes) {
-    EndAttempt(call);
-    hooks_.abort_attempt(id);
-    selector_.OnFailure(now, call->server.id);
-    hooks_.count("attempts_malformed");
-    Retry(now, call, true);
-  }
+  if (call->events.Incomplete().size() > options_.max_event_bytes)
+    AbortAttempt(now, call);
+}
+
+bool call_dispatch::HasGapBefore(const call_state& call, uint64_t event_id) {
+  return call.is_resumed && !call.has_new_event && call.last_event &&
+         call.max_event_step > 0 &&
+         event_id - *call.last_event > call.max_event_step;
+}
+
+void call_dispatch::AbortAttempt(time_point now, call_state* call) {
+  EndAttempt(call);
+  hooks_.abort_attempt(call->id);
+  selector_.OnFailure(now, call->server.id);
+  hooks_.count("attempts_malformed");
+  Retry(now, call, true);
 }
 
 void call_dispatch::OnExchangeEnd(time_point now,
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -204,6 +204,8 @@
     bool is_resumed = false;  ///< Whether an earlier answer began the stream.
     bool has_new_event = false;  ///< Whether the current answer had an event.
     std::optional<uint64_t> last_event;
+    /// Largest step between the ids of two events of one answer; 0 if unknown.
+    uint64_t max_event_step = 0;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
     event_splitter events;
     std::string body;  ///< Body of an answer that is not streamed.
@@ -220,6 +222,10 @@
   void Retry(time_point now, call_state* call, bool may_have_run);
   void FinishBuffered(time_point now, call_state* call);
   void FinishStream(time_point now, call_state* call);
+  /// Whether events are missing between those forwarded and a resumed answer.
+  static bool HasGapBefore(const call_state& call, uint64_t event_id);
+  /// Aborts an attempt whose answer is malformed.
+  void AbortAttempt(time_point now, call_state* call);
   /// Ends the current attempt and releases its place.
   static attempt_result ResultOf(const call_state& call, exchange_end end);
   void EndAttempt(call_state* call,
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -94,6 +94,24 @@
   BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n|");
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_answer_that_leaves_out_events_is_not_joined) {
+  for (const char* next : {"id:3\n\n", "id:4\n\n"}) {
+    fake_entry entry;
+    entry.SendRequest(1, "models");
+    entry.GrantPlace();
+    entry.DeliverHead(200, true);
+    entry.DeliverBody("id:1\n\nid:2\n\n");
+    entry.EndExchange(exchange_end::kBroken);
+    entry.GrantPlace();
+    entry.DeliverHead(200, true);
+    entry.DeliverBody(next);
+    entry.EndExchange(exchange_end::kComplete);
+    const bool has_gap = std::string(next) == "id:4\n\n";
+    BOOST_TEST(entry.received_text ==
+               (has_gap ? "<id:1\n\nid:2\n\n|" : "<id:1\n\nid:2\n\nid:3\n\n>"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_event_without_end_is_given_up) {
   resumed_stream entry;
   entry.Answer({.status = 200, .is_sealed = true}, true);
