--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -285,6 +285,7 @@
   const std::string id = request.head.get("Request-Id", "");
   auto refuse = [&](int status) {
     auto head = MakeAnswerHead(status);
+    head.set("Request-Id", id);
     head.set("Not-Executed", "1");
     head.set("Instance-Id", id_);
     from->Answer(now, head, "");
