Feature: Heed servers that announce their leave or ask for a pause

A server says in any answer that it leaves, or names in a 503 how long it wants no requests. Entries did not read either: they went on to send requests until the store told that the server drains, and asked a pausing server again after 0.25 s.

The entry that got the answer now leaves the server out, for the server's lifetime or until the end of the pause, by a table apart from the view of the store, so that stale reads and a lost registration do not undo it. With all servers paused, requests are refused at once with the first end as the time to return.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -171,10 +171,18 @@
   }
 }
 
+void call_dispatch::RefuseWithoutServer(time_point now, call_state* call) {
+  if (const auto until = selector_.FirstPauseEnd(now, QueryOf(*call))) {
+    call->expected_free_in =
+        std::chrono::duration_cast<milliseconds>(*until - now);
+  }
+  Refuse(now, call, call_refusal::kNoServer);
+}
+
 void call_dispatch::DispatchModelCall(time_point now, call_state* call) {
   const auto ranked = selector_.Rank(now, QueryOf(*call));
   if (ranked.empty())
-    return Refuse(now, call, call_refusal::kNoServer);
+    return RefuseWithoutServer(now, call);
   if (call->place_request_count >= options_.max_place_requests)
     return Refuse(now, call, call_refusal::kNoPlace);
   server_query query_without_place = QueryOf(*call);
@@ -220,7 +228,7 @@
 void call_dispatch::DispatchPlainCall(time_point now, call_state* call) {
   const auto ranked = selector_.Rank(now, QueryOf(*call));
   if (ranked.empty())
-    return Refuse(now, call, call_refusal::kNoServer);
+    return RefuseWithoutServer(now, call);
   call->server = *ranked.front();
   Send(now, call);
 }
@@ -317,6 +325,27 @@
   return &it->second;
 }
 
+void call_dispatch::RecordNotices(time_point now, const call_state& call) {
+  const server_answer& head = call.head;
+  if (!head.instance.empty() && head.instance != call.server.id)
+    return;
+  if (head.is_leaving && selector_.Notices().OnLeaving(now, call.server)) {
+    hooks_.count("servers_leaving");
+    hooks_.log(log_event::kServerLeaves, "server=" + call.server.id);
+  }
+  if (head.has_unreadable_pause)
+    hooks_.count("server_pauses_unreadable");
+  if (!head.pause)
+    return;
+  const milliseconds pause =
+      selector_.Notices().OnPause(now, call.server, *head.pause);
+  hooks_.count("server_pauses");
+  hooks_.log(log_event::kServerPaused,
+             "server=" + call.server.id +
+                 " pause_ms=" + std::to_string(pause.count()) +
+                 " asked_ms=" + std::to_string(head.pause->count()));
+}
+
 bool call_dispatch::OnAnswerHead(time_point now,
                                  uint64_t id,
                                  uint32_t attempt,
@@ -336,6 +365,7 @@
   if (head.has_load)
     selector_.OnLoad(now, call->server.id, head.running + head.waiting,
                      head.slots);
+  RecordNotices(now, *call);
   const bool is_same_version =
       !call->weights || !head.weights || *call->weights == *head.weights;
   call->forwards_events = head.status == kOk && head.is_sealed &&
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -226,6 +226,10 @@
   static bool HasGapBefore(const call_state& call, uint64_t event_id);
   /// Aborts an attempt whose answer is malformed.
   void AbortAttempt(time_point now, call_state* call);
+  /// Records what the server announced in the head of its answer.
+  void RecordNotices(time_point now, const call_state& call);
+  /// Refuses a request for which no server is eligible.
+  void RefuseWithoutServer(time_point now, call_state* call);
   /// Ends the current attempt and releases its place.
   static attempt_result ResultOf(const call_state& call, exchange_end end);
   void EndAttempt(call_state* call,
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -56,6 +56,10 @@
   uint32_t slots = 0;
   std::string instance;
   std::optional<uint64_t> weights;  ///< Version that serves a stream.
+  bool is_leaving = false;          ///< Whether the server leaves.
+  /// In refusals: time for which the server wants no requests.
+  std::optional<milliseconds> pause;
+  bool has_unreadable_pause = false;
 };
 
 }  // namespace fuchsiafall
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -31,6 +31,28 @@
 bool server_selector::IsEligible(time_point now,
                                  const site_server& server,
                                  const server_query& query) const {
+  return !notices_.PausedUntil(now, server) && IsSuitable(now, server, query);
+}
+
+std::optional<time_point> server_selector::FirstPauseEnd(
+    time_point now,
+    const server_query& query) const {
+  std::optional<time_point> first;
+  for (const site_server* server : index_->Servers(query.service)) {
+    const auto until = notices_.PausedUntil(now, *server);
+    if (until && (!first || *until < *first) &&
+        IsSuitable(now, *server, query)) {
+      first = until;
+    }
+  }
+  return first;
+}
+
+bool server_selector::IsSuitable(time_point now,
+                                 const site_server& server,
+                                 const server_query& query) const {
+  if (notices_.IsLeaving(now, server))
+    return false;
   if (server.is_draining || index_->View().evacuated.contains(server.domain))
     return false;
   const std::string& region = RegionOf(server.domain);
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "server_notices_base.h"
 #include "site_index_base.h"
 #include "time_type.h"
 
@@ -33,6 +34,7 @@
   milliseconds weights_margin{800};
   /// Minimum share of a service's servers in use, in spite of ejections.
   double min_in_use_share = 0.5;
+  server_notices_options notices;
   uint64_t seed = 1;
 };
 
@@ -75,7 +77,9 @@
 class server_selector {
  public:
   explicit server_selector(server_selector_options options)
-      : options_(std::move(options)), random_(options_.seed) {}
+      : options_(std::move(options)),
+        random_(options_.seed),
+        notices_(options_.notices) {}
 
   void SetIndex(const site_index* index);
   /// Ranks the servers that are eligible for a request, best first.
@@ -103,6 +107,11 @@
   void OnPlaceAnswered(const std::string& id) {
     health_[id].unanswered_place_requests = 0;
   }
+  server_notices& Notices() { return notices_; }
+  /// Returns when the first pause ends among the servers that would be eligible
+  /// without it; nullopt if there is none.
+  std::optional<time_point> FirstPauseEnd(time_point now,
+                                          const server_query& query) const;
   server_health& Health(const std::string& id) { return health_[id]; }
   const std::string& RegionOf(const std::string& domain) const;
 
@@ -112,6 +121,11 @@
                   const server_query& query) const;
 
  private:
+  /// Whether a server may run a request, regardless of its load and of a pause
+  /// that it wants.
+  bool IsSuitable(time_point now,
+                  const site_server& server,
+                  const server_query& query) const;
   /// Whether a version was replaced too long ago to start requests on it.
   bool IsOutdated(time_point now,
                   const std::string& model,
@@ -126,6 +140,7 @@
   std::mt19937_64 random_;
   const site_index* index_ = nullptr;
   std::map<std::string, server_health> health_;
+  server_notices notices_;
 };
 
 }  // namespace fuchsiafall
