Fix: Give up a body without end in blocking calls

Callers saw (shown by a test): a blocking call of an engine, the store or the origin collects a body as long as bytes come.

Cause: the timeout is the longest wait for data; the size had no bound.

Evidence: http_exchange_suite/a_blocking_call_gives_up_a_body_without_end, run without the check, printed: result.body.size() <= 1U << 20 has failed [6622523 > 1048576].

Change: a body beyond max_body_bytes (64 MiB) counts as incomplete. Interim answers without end are still read by Poco's client. Result: the suite passes.

--- a/src/network/http_call.cc
+++ b/src/network/http_call.cc
@@ -33,8 +33,10 @@
 
 /// Reads the whole body and checks its length against Content-Length, if any.
 /// @param announced Content-Length, or -1 without one.
+/// @param max_bytes Bound beyond which the body counts as incomplete.
 http_result::status_type ReadBody(std::istream* body,
                                   std::streamsize announced,
+                                  uint64_t max_bytes,
                                   const body_hook& on_data,
                                   http_result* result) {
   std::vector<char> buffer(kReadBytes);
@@ -42,6 +44,8 @@
   for (std::string data = ReadAvailable(body, &buffer); !data.empty();
        data = ReadAvailable(body, &buffer)) {
     length += static_cast<std::streamsize>(data.size());
+    if (static_cast<uint64_t>(length) > max_bytes)
+      return http_result::status_type::kIncomplete;
     if (!on_data) {
       result->body += data;
     } else if (!on_data(*result, data)) {
@@ -90,7 +94,8 @@
       result.headers[name] = value;
     const std::streamsize announced =
         response.hasContentLength() ? response.getContentLength() : -1;
-    result.status = ReadBody(&body, announced, on_data, &result);
+    result.status =
+        ReadBody(&body, announced, call.max_body_bytes, on_data, &result);
     // A timeout while the stream is read is only recorded in the session.
     if (result.status != http_result::status_type::kCancelled &&
         session.networkException() != nullptr) {
--- a/src/network/http_call.h
+++ b/src/network/http_call.h
@@ -18,17 +18,20 @@
   std::string body;
   std::string content_type = "application/json";
   std::map<std::string, std::string> headers;
-  milliseconds timeout{2000};  ///< Longest wait for data.
+  milliseconds timeout{2000};           ///< Longest wait for data.
+  uint64_t max_body_bytes = 64U << 20;  ///< Of the answer.
 };
 
 /// How a call ended.
 struct http_result {
   enum class status_type {
     kAnswered,
-    kNotSent,     ///< No connection could be made.
-    kIncomplete,  ///< The connection closed before the answer was complete.
-    kTimedOut,    ///< No data arrived within the timeout.
-    kCancelled,   ///< The body hook returned false.
+    kNotSent,  ///< No connection could be made.
+    /// The connection closed before the answer was complete, or the answer
+    /// exceeded its bound.
+    kIncomplete,
+    kTimedOut,   ///< No data arrived within the timeout.
+    kCancelled,  ///< The body hook returned false.
   };
   status_type status = status_type::kNotSent;
   int http_status = 0;
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "network/async_http_call.h"
+#include "network/http_call.h"
 #include "network/http_exchange.h"
 #include "tests/loopback_address.h"
 
@@ -260,6 +261,22 @@
                      "bytes");
 }
 
+BOOST_AUTO_TEST_CASE(a_blocking_call_gives_up_a_body_without_end) {
+  event_loop loop;
+  scripted_server server(&loop, [](size_t, scripted_server* to) {
+    to->Send(kUntilCloseHead + Repeat("bytes", 8U << 20));
+  });
+  std::thread serving([&] { loop.Run(); });
+  const http_result result = CallHttp({.address = server.address,
+                                       .path = "/",
+                                       .timeout = milliseconds(300),
+                                       .max_body_bytes = 1U << 20});
+  loop.Stop();
+  serving.join();
+  BOOST_TEST((result.status == http_result::status_type::kIncomplete));
+  BOOST_TEST(result.body.size() <= 1U << 20);
+}
+
 BOOST_AUTO_TEST_CASE(a_fast_sender_is_read_in_bounded_steps) {
   constexpr size_t kSentBytes = 16U << 20;
   event_loop loop;
