--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -45,6 +45,7 @@
       BeginListing();
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
     ++failures_;
+    failed_at_ = now;
     next_at_ = now + std::min<duration>(doubled, options_.max_backoff);
     return false;
   }
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -115,6 +115,10 @@
   /// Time of the confirmed read before the last one: the store is known not to
   /// have had the last changes yet.
   time_point PreviousConfirmedAt() const { return previous_confirmed_at_; }
+  /// Whether a call to the store has failed since that read.
+  bool HasFailedSincePreviousConfirmed() const {
+    return failed_at_ > previous_confirmed_at_;
+  }
   bool IsReachable() const { return failures_ == 0; }
   time_point NextCallAt() const { return next_at_; }
 
@@ -146,6 +150,7 @@
   time_point next_at_{};
   time_point confirmed_at_{};
   time_point previous_confirmed_at_{};
+  time_point failed_at_{};        ///< When a call to the store last failed.
   time_point outage_ended_at_{};  ///< End of the store's last outage.
 };
 
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -114,11 +114,38 @@
   // counts from the end of the outage.
   const time_point confirmed = mirror.ConfirmedAt();
   now += seconds(20);
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, {.status = status_type::kRefused});
   const time_point late = announce(3, milliseconds(0));
   BOOST_TEST((late > confirmed + seconds(18)));
   BOOST_TEST((late < now));
 }
 
+BOOST_AUTO_TEST_CASE(a_gap_without_an_outage_does_not_postpone_the_bound) {
+  store_mirror mirror = MirrorOf({});
+  std::vector<std::string> problems;
+  time_point now{std::chrono::hours(1)};
+  const site_view before = platform::BuildView(now, mirror, {}, &problems);
+  const time_point confirmed = mirror.ConfirmedAt();
+  // Two relays in a row do not answer.
+  for (int i = 0; i < 2; ++i) {
+    mirror.NextCall(now);
+    now += milliseconds(800);
+    mirror.CancelCall(now);
+  }
+  BOOST_REQUIRE(mirror.NextCall(now).has_value());
+  mirror.OnAnswer(now, {.status = status_type::kOk,
+                        .items = {{.key = "op/version/m",
+                                   .value = R"({"Version":2})",
+                                   .revision = 10}},
+                        .revision = 10});
+  const auto announced = platform::BuildView(now, mirror, before, &problems)
+                             .weights.at("m")
+                             .announcements.at(2);
+  BOOST_TEST((announced.announced_after == confirmed));
+  BOOST_TEST(announced.was_watched);
+}
+
 BOOST_AUTO_TEST_CASE(answers_of_the_store_are_distinguished) {
   const auto list = store_call::kind_type::kList;
   const auto watch = store_call::kind_type::kWatch;
