--- a/src/engine_monitor.cc
+++ b/src/engine_monitor.cc
@@ -21,17 +21,18 @@
   return fuchsiafall::ServedVersion(report_.held, model_, layers_);
 }
 
-bool engine_monitor::IsOrderPending(time_point now) const {
+bool engine_monitor::IsOrderPending(time_point now,
+                                    milliseconds timeout) const {
   const bool is_ordered =
       unloading_version_ > 0 || ordered_version_ > ServedVersion();
-  return is_ordered && now - ordered_at_ < options_.order_timeout;
+  return is_ordered && now - ordered_at_ < timeout;
 }
 
 bool engine_monitor::IsOrderDue(time_point now, uint64_t version) const {
   if (!is_reachable_ || report_.is_loading || ServedVersion() >= version)
     return false;
   if (unloading_version_ > 0)
-    return !IsOrderPending(now);
+    return !IsOrderPending(now, options_.order_timeout);
   return ordered_version_ != version ||
          now - ordered_at_ >= options_.order_timeout;
 }
@@ -50,8 +51,9 @@
 
 std::optional<load_order> engine_monitor::MakeUnloadOrder(time_point now) {
   const uint64_t served = ServedVersion();
-  if (!is_reachable_ || report_.is_loading || served == 0 ||
-      IsOrderPending(now))
+  const milliseconds timeout =
+      is_reachable_ ? options_.unload_timeout : options_.order_timeout;
+  if (report_.is_loading || served == 0 || IsOrderPending(now, timeout))
     return std::nullopt;
   ordered_at_ = now;
   unloading_version_ = served;
@@ -67,7 +69,7 @@
     return false;
   // After an order the engine drains its batch before its report shows the
   // load.
-  return !IsOrderPending(now);
+  return !IsOrderPending(now, options_.order_timeout);
 }
 
 }  // namespace fuchsiafall
--- a/src/engine_monitor_base.h
+++ b/src/engine_monitor_base.h
@@ -13,6 +13,10 @@
   /// Time within which a report must show the effect of an order; otherwise the
   /// order is repeated.
   milliseconds order_timeout{600};
+  /// Time after which an order without effect no longer delays an unload order,
+  /// which is due by a bound: the answer of an engine on the same VM and the
+  /// next report.
+  milliseconds unload_timeout{150};
 };
 
 /// Tracks one engine by its reports and by the load orders sent to it.
@@ -41,7 +45,8 @@
                                       bool is_verified);
   /// Creates the order to unload the served version, unless an order is in
   /// progress. The engine then rejects the requests in its queue as not run,
-  /// and finishes the running ones.
+  /// and finishes the running ones. An engine without reports may still run
+  /// requests, so it gets the order too.
   std::optional<load_order> MakeUnloadOrder(time_point now);
   /// Whether the engine accepts requests.
   bool IsServing(time_point now) const;
@@ -51,7 +56,7 @@
 
  private:
   /// Whether an order was sent whose effect no report has shown yet.
-  bool IsOrderPending(time_point now) const;
+  bool IsOrderPending(time_point now, milliseconds timeout) const;
 
   engine_monitor_options options_;
   std::string model_;
--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -223,7 +223,7 @@
   auto order =
       Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
   const auto version = order->getValue<uint64_t>("Version");
-  if (IsBusy())
+  if (IsBusy() || order->optValue("Precondition", orders_) != orders_)
     return AnswerText(from, now, 409, "");
   if (order->optValue("To", kLayers) == 0) {
     is_unloading_ = true;
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -249,6 +249,42 @@
   BOOST_TEST(monitor.IsOrderDue(now, 2));
 }
 
+// An engine with a long queue resets connections: orders and reports get lost.
+BOOST_AUTO_TEST_CASE(a_lost_order_does_not_let_replaced_weights_serve) {
+  const time_point outdated_at = kTargetSince + kOptions.bound;
+  const staged_engine_report report{
+      .held = {{.model = "m", .version = 1, .from = 0, .to = 16}},
+      .started_at_ms = 77};
+  auto unload_count = [&](engine_monitor* monitor, bool is_reachable) {
+    int count = 0;
+    for (time_point now = outdated_at - milliseconds(500); now < outdated_at;
+         now += milliseconds(100)) {
+      if (is_reachable) {
+        monitor->OnReport(report);
+      } else {
+        monitor->OnUnreachable();
+      }
+      if (IsUnloadDue(now, outdated_at) && monitor->MakeUnloadOrder(now))
+        ++count;
+    }
+    return count;
+  };
+  engine_monitor monitor({});
+  monitor.SetModel("m", 16);
+  BOOST_TEST(unload_count(&monitor, true) == 2);
+  // A load order was lost just before.
+  engine_monitor ordered({});
+  ordered.SetModel("m", 16);
+  ordered.OnReport(report);
+  BOOST_TEST(
+      ordered.MakeOrder(outdated_at - milliseconds(350), 2, true).has_value());
+  BOOST_TEST(unload_count(&ordered, true) >= 1);
+  engine_monitor unreachable({});
+  unreachable.SetModel("m", 16);
+  unreachable.OnReport(report);
+  BOOST_TEST(unload_count(&unreachable, false) >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(part_of_the_layers_does_not_serve) {
   engine_monitor monitor({});
   monitor.SetModel("m", 16);
