--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -238,12 +238,14 @@
     return next->second + process_.Settings().weights_bound;
   }
 
-  /// Whether no more requests may be granted on the served version.
-  bool IsOutdated(time_point now) const {
+  /// Returns when the last request may be granted on the served version;
+  /// nullopt while there is no newer one.
+  std::optional<time_point> GrantsEnd(time_point now) const {
     const auto outdated_at = OutdatedAt();
-    return outdated_at &&
-           now > *outdated_at - GrantMargin(now, last_piece_at_,
-                                            engine_monitor_.Report().waiting);
+    if (!outdated_at)
+      return std::nullopt;
+    return *outdated_at -
+           GrantMargin(now, last_piece_at_, engine_monitor_.Report().waiting);
   }
 
   /// Unloads the served version right before it is outdated, so that the engine
@@ -576,9 +578,11 @@
       engine_monitor_.OnUnreachable();
     }
     crash_monitor_.OnEngineReport(now, static_cast<bool>(report), is_restarted);
+    const auto grants_end = GrantsEnd(now);
     is_serving_ = engine_monitor_.IsServing(now) && !is_draining_ &&
-                  !is_evacuated_ && !IsOutdated(now);
+                  !is_evacuated_ && !(grants_end && now > *grants_end);
     places_.SetAccepting(is_serving_);
+    places_.SetGrantsEnd(grants_end);
     if (is_serving_ != was_serving ||
         served != engine_monitor_.ServedVersion()) {
       LogEvent(
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -78,7 +78,7 @@
     reply.is_granted = true;  // The reply to an earlier request was lost.
     return reply;
   }
-  if (!is_accepting_) {
+  if (!is_accepting_ || (grants_end_ && now > *grants_end_)) {
     reply.slots = 0;
     return reply;
   }
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -86,6 +86,9 @@
   void OnReport(time_point now, const staged_engine_report& report);
   /// Enables or disables granting.
   void SetAccepting(bool is_accepting) { is_accepting_ = is_accepting; }
+  /// Ends granting at a time: requests granted later might begin on replaced
+  /// weights.
+  void SetGrantsEnd(std::optional<time_point> end) { grants_end_ = end; }
   /// Limits granting to requests that are expected to finish by a time. The
   /// engine is ordered to load weights then, and running requests delay the
   /// load.
@@ -126,6 +129,7 @@
   double cold_rate_ = 0;
   staged_engine_report report_;
   bool is_accepting_ = false;
+  std::optional<time_point> grants_end_;
   time_point cold_until_{};
   /// Time by which newly granted requests must finish, because the engine
   /// loads weights then.
--- a/src/tests/place_table_test.cc
+++ b/src/tests/place_table_test.cc
@@ -188,6 +188,22 @@
   BOOST_TEST(reply.slots == 0u);
 }
 
+// An agent that was paused answers the questions that waited before it reads a
+// report of its engine.
+BOOST_AUTO_TEST_CASE(no_place_is_granted_past_the_end_without_a_report) {
+  place_table table = MakeTable();
+  table.SetGrantsEnd(kStart + seconds(1));
+  table.OnReport(kStart, {});
+  BOOST_TEST(table.RequestPlace(kStart, MakeRequest(1)).is_granted);
+  const place_reply late =
+      table.RequestPlace(kStart + seconds(4), MakeRequest(2));
+  BOOST_TEST(!late.is_granted);
+  BOOST_TEST(late.slots == 0u);
+  table.SetGrantsEnd(std::nullopt);
+  BOOST_TEST(
+      table.RequestPlace(kStart + seconds(4), MakeRequest(3)).is_granted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
