Fix: Ask other agents before a known part is quarantined

Cause: an agent took 20 answers without the part in 4 s for evidence that the part had turned. One agent alone has too few answers to miss a part of one request in ten.

Evidence: parts_of_requests_at_servers_that_crash_at_once_are_spared failed before with "fleet.quarantined_parts == 0u has failed [12 != 0]".

Change: the agent asks all others, and any that has answered a request with the part since its first crash objects within 0.4 s.

--- a/src/crash_ledger.cc
+++ b/src/crash_ledger.cc
@@ -180,15 +180,12 @@
   return against;
 }
 
-bool crash_history::IsConclusive(time_point now,
-                                 fingerprint part,
-                                 const evidence& against) const {
-  if (against.crashes < options_.part_crashes ||
-      against.distinct_requests.size() < options_.part_requests) {
-    return false;
-  }
-  if (IsWarm(now) && !SoundAt(now, part))
-    return now - against.first_received_at >= options_.objection_time;
+bool crash_history::IsCandidate(const evidence& against) const {
+  return against.crashes >= options_.part_crashes &&
+         against.distinct_requests.size() >= options_.part_requests;
+}
+
+bool crash_history::IsMissed(time_point now, const evidence& against) const {
   // No answer since the first of these crashes was to a request with this part,
   // so the answers show that other requests are served.
   return now - against.first_at >= options_.settle_time &&
@@ -197,6 +194,36 @@
              against.first_at;
 }
 
+bool crash_history::IsConclusive(time_point now,
+                                 fingerprint part,
+                                 const trait_state& state,
+                                 const evidence& against) const {
+  if (!IsCandidate(against))
+    return false;
+  if (IsNew(now, part))
+    return now - against.first_received_at >= options_.objection_time;
+  return state.asked_at && now - *state.asked_at >= options_.objection_time &&
+         now - *state.asked_at < options_.question_time &&
+         IsMissed(now, against);
+}
+
+std::vector<quarantine_question> crash_history::TakeQuestions(time_point now) {
+  std::vector<quarantine_question> questions;
+  for (auto& [trait, state] : traits_) {
+    if (!state.is_part || state.crashes.size() < options_.part_crashes ||
+        quarantined_.contains(trait) || IsNew(now, trait) ||
+        (state.asked_at && now - *state.asked_at < options_.question_time)) {
+      continue;
+    }
+    const evidence against = EvidenceOf(trait, state);
+    if (!IsCandidate(against) || !IsMissed(now, against))
+      continue;
+    state.asked_at = now;
+    questions.push_back({.part = trait, .first_crash = against.first_at});
+  }
+  return questions;
+}
+
 std::optional<fingerprint> crash_history::FindCulprit(time_point now) const {
   std::optional<fingerprint> culprit;
   std::tuple<bool, int64_t, uint32_t, fingerprint> best;
@@ -206,7 +233,7 @@
       continue;
     }
     const evidence against = EvidenceOf(trait, state);
-    if (!IsConclusive(now, trait, against))
+    if (!IsConclusive(now, trait, state, against))
       continue;
     // Of parts in equally many crashes, a common one is in more of the requests
     // that they aborted.
--- a/src/crash_ledger_base.h
+++ b/src/crash_ledger_base.h
@@ -37,14 +37,22 @@
   time_point last_crash{};
 };
 
+/// Question to other processes whether a part is sound.
+struct quarantine_question {
+  fingerprint part;
+  time_point first_crash{};  ///< The first that counts against it.
+};
+
 struct crash_history_options {
   uint32_t request_crashes = 2;  ///< Crashes that quarantine a request.
   uint32_t part_crashes = 3;     ///< Crashes that quarantine a part.
   /// Different requests with a part that its crashes must have aborted.
   uint32_t part_requests = 2;
-  /// Time from the first crash in which other processes may report that a part
-  /// is sound.
+  /// Time from the first crash, or from a question, in which other processes
+  /// may report that a part is sound.
   milliseconds objection_time{400};
+  /// Time after which a question to other processes is asked again.
+  milliseconds question_time{2000};
   /// Time of answering requests after which an unknown part is a new one.
   seconds warm_up{3};
   /// Time without a full answer after which a part that was sound before counts
@@ -82,6 +90,10 @@
   bool Adopt(time_point now,
              const quarantined_trait& item,
              time_point expires_at);
+  /// Returns parts that were sound before and would be quarantined now. Others
+  /// may have answered requests with them since their crashes, so they are to
+  /// be asked before Decide() quarantines these parts.
+  std::vector<quarantine_question> TakeQuestions(time_point now);
   /// Decides which traits to quarantine.
   /// @return Those newly quarantined.
   std::vector<fingerprint> Decide(time_point now);
@@ -112,6 +124,7 @@
   struct trait_state {
     std::vector<uint64_t> crashes;  ///< Keys of crashes_.
     std::optional<time_point> sound_at;
+    std::optional<time_point> asked_at;  ///< When others were asked about it.
     bool is_part = false;
   };
   struct quarantine_state {
@@ -131,9 +144,19 @@
   void RemoveOldestCrash();
   void RemoveExpired(time_point now);
   evidence EvidenceOf(fingerprint trait, const trait_state& state) const;
+  /// Whether a part takes part in enough crashes to be their cause.
+  bool IsCandidate(const evidence& against) const;
+  /// Whether a candidate is not known to be sound by earlier answers.
+  bool IsNew(time_point now, fingerprint part) const {
+    return IsWarm(now) && !SoundAt(now, part);
+  }
+  /// Whether other requests have been answered for so long that an answer with
+  /// this part is missing.
+  bool IsMissed(time_point now, const evidence& against) const;
   /// Whether the evidence suffices to quarantine a part.
   bool IsConclusive(time_point now,
                     fingerprint part,
+                    const trait_state& state,
                     const evidence& against) const;
   std::optional<fingerprint> FindCulprit(time_point now) const;
   void QuarantinePart(time_point now, fingerprint part);
--- a/src/crash_monitor.cc
+++ b/src/crash_monitor.cc
@@ -212,9 +212,36 @@
   if (note.ordinal() != 0)
     OnCrash(now, from, message);
   OnQuarantined(now, from, note);
+  OnQuestions(now, from, note);
   Decide(now);
 }
 
+void crash_monitor::Ask(time_point now) {
+  const auto questions = history_.TakeQuestions(now);
+  if (questions.empty())
+    return;
+  proto::envelope message =
+      MakeEnvelope(options_.self, options_.own_incarnation);
+  for (const quarantine_question& question : questions) {
+    AddTrait(message.mutable_crash_note()->add_questions(), question.part,
+             AgeMs(now, question.first_crash));
+  }
+  for (const auto& [agent, forgotten_at] : agents_)
+    hooks_.send(agent, message);
+}
+
+void crash_monitor::OnQuestions(time_point now,
+                                const std::string& from,
+                                const proto::crash_note& note) {
+  std::vector<fingerprint> sound;
+  for (const auto& item : note.questions()) {
+    const auto sound_at = history_.SoundAt(now, fingerprint(item.trait()));
+    if (sound_at && *sound_at > now - milliseconds(item.age_ms()))
+      sound.emplace_back(item.trait());
+  }
+  SendSound(now, from, sound);
+}
+
 void crash_monitor::OnCrash(time_point now,
                             const std::string& from,
                             const proto::envelope& message) {
@@ -317,6 +344,7 @@
          now - own_crashes_.front().observed_at > options_.late_window) {
     own_crashes_.pop_front();
   }
+  Ask(now);
   Decide(now);
   if (now >= gossip_at_) {
     gossip_at_ = now + options_.gossip_interval;
--- a/src/crash_monitor_base.h
+++ b/src/crash_monitor_base.h
@@ -107,6 +107,11 @@
   void OnQuarantined(time_point now,
                      const std::string& from,
                      const proto::crash_note& note);
+  /// Asks all agents about parts that would be quarantined.
+  void Ask(time_point now);
+  void OnQuestions(time_point now,
+                   const std::string& from,
+                   const proto::crash_note& note);
   void SendSound(time_point now,
                  const std::string& to,
                  const std::vector<fingerprint>& traits);
--- a/src/tests/crash_monitor_test.cc
+++ b/src/tests/crash_monitor_test.cc
@@ -180,6 +180,22 @@
   }
 }
 
+// Regression: after three servers had crashed at once, agents that had not seen
+// an answer with a part of their batches for 4 s quarantined it.
+BOOST_AUTO_TEST_CASE(
+    parts_of_requests_at_servers_that_crash_at_once_are_spared) {
+  fake_crash_fleet fleet;
+  for (uint64_t subject = kSubject; subject < kSubject + 20; ++subject)
+    fleet.SetTraffic({kFirst, subject}, 3);
+  fleet.Run(seconds(10));
+  for (int i = 0; i < 10; ++i) {
+    for (int j = 0; j < 4; ++j)
+      fleet.Crash("s" + std::to_string((i + j) % 8));
+    fleet.Run(seconds(12));
+  }
+  BOOST_TEST(fleet.quarantined_parts == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(one_crash_that_is_reported_twice_counts_once) {
   const time_point now{std::chrono::hours(1)};
   crash_history history = MakeWarmHistory(now);
--- a/src/tests/fake_crash_fleet.cc
+++ b/src/tests/fake_crash_fleet.cc
@@ -61,7 +61,12 @@
       }
     });
   };
-  hooks.log = [](log_event, const std::string&) {};
+  hooks.log = [this](log_event event, const std::string& detail) {
+    if (event == log_event::kRequestQuarantined &&
+        detail.ends_with("of=part")) {
+      ++quarantined_parts;
+    }
+  };
   hooks.count = [](const std::string&) {};
   item.monitor = std::make_unique<crash_monitor>(
       crash_monitor_options{
--- a/src/tests/fake_crash_fleet.h
+++ b/src/tests/fake_crash_fleet.h
@@ -46,6 +46,7 @@
   double loss = 0;            ///< Share of messages that are lost.
   bool agents_answer = true;  ///< Whether agents answer entries.
   std::vector<time_point> crashes;
+  size_t quarantined_parts = 0;                ///< Decisions of all agents.
   std::map<uint64_t, part_outcomes> outcomes;  ///< By part.
 
  private:
