--- /dev/null
+++ b/src/call_dispatch_answer.cc
@@ -0,0 +1,263 @@
+/// @file call_dispatch_answer.cc How a hosted entry handles the answers of
+/// servers.
+#include <algorithm>
+
+#include "call_dispatch_base.h"
+#include "network/http_status.h"
+
+namespace fuchsiafall {
+
+namespace {
+
+/// Whether callers take a status for the statement that the call did not run.
+bool StatesNotRun(int status) {
+  return status == kHttpRequestTimeout || status == kHttpTooManyRequests ||
+         status == kHttpUnavailable;
+}
+
+bool IsSuccess(int status) {
+  return status / 100 == 2;
+}
+
+}  // namespace
+
+void call_dispatch::RecordAbort(time_point now, const call_state& call) {
+  if (call.is_model)
+    return;  // Agents observe the crashes of engines.
+  crash_record crash;
+  crash.id.server = call.server.id;
+  crash.id.ordinal = next_crash_++;
+  crash.at = now;
+  crash.requests.push_back(call.request.traits);
+  crashes_.AddCrash(now, crash);
+  crashes_.Decide(now);
+}
+
+void call_dispatch::RecordNotices(time_point now, const call_state& call) {
+  const server_answer& head = call.head;
+  if (!head.instance.empty() && head.instance != call.server.id)
+    return;
+  if (head.is_leaving && selector_.Notices().OnLeaving(now, call.server)) {
+    hooks_.count("servers_leaving");
+    hooks_.log(log_event::kServerLeaves, "server=" + call.server.id);
+  }
+  if (head.has_unreadable_pause)
+    hooks_.count("server_pauses_unreadable");
+  if (!head.pause)
+    return;
+  const milliseconds pause =
+      selector_.Notices().OnPause(now, call.server, *head.pause);
+  hooks_.count("server_pauses");
+  hooks_.log(log_event::kServerPaused,
+             "server=" + call.server.id +
+                 " pause_ms=" + std::to_string(pause.count()) +
+                 " asked_ms=" + std::to_string(head.pause->count()));
+}
+
+bool call_dispatch::OnAnswerHead(time_point now,
+                                 uint64_t id,
+                                 uint32_t attempt,
+                                 const server_answer& head,
+                                 bool is_event_stream) {
+  call_state* call = Find(id, attempt);
+  if (call == nullptr)
+    return false;
+  // A server sets the id of the answered request, unless it has not read it.
+  const bool is_unidentified = head.call_id.empty() && !head.may_be_repeated;
+  if (head.call_id != call->request.id && !is_unidentified) {
+    hooks_.count("answers_crossed");
+    return false;
+  }
+  call->has_head = true;
+  call->head = head;
+  if (head.has_load)
+    selector_.OnLoad(now, call->server.id, head.running + head.waiting,
+                     head.slots);
+  RecordNotices(now, *call);
+  const bool is_same_version =
+      !call->weights || !head.weights || *call->weights == *head.weights;
+  call->forwards_events = head.status == kHttpOk && head.is_sealed &&
+                          is_event_stream && is_same_version &&
+                          call->kind == call_kind::kStream;
+  if (call->forwards_events) {
+    call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
+    call->is_resumed = call->is_streaming;
+    if (!call->is_streaming) {
+      call->is_streaming = true;
+      call->weights = head.weights;
+      hooks_.begin_stream(id);
+    }
+  }
+  return true;
+}
+
+void call_dispatch::OnAnswerBody(time_point now,
+                                 uint64_t id,
+                                 uint32_t attempt,
+                                 std::string_view bytes) {
+  call_state* call = Find(id, attempt);
+  if (call == nullptr)
+    return;
+  if (!call->forwards_events) {
+    if (!call->is_streaming)
+      call->body += bytes;
+    return;
+  }
+  call->events.Add(bytes);
+  std::string out;
+  std::string event;
+  while (call->events.Next(&event)) {
+    call->has_events = true;
+    const auto event_id = hooks_.event_id(event);
+    if (event_id) {
+      if (call->last_event && *event_id <= *call->last_event)
+        continue;  // The caller already has it.
+      if (HasGapBefore(*call, *event_id))
+        return AbortAttempt(now, call);
+      if (call->has_new_event && call->last_event)
+        call->max_event_step =
+            std::max(call->max_event_step, *event_id - *call->last_event);
+      if (!call->last_event)
+        hooks_.record_duration("first_event", now - call->arrived_at);
+      call->last_event = event_id;
+    } else if (call->is_resumed && !call->has_new_event) {
+      continue;  // Its place in the stream is unknown.
+    }
+    call->has_new_event = true;
+    out += event;
+  }
+  if (!out.empty()) {
+    call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
+    hooks_.send_events(id, out);
+  }
+  if (call->events.Incomplete().size() > options_.max_event_bytes)
+    AbortAttempt(now, call);
+}
+
+bool call_dispatch::HasGapBefore(const call_state& call, uint64_t event_id) {
+  return call.is_resumed && !call.has_new_event && call.last_event &&
+         call.max_event_step > 0 &&
+         event_id - *call.last_event > call.max_event_step;
+}
+
+void call_dispatch::AbortAttempt(time_point now, call_state* call) {
+  EndAttempt(call);
+  hooks_.abort_attempt(call->id);
+  selector_.OnFailure(now, call->server.id);
+  hooks_.count("attempts_malformed");
+  Retry(now, call, true);
+}
+
+void call_dispatch::OnExchangeEnd(time_point now,
+                                  uint64_t id,
+                                  uint32_t attempt,
+                                  exchange_end end) {
+  call_state* call = Find(id, attempt);
+  if (call == nullptr)
+    return;
+  EndAttempt(call, ResultOf(*call, end));
+  if (end == exchange_end::kBroken)
+    RecordAbort(now, *call);
+  if (end == exchange_end::kNotConnected) {
+    selector_.OnFailure(now, call->server.id);
+    --call->possible_runs;
+    hooks_.count("attempts_not_connected");
+    return Retry(now, call, false);
+  }
+  if (end != exchange_end::kComplete || !call->has_head) {
+    selector_.OnFailure(now, call->server.id);
+    hooks_.count("attempts_broken");
+    if (call->is_suspect) {
+      hooks_.count("retries_suspect");
+      return Refuse(now, call, call_refusal::kServerFailed);
+    }
+    return Retry(now, call, true);
+  }
+  if (call->head.did_not_run) {
+    --call->possible_runs;
+    if (call->head.status == kHttpMisdirected) {
+      // It may also be the expected instance with another version.
+      const bool is_replaced = call->head.instance.empty()
+                                   ? !call->weights.has_value()
+                                   : call->head.instance != call->server.id;
+      if (is_replaced)
+        selector_.OnReplaced(call->server);
+    } else {
+      selector_.OnFull(now, call->server.id, options_.min_attempt_timeout);
+      // A full server has not failed, so it may be tried again.
+      call->tried.erase(call->server.id);
+    }
+    hooks_.count("attempts_not_run");
+    return Retry(now, call, false);
+  }
+  if (!IsSuccess(call->head.status)) {
+    if (call->head.status >= 500)
+      selector_.OnFailure(now, call->server.id);
+    const bool may_repeat = call->kind == call_kind::kIdempotent &&
+                            call->possible_runs < call->route.attempts;
+    // The caller has the head of the first answer, so that no other may follow.
+    if (call->is_streaming || (call->head.status >= 500 && may_repeat) ||
+        StatesNotRun(call->head.status)) {
+      hooks_.count("attempts_failed");
+      return Retry(now, call, true);
+    }
+    return FinishBuffered(now, call);
+  }
+  if (!call->head.is_sealed) {
+    selector_.OnFailure(now, call->server.id);
+    hooks_.count("attempts_unsealed");
+    return Retry(now, call, true);
+  }
+  if (call->is_streaming && !call->forwards_events) {
+    selector_.OnFailure(now, call->server.id);
+    hooks_.count("attempts_failed");
+    return Retry(now, call, true);
+  }
+  selector_.OnSuccess(call->server.id);
+  if (call->is_streaming)
+    return FinishStream(now, call);
+  FinishBuffered(now, call);
+}
+
+void call_dispatch::FinishStream(time_point now, call_state* call) {
+  if (!call->events.Incomplete().empty() || !call->has_new_event) {
+    // The answer ended in the middle of an event, or before its first one.
+    hooks_.count("streams_cut");
+    return Retry(now, call, true);
+  }
+  hooks_.log(log_event::kCallAnswered,
+             Describe(now, *call) + " status=200 events=" +
+                 std::to_string(call->last_event.value_or(0)));
+  hooks_.record_duration("call", now - call->arrived_at);
+  const uint64_t id = call->id;
+  Erase(id);
+  hooks_.end_stream(id);
+}
+
+void call_dispatch::FinishBuffered(time_point now, call_state* call) {
+  hooks_.log(log_event::kCallAnswered, Describe(now, *call) + " status=" +
+                                           std::to_string(call->head.status));
+  hooks_.record_duration("call", now - call->arrived_at);
+  const uint64_t id = call->id;
+  const std::string body = std::move(call->body);
+  Erase(id);
+  hooks_.answer(id, body);
+}
+
+attempt_result call_dispatch::ResultOf(const call_state& call,
+                                       exchange_end end) {
+  if (end == exchange_end::kBroken)
+    return attempt_result::kBroken;
+  if (end != exchange_end::kComplete || !call.has_head ||
+      !IsSuccess(call.head.status)) {
+    return attempt_result::kOther;
+  }
+  if (call.head.ends_by_close)
+    return attempt_result::kClosed;
+  const bool is_whole = !call.is_streaming ||
+                        (call.has_events && call.events.Incomplete().empty());
+  return call.head.is_sealed && is_whole ? attempt_result::kAnswered
+                                         : attempt_result::kOther;
+}
+
+}  // namespace fuchsiafall
--- a/src/harness/load.cc
+++ b/src/harness/load.cc
@@ -11,12 +11,12 @@
 
 #include "hash_func.h"
 #include "network/http_call.h"
+#include "network/http_status.h"
 
 namespace fuchsiafall::harness {
 
 namespace {
 
-constexpr int kHttpOk = 200;
 constexpr milliseconds kInactivityTimeout{20000};
 
 /// Tag of a prompt, from which the stand-ins of the servers make their answers.
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -12,6 +12,7 @@
 #include "manifest_book_base.h"
 #include "network/async_http_call.h"
 #include "network/datagram_link.h"
+#include "network/http_status.h"
 #include "network/message_link.h"
 #include "piece_stager_base.h"
 #include "place_table_base.h"
@@ -508,8 +509,7 @@
                     uint32_t piece,
                     int status,
                     std::string body) {
-    constexpr int kNotFound = 404;
-    if (status != 200 && status != kNotFound) {
+    if (status != 200 && status != kHttpNotFound) {
       stager_.OnFailed(now);
       return;
     }
--- a/src/network/engine_client.cc
+++ b/src/network/engine_client.cc
@@ -11,14 +11,13 @@
 
 #include "hash_func.h"
 #include "network/http_call.h"
+#include "network/http_status.h"
 #include "network/pool_work.h"
 
 namespace fuchsiafall {
 
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpServerError = 500;
 constexpr char kStreamEnd[] =
     "data: [DONE]";  // Last event of a completions stream.
 constexpr char kEventStream[] = "text/event-stream";
--- a/src/network/store_client.cc
+++ b/src/network/store_client.cc
@@ -11,14 +11,13 @@
 #include <sstream>
 
 #include "network/http_call.h"
+#include "network/http_status.h"
 
 namespace fuchsiafall {
 
 namespace {
 
 constexpr char kPath[] = "/v1/kv/";
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
 
 std::string DecodeBase64(const std::string& text) {
   std::istringstream in(text);
