Codechange: Name orders and answers for what they are, and move messages

An order can also unload, so it is an engine_order. Comments that stood above the wrong function, or named two flags alike, are corrected. No change of behaviour.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -250,7 +250,7 @@
   ++call->attempt;
   call->current_stage = stage::kSent;
   call->has_head = false;
-  call->has_events = false;
+  call->has_event = false;
   call->forwards_events = false;
   call->has_new_event = false;
   call->body.clear();
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -107,7 +107,7 @@
   std::string out;
   std::string event;
   while (call->events.Next(&event)) {
-    call->has_events = true;
+    call->has_event = true;
     const auto event_id = hooks_.event_id(event);
     if (event_id) {
       if (call->last_event && *event_id <= *call->last_event)
@@ -221,7 +221,7 @@
 
 void call_dispatch::FinishStream(time_point now, call_state* call) {
   if (!call->events.Incomplete().empty() || !call->has_new_event) {
-    // The answer ended in the middle of an event, or before its first one.
+    // The answer ended in the middle of an event, or had no new one.
     hooks_.count("streams_cut");
     return Retry(now, call, true);
   }
@@ -255,7 +255,7 @@
   if (call.head.ends_by_close)
     return attempt_result::kClosed;
   const bool is_whole = !call.is_streaming ||
-                        (call.has_events && call.events.Incomplete().empty());
+                        (call.has_event && call.events.Incomplete().empty());
   return call.head.is_sealed && is_whole ? attempt_result::kAnswered
                                          : attempt_result::kOther;
 }
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -196,13 +196,14 @@
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     time_point timeout_at{};           ///< Timeout of the current stage.
     bool has_head = false;
-    bool has_events = false;  ///< Whether the attempt has delivered an event.
+    bool has_event = false;  ///< Whether the current answer had an event.
     server_answer head;
     bool is_streaming = false;  ///< Whether a streamed answer has begun.
     /// Whether the body of the current answer is forwarded as events.
     bool forwards_events = false;
     bool is_resumed = false;  ///< Whether an earlier answer began the stream.
-    bool has_new_event = false;  ///< Whether the current answer had an event.
+    /// Whether it had one that the caller did not have yet.
+    bool has_new_event = false;
     std::optional<uint64_t> last_event;
     /// Largest step between the ids of two events of one answer; 0 if unknown.
     uint64_t max_event_step = 0;
@@ -230,8 +231,9 @@
   void RecordNotices(time_point now, const call_state& call);
   /// Refuses a request for which no server is eligible.
   void RefuseWithoutServer(time_point now, call_state* call);
-  /// Ends the current attempt and releases its place.
+  /// Determines what the end of an exchange says about the attempt.
   static attempt_result ResultOf(const call_state& call, exchange_end end);
+  /// Ends the current attempt and releases its place.
   void EndAttempt(call_state* call,
                   attempt_result result = attempt_result::kOther);
   /// Records that a server of a plain service aborted a request.
--- a/src/engine_control_type.h
+++ b/src/engine_control_type.h
@@ -34,7 +34,7 @@
 };
 
 /// Order to load the staged weights, or to unload the served ones.
-struct load_order {
+struct engine_order {
   std::string model;
   uint64_t version = 0;
   bool aborts_running =
--- a/src/engine_monitor.cc
+++ b/src/engine_monitor.cc
@@ -37,19 +37,19 @@
          now - ordered_at_ >= options_.order_timeout;
 }
 
-std::optional<load_order> engine_monitor::MakeOrder(time_point now,
-                                                    uint64_t version,
-                                                    bool is_verified) {
+std::optional<engine_order> engine_monitor::MakeOrder(time_point now,
+                                                      uint64_t version,
+                                                      bool is_verified) {
   if (!IsOrderDue(now, version) || !is_verified)
     return std::nullopt;
   ordered_at_ = now;
   ordered_version_ = version;
   unloading_version_ = 0;
-  return load_order{
+  return engine_order{
       .model = model_, .version = version, .reported_orders = report_.orders};
 }
 
-std::optional<load_order> engine_monitor::MakeUnloadOrder(time_point now) {
+std::optional<engine_order> engine_monitor::MakeUnloadOrder(time_point now) {
   const uint64_t served = ServedVersion();
   const milliseconds timeout =
       is_reachable_ ? options_.unload_timeout : options_.order_timeout;
@@ -57,10 +57,10 @@
     return std::nullopt;
   ordered_at_ = now;
   unloading_version_ = served;
-  return load_order{.model = model_,
-                    .version = served,
-                    .is_unload = true,
-                    .reported_orders = report_.orders};
+  return engine_order{.model = model_,
+                      .version = served,
+                      .is_unload = true,
+                      .reported_orders = report_.orders};
 }
 
 bool engine_monitor::IsServing(time_point now) const {
--- a/src/engine_monitor_base.h
+++ b/src/engine_monitor_base.h
@@ -40,14 +40,14 @@
   bool IsOrderDue(time_point now, uint64_t version) const;
   /// Creates the order if it is due.
   /// @param is_verified Whether all staged pieces were verified recently.
-  std::optional<load_order> MakeOrder(time_point now,
-                                      uint64_t version,
-                                      bool is_verified);
+  std::optional<engine_order> MakeOrder(time_point now,
+                                        uint64_t version,
+                                        bool is_verified);
   /// Creates the order to unload the served version, unless an order is in
   /// progress. The engine then rejects the requests in its queue as not run,
   /// and finishes the running ones. An engine without reports may still run
   /// requests, so it gets the order too.
-  std::optional<load_order> MakeUnloadOrder(time_point now);
+  std::optional<engine_order> MakeUnloadOrder(time_point now);
   /// Whether the engine accepts requests.
   bool IsServing(time_point now) const;
   uint64_t ServedVersion() const;
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -15,7 +15,7 @@
 #include "network/http_status.h"
 #include "network/message_link.h"
 #include "piece_stager_base.h"
-#include "place_table_base.h"
+#include "place_message_func.h"
 #include "platform/documents.h"
 #include "weight_transfer_base.h"
 #include "weights_plan_func.h"
@@ -525,7 +525,7 @@
     }
   }
 
-  void SendOrder(time_point now, const load_order& order) {
+  void SendOrder(time_point now, const engine_order& order) {
     const std::string& engine = process_.Settings().engine_address;
     LogEvent(
         order.is_unload ? log_event::kEngineUnloads : log_event::kEngineOrdered,
@@ -536,7 +536,7 @@
     places_.SetAccepting(false);
     Call(now,
          {.address = engine,
-          .request = platform::EncodeLoadOrder(engine, order),
+          .request = platform::EncodeEngineOrder(engine, order),
           .timeout = kEngineTimeout,
           .on_done = [this](time_point, int status, const std::string&) {
             process_.Metrics().Count("order_status_" + std::to_string(status));
@@ -630,19 +630,8 @@
                  const std::string& from,
                  const proto::envelope& message) {
     if (message.has_place_question()) {
-      const proto::place_question& question = message.place_question();
-      place_request request{
-          .entry = from,
-          .call = question.call(),
-          .prompt_tokens = question.prompt_tokens(),
-          .answer_tokens = question.answer_tokens(),
-          .first_token_budget = milliseconds(question.patience_ms()),
-          .time_left = milliseconds(question.time_left_ms()),
-          .is_resumed = question.is_resumed(),
-          .traits = {.request = fingerprint(question.fingerprint()),
-                     .parts = {}}};
-      for (uint64_t part : question.parts())
-        request.traits.parts.emplace_back(part);
+      const place_request request =
+          ReadPlaceRequest(from, message.place_question());
       const trait_verdict verdict =
           crash_monitor_.Judge(now, from, request.traits);
       place_reply reply;
@@ -657,28 +646,13 @@
       process_.Metrics().Count(reply.is_granted ? "places_granted"
                                                 : "places_denied");
       proto::envelope envelope = MakeEnvelope(self_, process_.OwnIncarnation());
-      proto::place_answer* answer = envelope.mutable_place_answer();
-      answer->set_call(request.call);
-      answer->set_is_granted(reply.is_granted);
-      answer->set_free_after_ms(
-          static_cast<uint32_t>(reply.expected_free_in.count()));
-      answer->set_is_quarantined(reply.is_quarantined);
-      answer->set_quarantined_trait(reply.quarantined_trait.value);
-      answer->set_is_suspect(reply.is_suspect);
-      answer->set_load(reply.load);
-      answer->set_slots(reply.slots);
-      answer->set_most_answer_tokens(reply.max_answer_tokens);
+      WritePlaceReply(request.call, reply, envelope.mutable_place_answer());
       control_.Send(from, envelope);
     } else if (message.has_place_return()) {
-      const proto::place_return& returned = message.place_return();
-      const auto released = places_.Release(now, from, returned.call());
-      if (released) {
-        crash_monitor_.OnPlaceReleased(
-            now, *released,
-            returned.was_broken()     ? attempt_result::kBroken
-            : returned.was_answered() ? attempt_result::kAnswered
-            : returned.was_closed()   ? attempt_result::kClosed
-                                      : attempt_result::kOther);
+      const proto::place_return& release = message.place_return();
+      if (const auto released = places_.Release(now, from, release.call())) {
+        crash_monitor_.OnPlaceReleased(now, *released,
+                                       ReadAttemptResult(release));
       }
     } else if (message.has_crash_note()) {
       crash_monitor_.OnMessage(now, from, message);
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -9,6 +9,7 @@
 #include "hash_func.h"
 #include "hosted_process.h"
 #include "network/datagram_link.h"
+#include "place_message_func.h"
 #include "platform/headers.h"
 
 namespace fuchsiafall {
@@ -145,18 +146,7 @@
                                  const place_request& request) {
       proto::envelope message = MakeEnvelope(vm_id(process_.Settings().node),
                                              process_.OwnIncarnation());
-      proto::place_question* question = message.mutable_place_question();
-      question->set_call(request.call);
-      question->set_prompt_tokens(request.prompt_tokens);
-      question->set_answer_tokens(request.answer_tokens);
-      question->set_patience_ms(
-          static_cast<uint32_t>(request.first_token_budget.count()));
-      question->set_time_left_ms(
-          static_cast<uint32_t>(request.time_left.count()));
-      question->set_is_resumed(request.is_resumed);
-      question->set_fingerprint(request.traits.request.value);
-      for (const fingerprint& part : request.traits.parts)
-        question->add_parts(part.value);
+      WritePlaceRequest(request, message.mutable_place_question());
       agents_.Send(AgentAddressOf(server), message);
     };
     hooks.release_place = [this](const site_server& server,
@@ -164,11 +154,8 @@
                                  attempt_result result) {
       proto::envelope message = MakeEnvelope(vm_id(process_.Settings().node),
                                              process_.OwnIncarnation());
-      proto::place_return* release = message.mutable_place_return();
-      release->set_call(place_request_id);
-      release->set_was_broken(result == attempt_result::kBroken);
-      release->set_was_answered(result == attempt_result::kAnswered);
-      release->set_was_closed(result == attempt_result::kClosed);
+      WritePlaceRelease(place_request_id, result,
+                        message.mutable_place_return());
       agents_.Send(AgentAddressOf(server), message);
     };
     hooks.start_attempt = [this](uint64_t call, uint32_t attempt,
@@ -331,17 +318,8 @@
       dispatch_.OnQuarantined(now, fingerprint(item.trait()));
     if (!message.has_place_answer())
       return;
-    const proto::place_answer& answer = message.place_answer();
-    dispatch_.OnPlaceReply(
-        now, answer.call(),
-        {.is_granted = answer.is_granted(),
-         .expected_free_in = milliseconds(answer.free_after_ms()),
-         .load = answer.load(),
-         .slots = answer.slots(),
-         .max_answer_tokens = answer.most_answer_tokens(),
-         .is_quarantined = answer.is_quarantined(),
-         .quarantined_trait = fingerprint(answer.quarantined_trait()),
-         .is_suspect = answer.is_suspect()});
+    dispatch_.OnPlaceReply(now, message.place_answer().call(),
+                           ReadPlaceReply(message.place_answer()));
     Schedule();
   }
 
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -98,8 +98,7 @@
   bool is_head_request_ = false;  ///< Whether the request was a HEAD.
   bool has_head_ = false;         ///< Whether the answer's head has been read.
   bool is_skipped_ = false;       ///< Whether the current answer is skipped.
-  bool has_skipped_ =
-      false;  ///< Whether an answer of the exchange was skipped.
+  bool has_skipped_ = false;  ///< Whether the exchange had a skipped answer.
   bool close_after_answer_ = false;  ///< Whether to close after the answer.
   time_point reusable_until_{};
   milliseconds idle_timeout_{};
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -188,15 +188,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_unload_order_names_an_empty_range_of_layers) {
-  const load_order unload{
+  const engine_order unload{
       .model = "m", .version = 3, .is_unload = true, .reported_orders = 5};
-  const std::string call = platform::EncodeLoadOrder("10.0.0.1:80", unload);
+  const std::string call = platform::EncodeEngineOrder("10.0.0.1:80", unload);
   BOOST_TEST(call.find(R"("From":0)") != std::string::npos);
   BOOST_TEST(call.find(R"("To":0)") != std::string::npos);
   BOOST_TEST(call.find(R"("Version":3)") != std::string::npos);
   BOOST_TEST(call.find(R"("Precondition":5)") != std::string::npos);
   BOOST_TEST(
-      platform::EncodeLoadOrder("10.0.0.1:80", {.model = "m"}).find("From") ==
+      platform::EncodeEngineOrder("10.0.0.1:80", {.model = "m"}).find("From") ==
       std::string::npos);
 }
 
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -29,7 +29,7 @@
     else
       queue.push_back(now);
   }
-  void Order(const load_order& order) {
+  void Order(const engine_order& order) {
     BOOST_TEST(order.is_unload);
     ++report.orders;
     report.is_loading = true;
