Feature: Log when a version of the weights was announced (E207)

The bound in which new weights replace old ones counts from a time that each process estimates. The logs did not tell it, so a record of requests that begin on replaced weights could not be told apart: dated too late, granted too late, or waited too long. E207 gives the age, whether the process watched the store, and whether a call to the store had failed.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -254,6 +254,7 @@
             " routes=" + std::to_string(view->configuration.routes.size()) +
             " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
   }
+  LogAnnouncements(now, *view);
   view->entry_count = UpdateRelays(mirror_.Items());
   view_ = view;
   relay_.Update(now, mirror_);
@@ -269,6 +270,26 @@
   }
 }
 
+void site_watch::LogAnnouncements(time_point now, const site_view& view) const {
+  for (const auto& [model, wanted] : view.weights) {
+    const auto known = view_->weights.find(model);
+    if (known != view_->weights.end() &&
+        known->second.version == wanted.version) {
+      continue;
+    }
+    const auto announced = wanted.announcements.find(wanted.version);
+    if (announced == wanted.announcements.end())
+      continue;
+    LogEvent(log_event::kWeightsAnnounced,
+             "model=" + model + " version=" + std::to_string(wanted.version) +
+                 " age_ms=" +
+                 std::to_string(ToMs(now - announced->second.announced_after)) +
+                 " watched=" + (announced->second.was_watched ? "1" : "0") +
+                 " failed=" +
+                 (mirror_.HasFailedSincePreviousConfirmed() ? "1" : "0"));
+  }
+}
+
 size_t site_watch::UpdateRelays(
     const std::map<std::string, store_item>& items) {
   std::vector<relay_registration> registrations;
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -80,6 +80,8 @@
             const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
   void Publish(time_point now);
+  /// Logs the versions of the weights that are new in a view.
+  void LogAnnouncements(time_point now, const site_view& view) const;
   /// Updates the relays from the registrations among the items.
   /// @return Number of entries registered, over all failure domains.
   size_t UpdateRelays(const std::map<std::string, store_item>& items);
