Fix: Date a version by calls that show an outage of the store (VERSION)

What callers saw: requests began on version 1 up to 0.9 s past the bound at a server whose machine had just been added; both came from entries that had stood still as version 2 was named.

Cause: after any failed call to the store, a version counted from 1 s before it was read, as if an outage had suspended its bound. A call fails too when its connection died, when the process was paused, and behind pieces of weights on a full link; the bound then ends too late, at entries and at agents alike, and neither refuses, nor unloads, in time. Class: a failure of one's own taken for one of the other side.

Change: an outage counts until the last call that shows it. A refusal shows one; silence only if the call before it failed too, the process ran all the while, and the link is not shared with weights.

--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -41,6 +41,7 @@
                                    : settings_.ip + ":" +
                                          std::to_string(settings_.first_port +
                                                         kRelayPortOffset),
+              .mirror = {.trusts_silence = !settings_.callers_address.empty()},
               .max_relay_age = std::chrono::duration_cast<milliseconds>(
                   kRelayAgeShare * settings_.config_bound),
               .on_change =
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kMirrorInterval{500};
 /// Interval of the checks for waiting readers whose wait is over.
 constexpr milliseconds kWaiterInterval{100};
+/// Time without a run of the loop, which has a timer each kWaiterInterval,
+/// after which the process was paused.
+constexpr milliseconds kMinPause{500};
 /// Round trip to a relay of this failure domain and its processing time, in
 /// addition to the wait of the call.
 constexpr milliseconds kRelayTimeout{400};
@@ -213,7 +216,16 @@
        .on_timeout = [this] { options_.count("control_calls_silent"); }});
 }
 
+void site_watch::CheckPause(time_point now) {
+  if (ran_at_ && now - *ran_at_ > kMinPause) {
+    options_.count("pauses");
+    mirror_.OnPause(now);
+  }
+  ran_at_ = now;
+}
+
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
+  CheckPause(now);
   const bool has_changes = mirror_.OnAnswer(now, answer);
   if (mirror_.IsReachable() != was_reachable_) {
     was_reachable_ = mirror_.IsReachable();
@@ -285,8 +297,7 @@
                  " age_ms=" +
                  std::to_string(ToMs(now - announced->second.announced_after)) +
                  " watched=" + (announced->second.was_watched ? "1" : "0") +
-                 " failed=" +
-                 (mirror_.HasFailedSincePreviousConfirmed() ? "1" : "0"));
+                 " outage=" + (mirror_.HasSeenOutage() ? "1" : "0"));
   }
 }
 
@@ -430,6 +441,7 @@
 }
 
 void site_watch::AnswerDueWaiters(time_point now) {
+  CheckPause(now);
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
   for (const waiter& item : waiting) {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -79,6 +79,8 @@
             milliseconds timeout,
             const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
+  /// Notices that the process was paused.
+  void CheckPause(time_point now);
   void Publish(time_point now);
   /// Logs the versions of the weights that are new in a view.
   void LogAnnouncements(time_point now, const site_view& view) const;
@@ -119,6 +121,7 @@
   uint64_t compressed_revision_ = 0;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
   timer_id run_timer_ = 0;
+  std::optional<time_point> ran_at_;  ///< When the loop last ran.
   bool was_reachable_ = true;
   bool is_registering_ = false;
   std::thread thread_;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -43,9 +43,9 @@
     // them with each retry; the size of a listing is bounded.
     if (answer.status == store_answer::status_type::kNoAnswer && !is_listing_)
       BeginListing();
+    CheckOutage(answer.status);
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
     ++failures_;
-    failed_at_ = now;
     next_at_ = now + std::min<duration>(doubled, options_.max_backoff);
     return false;
   }
@@ -98,6 +98,15 @@
   return true;
 }
 
+void store_mirror::CheckOutage(store_answer::status_type status) {
+  // A first call without an answer may only have found its connection dead.
+  const bool is_silent = status == store_answer::status_type::kNoAnswer;
+  const bool is_shown = !is_silent || (options_.trusts_silence &&
+                                       failures_ > 0 && sent_at_ > resumed_at_);
+  if (is_shown)
+    outage_seen_at_ = std::max(outage_seen_at_, sent_at_);
+}
+
 bool store_mirror::IsBurst(const std::vector<store_item>& changes) const {
   std::set<std::string> seen;
   return std::any_of(changes.begin(), changes.end(),
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -3,6 +3,7 @@
 #ifndef STORE_MIRROR_BASE_H_
 #define STORE_MIRROR_BASE_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -81,6 +82,9 @@
   /// expiry. Fewer missing items were removed on purpose, and are dropped at
   /// once.
   double mass_expiry_share = 0.5;
+  /// Whether calls without an answer show an outage of the store. They do not
+  /// on a VM whose link is saturated by weights at times.
+  bool trusts_silence = true;
 };
 
 /// Chooses the calls to make, and derives the store's content from the answers.
@@ -112,17 +116,25 @@
   /// Time of the last confirmed read: the store is known to have had no other
   /// content when the last answered call was sent.
   time_point ConfirmedAt() const { return confirmed_at_; }
-  /// Time of the confirmed read before the last one: the store is known not to
-  /// have had the last changes yet.
-  time_point PreviousConfirmedAt() const { return previous_confirmed_at_; }
-  /// Whether a call to the store has failed since that read.
-  bool HasFailedSincePreviousConfirmed() const {
-    return failed_at_ > previous_confirmed_at_;
+  /// Earliest time from which the changes of the last answer count: the
+  /// confirmed read before it did not have them yet, and an outage suspends the
+  /// bounds on their age.
+  time_point ChangedAfter() const {
+    return std::max(previous_confirmed_at_, outage_seen_at_);
   }
+  /// Whether an outage of the store was seen after that read.
+  bool HasSeenOutage() const {
+    return outage_seen_at_ > previous_confirmed_at_;
+  }
+  /// Records that this process did not run for a time. Calls may have failed
+  /// because of that.
+  void OnPause(time_point now) { resumed_at_ = now; }
   bool IsReachable() const { return failures_ == 0; }
   time_point NextCallAt() const { return next_at_; }
 
  private:
+  /// Records an outage if a failed call shows one.
+  void CheckOutage(store_answer::status_type status);
   void Apply(const store_item& item);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
   void FinishListing(time_point now);
@@ -150,7 +162,8 @@
   time_point next_at_{};
   time_point confirmed_at_{};
   time_point previous_confirmed_at_{};
-  time_point failed_at_{};        ///< When a call to the store last failed.
+  time_point outage_seen_at_{};   ///< An outage lasted at least until then.
+  time_point resumed_at_{};       ///< End of the last pause of this process.
   time_point outage_ended_at_{};  ///< End of the store's last outage.
 };
 
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -146,6 +146,60 @@
   BOOST_TEST(announced.was_watched);
 }
 
+// Lets calls fail without an answer, and reads a version of the weights then.
+// @return When the version counts as announced, from the read before it.
+milliseconds AnnouncedAfterSilence(store_mirror mirror,
+                                   int failures,
+                                   bool is_paused) {
+  std::vector<std::string> problems;
+  time_point now{std::chrono::hours(1)};
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, {.status = status_type::kOk, .revision = 9});
+  const site_view before = platform::BuildView(now, mirror, {}, &problems);
+  const time_point confirmed = mirror.ConfirmedAt();
+  for (int i = 0; i < failures; ++i) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    now += seconds(2);
+    if (is_paused)
+      mirror.OnPause(now);
+    mirror.OnAnswer(now, {});
+  }
+  now = mirror.NextCallAt();
+  BOOST_REQUIRE(mirror.NextCall(now).has_value());
+  mirror.OnAnswer(now, {.status = status_type::kOk,
+                        .items = {{.key = "op/version/m",
+                                   .value = R"({"Version":2})",
+                                   .revision = 10}},
+                        .revision = 10});
+  return std::chrono::duration_cast<milliseconds>(
+      platform::BuildView(now, mirror, before, &problems)
+          .weights.at("m")
+          .announcements.at(2)
+          .announced_after -
+      confirmed);
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_connection_does_not_postpone_the_bound) {
+  BOOST_TEST(AnnouncedAfterSilence(store_mirror{{}}, 1, false).count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_of_the_process_does_not_postpone_the_bound) {
+  BOOST_TEST(AnnouncedAfterSilence(store_mirror{{}}, 3, true).count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_link_full_of_weights_does_not_postpone_the_bound) {
+  store_mirror mirror{{.trusts_silence = false}};
+  BOOST_TEST(AnnouncedAfterSilence(mirror, 3, false).count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_store_suspends_the_bound) {
+  // Until the third call, which was sent after two of 2 s and their pauses.
+  const auto after = AnnouncedAfterSilence(store_mirror{{}}, 3, false);
+  BOOST_TEST(after.count() >= 4000);
+  BOOST_TEST(after.count() <= 5200);
+}
+
 BOOST_AUTO_TEST_CASE(answers_of_the_store_are_distinguished) {
   const auto list = store_call::kind_type::kList;
   const auto watch = store_call::kind_type::kWatch;
