--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -268,7 +268,13 @@
                                       call->route.target_latency,
                                   options_.min_attempt_timeout));
   }
-  call->timeout_at = now + limit;
+  call->recall_at.reset();
+  if (call->is_model) {
+    if (const auto outdated_at =
+            selector_.OutdatedAt(call->server, call->request.model))
+      call->recall_at = *outdated_at - options_.recall_margin;
+  }
+  SetTimeout(call, now + limit);
   attempt_headers headers{.instance = call->server.id,
                           .tenant = call->tenant,
                           .last_event = call->last_event,
@@ -282,6 +288,12 @@
   hooks_.start_attempt(call->id, call->attempt, call->server, headers);
 }
 
+void call_dispatch::SetTimeout(call_state* call, time_point at) {
+  call->timeout_at = std::min(call->deadline, at);
+  if (call->recall_at && !call->has_event)
+    call->timeout_at = std::min(call->timeout_at, *call->recall_at);
+}
+
 void call_dispatch::OnQuarantined(time_point now, fingerprint trait) {
   if (trait.value != 0)
     crashes_.Adopt(now, {.trait = trait}, now + options_.quarantine_time);
@@ -425,12 +437,15 @@
     }
     EndAttempt(&call);
     hooks_.abort_attempt(id);
-    selector_.OnFailure(now, call.server.id);
+    const bool is_recalled =
+        call.recall_at && now >= *call.recall_at && !call.has_event;
+    if (!is_recalled)
+      selector_.OnFailure(now, call.server.id);
     if (now >= call.deadline) {
       Refuse(now, &call, call_refusal::kTimedOut);
       continue;
     }
-    hooks_.count("attempts_silent");
+    hooks_.count(is_recalled ? "attempts_recalled" : "attempts_silent");
     Retry(now, &call, true);
   }
 }
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -80,7 +80,7 @@
                           is_event_stream && is_same_version &&
                           call->kind == call_kind::kStream;
   if (call->forwards_events) {
-    call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
+    SetTimeout(call, now + options_.event_timeout);
     call->is_resumed = call->is_streaming;
     if (!call->is_streaming) {
       call->is_streaming = true;
@@ -127,7 +127,7 @@
     out += event;
   }
   if (!out.empty()) {
-    call->timeout_at = std::min(call->deadline, now + options_.event_timeout);
+    SetTimeout(call, now + options_.event_timeout);
     hooks_.send_events(id, out);
   }
   if (call->events.Incomplete().size() > options_.max_event_bytes)
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -66,6 +66,10 @@
   /// Timeout for the first and each further event of a stream. A healthy
   /// server sends one event per pass.
   milliseconds event_timeout{1200};
+  /// Time before the end of the bound of replaced weights at which a request
+  /// that has not begun there is aborted. The agent has made its engine reject
+  /// such requests by then, unless it does not run.
+  milliseconds recall_margin{100};
   size_t max_event_bytes = 262144;  ///< Of one event of a stream.
   /// Timeout of an attempt of an idempotent call, as a multiple of the target
   /// latency of its route.
@@ -195,6 +199,8 @@
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     time_point timeout_at{};           ///< Timeout of the current stage.
+    /// When the current attempt is aborted unless it has begun to run.
+    std::optional<time_point> recall_at;
     bool has_head = false;
     bool has_event = false;  ///< Whether the current answer had an event.
     server_answer head;
@@ -219,6 +225,8 @@
   /// Chooses the server of the next attempt or place request.
   void Dispatch(time_point now, call_state* call);
   void Send(time_point now, call_state* call);
+  /// Sets the timeout of the current attempt.
+  void SetTimeout(call_state* call, time_point at);
   /// Repeats the request if route, time and budget allow it.
   void Retry(time_point now, call_state* call, bool may_have_run);
   void FinishBuffered(time_point now, call_state* call);
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -69,25 +69,45 @@
     return false;
   if (query.model.empty() || !server.is_model_server)
     return true;
-  const site_service* service = index_->FindService(query.service);
-  const uint32_t layers =
-      service != nullptr && service->engine ? service->engine->layers : 1;
-  const uint64_t served = ServedVersion(server.models, query.model, layers);
+  const uint64_t served = VersionOf(server, query.model);
   if (query.weights && served != *query.weights)
     return false;
   return served > 0 &&
          !IsOutdated(now, query.model, served, query.is_without_place);
 }
 
+uint64_t server_selector::VersionOf(const site_server& server,
+                                    const std::string& model) const {
+  const site_service* service = index_->FindService(server.service);
+  const uint32_t layers =
+      service != nullptr && service->engine ? service->engine->layers : 1;
+  return ServedVersion(server.models, model, layers);
+}
+
+const version_announcement* server_selector::FindReplacement(
+    const std::string& model,
+    uint64_t served) const {
+  auto wanted = index_->View().weights.find(model);
+  return wanted == index_->View().weights.end()
+             ? nullptr
+             : wanted->second.FindReplacement(served);
+}
+
+std::optional<time_point> server_selector::OutdatedAt(
+    const site_server& server,
+    const std::string& model) const {
+  const version_announcement* replacement =
+      FindReplacement(model, VersionOf(server, model));
+  if (replacement == nullptr || !replacement->was_watched)
+    return std::nullopt;
+  return replacement->announced_after + options_.weights_bound;
+}
+
 bool server_selector::IsOutdated(time_point now,
                                  const std::string& model,
                                  uint64_t served,
                                  bool is_without_place) const {
-  auto wanted = index_->View().weights.find(model);
-  if (wanted == index_->View().weights.end())
-    return false;
-  const version_announcement* replacement =
-      wanted->second.FindReplacement(served);
+  const version_announcement* replacement = FindReplacement(model, served);
   if (replacement == nullptr)
     return false;
   // Only its agent can make an engine stop at the bound, so without a place
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -115,6 +115,10 @@
   server_health& Health(const std::string& id) { return health_[id]; }
   const std::string& RegionOf(const std::string& domain) const;
 
+  /// Returns when the weights that a server holds must be out of use; nullopt
+  /// if they are the newest, or the time is unknown.
+  std::optional<time_point> OutdatedAt(const site_server& server,
+                                       const std::string& model) const;
   /// Whether a server may run a request, regardless of its load.
   bool IsEligible(time_point now,
                   const site_server& server,
@@ -126,6 +130,11 @@
   bool IsSuitable(time_point now,
                   const site_server& server,
                   const server_query& query) const;
+  /// Finds the version of a model that a server holds; 0 for none.
+  uint64_t VersionOf(const site_server& server, const std::string& model) const;
+  /// Finds the first version that replaced the given one; null if none did.
+  const version_announcement* FindReplacement(const std::string& model,
+                                              uint64_t served) const;
   /// Whether a version was replaced too long ago to start requests on it.
   bool IsOutdated(time_point now,
                   const std::string& model,
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -314,6 +314,36 @@
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
+// An agent that is paused or gone unloads nothing, and its engine may begin a
+// request whenever its queue gets to it.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_at_replaced_weights_is_recalled) {
+  fake_entry entry;
+  site_view view = entry.site.index->View();
+  view.weights["model"] = {
+      .version = 2,
+      .announcements = {
+          {2, {.announced_after = entry.now, .was_watched = true}}}};
+  entry.site.Set(view);
+  entry.dispatch.SetIndex(entry.site.index.get());
+  const time_point outdated_at = entry.now + seconds(8);
+  entry.now += milliseconds(7100);
+  entry.dispatch.SetConfirmedAt(entry.now);
+  entry.SendRequest(1, "models");
+  entry.GrantPlace();
+  entry.SendRequest(2, "models");
+  entry.GrantPlace();
+  BOOST_REQUIRE(entry.attempts.size() == 2u);
+  // The second one begins in time, and may run on.
+  entry.dispatch.OnAnswerHead(
+      entry.now, 2, entry.attempts.back().number,
+      {.status = 200, .call_id = "r2", .is_sealed = true, .weights = 1}, true);
+  entry.DeliverBody("id:1\n\n");
+  while (entry.now + milliseconds(20) < outdated_at)
+    entry.Advance(milliseconds(10));
+  BOOST_TEST(entry.aborted_calls == std::vector<uint64_t>{1},
+             boost::test_tools::per_element());
+}
+
 // Only an agent that answers can keep the bound of replaced weights at its
 // engine.
 BOOST_AUTO_TEST_CASE(nothing_is_sent_without_a_place_to_replaced_weights) {
