Fix: Hand on when a version was announced (VERSION)

Cause: each process dated a version by its own reads. An entry that had just started did not know the time at all and left the bound to the agents; an agent has no sound sign of an outage of its own, since its link is shared with weights. Class: a belief handed on without its age.

Change: relays hand on, with each item, the earliest time from which its change counts, as an age at their confirmed read. A reader takes the later of that and of its own estimate, since both are sound lower bounds. The cached compressed answer is made anew once the read that it states is another one.

a_relay_tells_when_a_version_was_announced and a_relay_does_not_tell_what_it_has_not_watched need the new fields; on the code before, the version counted as not watched.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -52,6 +52,9 @@
     to->set_value(item.value);
     to->set_revision(item.revision);
     to->set_is_deleted(item.is_deleted);
+    to->set_changed_after_ms(
+        std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
+            .count());
   }
   return answer;
 }
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -147,8 +147,8 @@
   /// Earliest time at which it may have been announced: the last confirmed read
   /// of the store that did not contain it.
   time_point announced_after{};
-  /// Whether this process watched the store when it was announced; if not, the
-  /// announcement may be older than the first read of it.
+  /// Whether this process, or the relay that it reads from, watched the store
+  /// when it was announced; if not, that time is unknown.
   bool was_watched = false;
 };
 
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -58,10 +58,15 @@
   answer.confirmed_age = milliseconds(message.sound_age_ms());
   answer.held = milliseconds(message.held_ms());
   for (const proto::mirror_item& item : message.items()) {
+    std::optional<milliseconds> max_age;
+    if (item.changed_after_ms() > 0)
+      max_age =
+          milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
     answer.items.push_back({.key = item.key(),
                             .value = item.value(),
                             .revision = item.revision(),
-                            .is_deleted = item.is_deleted()});
+                            .is_deleted = item.is_deleted(),
+                            .max_age = max_age});
   }
   return answer;
 }
@@ -412,6 +417,9 @@
   auto answer = relay_.Answer(now, item.after);
   answer.set_sound_age_ms(
       static_cast<uint32_t>(ToMs(now - mirror_.ConfirmedAt())));
+  answer.set_confirmed_at_ms(
+      std::chrono::ceil<milliseconds>(mirror_.ConfirmedAt().time_since_epoch())
+          .count());
   answer.set_held_ms(static_cast<uint32_t>(ToMs(now - item.since)));
   const bool has_items = answer.items_size() > 0;
   if (!has_items) {
@@ -423,10 +431,12 @@
   const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
   answer.set_sound_age_ms(static_cast<uint32_t>(milliseconds(age).count()));
   if (compressed_after_ != item.after || compressed_age_ != age ||
+      compressed_confirmed_at_ != mirror_.ConfirmedAt() ||
       compressed_revision_ != answer.revision() || compressed_answer_.empty()) {
     compressed_answer_ = Deflate(answer.SerializeAsString());
     compressed_after_ = item.after;
     compressed_age_ = age;
+    compressed_confirmed_at_ = mirror_.ConfirmedAt();
     compressed_revision_ = answer.revision();
   }
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -118,6 +118,7 @@
   std::string compressed_answer_;
   uint64_t compressed_after_ = 0;
   milliseconds compressed_age_{0};  ///< Confirmed age that it states.
+  time_point compressed_confirmed_at_{};
   uint64_t compressed_revision_ = 0;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
   timer_id run_timer_ = 0;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -56,18 +56,19 @@
   next_at_ = std::max(now, sent_at_ + options_.spacing);
   previous_confirmed_at_ = confirmed_at_;
   if (!is_listing_) {
+    const time_point answered_at = std::min(now, sent_at_ + answer.held);
+    const time_point confirmed_at = answered_at - answer.confirmed_age;
     std::vector<store_item> removed_items;
     for (const store_item& item : answer.items) {
       if (item.is_deleted) {
         removed_items.push_back(item);
       } else {
-        Apply(item);
+        Apply(item, confirmed_at);
       }
     }
     Remove(now, removed_items);
     revision_ = std::max(revision_, answer.revision);
-    const time_point answered_at = std::min(now, sent_at_ + answer.held);
-    confirmed_at_ = std::max(confirmed_at_, answered_at - answer.confirmed_age);
+    confirmed_at_ = std::max(confirmed_at_, confirmed_at);
     if (IsBurst(answer.items))
       BeginBurst(now);
     return !answer.items.empty();
@@ -149,12 +150,17 @@
   return is_loaded_ && now - outage_ended_at_ < options_.expiry_grace;
 }
 
-void store_mirror::Apply(const store_item& item) {
+void store_mirror::Apply(const store_item& item, time_point confirmed_at) {
   auto it = items_.find(item.key);
   if (it != items_.end() && it->second.revision >= item.revision)
     return;
   maybe_expired_.erase(item.key);
-  items_[item.key] = item;
+  store_item& applied = items_[item.key];
+  applied = item;
+  applied.changed_after = is_loaded_ ? ChangedAfter() : time_point{};
+  if (item.max_age)
+    applied.changed_after =
+        std::max(applied.changed_after, confirmed_at - *item.max_age);
 }
 
 void store_mirror::Remove(time_point now,
@@ -183,7 +189,7 @@
 
 void store_mirror::FinishListing(time_point now) {
   for (const auto& [key, item] : listed_)
-    Apply(item);
+    Apply(item, listing_sent_at_);
   std::vector<store_item> removed_items;
   for (const auto& [key, item] : items_) {
     // The pages are not a consistent snapshot: the watch reports what changed
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -21,6 +21,12 @@
   std::string value;
   uint64_t revision = 0;
   bool is_deleted = false;
+  /// Answers of relays: maximum age of the change at the relay's last confirmed
+  /// read of the store; nullopt if the relay does not know it.
+  std::optional<milliseconds> max_age;
+  /// Mirror: earliest time from which the change counts; time_point{} if
+  /// unknown.
+  time_point changed_after{};
 };
 
 /// Answer of the store to a listing or a watch.
@@ -135,7 +141,8 @@
  private:
   /// Records an outage if a failed call shows one.
   void CheckOutage(store_answer::status_type status);
-  void Apply(const store_item& item);
+  /// @param confirmed_at Time of the confirmed read that the item comes from.
+  void Apply(const store_item& item, time_point confirmed_at);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
   void FinishListing(time_point now);
   bool IsInExpiryGrace(time_point now) const;
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -4,6 +4,7 @@
 
 #include <fstream>
 
+#include "mirror_relay_base.h"
 #include "network/compression.h"
 #include "network/http_message.h"
 #include "platform/documents.h"
@@ -200,6 +201,50 @@
   BOOST_TEST(after.count() <= 5200);
 }
 
+// A process that starts, or learns of a version late, has read nothing that
+// tells when it was announced.
+BOOST_AUTO_TEST_CASE(a_relay_tells_when_a_version_was_announced) {
+  std::vector<std::string> problems;
+  time_point now{std::chrono::hours(1)};
+  store_mirror mirror{{}};
+  mirror.NextCall(now);
+  now += milliseconds(50);
+  mirror.OnAnswer(now, {.status = status_type::kOk,
+                        .items = {{.key = "op/version/m",
+                                   .value = R"({"Version":2})",
+                                   .revision = 10,
+                                   .max_age = milliseconds(3000)}},
+                        .revision = 10,
+                        .confirmed_age = milliseconds(200)});
+  const auto announced = platform::BuildView(now, mirror, {}, &problems)
+                             .weights.at("m")
+                             .announcements.at(2);
+  BOOST_TEST(announced.was_watched);
+  BOOST_TEST((announced.announced_after == now - milliseconds(3250)));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_does_not_tell_what_it_has_not_watched) {
+  store_mirror mirror{{}};
+  time_point now{std::chrono::hours(1)};
+  auto read = [&](std::vector<store_item> items, uint64_t revision) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, {.status = status_type::kOk,
+                          .items = std::move(items),
+                          .revision = revision});
+  };
+  read({{.key = "a", .value = "1", .revision = 3}}, 3);
+  const time_point listed = mirror.ConfirmedAt();
+  read({{.key = "b", .value = "1", .revision = 4}}, 4);
+  mirror_relay relay;
+  relay.Update(now, mirror);
+  const auto answer = relay.Answer(now, 0);
+  BOOST_REQUIRE(answer.items_size() == 2);
+  BOOST_TEST(answer.items(0).changed_after_ms() == 0);
+  BOOST_TEST((milliseconds(answer.items(1).changed_after_ms()) ==
+              std::chrono::floor<milliseconds>(listed.time_since_epoch())));
+}
+
 BOOST_AUTO_TEST_CASE(answers_of_the_store_are_distinguished) {
   const auto list = store_call::kind_type::kList;
   const auto watch = store_call::kind_type::kWatch;
