--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kMirrorInterval{500};
 /// Interval of the checks for waiting readers whose wait is over.
 constexpr milliseconds kWaiterInterval{100};
+/// Time without a run of the loop, which has a timer each kWaiterInterval,
+/// after which the process was paused.
+constexpr milliseconds kMinPause{500};
 /// Round trip to a relay of this failure domain and its processing time, in
 /// addition to the wait of the call.
 constexpr milliseconds kRelayTimeout{400};
@@ -55,10 +58,15 @@
   answer.confirmed_age = milliseconds(message.sound_age_ms());
   answer.held = milliseconds(message.held_ms());
   for (const proto::mirror_item& item : message.items()) {
+    std::optional<milliseconds> max_age;
+    if (item.changed_after_ms() > 0)
+      max_age =
+          milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
     answer.items.push_back({.key = item.key(),
                             .value = item.value(),
                             .revision = item.revision(),
-                            .is_deleted = item.is_deleted()});
+                            .is_deleted = item.is_deleted(),
+                            .max_age = max_age});
   }
   return answer;
 }
@@ -213,7 +221,16 @@
        .on_timeout = [this] { options_.count("control_calls_silent"); }});
 }
 
+void site_watch::CheckPause(time_point now) {
+  if (ran_at_ && now - *ran_at_ > kMinPause) {
+    options_.count("pauses");
+    mirror_.OnPause(now);
+  }
+  ran_at_ = now;
+}
+
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
+  CheckPause(now);
   const bool has_changes = mirror_.OnAnswer(now, answer);
   if (mirror_.IsReachable() != was_reachable_) {
     was_reachable_ = mirror_.IsReachable();
@@ -254,6 +271,7 @@
             " routes=" + std::to_string(view->configuration.routes.size()) +
             " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
   }
+  LogAnnouncements(now, *view);
   view->entry_count = UpdateRelays(mirror_.Items());
   view_ = view;
   relay_.Update(now, mirror_);
@@ -269,6 +287,25 @@
   }
 }
 
+void site_watch::LogAnnouncements(time_point now, const site_view& view) const {
+  for (const auto& [model, wanted] : view.weights) {
+    const auto known = view_->weights.find(model);
+    if (known != view_->weights.end() &&
+        known->second.version == wanted.version) {
+      continue;
+    }
+    const auto announced = wanted.announcements.find(wanted.version);
+    if (announced == wanted.announcements.end())
+      continue;
+    LogEvent(log_event::kWeightsAnnounced,
+             "model=" + model + " version=" + std::to_string(wanted.version) +
+                 " age_ms=" +
+                 std::to_string(ToMs(now - announced->second.announced_after)) +
+                 " watched=" + (announced->second.was_watched ? "1" : "0") +
+                 " outage=" + (mirror_.HasSeenOutage() ? "1" : "0"));
+  }
+}
+
 size_t site_watch::UpdateRelays(
     const std::map<std::string, store_item>& items) {
   std::vector<relay_registration> registrations;
@@ -380,6 +417,9 @@
   auto answer = relay_.Answer(now, item.after);
   answer.set_sound_age_ms(
       static_cast<uint32_t>(ToMs(now - mirror_.ConfirmedAt())));
+  answer.set_confirmed_at_ms(
+      std::chrono::ceil<milliseconds>(mirror_.ConfirmedAt().time_since_epoch())
+          .count());
   answer.set_held_ms(static_cast<uint32_t>(ToMs(now - item.since)));
   const bool has_items = answer.items_size() > 0;
   if (!has_items) {
@@ -391,10 +431,12 @@
   const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
   answer.set_sound_age_ms(static_cast<uint32_t>(milliseconds(age).count()));
   if (compressed_after_ != item.after || compressed_age_ != age ||
+      compressed_confirmed_at_ != mirror_.ConfirmedAt() ||
       compressed_revision_ != answer.revision() || compressed_answer_.empty()) {
     compressed_answer_ = Deflate(answer.SerializeAsString());
     compressed_after_ = item.after;
     compressed_age_ = age;
+    compressed_confirmed_at_ = mirror_.ConfirmedAt();
     compressed_revision_ = answer.revision();
   }
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
@@ -409,6 +451,7 @@
 }
 
 void site_watch::AnswerDueWaiters(time_point now) {
+  CheckPause(now);
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
   for (const waiter& item : waiting) {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -79,7 +79,11 @@
             milliseconds timeout,
             const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
+  /// Notices that the process was paused.
+  void CheckPause(time_point now);
   void Publish(time_point now);
+  /// Logs the versions of the weights that are new in a view.
+  void LogAnnouncements(time_point now, const site_view& view) const;
   /// Updates the relays from the registrations among the items.
   /// @return Number of entries registered, over all failure domains.
   size_t UpdateRelays(const std::map<std::string, store_item>& items);
@@ -114,9 +118,11 @@
   std::string compressed_answer_;
   uint64_t compressed_after_ = 0;
   milliseconds compressed_age_{0};  ///< Confirmed age that it states.
+  time_point compressed_confirmed_at_{};
   uint64_t compressed_revision_ = 0;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
   timer_id run_timer_ = 0;
+  std::optional<time_point> ran_at_;  ///< When the loop last ran.
   bool was_reachable_ = true;
   bool is_registering_ = false;
   std::thread thread_;
