Fix: An entry refused new routes and keys for good from a view past its bound

Callers got 401 for a key that had been confirmed more than 2,000 ms before, and 404 for routes of the same kind. Neither is sent again by a caller.

Cause: a key that the view doesn't hold was refused with 401 as long as the view was younger than the bound of revoked keys (4.7 s), and a missing route with 404 whatever the age; but a version has to be in force after ConfigApplyMs (2 s). Class: a final answer from a state that isn't known to be recent enough for it.

Beyond the configuration bound both are 503 with Retry-After (not run, may come again), as for keys with a state that is too old. Known routes and keys are served as before.

The two tests failed before (401 and 404 for 503, no Retry-After).

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -56,6 +56,10 @@
          now - confirmed_at_ < options_.revoke_bound - options_.revoke_margin;
 }
 
+bool call_dispatch::IsCurrent(time_point now) const {
+  return index_ != nullptr && now - confirmed_at_ < options_.config_bound;
+}
+
 server_query call_dispatch::QueryOf(const call_state& call) const {
   return {.service = call.service,
           .route_regions = &call.route.regions,
@@ -97,8 +101,11 @@
   if (index_ == nullptr || index_->View().configuration.version == 0)
     return Refuse(now, &call, call_refusal::kNoConfiguration);
   const site_route* route = index_->FindRoute(request.host, target);
-  if (route == nullptr)
-    return Refuse(now, &call, call_refusal::kNoRoute);
+  if (route == nullptr) {
+    return Refuse(
+        now, &call,
+        IsCurrent(now) ? call_refusal::kNoRoute : call_refusal::kStateTooOld);
+  }
   call.route = *route;
   call.kind = route->kind;
   const milliseconds expected_time =
@@ -111,8 +118,8 @@
     const site_tenant* tenant = index_->FindTenant(request.key);
     if (tenant == nullptr) {
       return Refuse(now, &call,
-                    IsFresh(now) ? call_refusal::kUnknownKey
-                                 : call_refusal::kStateTooOld);
+                    IsCurrent(now) ? call_refusal::kUnknownKey
+                                   : call_refusal::kStateTooOld);
     }
     if (!IsFresh(now))
       return Refuse(now, &call, call_refusal::kStateTooOld);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -49,6 +49,7 @@
 
 struct call_dispatch_options {
   server_selector_options selector;
+  milliseconds config_bound{2000};  ///< Bound for a configuration to apply.
   milliseconds revoke_bound{5000};  ///< Bound for a revoked key to be refused.
   /// Subtracted from that bound, for the transfer of a request to its server.
   milliseconds revoke_margin{300};
@@ -165,6 +166,9 @@
   size_t OpenCallCount() const { return calls_.size(); }
   /// Whether the known state is recent enough to accept API keys.
   bool IsFresh(time_point now) const;
+  /// Whether the known state is recent enough to refuse for good what it does
+  /// not contain: an older one may lack a route or key that is in force.
+  bool IsCurrent(time_point now) const;
 
  private:
   enum class stage { kRequestingPlace, kSent };
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -39,6 +39,7 @@
                       .regions = from.regions,
                       .weights_bound = from.weights_bound,
                       .seed = seed};
+  options.config_bound = from.config_bound;
   options.revoke_bound = from.revoke_bound;
   options.budget = {.ratio = from.retry_ratio / 2,
                     .extra = from.retry_extra * kExtraShare,
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -297,6 +297,37 @@
   BOOST_TEST(entry.refusals[1].status == 503);
 }
 
+// Regression: an entry refused a key with 401 that had been added 2.5 s before.
+BOOST_AUTO_TEST_CASE(a_key_is_not_unknown_to_a_view_past_the_config_bound) {
+  fake_entry entry;
+  caller_call call{.id = "r", .host = "plain", .key = "new"};
+  entry.now += milliseconds(1900);
+  entry.dispatch.OnRequest(entry.now, 1, call, "/x", entry.now);
+  entry.now += milliseconds(100);
+  entry.dispatch.OnRequest(entry.now, 2, call, "/x", entry.now);
+  BOOST_REQUIRE(entry.refusals.size() == 2u);
+  BOOST_TEST(entry.refusals[0].status == 401);
+  BOOST_TEST(entry.refusals[1].status == 503);
+  BOOST_TEST(entry.refusals[1].retry_after.has_value());
+  // Known keys are served until the bound of revoked ones.
+  entry.SendRequest(3, "plain");
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
+// Regression: an entry that could not read the store refused new routes with
+// 404 for 8 s.
+BOOST_AUTO_TEST_CASE(a_route_is_not_missing_from_a_view_past_the_config_bound) {
+  fake_entry entry;
+  entry.now += milliseconds(1900);
+  entry.SendRequest(1, "elsewhere");
+  entry.now += milliseconds(100);
+  entry.SendRequest(2, "elsewhere");
+  BOOST_REQUIRE(entry.refusals.size() == 2u);
+  BOOST_TEST(entry.refusals[0].status == 404);
+  BOOST_TEST(entry.refusals[1].status == 503);
+  BOOST_TEST(entry.refusals[1].retry_after.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nothing_begins_on_a_version_past_its_bound) {
   fake_entry entry;
   site_view view = entry.site.index->View();
