--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -110,6 +110,8 @@
   if (address.empty()) {
     next = now + kWaiterInterval;  // A relay may be asked again soon.
   } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address))) {
+    if (address != last_source_)
+      OnSourceChange(now, address);
     CallMirror(now, address, *call);
   }
   if (mirror_.NextCallAt() > now)
@@ -120,6 +122,16 @@
   });
 }
 
+void site_watch::OnSourceChange(time_point now, const std::string& address) {
+  LogEvent(log_event::kSourceChanged,
+           "from=" + last_source_ + " to=" + address +
+               " why=" + relay_failure_ + " age_ms=" +
+               std::to_string(
+                   mirror_.IsLoaded() ? ToMs(now - mirror_.ConfirmedAt()) : 0));
+  last_source_ = address;
+  relay_failure_.clear();
+}
+
 void site_watch::ReadRelays(time_point now) {
   options_.count("store_relay_listings");
   CallStore(now,
@@ -171,6 +183,9 @@
              answer.status == store_answer::status_type::kRefused;
          if (has_no_answer || is_cut_off ||
              source_.IsTooOld(answer.confirmed_age)) {
+           relay_failure_ = has_no_answer ? "silent"
+                            : is_cut_off  ? "cut_off"
+                                          : "stale";
            options_.count(has_no_answer ? "relay_failed"
                           : is_cut_off  ? "relay_cut_off"
                                         : "relay_too_old");
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -61,6 +61,7 @@
   };
 
   void RunDue(time_point now);
+  void OnSourceChange(time_point now, const std::string& address);
   /// Sends the mirror's call to the chosen source.
   void CallMirror(time_point now,
                   const std::string& address,
@@ -108,6 +109,8 @@
   store_mirror mirror_;
   mirror_relay relay_;
   relay_selector source_;
+  std::string last_source_;    ///< Address of the last call of the mirror.
+  std::string relay_failure_;  ///< Why the last relay was left, for the log.
   http_listener listener_;
   std::vector<waiter> waiters_;
   /// Last compressed answer; most waiters share it.
