Fix: A process kept asking stale relays in turn and got no configuration for seconds

Callers at entries in touch got 401 and 404 for what had been confirmed more than 2,000 ms before.

Cause: a relay that is cut off from the store answers with what it has until its own call to the store fails, up to 1.7 s later. Its reader avoids it for 600 ms, but asked the next source only after the pause between calls (250 ms; 350 ms and more in a burst). With two stale relays in a burst, or three at other times, the first one's turn had come again before the last source was asked: relays further down and the store were never reached. Class: a round of fallbacks that takes longer than the memory of the failures.

After a stale answer the next source is asked without a pause, as after silence or a refusal.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -181,8 +181,9 @@
              answer.status == store_answer::status_type::kNoAnswer;
          const bool is_cut_off =
              answer.status == store_answer::status_type::kRefused;
-         if (has_no_answer || is_cut_off ||
-             source_.IsTooOld(answer.confirmed_age)) {
+         const bool has_failed = has_no_answer || is_cut_off ||
+                                 source_.IsTooOld(answer.confirmed_age);
+         if (has_failed) {
            relay_failure_ = has_no_answer ? "silent"
                             : is_cut_off  ? "cut_off"
                                           : "stale";
@@ -194,7 +195,11 @@
            source_.OnRelayAnswered(address);
          }
          if (!has_no_answer && !is_cut_off)
-           return OnAnswer(at, answer);
+           OnAnswer(at, answer);
+         if (!has_failed)
+           return;
+         // Another source is asked without a pause: while this one is avoided,
+         // there is time to ask all others.
          mirror_.CancelCall(at);
          loop_.Post([this] { RunDue(BootNow()); });
        });
