Fix: Stand-by relays believed a stale relay for as long as their readers did

A reader that left a stale relay found the same age at the stand-bys, and read the store itself together with all others of its domain: listings over one link between regions, at the moment at which it is busy.

Class: a replacement that notices a failure no sooner than those that it has to serve.

A relay leaves another one at 0.6 of that bound: above the 500 ms at which a relay with access to the store confirms its items, and early enough to poll once and read the store before the others turn to it.

The test failed before.

--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -60,6 +60,9 @@
   /// relay with access to the store confirms its items every 500 ms, and
   /// somewhat later while its processor is busy.
   milliseconds max_confirmed_age{1100};
+  /// The same for a relay's reads of another one, as a share of that age. A
+  /// stand-by turns to the store before its readers turn to the stand-by.
+  double standby_age_share = 0.6;
   /// Time for which an unresponsive relay is not asked.
   milliseconds unresponsive_pause{3000};
   /// Time for which a relay with stale answers is not asked: its next answer
@@ -114,7 +117,8 @@
   std::optional<std::string> FindLostRelay(time_point now) const;
   /// Whether a confirmed age is too high to keep reading from that relay.
   bool IsTooOld(milliseconds age) const {
-    return age > options_.max_confirmed_age;
+    return age > options_.max_confirmed_age *
+                     (is_relay_ ? options_.standby_age_share : 1);
   }
 
  private:
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -155,6 +155,27 @@
   BOOST_TEST(direct - relays <= kProcesses / 4);
 }
 
+// Regression: a stand-by believed a relay that was cut off from the store for
+// as long as its readers did, and had nothing newer for them.
+BOOST_AUTO_TEST_CASE(a_standby_leaves_a_stale_relay_before_the_readers_do) {
+  const relay_selector_options options;
+  const relay_selector reader = SelectorOf("other", 20);
+  const std::string first = reader.Choose(kStart);
+  relay_selector next = SelectorOf("other", 20);
+  next.OnRelayFailed(kStart, first, true);
+  const std::string second = next.Choose(kStart);
+  const relay_selector standby =
+      SelectorOf(second.substr(0, second.find(':')), 20);
+  // The standby polls the relay and reads the store once until then.
+  const milliseconds reads =
+      store_mirror_options().burst_spacing + milliseconds(50);
+  BOOST_TEST(!reader.IsTooOld(options.max_confirmed_age));
+  BOOST_TEST(standby.IsTooOld(options.max_confirmed_age - reads));
+  // A relay with access to the store confirms its items every 500 ms.
+  BOOST_TEST(
+      !standby.IsTooOld(store_mirror_options().watch_wait + milliseconds(100)));
+}
+
 // A relay whose processor is busy confirms its items somewhat late. If all its
 // readers turned to the store for seconds, that would cost far more than one
 // call each.
