Fix: A watch at another source waited for changes before it confirmed anything

Each silent relay cost the wait of a watch and the timeout of a call, 800 ms: with two of them and a confirmed read that is half a second old, an entry passed the bound of configurations (2,000 ms) before it had asked a source that answers.

The first watch at another source doesn't wait, like the first one after a failure. 400 ms are left of the cost of each silent relay after the first.

The test failed before, in a form without the new argument: the watch after a cancelled call waited for 500 ms.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -109,7 +109,8 @@
   time_point next = now + kMirrorInterval;
   if (address.empty()) {
     next = now + kWaiterInterval;  // A relay may be asked again soon.
-  } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address))) {
+  } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address),
+                                          address != last_source_)) {
     if (address != last_source_)
       OnSourceChange(now, address);
     CallMirror(now, address, *call);
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 std::optional<store_call> store_mirror::NextCall(time_point now,
-                                                 bool is_relayed) {
+                                                 bool is_relayed,
+                                                 bool is_new_source) {
   if (has_call_in_flight_ || now < next_at_)
     return std::nullopt;
   has_call_in_flight_ = true;
@@ -22,13 +23,13 @@
   if (is_listing_)
     return store_call{.kind = store_call::kind_type::kList,
                       .after_key = after_key_};
-  // After a failure the first watch does not wait, to learn at once whether the
-  // store is reachable.
+  // After a failure or a change of the source the first watch does not wait, to
+  // learn at once whether the store is reachable.
   return store_call{.kind = store_call::kind_type::kWatch,
                     .after_revision = revision_,
-                    .wait = failures_ > 0 ? milliseconds(0)
-                            : is_relayed  ? options_.relayed_watch_wait
-                                          : options_.watch_wait};
+                    .wait = failures_ > 0 || is_new_source ? milliseconds(0)
+                            : is_relayed ? options_.relayed_watch_wait
+                                         : options_.watch_wait};
 }
 
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -90,8 +90,11 @@
 
   /// Chooses the next call.
   /// @param is_relayed Whether the call goes to a relay of this failure domain.
+  /// @param is_new_source Whether the last call went to another source.
   /// @return None while a call is in flight or a pause lasts.
-  std::optional<store_call> NextCall(time_point now, bool is_relayed = false);
+  std::optional<store_call> NextCall(time_point now,
+                                     bool is_relayed = false,
+                                     bool is_new_source = false);
   /// Handles the answer to the call in flight.
   /// @return Whether the known state has changed.
   bool OnAnswer(time_point now, const store_answer& answer);
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -124,6 +124,20 @@
   BOOST_TEST(it.mirror.IsReachable());
 }
 
+// A source that hung cost its wait again at each source asked after it.
+BOOST_AUTO_TEST_CASE(the_first_watch_at_another_source_does_not_wait) {
+  listed_mirror it(Servers(2), 5);
+  it.now = it.mirror.NextCallAt();
+  auto call = it.mirror.NextCall(it.now, true, false);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST(call->wait.count() > 0);
+  it.mirror.CancelCall(it.now);
+  call = it.mirror.NextCall(it.now, true, true);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kWatch));
+  BOOST_TEST(call->wait.count() == 0);
+}
+
 // The configuration changed so often that the answer to a watch exceeded its
 // timeout, and each retry had more changes to send.
 BOOST_AUTO_TEST_CASE(a_watch_without_an_answer_is_followed_by_a_listing) {
