--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -117,7 +117,10 @@
   time_point next = now + kMirrorInterval;
   if (address.empty()) {
     next = now + kWaiterInterval;  // A relay may be asked again soon.
-  } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address))) {
+  } else if (auto call = mirror_.NextCall(now, source_.IsRelay(address),
+                                          address != last_source_)) {
+    if (address != last_source_)
+      OnSourceChange(now, address);
     CallMirror(now, address, *call);
   }
   if (mirror_.NextCallAt() > now)
@@ -128,6 +131,16 @@
   });
 }
 
+void site_watch::OnSourceChange(time_point now, const std::string& address) {
+  LogEvent(log_event::kSourceChanged,
+           "from=" + last_source_ + " to=" + address +
+               " why=" + relay_failure_ + " age_ms=" +
+               std::to_string(
+                   mirror_.IsLoaded() ? ToMs(now - mirror_.ConfirmedAt()) : 0));
+  last_source_ = address;
+  relay_failure_.clear();
+}
+
 void site_watch::ReadRelays(time_point now) {
   options_.count("store_relay_listings");
   CallStore(now,
@@ -177,8 +190,12 @@
              answer.status == store_answer::status_type::kNoAnswer;
          const bool is_cut_off =
              answer.status == store_answer::status_type::kRefused;
-         if (has_no_answer || is_cut_off ||
-             source_.IsTooOld(answer.confirmed_age)) {
+         const bool has_failed = has_no_answer || is_cut_off ||
+                                 source_.IsTooOld(answer.confirmed_age);
+         if (has_failed) {
+           relay_failure_ = has_no_answer ? "silent"
+                            : is_cut_off  ? "cut_off"
+                                          : "stale";
            options_.count(has_no_answer ? "relay_failed"
                           : is_cut_off  ? "relay_cut_off"
                                         : "relay_too_old");
@@ -187,7 +204,11 @@
            source_.OnRelayAnswered(address);
          }
          if (!has_no_answer && !is_cut_off)
-           return OnAnswer(at, answer);
+           OnAnswer(at, answer);
+         if (!has_failed)
+           return;
+         // Another source is asked without a pause: while this one is avoided,
+         // there is time to ask all others.
          mirror_.CancelCall(at);
          loop_.Post([this] { RunDue(BootNow()); });
        });
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -22,6 +22,7 @@
 LOG_EVENT(kRelayRemoved, 205, Info, "registration of a lost relay removed")
 LOG_EVENT(kRelaysRead, 206, Info, "relays read at start")
 LOG_EVENT(kWeightsAnnounced, 207, Info, "version of the weights announced")
+LOG_EVENT(kSourceChanged, 208, Info, "source of the store's items changed")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
