Feature: Log given up calls and large answers of relays and the store

When processes of a domain lost their source, their logs told E202 but not whether nothing had come or too little in the time, nor how long a large answer took. E207 tells what had arrived of a call that was given up, E208 the size and duration of a large answer.

--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -47,7 +47,7 @@
     open->connection.reset();
     timed_out->Abort();
     if (open->call.on_timeout)
-      open->call.on_timeout();
+      open->call.on_timeout(at, open->body.size());
     open->call.on_done(at, 0, "");
   });
   open->connection->Start(call.request, false, std::move(hooks));
--- a/src/network/async_http_call.h
+++ b/src/network/async_http_call.h
@@ -16,7 +16,9 @@
   milliseconds timeout{0};
   /// Receives the answer; status 0 means that no complete answer arrived.
   std::function<void(time_point, int status, std::string body)> on_done;
-  std::function<void()> on_timeout;  ///< Called before on_done; may be empty.
+  /// Called before on_done, with the size of what has arrived of the body; may
+  /// be empty.
+  std::function<void(time_point, size_t received)> on_timeout;
 };
 
 /// Starts a call on an idle or a new connection of the pool.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -27,6 +27,9 @@
 /// about the same time share one.
 using age_step = std::chrono::duration<int64_t, std::ratio<1, 20>>;
 constexpr size_t kMaxMirrorBytes = 64U << 20;
+/// Size from which the transfer and the reading of an answer take a noticeable
+/// share of the time within which a change must be in force.
+constexpr size_t kLargeAnswerBytes = 32768;
 constexpr size_t kMaxWaiters = 512;
 /// Status of a relay that cannot read the store.
 constexpr int kNoStoreAccess = 503;
@@ -209,8 +212,23 @@
       {.address = address,
        .request = request,
        .timeout = timeout,
-       .on_done = done,
-       .on_timeout = [this] { options_.count("control_calls_silent"); }});
+       .on_done =
+           [now, address, done](time_point at, int status, std::string body) {
+             if (body.size() >= kLargeAnswerBytes)
+               LogEvent(log_event::kLargeAnswerRead,
+                        "from=" + address +
+                            " bytes=" + std::to_string(body.size()) +
+                            " after_ms=" + std::to_string(ToMs(at - now)));
+             done(at, status, std::move(body));
+           },
+       .on_timeout =
+           [this, now, address](time_point at, size_t received) {
+             options_.count("control_calls_silent");
+             LogEvent(log_event::kSourceSilent,
+                      "from=" + address +
+                          " received=" + std::to_string(received) +
+                          " after_ms=" + std::to_string(ToMs(at - now)));
+           }});
 }
 
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -21,6 +21,11 @@
           "no configuration from the store or any peer yet")
 LOG_EVENT(kRelayRemoved, 205, Info, "registration of a lost relay removed")
 LOG_EVENT(kRelaysRead, 206, Info, "relays read at start")
+LOG_EVENT(kSourceSilent, 207, Info, "call to a relay or the store given up")
+LOG_EVENT(kLargeAnswerRead,
+          208,
+          Info,
+          "large answer of a relay or the store read")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
