Fix: Read large changes from relays however long they take (CONFIG)

What callers saw: 3.9 s after a configuration of 4,452 routes was acked, requests were still handled by the version before it; then entries refused with "belief too old".

Cause: calls that read the store or a relay had a fixed time for the whole answer (1.2 s and 0.4 s plus the wait). A relay needs longer than 0.4 s to send such a document to 31 readers over its link, so all of them gave up together with most of the answer received, did the same at the second relay, and then read 1.25 MB each from the store over one link between regions. There each call timed out as well, threw its part away and began again. The class is a fixed time-out on work that grows with its input, and a retry that costs more than the try.

Now an answer that has begun goes on as long as bytes arrive (at most 1 s apart, 16 KiB/s at the mean). A relay that receives a large answer, or has just read one, keeps its readers' calls and sends them interim answers (102), so that they count it neither as silent nor as too old. It answers its readers before it parses the document itself, and builds the shared answer once, not for each.

Both new tests of site_watch_suite failed on the code before: the reader stayed at revision 7 with 2 relay calls failed; relay and reader stayed at 7 with 4 large answers begun.

--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -1,10 +1,15 @@
 /// @file async_http_call.cc Single HTTP call on an event loop.
 #include "network/async_http_call.h"
 
+#include <algorithm>
+
 namespace fuchsiafall {
 
 namespace {
 
+/// Minimum mean rate of an answer, so that one that trickles in ends.
+constexpr double kMinBytesPerSecond = 16384;
+
 /// Call that is not answered yet.
 struct pending_call {
   async_http_call call;
@@ -12,8 +17,48 @@
   int status = 0;
   std::string body;
   timer_id timeout = 0;
+  time_point deadline{};
+  bool has_body_begun = false;
+  time_point body_begun_at{};
 };
 
+void OnProgress(time_point now, pending_call* open) {
+  const milliseconds pause = open->call.max_pause;
+  if (pause.count() > 0) {
+    open->deadline = open->has_body_begun
+                         ? now + pause
+                         : std::max<time_point>(open->deadline, now + pause);
+  }
+  if (open->call.on_progress)
+    open->call.on_progress(now);
+}
+
+/// Limits the deadline of an answer that has begun by its mean rate.
+time_point DeadlineOf(const pending_call& open) {
+  if (!open.has_body_begun || open.call.max_pause.count() == 0)
+    return open.deadline;
+  const auto allowed =
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+          static_cast<double>(open.body.size()) / kMinBytesPerSecond));
+  return std::min<time_point>(
+      open.deadline, open.body_begun_at + open.call.max_pause + allowed);
+}
+
+void StartTimeout(event_loop* loop, const std::shared_ptr<pending_call>& open) {
+  open->timeout =
+      loop->StartTimer(DeadlineOf(*open), [loop, open](time_point at) {
+        // Progress moves the deadline, but not the timer.
+        if (at < DeadlineOf(*open))
+          return StartTimeout(loop, open);
+        auto timed_out = std::move(open->connection);
+        open->connection.reset();
+        timed_out->Abort();
+        if (open->call.on_timeout)
+          open->call.on_timeout(at, open->body.size());
+        open->call.on_done(at, 0, "");
+      });
+}
+
 }  // namespace
 
 void StartAsyncHttpCall(time_point now,
@@ -28,13 +73,19 @@
   auto open = std::make_shared<pending_call>();
   open->call = call;
   open->connection = *acquired;
+  open->deadline = now + call.timeout;
   exchange_hooks hooks;
+  hooks.on_interim = [open](time_point at) { OnProgress(at, open.get()); };
   hooks.on_head = [open](time_point, const Poco::Net::HTTPResponse& head) {
     open->status = head.getStatus();
     return true;
   };
-  hooks.on_body = [open](time_point, std::string_view bytes) {
+  hooks.on_body = [open](time_point at, std::string_view bytes) {
+    if (!open->has_body_begun)
+      open->body_begun_at = at;
+    open->has_body_begun = true;
     open->body += bytes;
+    OnProgress(at, open.get());
   };
   hooks.on_end = [loop, open](time_point at, exchange_end end) {
     loop->CancelTimer(open->timeout);
@@ -42,14 +93,7 @@
     open->call.on_done(at, end == exchange_end::kComplete ? open->status : 0,
                        std::move(open->body));
   };
-  open->timeout = loop->StartTimer(now + call.timeout, [open](time_point at) {
-    auto timed_out = std::move(open->connection);
-    open->connection.reset();
-    timed_out->Abort();
-    if (open->call.on_timeout)
-      open->call.on_timeout(at, open->body.size());
-    open->call.on_done(at, 0, "");
-  });
+  StartTimeout(loop, open);
   open->connection->Start(call.request, false, std::move(hooks));
 }
 
--- a/src/network/async_http_call.h
+++ b/src/network/async_http_call.h
@@ -13,9 +13,15 @@
 struct async_http_call {
   std::string address;  ///< ip:port
   std::string request;  ///< Serialized, with its head and body.
+  /// Time to the whole answer; with `max_pause`, to its begin.
   milliseconds timeout{0};
+  /// Longest pause in an answer that has begun, interim answers included. Its
+  /// size then decides how long it may take. None if zero.
+  milliseconds max_pause{0};
   /// Receives the answer; status 0 means that no complete answer arrived.
   std::function<void(time_point, int status, std::string body)> on_done;
+  /// Called at each part of the answer; may be empty.
+  std::function<void(time_point)> on_progress;
   /// Called before on_done, with the size of what has arrived of the body; may
   /// be empty.
   std::function<void(time_point, size_t received)> on_timeout;
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -128,8 +128,14 @@
       return false;
     }
     input->erase(0, end);
-    if (head->getStatus() / 100 == 1)
+    if (head->getStatus() / 100 == 1) {
+      const auto hooks = hooks_;
+      if (hooks->on_interim)
+        hooks->on_interim(now);
+      if (!is_busy_ || !connection_->IsOpen())
+        return false;
       continue;
+    }
     auto framing = FramingOf(*head, is_head_request_);
     if (!framing || framing->second > limits_.answer_bytes) {
       Finish(now, exchange_end::kMalformed);
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -24,6 +24,8 @@
 };
 
 struct exchange_hooks {
+  /// An interim answer (1xx) arrived: the server is at work on the request.
+  std::function<void(time_point)> on_interim;
   /// Receives the head of an answer.
   /// @return Whether it answers this request; if not, the answer is skipped.
   std::function<bool(time_point, const Poco::Net::HTTPResponse&)> on_head;
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -137,6 +137,11 @@
   Answer(now, MakeAnswerHead(status), why + "\n");
 }
 
+void http_server_connection::SendProcessing() {
+  if (is_answer_pending_)
+    connection_->Send("HTTP/1.1 102 Processing\r\n\r\n");
+}
+
 void http_server_connection::Answer(time_point now,
                                     Poco::Net::HTTPResponse head,
                                     std::string_view body) {
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -55,6 +55,8 @@
   /// Registers the hooks of the TCP connection.
   void RegisterHooks();
 
+  /// Tells the caller by an interim answer that its request is being worked on.
+  void SendProcessing();
   /// Sends a whole answer.
   void Answer(time_point now,
               Poco::Net::HTTPResponse head,
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -17,9 +17,16 @@
 constexpr milliseconds kMirrorInterval{500};
 /// Interval of the checks for waiting readers whose wait is over.
 constexpr milliseconds kWaiterInterval{100};
-/// Round trip to a relay of this failure domain and its processing time, in
-/// addition to the wait of the call.
+/// Round trip to a relay of this failure domain and its processing time until
+/// its answer begins, in addition to the wait of the call.
 constexpr milliseconds kRelayTimeout{400};
+/// Longest pause in an answer that has begun: a relay reads a large change
+/// between two signs of life.
+constexpr milliseconds kMaxPause{1000};
+/// Interval of the signs of life to readers that wait for a large change.
+constexpr milliseconds kHoldInterval{250};
+/// Maximum heads of one answer, most of them signs of life.
+constexpr uint32_t kMaxHeads = 64;
 constexpr milliseconds kRegisterTimeout{1000};
 /// Time for the watch to report a change of the registrations.
 constexpr milliseconds kRegisterPause{2000};
@@ -70,7 +77,7 @@
 
 site_watch::site_watch(site_watch_options options)
     : options_(std::move(options)),
-      pool_(&loop_, {}),
+      pool_(&loop_, {.limits = {.heads = kMaxHeads}}),
       mirror_(options_.mirror),
       source_({.node = options_.node,
                .store_address = options_.store_address,
@@ -165,15 +172,18 @@
                            const std::string& address,
                            const store_call& call) {
   options_.count("relay_calls");
-  Call(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
+  Read(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
        [this, address](time_point at, int status, const std::string& body) {
          store_answer answer = ReadRelayAnswer(status, body);
          const bool has_no_answer =
              answer.status == store_answer::status_type::kNoAnswer;
          const bool is_cut_off =
              answer.status == store_answer::status_type::kRefused;
-         if (has_no_answer || is_cut_off ||
-             source_.IsTooOld(answer.confirmed_age)) {
+         // A large change is old when it arrives, and the relay reads the store
+         // again right after it.
+         const bool is_too_old = source_.IsTooOld(answer.confirmed_age) &&
+                                 body.size() < kLargeAnswerBytes;
+         if (has_no_answer || is_cut_off || is_too_old) {
            options_.count(has_no_answer ? "relay_failed"
                           : is_cut_off  ? "relay_cut_off"
                                         : "relay_too_old");
@@ -192,7 +202,7 @@
                            const store_call& call,
                            const store_hook& done) {
   const auto written = platform::EncodeStoreCall(call, options_.store_address);
-  Call(now, options_.store_address, written.bytes, written.timeout,
+  Read(now, options_.store_address, written.bytes, written.timeout,
        [kind = call.kind, done](time_point at, int status,
                                 const std::string& body) {
          store_answer answer;
@@ -202,7 +212,7 @@
        });
 }
 
-void site_watch::Call(time_point now,
+void site_watch::Read(time_point now,
                       const std::string& address,
                       const std::string& request,
                       milliseconds timeout,
@@ -212,15 +222,25 @@
       {.address = address,
        .request = request,
        .timeout = timeout,
+       .max_pause = kMaxPause,
        .on_done =
-           [now, address, done](time_point at, int status, std::string body) {
-             if (body.size() >= kLargeAnswerBytes)
+           [this, now, address, done](time_point at, int status,
+                                      std::string body) {
+             receiving_until_ = at;
+             if (status == 200 && body.size() >= kLargeAnswerBytes) {
                LogEvent(log_event::kLargeAnswerRead,
                         "from=" + address +
                             " bytes=" + std::to_string(body.size()) +
                             " after_ms=" + std::to_string(ToMs(at - now)));
+               // Reading it takes time, too, and only the next answer is a
+               // recent one.
+               HoldWaiters(at);
+               receiving_until_ = at + kMaxPause;
+             }
              done(at, status, std::move(body));
            },
+       .on_progress =
+           [this](time_point at) { receiving_until_ = at + kMaxPause; },
        .on_timeout =
            [this, now, address](time_point at, size_t received) {
              options_.count("control_calls_silent");
@@ -259,6 +279,17 @@
 }
 
 void site_watch::Publish(time_point now) {
+  // The readers go first: reading a large configuration takes a while.
+  relay_.Update(now, mirror_);
+  std::vector<waiter> waiting;
+  waiting.swap(waiters_);
+  for (const waiter& item : waiting) {
+    if (relay_.HasChanges(item.after)) {
+      AnswerWaiter(now, item);
+    } else {
+      waiters_.push_back(item);
+    }
+  }
   std::vector<std::string> problems;
   auto view = std::make_shared<site_view>(
       platform::BuildView(now, mirror_, *view_, &problems));
@@ -274,17 +305,7 @@
   }
   view->entry_count = UpdateRelays(mirror_.Items());
   view_ = view;
-  relay_.Update(now, mirror_);
   options_.on_change(view_, mirror_.ConfirmedAt());
-  std::vector<waiter> waiting;
-  waiting.swap(waiters_);
-  for (const waiter& item : waiting) {
-    if (relay_.HasChanges(item.after)) {
-      AnswerWaiter(now, item);
-    } else {
-      waiters_.push_back(item);
-    }
-  }
 }
 
 size_t site_watch::UpdateRelays(
@@ -322,13 +343,21 @@
 
 void site_watch::CallRegistry(time_point now, const std::string& request) {
   is_registering_ = true;
-  Call(now, options_.store_address, request, kRegisterTimeout,
-       [this](time_point at, int, const std::string&) {
-         // The watch reports whether the change took effect; until then other
-         // relays serve the domain.
-         loop_.StartTimer(at + kRegisterPause,
-                          [this](time_point) { is_registering_ = false; });
-       });
+  StartAsyncHttpCall(
+      now, &loop_, &pool_,
+      {.address = options_.store_address,
+       .request = request,
+       .timeout = kRegisterTimeout,
+       .on_done =
+           [this](time_point at, int, const std::string&) {
+             // The watch reports whether the change took effect; until then
+             // other relays serve the domain.
+             loop_.StartTimer(at + kRegisterPause,
+                              [this](time_point) { is_registering_ = false; });
+           },
+       .on_timeout = [this](
+                         time_point,
+                         size_t) { options_.count("control_calls_silent"); }});
 }
 
 void site_watch::Register(time_point now) {
@@ -377,12 +406,12 @@
     from->Answer(now, MakeAnswerHead(400), "malformed query\n");
     return;
   }
-  if (!mirror_.IsLoaded() || !mirror_.IsReachable() ||
+  if (!mirror_.IsLoaded() || (!mirror_.IsReachable() && !IsReceiving(now)) ||
       waiters_.size() >= kMaxWaiters) {
     from->Answer(now, MakeAnswerHead(kNoStoreAccess), "nothing to relay\n");
     return;
   }
-  if (relay_.HasChanges(item.after) || IsStale(now)) {
+  if (relay_.HasChanges(item.after) || (IsStale(now) && !IsReceiving(now))) {
     AnswerWaiter(now, item);
   } else {
     waiters_.push_back(item);
@@ -395,6 +424,13 @@
 }
 
 void site_watch::AnswerWaiter(time_point now, const waiter& item) {
+  const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
+  if (relay_.HasChanges(item.after) && !compressed_answer_.empty() &&
+      compressed_after_ == item.after && compressed_age_ == age &&
+      compressed_revision_ == relay_.Revision()) {
+    item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
+    return;
+  }
   auto answer = relay_.Answer(now, item.after);
   answer.set_sound_age_ms(
       static_cast<uint32_t>(ToMs(now - mirror_.ConfirmedAt())));
@@ -406,18 +442,23 @@
     return;
   }
   answer.set_held_ms(0);  // The compressed answer is shared by all waiters.
-  const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
   answer.set_sound_age_ms(static_cast<uint32_t>(milliseconds(age).count()));
-  if (compressed_after_ != item.after || compressed_age_ != age ||
-      compressed_revision_ != answer.revision() || compressed_answer_.empty()) {
-    compressed_answer_ = Deflate(answer.SerializeAsString());
-    compressed_after_ = item.after;
-    compressed_age_ = age;
-    compressed_revision_ = answer.revision();
-  }
+  compressed_answer_ = Deflate(answer.SerializeAsString());
+  compressed_after_ = item.after;
+  compressed_age_ = age;
+  compressed_revision_ = answer.revision();
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
 }
 
+void site_watch::HoldWaiters(time_point now) {
+  for (waiter& item : waiters_) {
+    if (now - item.held_at < kHoldInterval)
+      continue;
+    item.held_at = now;
+    item.connection->SendProcessing();
+  }
+}
+
 void site_watch::RefuseWaiters(time_point now) {
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
@@ -428,7 +469,10 @@
 
 void site_watch::AnswerDueWaiters(time_point now) {
   std::vector<waiter> waiting;
-  waiting.swap(waiters_);
+  if (IsReceiving(now))
+    HoldWaiters(now);
+  else
+    waiting.swap(waiters_);
   for (const waiter& item : waiting) {
     if (now >= item.until || IsStale(now)) {
       AnswerWaiter(now, item);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -58,6 +58,7 @@
     uint64_t after = 0;
     time_point since{};
     time_point until{};
+    time_point held_at{};  ///< When it was last told to keep waiting.
   };
 
   void RunDue(time_point now);
@@ -73,7 +74,8 @@
                  const store_hook& done);
   /// Reads the registered relays, before anything else is read.
   void ReadRelays(time_point now);
-  void Call(time_point now,
+  /// Reads items from a relay or the store, however long they take to arrive.
+  void Read(time_point now,
             const std::string& address,
             const std::string& request,
             milliseconds timeout,
@@ -95,11 +97,16 @@
   void AnswerWaiter(time_point now, const waiter& item);
   /// Answers the waiters whose wait is over.
   void AnswerDueWaiters(time_point now);
+  /// Tells the waiters that changes for them are arriving, so that they do not
+  /// load the store's links with the same changes.
+  void HoldWaiters(time_point now);
   /// Refuses all waiters, so that they ask another relay.
   void RefuseWaiters(time_point now);
   /// Whether the last confirmed read is so old that readers should ask another
   /// relay.
   bool IsStale(time_point now) const;
+  /// Whether changes are arriving, so that readers should wait for them.
+  bool IsReceiving(time_point now) const { return now < receiving_until_; }
   http_listener_hooks RelayHooks();
 
   site_watch_options options_;
@@ -119,6 +126,7 @@
   timer_id run_timer_ = 0;
   bool was_reachable_ = true;
   bool is_registering_ = false;
+  time_point receiving_until_{};  ///< While changes arrive; moves on with them.
   std::thread thread_;
 };
 
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -261,6 +261,46 @@
                      "bytes");
 }
 
+namespace {
+
+/// Calls a server that sends parts of an answer of ten bytes at an interval.
+/// @return Size of the whole answer; none if it was given up.
+std::optional<size_t> ReadInParts(size_t part_count, milliseconds interval) {
+  constexpr size_t kPartBytes = 10;
+  event_loop loop;
+  scripted_server server(&loop, [&](size_t, scripted_server* to) {
+    to->Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n");
+    for (size_t i = 1; i <= part_count; ++i)
+      loop.StartTimer(BootNow() + interval * i, [to](time_point) {
+        to->Send(std::string(kPartBytes, 'x'));
+      });
+  });
+  http_client_pool pool(&loop, {});
+  std::optional<size_t> size;
+  StartAsyncHttpCall(
+      BootNow(), &loop, &pool,
+      {.address = server.address,
+       .request = kRequest,
+       .timeout = milliseconds(200),
+       .max_pause = milliseconds(200),
+       .on_done = [&](time_point, int status, const std::string& body) {
+         if (status == 200)
+           size = body.size();
+         loop.Stop();
+       }});
+  loop.StartTimer(BootNow() + kTestTimeout, [&](time_point) { loop.Stop(); });
+  loop.Run();
+  return size;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(an_answer_that_stalls_or_trickles_in_is_given_up) {
+  BOOST_TEST((ReadInParts(10, milliseconds(10)) == std::optional<size_t>(100)));
+  BOOST_TEST(!ReadInParts(5, milliseconds(10)).has_value());
+  BOOST_TEST(!ReadInParts(10, milliseconds(100)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_blocking_call_gives_up_a_body_without_end) {
   event_loop loop;
   scripted_server server(&loop, [](size_t, scripted_server* to) {
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -1,6 +1,11 @@
 /// @file site_watch_test.cc Tests of a hosted process's control thread against
 /// a store on loopback.
+#include <Poco/Base64Encoder.h>
+
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <random>
+#include <sstream>
 
 #include "network/compression.h"
 #include "proto/fuchsiafall.pb.h"
@@ -23,6 +28,86 @@
   return answer.sound_age_ms();
 }
 
+/// Sends an answer in equal parts, as over a slow link.
+void SendSlowly(event_loop* loop,
+                time_point now,
+                const std::shared_ptr<http_server_connection>& to,
+                const std::string& body,
+                milliseconds duration) {
+  constexpr size_t kParts = 20;
+  to->BeginChunks(MakeAnswerHead(200));
+  for (size_t i = 0; i < kParts; ++i) {
+    const size_t begin = body.size() * i / kParts;
+    const size_t end = body.size() * (i + 1) / kParts;
+    loop->StartTimer(now + duration * (i + 1) / kParts,
+                     [to, is_last = i + 1 == kParts,
+                      part = body.substr(begin, end - begin)](time_point at) {
+                       if (!to->IsOpen())
+                         return;
+                       to->SendChunk(part);
+                       if (is_last)
+                         to->EndChunks(at);
+                     });
+  }
+}
+
+/// Bytes that hardly compress.
+std::string NoiseOf(size_t bytes) {
+  std::mt19937_64 random(1);
+  std::string noise(bytes, '\0');
+  for (char& byte : noise)
+    byte = static_cast<char>('!' + random() % 80);
+  return noise;
+}
+
+std::string EncodeBase64(const std::string& bytes) {
+  std::ostringstream out;
+  Poco::Base64Encoder encoder(out);
+  encoder.rdbuf()->setLineLength(0);
+  encoder << bytes;
+  encoder.close();
+  return out.str();
+}
+
+std::string ListingOf(const std::string& relay_address) {
+  return R"({"Items":[{"Key":"relays/r","Value":")" +
+         EncodeBase64("d " + relay_address) +
+         R"(","Revision":4}],"HasMore":false,"At":7})";
+}
+
+/// Process of domain "d" that reads the store or its relay "r".
+struct watched_process {
+  watched_process(const std::string& node,
+                  const std::string& store_address,
+                  const std::string& relay_address)
+      : watch({.node = node,
+               .domain = "d",
+               .store_address = store_address,
+               .relay_address = relay_address,
+               .on_change =
+                   [this](const std::shared_ptr<const site_view>& view,
+                          time_point) {
+                     if (view != nullptr)
+                       revision = view->revision;
+                   },
+               .count =
+                   [this](const std::string& name) {
+                     if (name == "relay_failed" || name == "relay_too_old" ||
+                         name == "relay_cut_off") {
+                       ++relays_left;
+                     }
+                     if (name == "store_watches" || name == "store_listings")
+                       ++store_reads;
+                   }}) {
+    BOOST_REQUIRE(watch.Start());
+  }
+
+  std::atomic<uint64_t> revision{0};
+  std::atomic<int> relays_left{0};
+  std::atomic<int> store_reads{0};
+  site_watch watch;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(site_watch_suite)
@@ -84,6 +169,105 @@
   BOOST_TEST(ages[1] - ages[0] > 400);
 }
 
+// A configuration of 0.9 MB took 0.7 s from a relay to its 31 readers. All of
+// them gave it up, and then the second relay, and read it from the store
+// together.
+BOOST_AUTO_TEST_CASE(a_large_change_is_read_from_a_relay_over_a_slow_link) {
+  event_loop loop;
+  const std::string relay_address = FreeAddress();
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&&) {
+             from->Answer(now, MakeAnswerHead(200), ListingOf(relay_address));
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string noise = NoiseOf(200000);
+  int large_answers = 0;
+  http_listener relay(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, const http_request& request) {
+             const bool is_first =
+                 request.head.getURI().starts_with("/mirror?after=0");
+             proto::mirror_answer answer;
+             answer.set_revision(is_first ? 7 : 8);
+             auto* item = answer.add_items();
+             item->set_key(is_first ? "relays/r" : "b");
+             item->set_value(is_first ? "d " + relay_address : noise);
+             item->set_revision(is_first ? 4 : 8);
+             const std::string body = Deflate(answer.SerializeAsString());
+             if (is_first)
+               return from->Answer(now, MakeAnswerHead(200), body);
+             ++large_answers;
+             SendSlowly(&loop, now, from, body, milliseconds(1800));
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  BOOST_REQUIRE(relay.Listen(relay_address));
+  watched_process reader("n", store_address, "");
+  loop.StartTimer(BootNow() + milliseconds(2400),
+                  [&](time_point) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(reader.revision == 8u);
+  BOOST_TEST(reader.relays_left == 0);
+  BOOST_TEST(reader.store_reads == 0);
+  reader.watch.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(readers_wait_for_a_relay_that_receives_a_large_change) {
+  event_loop loop;
+  const std::string relay_address = FreeAddress();
+  const std::string large = R"({"events":[{"Key":"b","Value":")" +
+                            EncodeBase64(NoiseOf(300000)) +
+                            R"(","Revision":8}],"At":8})";
+  std::atomic<bool> is_changed = false;
+  int large_answers = 0;
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, const http_request& request) {
+             const std::string& uri = request.head.getURI();
+             if (uri.starts_with("/kv-range?Prefix=relays"))
+               return from->Answer(now, MakeAnswerHead(200),
+                                   ListingOf(relay_address));
+             const bool knows = uri.find("After=8") != std::string::npos;
+             if (is_changed && !knows) {
+               ++large_answers;
+               return SendSlowly(&loop, now, from, large, milliseconds(2500));
+             }
+             const std::string answer = uri.starts_with("/kv-range")
+                                            ? ListingOf(relay_address)
+                                        : knows ? R"({"events":[],"At":8})"
+                                                : R"({"events":[],"At":7})";
+             loop.StartTimer(now + milliseconds(100),
+                             [from, answer](time_point at) {
+                               from->Answer(at, MakeAnswerHead(200), answer);
+                             });
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  watched_process relay("r", store_address, relay_address);
+  watched_process reader("n", store_address, "");
+  const time_point start = BootNow();
+  int left_before = 0;
+  loop.StartTimer(start + milliseconds(1200), [&](time_point) {
+    left_before = reader.relays_left;
+    is_changed = true;
+  });
+  loop.StartTimer(start + milliseconds(5000), [&](time_point) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(relay.revision == 8u);
+  BOOST_TEST(reader.revision == 8u);
+  BOOST_TEST(large_answers == 1);
+  BOOST_TEST(reader.relays_left == left_before);
+  BOOST_TEST(reader.store_reads == 0);
+  reader.watch.Stop();
+  relay.watch.Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
