--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -23,6 +23,11 @@
 LOG_EVENT(kRelaysRead, 206, Info, "relays read at start")
 LOG_EVENT(kWeightsAnnounced, 207, Info, "version of the weights announced")
 LOG_EVENT(kSourceChanged, 208, Info, "source of the store's items changed")
+LOG_EVENT(kSourceSilent, 209, Info, "call to a relay or the store given up")
+LOG_EVENT(kLargeAnswerRead,
+          210,
+          Info,
+          "large answer of a relay or the store read")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
