Fix: An odd item among the servers is no server and is told once

A double out of range was cast to an integer (undefined), so a cold time of 1e300 ms was negative, and layers up to were read as up to 16 of 16. An id with a line end became two headers of the request to the server. A version 1e300 announced under op/version stood above all later ones, and an unreadable announcement took the known ones away. Each change of any item told every unreadable item again, at the rate of the heartbeats.

Cause: numbers were read as doubles and cast; of an address and an id only the type was checked.

The view keeps the revisions of unreadable items, so each is told once per revision, in one line of printable text.

--- a/src/site_type.h
+++ b/src/site_type.h
@@ -175,6 +175,8 @@
   std::set<std::string> evacuated;  ///< Failure domains being evacuated.
   size_t entry_count = 0;  ///< Entries registered, over all failure domains.
   std::map<std::string, wanted_weights> weights;  ///< By model.
+  /// Revisions of the items that could not be decoded, by key.
+  std::map<std::string, uint64_t> unreadable;
 };
 
 }  // namespace fuchsiafall
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -57,6 +57,152 @@
   BOOST_TEST(problems.size() == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(an_odd_server_item_names_no_server_and_hides_no_other) {
+  const std::string start = R"({"Service":"s","Zone":"z","State":"ready",)";
+  const std::string good = start + R"("Address":"10.0.0.1:80"})";
+  const std::string at = start + R"("Address":"10.0.0.2:80",)";
+  std::string deep = at + R"("Models":)";
+  for (int i = 0; i < 200000; ++i)
+    deep += R"([{"a":)";
+  const std::vector<std::string> odd_values = {
+      deep,
+      deep + std::string(200000, '}'),
+      at + R"("Slots":1e400})",
+      at + R"("Slots":99999999999999999999})",
+      at + R"("Slots":1e18})",
+      at + R"("Slots":4294967302})",
+      at + R"("Slots":-1})",
+      at + R"("Slots":1.5})",
+      at + R"("Slots":"6"})",
+      at + R"("Slots":NaN})",
+      at + R"("ColdRemainingMs":1e300})",
+      at + R"("ColdRemainingMs":-5})",
+      at + R"("ColdRemainingMs":[]})",
+      at + R"("born":1e19})",
+      at + R"("born":"now"})",
+      start + R"("Address":"10.0.0.2:99999"})",
+      start + R"("Address":"10.0.0.2:0"})",
+      start + R"("Address":"10.0.0.2:-1"})",
+      start + R"("Address":"10.0.0.2:"})",
+      start + R"("Address":"10.0.0.2"})",
+      start + R"("Address":":80"})",
+      start + R"("Address":""})",
+      start + R"("Address":"server.example:80"})",
+      start + R"("Address":"[::1]:80"})",
+      start + R"("Address":"/tmp/socket"})",
+      start + R"("Address":"10.0.0.2:80\r\nX: y"})",
+      start + R"("Address":"10.0.0.2\u0000:80"})",
+      "[]",
+      "null",
+      "",
+      "\xff\xfe"};
+  std::vector<store_item> items = {
+      {.key = "servers/good", .value = good, .revision = 1},
+      {.key = "servers/id\r\nTenant: forged", .value = good, .revision = 2}};
+  for (const std::string& value : odd_values) {
+    items.push_back({.key = "servers/odd" + std::to_string(items.size()),
+                     .value = value,
+                     .revision = 10 + items.size()});
+  }
+  std::vector<std::string> problems;
+  const site_view view =
+      platform::BuildView(time_point{}, MirrorOf(items), {}, &problems);
+  BOOST_TEST(view.servers.contains("good"));
+  for (const auto& [id, server] : view.servers)
+    BOOST_TEST(id == "good", id + " at " + server.address);
+  BOOST_TEST(problems.size() == items.size() - 1);
+  for (const std::string& problem : problems) {
+    BOOST_TEST(problem.find_first_of("\r\n") == std::string::npos);
+    BOOST_TEST(problem.size() < 400u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_item_is_told_once_per_revision) {
+  auto items_at = [](uint64_t revision) {
+    return MirrorOf(
+        {{.key = "servers/odd", .value = "{", .revision = revision},
+         {.key = "op/version/m", .value = "{", .revision = revision}});
+  };
+  std::vector<std::string> problems;
+  site_view view =
+      platform::BuildView(time_point{}, items_at(3), {}, &problems);
+  BOOST_TEST(problems.size() == 2u);
+  view = platform::BuildView(time_point{}, items_at(3), view, &problems);
+  BOOST_TEST(problems.size() == 2u);
+  view = platform::BuildView(time_point{}, items_at(4), view, &problems);
+  BOOST_TEST(problems.size() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(layers_with_odd_bounds_are_not_held) {
+  auto served_by = [](const std::string& layers) {
+    std::vector<std::string> problems;
+    const std::string value =
+        R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z",)"
+        R"("State":"ready","Models":[{"Name":"m","Version":2}],"layers":)" +
+        layers + "}";
+    const site_view view = platform::BuildView(
+        time_point{},
+        MirrorOf({{.key = "servers/a", .value = value, .revision = 1}}), {},
+        &problems);
+    BOOST_REQUIRE(view.servers.contains("a"));
+    return ServedVersion(view.servers.at("a").models, "m", 16);
+  };
+  BOOST_TEST(served_by(R"({"From":0,"To":16,"Version":2})") == 2u);
+  for (const char* odd : {R"({"From":0,"To":4294967312,"Version":2})",
+                          R"({"From":-1,"To":16,"Version":2})",
+                          R"({"From":"0","To":16,"Version":2})",
+                          R"({"From":4294967296,"To":16,"Version":2})",
+                          R"({"From":0.5,"To":16,"Version":2})",
+                          R"({"From":0,"To":1e300,"Version":2})",
+                          R"({"From":0,"To":16,"Version":1e300})",
+                          R"({"From":0,"To":16,"Version":1.5})"}) {
+    BOOST_TEST(served_by(odd) == 0u, odd);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_odd_announcement_sets_no_version) {
+  for (const char* odd :
+       {R"({"Version":1e300})", R"({"Version":99999999999999999999})",
+        R"({"Version":-3})", R"({"Version":2.5})", R"({"Version":"2"})",
+        R"({})"}) {
+    std::vector<std::string> problems;
+    const site_view view = platform::BuildView(
+        time_point{},
+        MirrorOf({{.key = "op/version/m", .value = odd, .revision = 3}}), {},
+        &problems);
+    const auto weights = view.weights.find("m");
+    BOOST_TEST((weights == view.weights.end() || weights->second.version == 0),
+               odd);
+    BOOST_TEST(problems.size() == 1u, odd);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_odd_report_of_an_engine_is_read_within_bounds) {
+  const auto read = platform::DecodeEngineReport(
+      R"({"QueuedRequests":1e18,"ActiveRequests":4294967297,"KvUsed":-1,)"
+      R"("KvTotal":1e300,"ColdRemainingMs":1e300,"born":-1e300,"pace":-2})");
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->running == 0u);
+  BOOST_TEST(read->waiting == 0u);
+  BOOST_TEST(read->kv_tokens == 0u);
+  BOOST_TEST(read->cold_remaining.count() == 0);
+  BOOST_TEST(read->started_at_ms == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_deep_answer_of_the_store_is_read_or_given_up) {
+  std::string deep;
+  for (int i = 0; i < 500000; ++i)
+    deep += R"([{"a":)";
+  const auto list = store_call::kind_type::kList;
+  BOOST_TEST((platform::DecodeStoreAnswer(list, 200, deep).status ==
+              status_type::kNoAnswer));
+  std::string closed = R"({"At":7,"x":)" + deep + "1";
+  for (int i = 0; i < 500000; ++i)
+    closed += "}]";
+  const auto answer = platform::DecodeStoreAnswer(list, 200, closed + "}");
+  BOOST_TEST(answer.revision == 7u);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_changes_nothing) {
   std::vector<std::string> problems;
   site_view before;
