Fix: A blocking call takes an answer with a cut head or cut chunks for none

What callers saw elsewhere: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Whether it happens here: not between callers and servers of a hosting platform. Their exchanges read a head only with its blank line; cut after each byte, closed or reset, also behind an interim answer, it ends as broken (guard: an_answer_whose_head_is_cut_is_no_answer, passed before). But the blocking calls of agents to their backend server, to the origin and to the store did it: Poco's session takes the end of the connection for the end of the head, so "200 OK" cut behind the status line or in Content-Length was answered with an empty body that ran to the close, and chunks that stopped before the last one were whole as well. An agent passed such an answer on as complete.

Change: the blocking call reads by the same parser as the exchanges, on a blocking socket. An answer ends with its length, its last chunk, or, without either, its connection; all else is incomplete. A head is bounded.

Tests: a_blocking_call_takes_a_cut_head_for_no_answer (17 places of the cut failed before), a_blocking_call_takes_cut_chunks_for_no_answer (3 failed before), a_blocking_call_reads_whole_answers (guard, passed before).

--- a/src/network/http_call.cc
+++ b/src/network/http_call.cc
@@ -1,112 +1,159 @@
-/// @file http_call.cc HTTP calls through Poco's client.
+/// @file http_call.cc Blocking HTTP calls.
 #include "network/http_call.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
-#include <istream>
+#include <algorithm>
+#include <optional>
 #include <vector>
 
+#include "network/http_message.h"
+
 namespace fuchsiafall {
 
 namespace {
 
+using status_type = http_result::status_type;
+
 constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kMaxHeadBytes = 64 * 1024;  // With those of interim answers.
 
-/// Reads the bytes available, blocking until there is at least one.
-std::string ReadAvailable(std::istream* body, std::vector<char>* buffer) {
-  int first = body->get();
-  if (first == std::char_traits<char>::eof())
-    return "";
-  std::string data(1, static_cast<char>(first));
-  std::streamsize more =
-      body->readsome(buffer->data(), static_cast<std::streamsize>(kReadBytes));
-  if (more > 0)
-    data.append(buffer->data(), static_cast<size_t>(more));
-  return data;
+std::string EncodeRequest(const http_call& call,
+                          const Poco::Net::SocketAddress& address) {
+  Poco::Net::HTTPRequest request(call.method, call.path,
+                                 Poco::Net::HTTPMessage::HTTP_1_1);
+  request.setHost(address.host().toString(), address.port());
+  request.setKeepAlive(false);
+  for (const auto& [name, value] : call.headers)
+    request.set(name, value);
+  if (!call.body.empty() || call.method != "GET") {
+    request.setContentType(call.content_type);
+    request.setContentLength(static_cast<std::streamsize>(call.body.size()));
+  }
+  return WriteHead(request) + call.body;
 }
 
-/// Reads the whole body and checks its length against Content-Length, if any.
-/// @param announced Content-Length, or -1 without one.
-/// @param max_bytes Bound beyond which the body counts as incomplete.
-http_result::status_type ReadBody(std::istream* body,
-                                  std::streamsize announced,
-                                  uint64_t max_bytes,
-                                  const body_hook& on_data,
-                                  http_result* result) {
-  std::vector<char> buffer(kReadBytes);
-  std::streamsize length = 0;
-  for (std::string data = ReadAvailable(body, &buffer); !data.empty();
-       data = ReadAvailable(body, &buffer)) {
-    length += static_cast<std::streamsize>(data.size());
-    if (static_cast<uint64_t>(length) > max_bytes)
-      return http_result::status_type::kIncomplete;
-    if (!on_data) {
-      result->body += data;
-    } else if (!on_data(*result, data)) {
-      return http_result::status_type::kCancelled;
+/// Reads one answer from a socket. Exceptions of the socket pass through.
+class answer_reader {
+ public:
+  answer_reader(Poco::Net::StreamSocket* socket,
+                const http_call& call,
+                const body_hook& on_data,
+                http_result* result)
+      : socket_(socket), call_(call), on_data_(on_data), result_(result) {}
+
+  /// @return None while the end of the head has not arrived.
+  std::optional<Poco::Net::HTTPResponse> ReadHead() {
+    size_t read_bytes = 0;
+    while (true) {
+      const size_t end = FindHeadEnd(input_);
+      if (read_bytes + std::min(end, input_.size()) > kMaxHeadBytes)
+        return std::nullopt;
+      if (end == std::string::npos) {
+        if (!Receive())
+          return std::nullopt;
+        continue;
+      }
+      auto head = ParseResponseHead(std::string_view(input_).substr(0, end));
+      input_.erase(0, end);
+      read_bytes += end;
+      if (!head)
+        return std::nullopt;
+      if (head->getStatus() / 100 != 1)
+        return *head;
+    }
+  }
+
+  status_type ReadBody(const Poco::Net::HTTPResponse& head) {
+    auto framing = FramingOf(head, call_.method == "HEAD");
+    if (!framing)
+      return status_type::kIncomplete;
+    body_reader reader;
+    reader.Start(framing->first, framing->second);
+    uint64_t length = 0;
+    while (true) {
+      std::string data;
+      const read_progress progress = reader.Read(&input_, &data);
+      length += data.size();
+      if (progress == read_progress::kMalformed ||
+          length > call_.max_body_bytes)
+        return status_type::kIncomplete;
+      if (!data.empty() && !on_data_)
+        result_->body += data;
+      if (!data.empty() && on_data_ && !on_data_(*result_, data))
+        return status_type::kCancelled;
+      if (progress == read_progress::kDone)
+        return status_type::kAnswered;
+      if (!Receive()) {
+        return framing->first == body_framing::kUntilClose
+                   ? status_type::kAnswered
+                   : status_type::kIncomplete;
+      }
     }
   }
-  bool is_truncated = announced >= 0 && length != announced;
-  return is_truncated ? http_result::status_type::kIncomplete
-                      : http_result::status_type::kAnswered;
-}
+
+ private:
+  /// @return Whether bytes have arrived; if not, the server has closed.
+  bool Receive() {
+    buffer_.resize(kReadBytes);
+    const int count =
+        socket_->receiveBytes(buffer_.data(), static_cast<int>(kReadBytes));
+    if (count > 0)
+      input_.append(buffer_.data(), static_cast<size_t>(count));
+    return count > 0;
+  }
+
+  Poco::Net::StreamSocket* socket_;
+  const http_call& call_;
+  const body_hook& on_data_;
+  http_result* result_;
+  std::string input_;
+  std::vector<char> buffer_;
+};
 
 }  // namespace
 
 http_result CallHttp(const http_call& call, const body_hook& on_data) {
   http_result result;
   bool is_sent = false;
+  bool has_head = false;
   try {
-    Poco::Net::SocketAddress address(call.address);
-    Poco::Net::StreamSocket socket;
+    const Poco::Net::SocketAddress address(call.address);
     const Poco::Timespan timeout(call.timeout.count() *
                                  Poco::Timespan::MILLISECONDS);
+    Poco::Net::StreamSocket socket;
     socket.connect(address, timeout);
     socket.setNoDelay(true);
-    Poco::Net::HTTPClientSession session(socket);
-    // Set on the socket itself, since the session sets its timeouts only when
-    // it connects by itself.
     socket.setReceiveTimeout(timeout);
     socket.setSendTimeout(timeout);
-    session.setKeepAlive(false);
-    Poco::Net::HTTPRequest request(call.method, call.path,
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost(address.host().toString(), address.port());
-    for (const auto& [name, value] : call.headers)
-      request.set(name, value);
-    if (!call.body.empty() || call.method != "GET") {
-      request.setContentType(call.content_type);
-      request.setContentLength(static_cast<std::streamsize>(call.body.size()));
-    }
+    const std::string request = EncodeRequest(call, address);
     is_sent = true;
-    session.sendRequest(request) << call.body << std::flush;
-    Poco::Net::HTTPResponse response;
-    std::istream& body = session.receiveResponse(response);
-    result.http_status = response.getStatus();
-    result.content_type = response.getContentType();
-    for (const auto& [name, value] : response)
-      result.headers[name] = value;
-    const std::streamsize announced =
-        response.hasContentLength() ? response.getContentLength() : -1;
-    result.status =
-        ReadBody(&body, announced, call.max_body_bytes, on_data, &result);
-    // A timeout while the stream is read is only recorded in the session.
-    if (result.status != http_result::status_type::kCancelled &&
-        session.networkException() != nullptr) {
-      result.status = http_result::status_type::kIncomplete;
+    for (size_t sent = 0; sent < request.size();) {
+      sent += static_cast<size_t>(socket.sendBytes(
+          request.data() + sent, static_cast<int>(request.size() - sent)));
     }
+    answer_reader reader(&socket, call, on_data, &result);
+    const auto head = reader.ReadHead();
+    result.status = status_type::kIncomplete;
+    if (!head)
+      return result;
+    has_head = true;
+    result.http_status = head->getStatus();
+    result.content_type = head->getContentType();
+    for (const auto& [name, value] : *head)
+      result.headers[name] = value;
+    result.status = reader.ReadBody(*head);
   } catch (const Poco::TimeoutException&) {
-    result.status = is_sent ? http_result::status_type::kTimedOut
-                            : http_result::status_type::kNotSent;
+    result.status = !is_sent   ? status_type::kNotSent
+                    : has_head ? status_type::kIncomplete
+                               : status_type::kTimedOut;
   } catch (const std::exception&) {
-    result.status = is_sent ? http_result::status_type::kIncomplete
-                            : http_result::status_type::kNotSent;
+    result.status = is_sent ? status_type::kIncomplete : status_type::kNotSent;
   }
   return result;
 }
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -326,6 +326,89 @@
   BOOST_TEST((fixture.exchanges.at(0).end == exchange_end::kBroken));
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_head_is_cut_is_no_answer) {
+  const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 600\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"};
+  for (const std::string& head : heads) {
+    for (size_t length = 0; length < head.size(); ++length) {
+      for (bool is_reset : {false, true}) {
+        exchange_fixture fixture([&](size_t, scripted_server* server) {
+          server->Send(head.substr(0, length));
+          if (is_reset)
+            return server->Reset();
+          server->Close();
+        });
+        fixture.Run();
+        const recorded_exchange& exchange = fixture.exchanges.at(0);
+        BOOST_TEST((exchange.end == exchange_end::kBroken), length);
+        BOOST_TEST(exchange.body.empty(), length);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_blocking_call_takes_a_cut_head_for_no_answer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+      "Content-Length: 600\r\n\r\n";
+  for (size_t length = 0; length < head.size(); ++length) {
+    event_loop loop;
+    scripted_server server(&loop, [&](size_t, scripted_server* to) {
+      to->Send(head.substr(0, length));
+      to->Close();
+    });
+    std::thread serving([&] { loop.Run(); });
+    const http_result result = CallHttp(
+        {.address = server.address, .path = "/", .timeout = milliseconds(300)});
+    loop.Stop();
+    serving.join();
+    BOOST_TEST((result.status == http_result::status_type::kIncomplete),
+               head.substr(0, length));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_blocking_call_takes_cut_chunks_for_no_answer) {
+  const std::string answer = std::string(kChunkedHead) + "4\r\npart\r\n";
+  for (const std::string& end :
+       {std::string(), std::string("4\r\npa"), std::string("0\r\n")}) {
+    event_loop loop;
+    scripted_server server(&loop, [&](size_t, scripted_server* to) {
+      to->Send(answer + end);
+      to->Close();
+    });
+    std::thread serving([&] { loop.Run(); });
+    const http_result result = CallHttp(
+        {.address = server.address, .path = "/", .timeout = milliseconds(300)});
+    loop.Stop();
+    serving.join();
+    BOOST_TEST((result.status == http_result::status_type::kIncomplete), end);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_blocking_call_reads_whole_answers) {
+  const std::string whole_answers[] = {
+      WholeAnswer("body"),
+      "HTTP/1.1 100 Continue\r\n\r\n" + WholeAnswer("body"),
+      std::string(kChunkedHead) + "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+      std::string(kUntilCloseHead) + "body"};
+  for (const std::string& answer : whole_answers) {
+    event_loop loop;
+    scripted_server server(&loop, [&](size_t, scripted_server* to) {
+      to->Send(answer);
+      to->Close();
+    });
+    std::thread serving([&] { loop.Run(); });
+    const http_result result = CallHttp(
+        {.address = server.address, .path = "/", .timeout = milliseconds(300)});
+    loop.Stop();
+    serving.join();
+    BOOST_TEST((result.status == http_result::status_type::kAnswered), answer);
+    BOOST_TEST(result.http_status == 200);
+    BOOST_TEST(result.body == "body");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(chunks_that_end_with_their_connection_are_broken) {
   exchange_fixture fixture([](size_t, scripted_server* server) {
     server->Send(std::string(kChunkedHead) + "4\r\npart\r\n");
