--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -19,14 +19,6 @@
 
 constexpr size_t kMaxAnswerBytes = 1U << 20;
 
-std::string EncodeBase64(const std::string& text) {
-  std::ostringstream encoded;
-  Poco::Base64Encoder encoder(encoded);
-  encoder << text;
-  encoder.close();
-  return encoded.str();
-}
-
 /// Reads the confirmed age of a relay's answer.
 int64_t AgeOf(const std::string& body) {
   proto::mirror_answer answer;
