Fix: Calls open at the end of a planned stop are answered, and late ones refused

What callers saw elsewhere: in a planned stop of one front machine, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, also such as may not be repeated.

Whether it happens here: yes, by three causes. A request was taken if the usual time of a stream, 4 s, was left, though its route and its caller allowed 6 s or more. At the end of the grace the process ended with its open calls, which closed their connections without an answer. And it counted as idle once every call was answered, while the bytes of an answer still waited for a slow caller, or while a request was half read.

Change: once new callers are sent elsewhere, a call is taken only if its whole time limit ends before the exit; until then, where a refused caller may come back here, the usual time counts as before. A refused call is a 503 that says not run, with Connection: close, also on a connection accepted during the stop. 0.7 s before the end of the grace all open calls are answered: those not sent to a server with a 503, those that may have run with a 502; a stream breaks off without its last chunk.

Tests, failing before: a_call_that_may_outlast_the_grace_is_not_taken_late (taken), and by what they call, which didn't exist: open_calls_are_answered_before_the_exit, a_listener_with_unsent_answers_is_not_idle, a_listener_with_part_of_a_request_is_not_idle. a_new_connection_of_a_closing_listener_is_told_to_close fails without its line in the listener; a_usual_call_is_taken_while_new_callers_come is a guard.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -101,11 +101,9 @@
     return Refuse(now, &call, call_refusal::kNoRoute);
   call.route = *route;
   call.kind = route->kind;
-  const milliseconds expected_time =
-      route->timeout > milliseconds(0)
-          ? std::min(route->timeout, options_.usual_stream_time)
-          : options_.usual_stream_time;
-  if (exit_at_ && now + expected_time > *exit_at_)
+  if (route->timeout > milliseconds(0))
+    call.deadline = std::min(call.deadline, arrived_at + route->timeout);
+  if (!EndsBeforeExit(now, call))
     return Refuse(now, &call, call_refusal::kLeaving);
   if (!route->is_anonymous && !index_->View().configuration.tenants.empty()) {
     const site_tenant* tenant = index_->FindTenant(request.key);
@@ -120,8 +118,6 @@
     call.tenant_regions = tenant->regions;
     call.has_key = true;
   }
-  if (route->timeout > milliseconds(0))
-    call.deadline = std::min(call.deadline, arrived_at + route->timeout);
   // A caller that retries after a refusal has less time than the route's
   // timeout, and the target latency is already exceeded.
   const bool is_retry =
@@ -137,6 +133,34 @@
   Dispatch(now, &call);
 }
 
+bool call_dispatch::EndsBeforeExit(time_point now,
+                                   const call_state& call) const {
+  if (!exit_at_)
+    return true;
+  if (now < removed_at_ && now + options_.usual_stream_time <= *exit_at_)
+    return true;
+  return now < *exit_at_ && call.deadline <= *exit_at_;
+}
+
+void call_dispatch::EndCalls(time_point now) {
+  std::vector<uint64_t> open;
+  for (const auto& [id, call] : calls_)
+    open.push_back(id);
+  for (uint64_t id : open) {
+    auto it = calls_.find(id);
+    if (it == calls_.end())
+      continue;
+    call_state& call = it->second;
+    if (call.current_stage == stage::kSent) {
+      EndAttempt(&call);
+      hooks_.abort_attempt(id);
+    } else {
+      CancelPlaceRequest(&call);
+    }
+    Refuse(now, &call, call_refusal::kLeaving);
+  }
+}
+
 void call_dispatch::Dispatch(time_point now, call_state* call) {
   if (call->deadline - now < kMinTimeLeft)
     return Refuse(now, call, call_refusal::kTimedOut);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -58,9 +58,9 @@
   /// Time without an answer of an agent, after which its server gets requests
   /// without a place.
   milliseconds agent_timeout{1000};
-  /// Duration of most streams including their wait. Requests that arrive with
-  /// less time than this before the process exits are refused, since another
-  /// entry can serve them completely.
+  /// Duration of most streams including their wait. While new callers still
+  /// come here, requests that arrive with less time than this before the
+  /// process exits are refused.
   milliseconds usual_stream_time{4000};
   uint32_t max_place_requests = 6;  ///< Maximum of sequential place requests.
   /// Timeout for the first and each further event of a stream. A healthy
@@ -125,7 +125,15 @@
   /// Sets the time of the last confirmed read of the store.
   void SetConfirmedAt(time_point at) { confirmed_at_ = at; }
   /// Sets when this process exits; answers must be complete by then.
-  void SetExitTime(time_point at) { exit_at_ = at; }
+  /// @param removed_at When new callers are sent to other entries. A request
+  /// refused before may come back here, so that those that usually end in time
+  /// are taken; afterwards only those that end in time in any case.
+  void SetExitTime(time_point at, time_point removed_at) {
+    exit_at_ = at;
+    removed_at_ = removed_at;
+  }
+  /// Answers all open calls, right before the process exits.
+  void EndCalls(time_point now);
 
   /// Handles a request whose body has been received.
   /// @param id Id of the call in this process, as in the hooks.
@@ -229,6 +237,8 @@
   void AbortAttempt(time_point now, call_state* call);
   /// Records what the server announced in the head of its answer.
   void RecordNotices(time_point now, const call_state& call);
+  /// Whether a call may be taken with what is left before the exit.
+  bool EndsBeforeExit(time_point now, const call_state& call) const;
   /// Refuses a request for which no server is eligible.
   void RefuseWithoutServer(time_point now, call_state* call);
   /// Determines what the end of an exchange says about the attempt.
@@ -258,6 +268,7 @@
   const site_index* index_ = nullptr;
   time_point confirmed_at_{};
   std::optional<time_point> exit_at_;
+  time_point removed_at_{};
   /// Crashes of plain services, and quarantines told by agents.
   crash_history crashes_{{}};
   uint64_t next_crash_ = 1;
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -21,8 +21,11 @@
 /// The balancer probes readiness once a second and removes an entry after two
 /// failed probes.
 constexpr milliseconds kBalancerRemoval{2500};
-/// Part of the grace period that is reserved for the exit.
+/// Part of the grace period that is reserved for the exit: open calls are then
+/// answered, and these answers are sent.
 constexpr milliseconds kGraceMargin{700};
+/// Part of the grace period after which the process exits in any case.
+constexpr milliseconds kExitMargin{400};
 /// Time without acknowledgement after which a connection to a server is closed.
 /// A round trip to the farthest server takes a few milliseconds.
 constexpr milliseconds kUserTimeout{1500};
@@ -347,11 +350,14 @@
   }
 
   void ShutDown(time_point now) {
-    if (!shutdown_at_)
-      shutdown_at_ = now;
-    dispatch_.SetExitTime(*shutdown_at_ + process_.Settings().grace -
-                          kGraceMargin);
+    if (shutdown_at_)
+      return;
+    shutdown_at_ = now;
+    const time_point ends_at = now + process_.Settings().grace - kGraceMargin;
+    dispatch_.SetExitTime(ends_at, now + kBalancerRemoval);
     callers_.CloseWhenIdle();
+    process_.Loop().StartTimer(
+        ends_at, [this](time_point at) { dispatch_.EndCalls(at); });
   }
 
   void RunHousekeeping(time_point now) {
@@ -362,9 +368,9 @@
                                 static_cast<int64_t>(servers_.OpenedCount()));
     if (shutdown_at_) {
       const duration passed = now - *shutdown_at_;
-      const bool is_idle =
-          dispatch_.OpenCallCount() == 0 && passed > kBalancerRemoval;
-      if (is_idle || passed > process_.Settings().grace - kGraceMargin) {
+      const bool is_idle = dispatch_.OpenCallCount() == 0 &&
+                           callers_.IsIdle() && passed > kBalancerRemoval;
+      if (is_idle || passed > process_.Settings().grace - kExitMargin) {
         process_.Finish();
         return;
       }
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -1,6 +1,8 @@
 /// @file http_listener.cc HTTP server on an event loop.
 #include "network/http_listener.h"
 
+#include <algorithm>
+
 namespace fuchsiafall {
 
 namespace {
@@ -195,6 +197,11 @@
     connection_->CloseWhenSent();
 }
 
+bool http_server_connection::IsIdle() const {
+  return !IsOpen() || (stage_ == stage::kHead && !has_head_bytes_ &&
+                       !connection_->HasUnsent());
+}
+
 void http_server_connection::EnforceTimeouts(time_point now) {
   if (stage_ == stage::kHead && !has_head_bytes_) {
     if (now - timeout_start_ > limits_->idle_timeout)
@@ -217,6 +224,8 @@
                       tcp_connection::Adopt(loop_, socket, options_), &limits_,
                       &hooks_, now);
                   made->RegisterHooks();
+                  if (is_closing_)
+                    made->CloseWhenIdle(now);
                   connections_[made->Id()] = made;
                 }) {}
 
@@ -238,4 +247,9 @@
   is_closing_ = true;
 }
 
+bool http_listener::IsIdle() const {
+  return std::all_of(connections_.begin(), connections_.end(),
+                     [](const auto& item) { return item.second->IsIdle(); });
+}
+
 }  // namespace fuchsiafall
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -70,6 +70,8 @@
   /// it has been idle for longer than a request may be in transit; to be called
   /// again until then.
   void CloseWhenIdle(time_point now);
+  /// Whether no request is being read or answered, and all is sent.
+  bool IsIdle() const;
   /// Enforces the timeouts.
   void EnforceTimeouts(time_point now);
   bool IsOpen() const { return connection_->IsOpen(); }
@@ -112,6 +114,9 @@
   void EnforceTimeouts(time_point now);
   /// Closes each connection once it has no request to answer.
   void CloseWhenIdle();
+  /// Whether no connection has a request to read, to answer or to send the
+  /// answer of.
+  bool IsIdle() const;
 
  private:
   event_loop* loop_;
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -60,6 +60,7 @@
   bool IsOpen() const { return is_open_; }
   bool IsConnected() const { return is_connected_; }
   std::string* Input() { return &input_; }
+  bool HasUnsent() const { return !unsent_.empty(); }
   /// Whether there are bytes, or the end of the stream, to be read.
   bool HasInput() const;
 
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -88,7 +88,8 @@
 // SIGTERM and exited before the stream was complete.
 BOOST_AUTO_TEST_CASE(a_stream_that_cannot_finish_before_exit_is_refused) {
   fake_entry entry;
-  entry.dispatch.SetExitTime(entry.now + milliseconds(3000));
+  entry.dispatch.SetExitTime(entry.now + milliseconds(3000),
+                             entry.now + milliseconds(2500));
   entry.SendRequest(1, "models");
   BOOST_TEST(entry.place_requests.empty());
   BOOST_REQUIRE(entry.refusals.size() == 1u);
@@ -97,11 +98,60 @@
   // A plain call takes at most one second.
   entry.SendRequest(2, "plain");
   BOOST_TEST(entry.attempts.size() == 1u);
-  entry.dispatch.SetExitTime(entry.now + milliseconds(7000));
+  entry.dispatch.SetExitTime(entry.now + milliseconds(7000), entry.now);
   entry.SendRequest(3, "models");
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_call_that_may_outlast_the_grace_is_not_taken_late) {
+  fake_entry entry;
+  entry.dispatch.SetExitTime(entry.now + milliseconds(5000), entry.now);
+  entry.SendRequest(1, "models");
+  BOOST_TEST(entry.place_requests.empty());
+  BOOST_REQUIRE(entry.refusals.size() == 1u);
+  BOOST_TEST(entry.refusals[0].status == 503);
+  // The caller's own time counts, too.
+  entry.SendRequest(2, "plain", "/x", milliseconds(900));
+  BOOST_TEST(entry.attempts.size() == 1u);
+  entry.dispatch.SetExitTime(entry.now + milliseconds(800), entry.now);
+  entry.SendRequest(3, "plain", "/x", milliseconds(700));
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_usual_call_is_taken_while_new_callers_come) {
+  fake_entry entry;
+  entry.dispatch.SetExitTime(entry.now + milliseconds(5000),
+                             entry.now + milliseconds(1));
+  entry.SendRequest(1, "models");
+  BOOST_TEST(entry.place_requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(open_calls_are_answered_before_the_exit) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain");
+  entry.SendRequest(2, "models");
+  entry.GrantPlace();
+  entry.DeliverHead(200, true);
+  entry.DeliverBody("id:1\n\n");
+  entry.SendRequest(3, "models");
+  entry.dispatch.SetExitTime(entry.now, entry.now);
+  entry.dispatch.EndCalls(entry.now);
+  BOOST_TEST(entry.dispatch.OpenCallCount() == 0u);
+  // The sent call may have run; the one that waits for a place has not.
+  BOOST_REQUIRE(entry.refusals.size() == 2u);
+  BOOST_TEST(entry.refusals[0].status == 502);
+  BOOST_TEST(entry.refusals[1].status == 503);
+  BOOST_TEST(entry.refusals[1].retry_after.has_value());
+  // A begun stream doesn't look complete.
+  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  BOOST_TEST(entry.aborted_calls.size() == 2u);
+  BOOST_TEST(entry.released_requests.size() == 2u);
+  entry.SendRequest(4, "plain");
+  BOOST_REQUIRE(entry.refusals.size() == 3u);
+  BOOST_TEST(entry.refusals[2].status == 503);
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_skipped) {
   fake_entry entry;
   entry.SendRequest(1, "plain");
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -84,6 +84,51 @@
   BOOST_TEST(fixture.disconnected == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_listener_with_unsent_answers_is_not_idle) {
+  event_loop loop;
+  const std::string address = FreeAddress();
+  http_listener listener(
+      &loop, {},
+      {.on_request =
+           [](time_point now, const auto& from, http_request&&) {
+             from->Answer(now, MakeAnswerHead(200),
+                          std::string(32U << 20, 'x'));
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  BOOST_REQUIRE(listener.Listen(address));
+  BOOST_TEST(listener.IsIdle());
+  listener.CloseWhenIdle();
+  Poco::Net::StreamSocket peer{Poco::Net::SocketAddress(address)};
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  peer.sendBytes(request.data(), static_cast<int>(request.size()));
+  loop.StartTimer(BootNow() + kTestTime, [&](time_point now) {
+    listener.EnforceTimeouts(now);
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_TEST(!listener.IsIdle());
+}
+
+BOOST_AUTO_TEST_CASE(a_listener_with_part_of_a_request_is_not_idle) {
+  for (const char* part : {"GET / HT",
+                           "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 9\r\n\r\npart"}) {
+    listener_fixture fixture([](time_point, http_server_connection*) {});
+    fixture.Call(part);
+    BOOST_TEST(!fixture.listener.IsIdle());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_connection_of_a_closing_listener_is_told_to_close) {
+  listener_fixture fixture([](time_point now, http_server_connection* to) {
+    to->Answer(now, MakeAnswerHead(503), "leaving\n");
+  });
+  fixture.listener.CloseWhenIdle();
+  const std::string received =
+      fixture.Call("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(received.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_above_the_bound_of_unsent_bytes_is_whole) {
   constexpr size_t kBodyBytes = 4U << 20;
   listener_fixture fixture([](time_point now, http_server_connection* to) {
