--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -185,6 +185,23 @@
   BOOST_TEST(!reader.FindLostRelay(now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_key_that_is_no_text_reaches_the_readers_of_a_relay) {
+  const time_point now{std::chrono::hours(1)};
+  store_mirror mirror{{}};
+  mirror.NextCall(now);
+  mirror.OnAnswer(
+      now,
+      {.status = store_answer::status_type::kOk,
+       .items = {{.key = "servers/\xff\xfe", .value = "\xff", .revision = 1},
+                 {.key = "servers/good", .value = "v", .revision = 2}},
+       .revision = 9});
+  mirror_relay relay;
+  relay.Update(now, mirror);
+  proto::mirror_answer read;
+  BOOST_REQUIRE(read.ParseFromString(relay.Answer(now, 0).SerializeAsString()));
+  BOOST_TEST(read.items_size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
