Fix: A relay with an odd address holds up a machine that starts

What callers would see: another writer leaves registrations of relays with a port out of range, a name or no address, and machines of that domain that start serve late.

Evidence: with four such registrations a process made 6 calls to relays in 0.5 s and had no view of the site by then; a name is also resolved in the loop of the control thread.

Change: only registrations with an IP address and a port are relays.

Test: a_relay_with_an_odd_address_is_not_asked, failing before as above.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
 
+#include "ip_port_func.h"
 #include "log_event_func.h"
 #include "network/compression.h"
 #include "platform/documents.h"
@@ -279,9 +280,12 @@
     ++registered;
     // The value is the failure domain and the relay's address.
     const size_t at = item.value.find(' ');
-    if (at != std::string::npos && item.value.substr(0, at) == options_.domain)
+    if (at != std::string::npos &&
+        item.value.substr(0, at) == options_.domain &&
+        IsIpPort(item.value.substr(at + 1))) {
       registrations.push_back(
           {key.substr(kRegisteredPrefix.size()), item.value.substr(at + 1)});
+    }
   }
   source_.SetRelays(registrations);
   return registered;
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -1,5 +1,6 @@
 /// @file site_watch_test.cc Tests of a hosted process's control thread against
 /// a store on loopback.
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 
 #include "network/compression.h"
@@ -84,6 +85,53 @@
   BOOST_TEST(ages[1] - ages[0] > 400);
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_with_an_odd_address_is_not_asked) {
+  event_loop loop;
+  // "d ADDRESS" for 127.0.0.1:99999, localhost:9 and [::1]:9, and one without.
+  const std::string listing =
+      R"({"Items":[{"Key":"relays/a","Value":"ZCAxMjcuMC4wLjE6OTk5OTk=",)"
+      R"("Revision":4},{"Key":"relays/b","Value":"ZCBsb2NhbGhvc3Q6OQ==",)"
+      R"("Revision":5},{"Key":"relays/c","Value":"ZCBbOjoxXTo5",)"
+      R"("Revision":6},{"Key":"relays/d","Value":"ZCA=","Revision":6}],)"
+      R"("HasMore":false,"At":7})";
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&& request) {
+             const bool is_listing =
+                 request.head.getURI().starts_with("/kv-range");
+             const std::string answer =
+                 is_listing ? listing : R"({"events":[],"At":7})";
+             loop.StartTimer(now + milliseconds(20),
+                             [from, answer](time_point at) {
+                               from->Answer(at, MakeAnswerHead(200), answer);
+                             });
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  std::atomic<int> relay_calls = 0;
+  std::atomic<bool> is_loaded = false;
+  site_watch watch(
+      {.node = "n",
+       .domain = "d",
+       .store_address = store_address,
+       .relay_address = "",
+       .on_change = [&](auto, time_point) { is_loaded = true; },
+       .count =
+           [&](const std::string& name) {
+             if (name == "relay_calls")
+               ++relay_calls;
+           }});
+  BOOST_REQUIRE(watch.Start());
+  loop.StartTimer(BootNow() + milliseconds(500),
+                  [&](time_point) { loop.Stop(); });
+  loop.Run();
+  watch.Stop();
+  BOOST_TEST(is_loaded.load());
+  BOOST_TEST(relay_calls.load() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
