--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -333,6 +333,28 @@
   BOOST_TEST(sent.find("Deadline-Ms: 650") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(numbers_of_a_request_out_of_range_are_bounded) {
+  const time_point now{std::chrono::hours(1)};
+  for (const char* limit : {"9223372036854775807", "18446744073709551615"}) {
+    auto head = ParseRequestHead(
+        "POST /p HTTP/1.1\r\nHost: h\r\nDeadline-Ms: " + std::string(limit) +
+        "\r\nToken-Counts: 4294967297,4294967298\r\n"
+        "Length-Hint: 4294967299\r\n\r\n");
+    BOOST_REQUIRE(head);
+    const caller_call call = platform::DecodeCall(*head);
+    BOOST_REQUIRE(call.time_left);
+    BOOST_TEST((now + *call.time_left > now), limit);
+    BOOST_TEST(call.prompt_tokens == UINT32_MAX);
+    BOOST_TEST(call.answer_tokens == UINT32_MAX);
+    BOOST_TEST(call.hinted_tokens == UINT32_MAX);
+  }
+  auto answer = ParseResponseHead(
+      "HTTP/1.1 200 OK\r\nServer-Load: 4294967297,0,4294967298\r\n\r\n");
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(platform::DecodeAnswer(*answer).running == UINT32_MAX);
+  BOOST_TEST(platform::DecodeAnswer(*answer).slots == UINT32_MAX);
+}
+
 BOOST_AUTO_TEST_CASE(an_unload_order_names_an_empty_range_of_layers) {
   const engine_order unload{
       .model = "m", .version = 3, .is_unload = true, .reported_orders = 5};
