Fix: A flood of single crashes makes a crashing request forgotten

With 4,096 requests kept, a new crash erased all records older than 60 s, though crashes count for 600 s, or, if all were newer, wasn't recorded at all, even of a request that was known: after 5,000 requests that crash once, one with two crashes had none, and its third wasn't counted.

Change: only records that no longer count are erased; if there is still no room, the request with the fewest crashes, and of these the oldest, gives way. What peers tell follows the same rule.

--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -1,5 +1,6 @@
 /// @file gossip.cc Membership by heartbeats and propagation of revisions.
 #include <algorithm>
+#include <tuple>
 
 #include "envelope_func.h"
 #include "gossip_base.h"
@@ -125,18 +126,27 @@
 }
 
 void gossip::AddCrash(time_point now, fingerprint request, uint32_t crashes) {
-  if (crashes_.size() >= kMaxCrashesKept) {
-    std::erase_if(crashes_, [&](const auto& item) {
-      return now - item.second.last > kCrashForwarding;
-    });
-    if (crashes_.size() >= kMaxCrashesKept)
-      return;
-  }
+  MakeRoomForCrashes(now, request);
   known_crashes& known = crashes_[request];
   known.crashes += crashes;
   known.last = now;
 }
 
+void gossip::MakeRoomForCrashes(time_point now, fingerprint request) {
+  if (crashes_.size() < kMaxCrashesKept || crashes_.contains(request))
+    return;
+  std::erase_if(crashes_, [&](const auto& item) {
+    return now - item.second.last > kCrashRetention;
+  });
+  if (crashes_.size() < kMaxCrashesKept)
+    return;
+  crashes_.erase(std::min_element(
+      crashes_.begin(), crashes_.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.second.crashes, a.second.last) <
+               std::tie(b.second.crashes, b.second.last);
+      }));
+}
+
 void gossip::SetOwnState(time_point now,
                          const proto::server_state& state,
                          bool urgent,
@@ -411,8 +421,7 @@
     time_point last = now - milliseconds(record.age_ms());
     if (it != crashes_.end() && it->second.crashes >= record.crashes())
       continue;
-    if (it == crashes_.end() && crashes_.size() >= kMaxCrashesKept)
-      return;
+    MakeRoomForCrashes(now, request);
     crashes_[request] = {record.crashes(), last};
   }
 }
--- a/src/gossip_base.h
+++ b/src/gossip_base.h
@@ -116,6 +116,9 @@
   time_point LastConfirmed() const { return last_confirmed_; }
 
  private:
+  /// Makes room for the crashes of a request: forgets those that no longer
+  /// count, else the request with the fewest and oldest crashes.
+  void MakeRoomForCrashes(time_point now, fingerprint request);
   /// Whether a sender is known or there is room for another unknown peer.
   bool MayTrack(const vm_id& id) const;
   void RebuildNeighbours();
--- a/src/tests/request_test.cc
+++ b/src/tests/request_test.cc
@@ -258,6 +258,37 @@
   BOOST_TEST(net->runs.at("seat-4") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_flood_of_single_crashes_hides_no_crashing_request) {
+  gossip members({.self = vm_id("western-1"), .domain = domain_id("western")});
+  time_point now{std::chrono::hours(1)};
+  const fingerprint crasher(1);
+  members.AddCrash(now, crasher, 1);
+  members.AddCrash(now, crasher, 1);
+  constexpr uint64_t kFlood = 5000;
+  for (uint64_t i = 0; i < kFlood; ++i) {
+    now += milliseconds(20);
+    members.AddCrash(now, fingerprint(100 + i), 1);
+  }
+  BOOST_TEST(members.CrashesOf(now, crasher) == 2u);
+  members.AddCrash(now, crasher, 1);
+  BOOST_TEST(members.CrashesOf(now, crasher) == 3u);
+  const fingerprint newcomer(2);
+  members.AddCrash(now, newcomer, 1);
+  members.AddCrash(now, newcomer, 1);
+  BOOST_TEST(members.CrashesOf(now, newcomer) == 2u);
+  // The same flood at once.
+  for (uint64_t i = 0; i < kFlood; ++i)
+    members.AddCrash(now, fingerprint(10000 + i), 1);
+  members.AddCrash(now, newcomer, 1);
+  BOOST_TEST(members.CrashesOf(now, newcomer) == 3u);
+  BOOST_TEST(members.CrashesOf(now, crasher) == 3u);
+  // One that begins to crash after the flood.
+  const fingerprint late(3);
+  members.AddCrash(now, late, 1);
+  members.AddCrash(now, late, 1);
+  BOOST_TEST(members.CrashesOf(now, late) == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(
     truncated_and_crossed_answers_never_reach_a_caller_as_whole) {
   request_table_options options{.self = vm_id("western-1"),
