Fix: A store that comes back from an older copy is never believed again

Cause: revisions order what is read, and the store gives them out again after a restoration. The last E200 of every process is version 12 with revision 37; what was written after the return has revisions below that, so store_mirror::Apply dropped it. An order was assumed to be total that holds for one history of the store only.

store_revision is the pair of the store's era and the number, ordered by the era first, so that comparisons of items, answers, views and servers tell eras apart. Any answer of the store, a refusal too, may begin an era: the mirror drops pages and watches of the older one, lists at once, and keeps what the copy lacks for expiry_grace. An answer of an older era changes and confirms nothing. Without a readable header all is as before. E207 and store_restorations tell of it.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 void mirror_relay::Update(time_point now, const store_mirror& mirror) {
-  if (history_start_ == 0)
+  if (history_start_.number == 0)
     history_start_ = mirror.Revision();
   revision_ = mirror.Revision();
   for (auto& [key, item] : items_) {
@@ -32,25 +32,25 @@
 }
 
 proto::mirror_answer mirror_relay::Answer(time_point now,
-                                          uint64_t after) const {
+                                          store_revision after) const {
   proto::mirror_answer answer;
-  answer.set_revision(revision_);
-  if (after != 0 && after < history_start_) {
+  answer.set_revision(revision_.number);
+  if (after.number != 0 && after < history_start_) {
     answer.set_history_gone(true);
     return answer;
   }
   for (const auto& [key, item] : items_) {
     auto removed = removed_at_.find(key);
-    const bool is_recent_removal = item.is_deleted && after != 0 &&
+    const bool is_recent_removal = item.is_deleted && after.number != 0 &&
                                    removed != removed_at_.end() &&
                                    now - removed->second < kRemovalRetention;
     if (!is_recent_removal &&
-        (item.revision <= after || (item.is_deleted && after == 0)))
+        (item.revision <= after || (item.is_deleted && after.number == 0)))
       continue;
     proto::mirror_item* to = answer.add_items();
     to->set_key(key);
     to->set_value(item.value);
-    to->set_revision(item.revision);
+    to->set_revision(item.revision.number);
     to->set_is_deleted(item.is_deleted);
   }
   return answer;
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -21,13 +21,13 @@
   void Update(time_point now, const store_mirror& mirror);
   /// Whether there are changes after a revision.
   /// @param after Revision that the reader has; 0 for a whole listing.
-  bool HasChanges(uint64_t after) const {
-    return revision_ != 0 && (after == 0 || after < revision_);
+  bool HasChanges(store_revision after) const {
+    return revision_.number != 0 && (after.number == 0 || after < revision_);
   }
   /// Makes the answer for a reader at a revision.
   /// @param after Revision that the reader has; 0 for a whole listing.
-  proto::mirror_answer Answer(time_point now, uint64_t after) const;
-  uint64_t Revision() const { return revision_; }
+  proto::mirror_answer Answer(time_point now, store_revision after) const;
+  store_revision Revision() const { return revision_; }
 
  private:
   std::map<std::string, store_item> items_;  ///< Includes deleted ones.
@@ -35,9 +35,9 @@
   /// new revision of the store, so removals are reported to all readers for a
   /// while.
   std::map<std::string, time_point> removed_at_;
-  uint64_t revision_ = 0;
-  uint64_t history_start_ =
-      0;  ///< First revision from which deletions are known.
+  store_revision revision_;
+  store_revision
+      history_start_;  ///< First revision from which deletions are known.
 };
 
 /// Process of this failure domain that is registered as a relay.
--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -31,6 +31,8 @@
   exchange_hooks hooks;
   hooks.on_head = [open](time_point, const Poco::Net::HTTPResponse& head) {
     open->status = head.getStatus();
+    if (open->call.on_head)
+      open->call.on_head(head);
     return true;
   };
   hooks.on_body = [open](time_point, std::string_view bytes) {
--- a/src/network/async_http_call.h
+++ b/src/network/async_http_call.h
@@ -17,6 +17,8 @@
   /// Receives the answer; status 0 means that no complete answer arrived.
   std::function<void(time_point, int status, std::string body)> on_done;
   std::function<void()> on_timeout;  ///< Called before on_done; may be empty.
+  /// Receives the head of the answer before on_done; may be empty.
+  std::function<void(const Poco::Net::HTTPResponse& head)> on_head;
 };
 
 /// Starts a call on an idle or a new connection of the pool.
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -53,7 +53,7 @@
   time_point ejected_until{};
   /// Revision of its registration when another instance answered at its
   /// address.
-  std::optional<uint64_t> replaced_revision;
+  std::optional<store_revision> replaced_revision;
   uint32_t unanswered_place_requests = 0;  ///< Consecutive ones.
   time_point unanswered_since{};           ///< Time of the first of them.
 };
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "network/http_listener.h"
+#include "store_revision_type.h"
 #include "time_type.h"
 
 namespace fuchsiafall {
@@ -138,7 +139,7 @@
   bool is_model_server = false;  ///< Whether it is a model server.
   std::vector<held_layers> models;
   int64_t started_at_ms = 0;  ///< Start time, ms since the epoch; 0 if unknown.
-  uint64_t revision = 0;      ///< Revision of the item in the store.
+  store_revision revision;    ///< Revision of the item in the store.
   time_point seen_at{};       ///< When this process first read this revision.
 };
 
@@ -168,8 +169,9 @@
 
 /// Known state of the site, built from the store. Immutable once published.
 struct site_view {
-  uint64_t revision = 0;                ///< Revision of the store.
-  uint64_t configuration_revision = 0;  ///< Revision of the configuration item.
+  store_revision revision;  ///< Revision of the store.
+  store_revision
+      configuration_revision;  ///< Revision of the configuration item.
   site_configuration configuration;
   std::map<std::string, site_server> servers;  ///< By id.
   std::set<std::string> evacuated;  ///< Failure domains being evacuated.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -7,7 +7,7 @@
 
 #include "log_event_func.h"
 #include "network/compression.h"
-#include "platform/documents.h"
+#include "platform/headers.h"
 
 namespace fuchsiafall {
 
@@ -33,7 +33,7 @@
 constexpr std::string_view kRegisteredPrefix = "relays/";
 
 std::string RelayRequest(const store_call& call, const std::string& address) {
-  return "GET /mirror?after=" + std::to_string(call.after_revision) +
+  return "GET /mirror?after=" + std::to_string(call.after_revision.number) +
          "&wait=" + std::to_string(call.wait.count()) +
          " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
 }
@@ -189,14 +189,35 @@
                            const store_call& call,
                            const store_hook& done) {
   const auto written = platform::EncodeStoreCall(call, options_.store_address);
-  Call(now, options_.store_address, written.bytes, written.timeout,
-       [kind = call.kind, done](time_point at, int status,
-                                const std::string& body) {
-         store_answer answer;
-         if (status != 0)
-           answer = platform::DecodeStoreAnswer(kind, status, body);
-         done(at, status, std::move(answer));
-       });
+  CallStore(now, written,
+            [kind = call.kind, done](time_point at, int status,
+                                     const std::string& body, uint64_t era) {
+              // An answer that breaks off states the era, too.
+              store_answer answer{.revision = {era, 0}};
+              if (status != 0)
+                answer = platform::DecodeStoreAnswer(kind, status, body, era);
+              done(at, status, std::move(answer));
+            });
+}
+
+void site_watch::CallStore(time_point now,
+                           const platform::encoded_call& call,
+                           const store_call_hook& done) {
+  auto era = std::make_shared<uint64_t>(0);
+  StartAsyncHttpCall(
+      now, &loop_, &pool_,
+      {.address = options_.store_address,
+       .request = call.bytes,
+       .timeout = call.timeout,
+       .on_done =
+           [era, done](time_point at, int status, const std::string& body) {
+             done(at, status, body, *era);
+           },
+       .on_timeout = [this] { options_.count("control_calls_silent"); },
+       .on_head =
+           [era](const Poco::Net::HTTPResponse& head) {
+             *era = platform::DecodeStoreEra(head);
+           }});
 }
 
 void site_watch::Call(time_point now,
@@ -214,7 +235,9 @@
 }
 
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
+  const uint64_t era_before = mirror_.Era();
   const bool has_changes = mirror_.OnAnswer(now, answer);
+  ReportEra(era_before);
   if (mirror_.IsReachable() != was_reachable_) {
     was_reachable_ = mirror_.IsReachable();
     if (!was_reachable_)
@@ -222,7 +245,7 @@
     LogEvent(was_reachable_ ? log_event::kStoreReachable
                             : log_event::kStoreUnreachable,
              options_.store_address +
-                 " revision=" + std::to_string(mirror_.Revision()));
+                 " revision=" + std::to_string(mirror_.Revision().number));
   }
   if (answer.status == store_answer::status_type::kRefused)
     options_.count("store_refused");
@@ -240,6 +263,16 @@
   loop_.Post([this] { RunDue(BootNow()); });
 }
 
+void site_watch::ReportEra(uint64_t before) {
+  if (before == 0 || mirror_.Era() == before)
+    return;
+  options_.count("store_restorations");
+  LogEvent(log_event::kStoreRestored,
+           options_.store_address + " era=" + std::to_string(mirror_.Era()) +
+               " before=" + std::to_string(before) +
+               " revision=" + std::to_string(mirror_.Revision().number));
+}
+
 void site_watch::Publish(time_point now) {
   std::vector<std::string> problems;
   auto view = std::make_shared<site_view>(
@@ -250,7 +283,7 @@
     LogEvent(
         log_event::kConfigurationAdopted,
         "version=" + std::to_string(view->configuration.version) +
-            " revision=" + std::to_string(view->revision) +
+            " revision=" + std::to_string(view->revision.number) +
             " routes=" + std::to_string(view->configuration.routes.size()) +
             " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
   }
@@ -299,7 +332,7 @@
   options_.count("store_relays_removed");
   CallRegistry(now,
                platform::EncodeStoreRemove(options_.store_address, known->first,
-                                           known->second.revision));
+                                           known->second.revision.number));
 }
 
 void site_watch::CallRegistry(time_point now, const std::string& request) {
@@ -322,10 +355,10 @@
   if (known != mirror_.Items().end() && known->second.value == value)
     return;
   options_.count("store_registrations");
-  const uint64_t revision =
-      known == mirror_.Items().end() ? 0 : known->second.revision;
+  const uint64_t expected =
+      known == mirror_.Items().end() ? 0 : known->second.revision.number;
   CallRegistry(now, platform::EncodeStorePut(options_.store_address, key, value,
-                                             revision));
+                                             expected));
 }
 
 http_listener_hooks site_watch::RelayHooks() {
@@ -351,7 +384,7 @@
     const Poco::URI uri(request.head.getURI());
     for (const auto& [name, value] : uri.getQueryParameters()) {
       if (name == "after")
-        item.after = std::stoull(value);
+        item.after.number = std::stoull(value);
       if (name == "wait")
         item.until = now + milliseconds(std::stoul(value));
     }
@@ -391,11 +424,11 @@
   const auto age = std::chrono::ceil<age_step>(now - mirror_.ConfirmedAt());
   answer.set_sound_age_ms(static_cast<uint32_t>(milliseconds(age).count()));
   if (compressed_after_ != item.after || compressed_age_ != age ||
-      compressed_revision_ != answer.revision() || compressed_answer_.empty()) {
+      compressed_revision_ != relay_.Revision() || compressed_answer_.empty()) {
     compressed_answer_ = Deflate(answer.SerializeAsString());
     compressed_after_ = item.after;
     compressed_age_ = age;
-    compressed_revision_ = answer.revision();
+    compressed_revision_ = relay_.Revision();
   }
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
 }
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -10,6 +10,7 @@
 #include "mirror_relay_base.h"
 #include "network/async_http_call.h"
 #include "network/http_listener.h"
+#include "platform/documents.h"
 #include "site_type.h"
 
 namespace fuchsiafall {
@@ -49,13 +50,18 @@
   using call_hook =
       std::function<void(time_point, int status, std::string body)>;
 
+  /// Handles any answer of the store; the status is 0 if there was none.
+  /// @param era Era that the store states; 0 if none.
+  using store_call_hook = std::function<
+      void(time_point, int status, const std::string& body, uint64_t era)>;
+
   /// Handles the store's answer; the status is 0 if there was none.
   using store_hook = std::function<void(time_point, int status, store_answer)>;
 
   /// Pending call of a reader in this failure domain that waits for changes.
   struct waiter {
     std::shared_ptr<http_server_connection> connection;
-    uint64_t after = 0;
+    store_revision after;
     time_point since{};
     time_point until{};
   };
@@ -71,6 +77,9 @@
   void CallStore(time_point now,
                  const store_call& call,
                  const store_hook& done);
+  void CallStore(time_point now,
+                 const platform::encoded_call& call,
+                 const store_call_hook& done);
   /// Reads the registered relays, before anything else is read.
   void ReadRelays(time_point now);
   void Call(time_point now,
@@ -79,6 +88,9 @@
             milliseconds timeout,
             const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
+  /// Logs and counts that the store came back from an older copy.
+  /// @param before Era known before.
+  void ReportEra(uint64_t before);
   void Publish(time_point now);
   /// Updates the relays from the registrations among the items.
   /// @return Number of entries registered, over all failure domains.
@@ -112,9 +124,9 @@
   std::vector<waiter> waiters_;
   /// Last compressed answer; most waiters share it.
   std::string compressed_answer_;
-  uint64_t compressed_after_ = 0;
+  store_revision compressed_after_;
   milliseconds compressed_age_{0};  ///< Confirmed age that it states.
-  uint64_t compressed_revision_ = 0;
+  store_revision compressed_revision_;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
   timer_id run_timer_ = 0;
   bool was_reachable_ = true;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -1,5 +1,6 @@
 /// @file store_mirror.cc Local copy of the platform's store.
 #include <algorithm>
+#include <utility>
 
 #include "store_mirror_base.h"
 
@@ -21,7 +22,8 @@
   sent_at_ = now;
   if (is_listing_)
     return store_call{.kind = store_call::kind_type::kList,
-                      .after_key = after_key_};
+                      .after_key = after_key_,
+                      .after_revision = {era_, 0}};
   // After a failure the first watch does not wait, to learn at once whether the
   // store is reachable.
   return store_call{.kind = store_call::kind_type::kWatch,
@@ -31,8 +33,34 @@
                                           : options_.watch_wait};
 }
 
+bool store_mirror::OnEra(time_point now, uint64_t era) {
+  if (!EnterEra(era))
+    return false;
+  is_call_void_ = has_call_in_flight_;
+  next_at_ = now;
+  return true;
+}
+
+bool store_mirror::EnterEra(uint64_t era) {
+  if (era <= era_)
+    return false;
+  era_ = era;
+  is_burst_ = false;
+  BeginListing();
+  return true;
+}
+
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
   has_call_in_flight_ = false;
+  bool is_void = std::exchange(is_call_void_, false);
+  const bool is_first_page = is_listing_ && after_key_.empty();
+  if (EnterEra(answer.revision.era)) {
+    // Only a listing from its first page on tells the content of the new era.
+    is_void = is_void || !is_first_page;
+  } else if (answer.revision.era != 0 && answer.revision.era < era_) {
+    next_at_ = std::max(now, sent_at_ + options_.spacing);
+    return false;
+  }
   if (answer.status == store_answer::status_type::kHistoryCompacted) {
     BeginListing();
     next_at_ = now;
@@ -53,19 +81,25 @@
     failures_ = 0;
     outage_ended_at_ = now;
   }
+  if (is_void) {
+    next_at_ = now;
+    return false;
+  }
   next_at_ = std::max(now, sent_at_ + options_.spacing);
   previous_confirmed_at_ = confirmed_at_;
+  const store_revision answered{era_, answer.revision.number};
   if (!is_listing_) {
     std::vector<store_item> removed_items;
     for (const store_item& item : answer.items) {
       if (item.is_deleted) {
         removed_items.push_back(item);
+        removed_items.back().revision.era = era_;
       } else {
         Apply(item);
       }
     }
     Remove(now, removed_items);
-    revision_ = std::max(revision_, answer.revision);
+    revision_ = std::max(revision_, answered);
     const time_point answered_at = std::min(now, sent_at_ + answer.held);
     confirmed_at_ = std::max(confirmed_at_, answered_at - answer.confirmed_age);
     if (IsBurst(answer.items))
@@ -73,7 +107,7 @@
     return !answer.items.empty();
   }
   if (after_key_.empty()) {
-    listing_revision_ = answer.revision;
+    listing_revision_ = answered;
     listing_sent_at_ = sent_at_ - answer.confirmed_age;
   }
   for (const store_item& item : answer.items) {
@@ -81,7 +115,7 @@
     has_large_changes_ =
         has_large_changes_ ||
         (item.value.size() >= options_.burst_item_bytes &&
-         known != items_.end() && known->second.revision < item.revision);
+         known != items_.end() && known->second.revision < RevisionOf(item));
     listed_[item.key] = item;
     after_key_ = item.key;
   }
@@ -128,8 +162,12 @@
 }
 
 bool store_mirror::RunDue(time_point now) {
+  const bool is_copy_settled =
+      restored_at_ && now - *restored_at_ >= options_.copy_grace;
+  if (is_copy_settled)
+    restored_at_.reset();
   if (maybe_expired_.empty() || IsInExpiryGrace(now))
-    return false;
+    return is_copy_settled;
   for (const std::string& key : maybe_expired_)
     items_.erase(key);
   maybe_expired_.clear();
@@ -142,10 +180,12 @@
 
 void store_mirror::Apply(const store_item& item) {
   auto it = items_.find(item.key);
-  if (it != items_.end() && it->second.revision >= item.revision)
+  if (it != items_.end() && it->second.revision >= RevisionOf(item))
     return;
   maybe_expired_.erase(item.key);
-  items_[item.key] = item;
+  store_item& applied = items_[item.key];
+  applied = item;
+  applied.revision = RevisionOf(item);
 }
 
 void store_mirror::Remove(time_point now,
@@ -173,15 +213,27 @@
 }
 
 void store_mirror::FinishListing(time_point now) {
+  if (is_loaded_ && revision_.era < listing_revision_.era) {
+    outage_ended_at_ = now;
+    restored_at_ = now;
+    restored_revision_ = listing_revision_;
+  }
   for (const auto& [key, item] : listed_)
     Apply(item);
   std::vector<store_item> removed_items;
   for (const auto& [key, item] : items_) {
     // The pages are not a consistent snapshot: the watch reports what changed
     // after the first page.
-    if (!listed_.contains(key) && item.revision <= listing_revision_) {
+    if (listed_.contains(key) || item.revision > listing_revision_)
+      continue;
+    if (item.revision.era < listing_revision_.era && IsInExpiryGrace(now)) {
+      // Lost with the older era, and not written again yet.
+      maybe_expired_.insert(key);
+    } else {
       removed_items.push_back(
-          {.key = key, .revision = item.revision + 1, .is_deleted = true});
+          {.key = key,
+           .revision = {item.revision.era, item.revision.number + 1},
+           .is_deleted = true});
     }
   }
   Remove(now, removed_items);
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "store_revision_type.h"
 #include "time_type.h"
 
 namespace fuchsiafall {
@@ -18,7 +19,7 @@
 struct store_item {
   std::string key;
   std::string value;
-  uint64_t revision = 0;
+  store_revision revision;
   bool is_deleted = false;
 };
 
@@ -33,7 +34,8 @@
   status_type status = status_type::kNoAnswer;
   std::vector<store_item> items;
   bool has_more = false;  ///< Whether a listing has another page.
-  uint64_t revision = 0;  ///< Revision of the store.
+  /// Revision of the store. Refusals state only its era.
+  store_revision revision;
   /// Answers of relays: age of the relay's last confirmed read of the store.
   milliseconds confirmed_age{0};
   /// Time for which the call was held before it was answered: the answer is at
@@ -45,11 +47,12 @@
 struct store_call {
   enum class kind_type { kList, kWatch };
   kind_type kind = kind_type::kList;
-  std::string prefix;           ///< Listings: prefix of the keys to list.
-  bool may_be_stale = false;    ///< Listings: may be some seconds old.
-  std::string after_key;        ///< Listings: last key of the previous page.
-  uint64_t after_revision = 0;  ///< Watches: report changes after this.
-  milliseconds wait{0};         ///< Watches: maximum wait for a change.
+  std::string prefix;         ///< Listings: prefix of the keys to list.
+  bool may_be_stale = false;  ///< Listings: may be some seconds old.
+  std::string after_key;      ///< Listings: last key of the previous page.
+  /// Watches: report changes after this. Listings: number 0 in the known era.
+  store_revision after_revision;
+  milliseconds wait{0};  ///< Watches: maximum wait for a change.
 };
 
 struct store_mirror_options {
@@ -81,6 +84,10 @@
   /// expiry. Fewer missing items were removed on purpose, and are dropped at
   /// once.
   double mass_expiry_share = 0.5;
+  /// Time after the store's return from an older copy within which all that
+  /// live have written their items again, and items of silent servers have
+  /// expired.
+  milliseconds copy_grace{5000};
 };
 
 /// Chooses the calls to make, and derives the store's content from the answers.
@@ -101,14 +108,27 @@
     has_call_in_flight_ = false;
     next_at_ = now;
   }
-  /// Removes expired items that were not written again in time.
-  /// @return Whether any was removed.
+  /// Removes expired items that were not written again in time, and ends the
+  /// time in which items may come from a copy.
+  /// @return Whether the known state has changed.
   bool RunDue(time_point now);
 
   /// Whether the first whole listing has been read.
   bool IsLoaded() const { return is_loaded_; }
   const std::map<std::string, store_item>& Items() const { return items_; }
-  uint64_t Revision() const { return revision_; }
+  /// Revision of the content.
+  store_revision Revision() const { return revision_; }
+  /// Newest known era of the store; the content may still be of an older one.
+  uint64_t Era() const { return era_; }
+  /// Notes the era that any other answer of the store states. A newer one
+  /// begins a listing.
+  /// @return Whether it is newer.
+  bool OnEra(time_point now, uint64_t era);
+  /// Whether an item may come from the copy that the store was restored from,
+  /// so that it may be older than what was known before.
+  bool MayBeFromCopy(const store_item& item) const {
+    return restored_at_ && item.revision <= restored_revision_;
+  }
   /// Time of the last confirmed read: the store is known to have had no other
   /// content when the last answered call was sent.
   time_point ConfirmedAt() const { return confirmed_at_; }
@@ -123,6 +143,12 @@
   time_point NextCallAt() const { return next_at_; }
 
  private:
+  /// @return Whether the era is newer than the known one.
+  bool EnterEra(uint64_t era);
+  /// Revision of an item of an answer, which is of the present era.
+  store_revision RevisionOf(const store_item& item) const {
+    return {era_, item.revision.number};
+  }
   void Apply(const store_item& item);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
   void FinishListing(time_point now);
@@ -136,22 +162,28 @@
   std::map<std::string, store_item> items_;
   std::map<std::string, store_item> listed_;  ///< From the pages read so far.
   std::set<std::string> maybe_expired_;       ///< Keys that may have expired.
-  uint64_t revision_ = 0;
-  uint64_t listing_revision_ = 0;  ///< Revision of the first page.
-  time_point listing_sent_at_{};   ///< When the first page was requested.
+  uint64_t era_ = 0;
+  store_revision revision_;
+  store_revision listing_revision_;  ///< Revision of the first page.
+  time_point listing_sent_at_{};     ///< When the first page was requested.
   std::string after_key_;
   bool is_loaded_ = false;
   bool is_listing_ = true;
   bool is_burst_ = false;           ///< Whether listings replace the watch.
   bool has_large_changes_ = false;  ///< Whether the current listing has any.
   bool has_call_in_flight_ = false;
-  uint32_t failures_ = 0;  ///< Consecutive failed calls.
+  bool is_call_void_ = false;  ///< Whether the one in flight is of an old era.
+  uint32_t failures_ = 0;      ///< Consecutive failed calls.
   time_point sent_at_{};
   time_point next_at_{};
   time_point confirmed_at_{};
   time_point previous_confirmed_at_{};
   time_point failed_at_{};        ///< When a call to the store last failed.
   time_point outage_ended_at_{};  ///< End of the store's last outage.
+  /// When the first listing after a restoration was read, while its items may
+  /// still come from the copy.
+  std::optional<time_point> restored_at_;
+  store_revision restored_revision_;  ///< Revision of that listing.
 };
 
 }  // namespace fuchsiafall
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -21,6 +21,10 @@
           "no configuration from the store or any peer yet")
 LOG_EVENT(kRelayRemoved, 205, Info, "registration of a lost relay removed")
 LOG_EVENT(kRelaysRead, 206, Info, "relays read at start")
+LOG_EVENT(kStoreRestored,
+          207,
+          Warning,
+          "platform store restored from an older copy")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -166,6 +166,23 @@
   BOOST_TEST(answer.items[0].value == "hi");
 }
 
+BOOST_AUTO_TEST_CASE(every_answer_of_the_store_states_its_era) {
+  for (const int status : {200, 410, 412, 503}) {
+    BOOST_TEST(platform::DecodeStoreAnswer(store_call::kind_type::kWatch,
+                                           status, "garbage", 4)
+                   .revision.era == 4u);
+  }
+  Poco::Net::HTTPResponse head;
+  BOOST_TEST(platform::DecodeStoreEra(head) == 0u);
+  for (const char* malformed :
+       {"", "x", "-1", "2,3", "99999999999999999999", "4x"}) {
+    head.set("Store-Era", malformed);
+    BOOST_TEST(platform::DecodeStoreEra(head) == 0u, malformed);
+  }
+  head.set("Store-Era", "12");
+  BOOST_TEST(platform::DecodeStoreEra(head) == 12u);
+}
+
 BOOST_AUTO_TEST_CASE(the_callers_key_and_claims_do_not_reach_the_server) {
   auto head = ParseRequestHead(
       "POST /p HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline-Ms: 700\r\n"
--- a/src/tests/server_notices_test.cc
+++ b/src/tests/server_notices_test.cc
@@ -82,7 +82,7 @@
       view.servers.erase(leaving);
       if (is_listed) {
         view.servers[leaving] = server;
-        view.servers[leaving].revision = ++view.revision;
+        view.servers[leaving].revision = ++view.revision.number;
       }
       entry.site.Set(view);
       entry.dispatch.SetIndex(entry.site.index.get());
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -12,7 +12,7 @@
 
 const time_point kStart{std::chrono::hours(1)};
 
-store_answer Ok(std::vector<store_item> items, uint64_t revision) {
+store_answer Ok(std::vector<store_item> items, store_revision revision) {
   return {.status = status_type::kOk,
           .items = std::move(items),
           .revision = revision};
@@ -20,7 +20,8 @@
 
 /// Mirror that has read one listing.
 struct listed_mirror {
-  explicit listed_mirror(std::vector<store_item> items, uint64_t revision) {
+  explicit listed_mirror(std::vector<store_item> items,
+                         store_revision revision) {
     BOOST_REQUIRE(mirror.NextCall(now).has_value());
     now += milliseconds(5);
     mirror.OnAnswer(now, Ok(std::move(items), revision));
@@ -49,6 +50,10 @@
   return items;
 }
 
+store_item Configuration(const std::string& value, uint64_t number) {
+  return {.key = "op/config", .value = value, .revision = number};
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(store_mirror_suite)
@@ -201,7 +206,7 @@
       reported = {{.key = "op/config", .value = document, .revision = newest},
                   {.key = "servers/s0", .value = "y", .revision = 1}};
     } else {
-      for (uint64_t i = call.after_revision + 1; i <= newest; ++i)
+      for (uint64_t i = call.after_revision.number + 1; i <= newest; ++i)
         reported.push_back(
             {.key = "op/config", .value = document, .revision = i});
     }
@@ -215,7 +220,7 @@
   BOOST_TEST((max_gap < milliseconds(500)));
   // A listing without changes ends the burst.
   it.Next();
-  const uint64_t last = it.mirror.Items().at("op/config").revision;
+  const uint64_t last = it.mirror.Items().at("op/config").revision.number;
   it.Answer(Ok({{.key = "op/config", .value = document, .revision = last},
                 {.key = "servers/s0", .value = "y", .revision = 1}},
                last));
@@ -251,6 +256,125 @@
   BOOST_TEST((it.mirror.ConfirmedAt() == sent));
 }
 
+BOOST_AUTO_TEST_CASE(what_a_restored_store_takes_wins_with_a_lower_revision) {
+  listed_mirror it({Configuration("lost", 37)}, {1, 37});
+  it.Next();
+  it.Answer({.status = status_type::kHistoryCompacted, .revision = {2, 0}});
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+  it.Answer(Ok({Configuration("copy", 20)}, {2, 31}));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "copy");
+  BOOST_TEST(it.Next().after_revision == store_revision(2, 31));
+  it.Answer(Ok({Configuration("after the return", 32)}, {2, 32}));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "after the return");
+}
+
+BOOST_AUTO_TEST_CASE(equal_revisions_of_two_eras_are_different_content) {
+  listed_mirror it({Configuration("old era", 5)}, {1, 5});
+  it.Next();
+  // The watch is answered as if nothing were lost, but for the era.
+  it.Answer(Ok({Configuration("ignored", 6)}, {2, 6}));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "old era");
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+  it.Answer(Ok({Configuration("new era", 5)}, {2, 6}));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "new era");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_tells_that_the_store_was_restored) {
+  for (const status_type status :
+       {status_type::kRefused, status_type::kNoAnswer}) {
+    listed_mirror it({}, {1, 2});
+    it.Next();
+    it.Answer({.status = status, .revision = {2, 0}});
+    BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_an_older_era_changes_and_confirms_nothing) {
+  listed_mirror it({Configuration("old", 30)}, {1, 30});
+  it.Next();
+  it.Answer({.status = status_type::kHistoryCompacted, .revision = {2, 0}});
+  it.Next();
+  it.Answer(Ok({Configuration("new", 20)}, {2, 21}));
+  const time_point confirmed = it.mirror.ConfirmedAt();
+  it.now += seconds(1);
+  it.Next();
+  it.Answer(Ok({Configuration("old", 40)}, {1, 40}));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "new");
+  BOOST_TEST((it.mirror.ConfirmedAt() == confirmed));
+  BOOST_TEST(it.Next().after_revision == store_revision(2, 21));
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_two_eras_are_never_joined) {
+  store_mirror mirror{{}};
+  time_point now = kStart;
+  mirror.NextCall(now);
+  store_answer page = Ok({Configuration("old", 3)}, {1, 10});
+  page.has_more = true;
+  mirror.OnAnswer(now, page);
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, Ok({{.key = "z", .revision = 4}}, {2, 5}));
+  BOOST_TEST(!mirror.IsLoaded());
+  const auto call = mirror.NextCall(mirror.NextCallAt());
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kList));
+  BOOST_TEST(call->after_key.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_sent_before_a_new_era_was_known_is_not_used) {
+  listed_mirror it({Configuration("old", 5)}, {1, 5});
+  it.Next();
+  // Another call of this process was answered meanwhile.
+  BOOST_TEST(it.mirror.OnEra(it.now, 2));
+  it.Answer(Ok({}, {2, 6}));
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+  BOOST_TEST(!it.mirror.OnEra(it.now, 2));
+}
+
+BOOST_AUTO_TEST_CASE(what_the_copy_lacks_is_kept_until_it_is_written_again) {
+  listed_mirror it(Servers(6), {1, 9});
+  it.Next();
+  it.Answer(Ok({{.key = "servers/new", .revision = 10},
+                {.key = "servers/gone", .revision = 11}},
+               {1, 11}));
+  it.Next();
+  it.Answer({.status = status_type::kHistoryCompacted, .revision = {2, 0}});
+  it.Next();
+  it.Answer(Ok(Servers(6), {2, 6}));
+  BOOST_TEST(it.mirror.Items().contains("servers/new"));
+  BOOST_TEST(it.mirror.Items().contains("servers/gone"));
+  it.Next();
+  it.Answer(Ok({{.key = "servers/new", .revision = 7}}, {2, 7}));
+  it.now += seconds(2);
+  BOOST_TEST(it.mirror.RunDue(it.now));
+  BOOST_TEST(it.mirror.Items().contains("servers/new"));
+  BOOST_TEST(!it.mirror.Items().contains("servers/gone"));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_restoration_within_the_grace_keeps_items_too) {
+  listed_mirror it({{.key = "servers/new", .revision = 9}}, {1, 9});
+  for (uint64_t era = 2; era <= 3; ++era) {
+    it.now += milliseconds(1500);
+    it.Next();
+    it.Answer({.status = status_type::kHistoryCompacted, .revision = {era, 0}});
+    it.Next();
+    it.Answer(Ok({}, {era, 5}));
+    it.mirror.RunDue(it.now);
+  }
+  BOOST_TEST(it.mirror.Items().contains("servers/new"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_an_era_counts_as_of_the_known_one) {
+  listed_mirror it({}, 1);
+  it.Next();
+  it.Answer(Ok({}, {3, 5}));
+  it.Next();
+  it.Answer(Ok({}, {3, 5}));
+  it.Next();
+  it.Answer(Ok({Configuration("new", 6)}, 6));
+  BOOST_TEST(it.mirror.Items().at("op/config").value == "new");
+  BOOST_TEST(it.Next().after_revision == store_revision(3, 6));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
