Fix: A relay tells the eras of the store apart

With the mirror alone telling eras apart, a relay would go on counting its history from the higher revisions of the older era, and a reader could take a difference between two eras, or the confirmation of a relay that has not noticed the restoration, for the present content.

The relay's history begins anew with an era. A reader states its era with its revision: one of an older era is told that the history is gone and takes the whole content, one of a newer era is refused and asks another relay. An answer of an older era is dropped, and counted in relay_behind. Items that a restored store lacks are kept by each process for its own grace and never relayed. A reader or relay that states no era is taken to be in the present one.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -14,6 +14,12 @@
 }  // namespace
 
 void mirror_relay::Update(time_point now, const store_mirror& mirror) {
+  if (revision_.era != mirror.Revision().era) {
+    // Readers of the older era take the whole content.
+    items_.clear();
+    removed_at_.clear();
+    history_start_ = {};
+  }
   if (history_start_.number == 0)
     history_start_ = mirror.Revision();
   revision_ = mirror.Revision();
@@ -27,14 +33,18 @@
     item.revision = revision_;
     removed_at_[key] = now;
   }
-  for (const auto& [key, item] : mirror.Items())
-    items_[key] = item;
+  for (const auto& [key, item] : mirror.Items()) {
+    // What a restored store lacks is no content of it, even while it is kept.
+    if (item.revision.era == revision_.era)
+      items_[key] = item;
+  }
 }
 
 proto::mirror_answer mirror_relay::Answer(time_point now,
                                           store_revision after) const {
   proto::mirror_answer answer;
   answer.set_revision(revision_.number);
+  answer.set_era(revision_.era);
   if (after.number != 0 && after < history_start_) {
     answer.set_history_gone(true);
     return answer;
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -27,6 +27,10 @@
   /// Makes the answer for a reader at a revision.
   /// @param after Revision that the reader has; 0 for a whole listing.
   proto::mirror_answer Answer(time_point now, store_revision after) const;
+  /// Whether a reader has read a newer era of the store than this relay.
+  bool IsBehind(store_revision after) const {
+    return after.era > revision_.era;
+  }
   store_revision Revision() const { return revision_; }
 
  private:
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -34,6 +34,7 @@
 
 std::string RelayRequest(const store_call& call, const std::string& address) {
   return "GET /mirror?after=" + std::to_string(call.after_revision.number) +
+         "&era=" + std::to_string(call.after_revision.era) +
          "&wait=" + std::to_string(call.wait.count()) +
          " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
 }
@@ -51,7 +52,7 @@
   answer.status = message.history_gone()
                       ? store_answer::status_type::kHistoryCompacted
                       : store_answer::status_type::kOk;
-  answer.revision = message.revision();
+  answer.revision = {message.era(), message.revision()};
   answer.confirmed_age = milliseconds(message.sound_age_ms());
   answer.held = milliseconds(message.held_ms());
   for (const proto::mirror_item& item : message.items()) {
@@ -169,16 +170,19 @@
              answer.status == store_answer::status_type::kNoAnswer;
          const bool is_cut_off =
              answer.status == store_answer::status_type::kRefused;
-         if (has_no_answer || is_cut_off ||
+         const bool is_behind =
+             answer.revision.era != 0 && answer.revision.era < mirror_.Era();
+         if (has_no_answer || is_cut_off || is_behind ||
              source_.IsTooOld(answer.confirmed_age)) {
            options_.count(has_no_answer ? "relay_failed"
                           : is_cut_off  ? "relay_cut_off"
+                          : is_behind   ? "relay_behind"
                                         : "relay_too_old");
            source_.OnRelayFailed(at, address, !has_no_answer);
          } else {
            source_.OnRelayAnswered(address);
          }
-         if (!has_no_answer && !is_cut_off)
+         if (!has_no_answer && !is_cut_off && !is_behind)
            return OnAnswer(at, answer);
          mirror_.CancelCall(at);
          loop_.Post([this] { RunDue(BootNow()); });
@@ -385,6 +389,8 @@
     for (const auto& [name, value] : uri.getQueryParameters()) {
       if (name == "after")
         item.after.number = std::stoull(value);
+      if (name == "era")
+        item.after.era = std::stoull(value);
       if (name == "wait")
         item.until = now + milliseconds(std::stoul(value));
     }
@@ -392,8 +398,11 @@
     from->Answer(now, MakeAnswerHead(400), "malformed query\n");
     return;
   }
+  // A reader that states no era has the present one.
+  if (item.after.era == 0)
+    item.after.era = relay_.Revision().era;
   if (!mirror_.IsLoaded() || !mirror_.IsReachable() ||
-      waiters_.size() >= kMaxWaiters) {
+      relay_.IsBehind(item.after) || waiters_.size() >= kMaxWaiters) {
     from->Answer(now, MakeAnswerHead(kNoStoreAccess), "nothing to relay\n");
     return;
   }
--- a/src/store_revision_type.h
+++ b/src/store_revision_type.h
@@ -25,8 +25,7 @@
   uint64_t number = 0;  ///< 0 for none.
 };
 
-inline std::ostream& operator<<(std::ostream& to,
-                                const store_revision& shown) {
+inline std::ostream& operator<<(std::ostream& to, const store_revision& shown) {
   return to << shown.era << "." << shown.number;
 }
 
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -27,6 +27,28 @@
   return selector;
 }
 
+/// Relay whose mirror has read listings of one era after the other.
+struct restored_relay {
+  void List(std::vector<store_item> items, store_revision revision) {
+    now = std::max(now, mirror.NextCallAt());
+    if (mirror.IsLoaded()) {
+      mirror.NextCall(now);
+      mirror.OnAnswer(now, {.status = store_answer::status_type::kRefused,
+                            .revision = {revision.era, 0}});
+      now = mirror.NextCallAt();
+    }
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, {.status = store_answer::status_type::kOk,
+                          .items = std::move(items),
+                          .revision = revision});
+    relay.Update(now, mirror);
+  }
+
+  time_point now = kStart;
+  store_mirror mirror{{}};
+  mirror_relay relay;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(mirror_relay_suite)
@@ -185,6 +207,55 @@
   BOOST_TEST(!reader.FindLostRelay(now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_of_an_older_era_takes_the_whole_content) {
+  restored_relay it;
+  it.List({{.key = "a", .value = "old", .revision = 30},
+           {.key = "lost", .value = "x", .revision = 37}},
+          {1, 37});
+  it.List({{.key = "a", .value = "copy", .revision = 20}}, {2, 31});
+  for (const uint64_t number : {20, 31, 37, 40}) {
+    BOOST_TEST(it.relay.HasChanges({1, number}));
+    const auto answer = it.relay.Answer(it.now, {1, number});
+    BOOST_TEST(answer.history_gone());
+    BOOST_TEST(answer.era() == 2u);
+  }
+  const auto whole = it.relay.Answer(it.now, {2, 0});
+  BOOST_REQUIRE(whole.items_size() == 1);
+  BOOST_TEST(whole.items(0).value() == "copy");
+  BOOST_TEST(!it.relay.HasChanges({2, 31}));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_still_in_the_older_era_does_not_serve_newer_ones) {
+  restored_relay it;
+  it.List({}, {1, 37});
+  BOOST_TEST(it.relay.IsBehind({2, 0}));
+  BOOST_TEST(it.relay.IsBehind({2, 20}));
+  BOOST_TEST(!it.relay.IsBehind({1, 37}));
+  it.List({}, {2, 31});
+  BOOST_TEST(!it.relay.IsBehind({2, 20}));
+}
+
+BOOST_AUTO_TEST_CASE(removals_of_an_older_era_are_not_reported_in_a_newer_one) {
+  restored_relay it;
+  it.List({{.key = "a", .value = "old", .revision = 30},
+           {.key = "b", .revision = 31}},
+          {1, 37});
+  it.mirror.NextCall(it.mirror.NextCallAt());
+  it.now = it.mirror.NextCallAt();
+  it.mirror.OnAnswer(
+      it.now, {.status = store_answer::status_type::kOk,
+               .items = {{.key = "a", .revision = 38, .is_deleted = true}},
+               .revision = {1, 38}});
+  it.relay.Update(it.now, it.mirror);
+  it.List({{.key = "a", .value = "copy", .revision = 30},
+           {.key = "b", .revision = 31}},
+          {2, 31});
+  const auto changes = it.relay.Answer(it.now, {2, 31});
+  for (const auto& item : changes.items())
+    BOOST_TEST(!item.is_deleted(), item.key());
+  BOOST_TEST(it.relay.Answer(it.now, {2, 0}).items_size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -84,6 +84,78 @@
   BOOST_TEST(ages[1] - ages[0] > 400);
 }
 
+// A relay knows one era of the store at a time, and its readers another.
+BOOST_AUTO_TEST_CASE(a_relay_tells_the_eras_of_the_store_apart) {
+  event_loop loop;
+  uint64_t era = 1;
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&& request) {
+             const std::string& target = request.head.getURI();
+             auto head = MakeAnswerHead(200);
+             head.set("Store-Era", std::to_string(era));
+             std::string answer = R"({"events":[],"At":7})";
+             if (target.starts_with("/kv-range"))
+               answer = R"({"Items":[{"Key":"a","Value":"aGk=","Revision":4}],)"
+                        R"("HasMore":false,"At":7})";
+             loop.StartTimer(now + milliseconds(20),
+                             [from, head, answer](time_point at) {
+                               from->Answer(at, head, answer);
+                             });
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  const std::string relay_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  site_watch watch({.node = "n",
+                    .domain = "d",
+                    .store_address = store_address,
+                    .relay_address = relay_address,
+                    .on_change = [](auto, time_point) {},
+                    .count = [](const std::string&) {}});
+  BOOST_REQUIRE(watch.Start());
+  http_client_pool pool(&loop, {});
+  /// Status of the answer, 410 for "history gone".
+  std::map<std::string, int> answers;
+  auto read = [&](time_point now, const std::string& query) {
+    StartAsyncHttpCall(now, &loop, &pool,
+                       {.address = relay_address,
+                        .request = "GET /mirror?wait=0&" + query +
+                                   " HTTP/1.1\r\nHost: h\r\n\r\n",
+                        .timeout = milliseconds(300),
+                        .on_done = [&, query](time_point, int status,
+                                              const std::string& body) {
+                          proto::mirror_answer answer;
+                          auto bytes = Inflate(body, kMaxAnswerBytes);
+                          if (status == 200 && bytes &&
+                              answer.ParseFromString(*bytes) &&
+                              answer.history_gone())
+                            status = 410;
+                          answers[query] = status;
+                        }});
+  };
+  const time_point start = BootNow();
+  loop.StartTimer(start + milliseconds(400), [&](time_point now) {
+    read(now, "after=7&era=1");
+    read(now, "after=7&era=2");
+    read(now, "after=7");
+  });
+  loop.StartTimer(start + milliseconds(600), [&](time_point) { era = 3; });
+  loop.StartTimer(start + milliseconds(1400), [&](time_point now) {
+    read(now, "after=6&era=1");
+    read(now, "after=7&era=3");
+    loop.StartTimer(now + milliseconds(200), [&](time_point) { loop.Stop(); });
+  });
+  loop.Run();
+  watch.Stop();
+  BOOST_TEST(answers["after=7&era=1"] == 200);
+  BOOST_TEST(answers["after=7"] == 200);
+  BOOST_TEST(answers["after=7&era=2"] == 503);
+  BOOST_TEST(answers["after=6&era=1"] == 410);
+  BOOST_TEST(answers["after=7&era=3"] == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
