Fix: The copy of a restored store does not undo what a process knows

A restored store lists its content of some seconds before: a server that was known to drain is ready again, one that restarted has its earlier lifetime, one that left is back, an evacuation is missing, and so is the newest version of weights. BuildView took each item as the newest word on its subject.

An item whose revision is at most that of the first listing of the era may come from the copy. Such an item does not end a known drain of the same lifetime, does not bring back an older lifetime, and does not bring back a server that was removed in an older era, unless it still stands after copy_grace, by which time entries of silent servers have expired. Evacuations stay for that time; versions of weights never go back. What is written later wins, whatever its revision. replaced_revision of a server tells eras apart by its type.

--- a/src/site_type.h
+++ b/src/site_type.h
@@ -143,6 +143,13 @@
   time_point seen_at{};       ///< When this process first read this revision.
 };
 
+/// Server whose item was removed from the store.
+struct departed_server {
+  int64_t started_at_ms = 0;  ///< Lifetime of the server.
+  uint64_t era = 0;           ///< Era of the store in which it was removed.
+  time_point removed_at{};
+};
+
 /// When operators announced a version of the weights.
 struct version_announcement {
   /// Earliest time at which it may have been announced: the last confirmed read
@@ -174,6 +181,8 @@
       configuration_revision;  ///< Revision of the configuration item.
   site_configuration configuration;
   std::map<std::string, site_server> servers;  ///< By id.
+  /// Servers removed lately, by id. A restored store may list them again.
+  std::map<std::string, departed_server> departed;
   std::set<std::string> evacuated;  ///< Failure domains being evacuated.
   size_t entry_count = 0;  ///< Entries registered, over all failure domains.
   std::map<std::string, wanted_weights> weights;  ///< By model.
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -124,6 +124,9 @@
   /// begins a listing.
   /// @return Whether it is newer.
   bool OnEra(time_point now, uint64_t era);
+  /// Whether the store was restored so lately that its content may lack or
+  /// precede what was known before.
+  bool IsRestored() const { return restored_at_.has_value(); }
   /// Whether an item may come from the copy that the store was restored from,
   /// so that it may be older than what was known before.
   bool MayBeFromCopy(const store_item& item) const {
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -29,6 +29,62 @@
   return !read || !FramingOf(*read);
 }
 
+/// Process that reads the store before and after it was restored.
+struct restored_process {
+  void List(std::vector<store_item> items, store_revision revision) {
+    now = std::max(now, mirror.NextCallAt());
+    if (mirror.IsLoaded()) {
+      mirror.NextCall(now);
+      mirror.OnAnswer(now, {.status = status_type::kHistoryCompacted,
+                            .revision = {revision.era, 0}});
+    }
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, {.status = status_type::kOk,
+                          .items = std::move(items),
+                          .revision = revision});
+    Build();
+  }
+  void Watch(std::vector<store_item> changes, store_revision revision) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, {.status = status_type::kOk,
+                          .items = std::move(changes),
+                          .revision = revision});
+    Build();
+  }
+  void Wait(milliseconds span) {
+    now += span;
+    mirror.RunDue(now);
+    Build();
+  }
+  void Build() { view = platform::BuildView(now, mirror, view, &problems); }
+
+  time_point now{std::chrono::hours(1)};
+  store_mirror mirror{{}};
+  site_view view;
+  std::vector<std::string> problems;
+};
+
+store_item ServerItem(const std::string& id,
+                      const std::string& state,
+                      uint64_t revision,
+                      int64_t born = 100) {
+  return {.key = "servers/" + id,
+          .value = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z",)"
+                   R"("State":")" +
+                   state + R"(","born":)" + std::to_string(born) + "}",
+          .revision = revision};
+}
+
+store_item VersionItem(const std::string& key,
+                       uint64_t version,
+                       uint64_t revision) {
+  return {
+      .key = key,
+      .value = R"({"Version":)" + std::to_string(version) + R"(,"Routes":[]})",
+      .revision = revision};
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_suite)
@@ -166,6 +222,94 @@
   BOOST_TEST(answer.items[0].value == "hi");
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_never_takes_a_configuration_back) {
+  restored_process it;
+  it.List({VersionItem("op/config", 12, 37)}, {1, 37});
+  it.List({VersionItem("op/config", 3, 20)}, {2, 31});
+  BOOST_TEST(it.view.configuration.version == 12u);
+  // Written after the return, with the revision of the lost one.
+  it.Watch({VersionItem("op/config", 15, 37)}, {2, 37});
+  BOOST_TEST(it.view.configuration.version == 15u);
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_never_takes_versions_of_weights_back) {
+  restored_process it;
+  it.List(
+      {VersionItem("op/version/m", 3, 37), VersionItem("op/version/n", 2, 36)},
+      {1, 37});
+  const auto announced =
+      it.view.weights.at("m").announcements.at(3).announced_after;
+  it.List({VersionItem("op/version/m", 2, 20)}, {2, 31});
+  it.Wait(seconds(10));
+  BOOST_TEST(it.view.weights.at("m").version == 3u);
+  BOOST_TEST(it.view.weights.at("n").version == 2u);
+  it.Watch({VersionItem("op/version/m", 3, 32)}, {2, 32});
+  BOOST_TEST((it.view.weights.at("m").announcements.at(3).announced_after ==
+              announced));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_known_to_drain_is_not_ready_again_by_a_copy) {
+  restored_process it;
+  it.List({ServerItem("a", "draining", 37), ServerItem("b", "draining", 36)},
+          {1, 37});
+  it.List({ServerItem("a", "ready", 20), ServerItem("b", "ready", 21, 200)},
+          {2, 31});
+  BOOST_TEST(it.view.servers.at("a").is_draining);
+  // The other one is a new lifetime.
+  BOOST_TEST(!it.view.servers.at("b").is_draining);
+  it.Wait(seconds(10));
+  BOOST_TEST(it.view.servers.at("a").is_draining);
+  it.Watch({ServerItem("a", "ready", 37)}, {2, 37});
+  BOOST_TEST(!it.view.servers.at("a").is_draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_never_takes_a_server_back_to_an_older_lifetime) {
+  restored_process it;
+  it.List({ServerItem("a", "ready", 37, 200)}, {1, 37});
+  it.List({ServerItem("a", "draining", 20, 100)}, {2, 31});
+  BOOST_TEST(it.view.servers.at("a").started_at_ms == 200);
+  BOOST_TEST(!it.view.servers.at("a").is_draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_known_to_be_gone_is_not_back_by_a_copy) {
+  restored_process it;
+  it.List({ServerItem("a", "ready", 20), ServerItem("b", "ready", 21)},
+          {1, 30});
+  it.Watch({{.key = "servers/a", .revision = 32, .is_deleted = true},
+            {.key = "servers/b", .revision = 33, .is_deleted = true}},
+           {1, 33});
+  it.List({ServerItem("a", "ready", 20), ServerItem("b", "ready", 21)},
+          {2, 30});
+  BOOST_TEST(it.view.servers.empty());
+  // One writes its item again, the other's stands while silent ones expire.
+  it.Watch({ServerItem("a", "ready", 31)}, {2, 31});
+  BOOST_TEST(it.view.servers.contains("a"));
+  BOOST_TEST(!it.view.servers.contains("b"));
+  it.Wait(seconds(6));
+  BOOST_TEST(it.view.servers.contains("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_the_copy_lacks_stays_for_the_grace) {
+  restored_process it;
+  it.List({ServerItem("new", "ready", 37)}, {1, 37});
+  it.List({}, {2, 31});
+  BOOST_TEST(it.view.servers.contains("new"));
+  it.Wait(seconds(2));
+  BOOST_TEST(!it.view.servers.contains("new"));
+  it.Watch({ServerItem("new", "ready", 32)}, {2, 32});
+  BOOST_TEST(it.view.servers.contains("new"));
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_stays_until_it_can_be_written_again) {
+  restored_process it;
+  it.List({{.key = "op/evacuate/z", .revision = 37}}, {1, 37});
+  it.List({}, {2, 31});
+  it.Wait(seconds(3));
+  BOOST_TEST(it.view.evacuated.contains("z"));
+  it.Wait(seconds(3));
+  BOOST_TEST(!it.view.evacuated.contains("z"));
+}
+
 BOOST_AUTO_TEST_CASE(every_answer_of_the_store_states_its_era) {
   for (const int status : {200, 410, 412, 503}) {
     BOOST_TEST(platform::DecodeStoreAnswer(store_call::kind_type::kWatch,
--- a/src/tests/server_notices_test.cc
+++ b/src/tests/server_notices_test.cc
@@ -190,6 +190,20 @@
   BOOST_TEST(!Decode("Server-Leaving: 1").has_unreadable_pause);
 }
 
+BOOST_AUTO_TEST_CASE(a_replaced_server_may_register_again_in_a_newer_era) {
+  fake_site site;
+  site_view view = site.index->View();
+  view.servers["d1"].revision = {1, 100};
+  site.Set(view);
+  server_selector selector({});
+  selector.SetIndex(site.index.get());
+  selector.OnReplaced(view.servers["d1"]);
+  const time_point now{std::chrono::hours(1)};
+  BOOST_TEST(!selector.IsEligible(now, view.servers["d1"], {}));
+  view.servers["d1"].revision = {2, 95};
+  BOOST_TEST(selector.IsEligible(now, view.servers["d1"], {}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
