Fix: A relay registers again with a store that lost its registration

The mirror keeps items that a restored store lacks for a while, and Register took its own for registered. Until the grace was over nothing was written, and the condition of the write named a revision of the older era. A registration counts in the era in which it was read only, and the write then names no revision. The answer to such a write may tell of a new era as well.

With the check of the era disabled, a_relay_tells_eras_apart_and_registers_in_each fails; it also fails without the refusal of readers of a newer era, as a_reader_of_an_older_era_takes_the_whole_content does while the relay's history is kept over eras.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -330,7 +330,8 @@
     return;
   const auto known =
       mirror_.Items().find(std::string(kRegisteredPrefix) + *node);
-  if (known == mirror_.Items().end())
+  if (known == mirror_.Items().end() ||
+      known->second.revision.era != mirror_.Era())
     return;
   LogEvent(log_event::kRelayRemoved, "node=" + *node);
   options_.count("store_relays_removed");
@@ -341,13 +342,18 @@
 
 void site_watch::CallRegistry(time_point now, const std::string& request) {
   is_registering_ = true;
-  Call(now, options_.store_address, request, kRegisterTimeout,
-       [this](time_point at, int, const std::string&) {
-         // The watch reports whether the change took effect; until then other
-         // relays serve the domain.
-         loop_.StartTimer(at + kRegisterPause,
-                          [this](time_point) { is_registering_ = false; });
-       });
+  CallStore(now, {.bytes = request, .timeout = kRegisterTimeout},
+            [this](time_point at, int, const std::string&, uint64_t era) {
+              const uint64_t era_before = mirror_.Era();
+              if (mirror_.OnEra(at, era)) {
+                ReportEra(era_before);
+                loop_.Post([this] { RunDue(BootNow()); });
+              }
+              // The watch reports whether the change took effect; until then
+              // other relays serve the domain.
+              loop_.StartTimer(at + kRegisterPause,
+                               [this](time_point) { is_registering_ = false; });
+            });
 }
 
 void site_watch::Register(time_point now) {
@@ -356,11 +362,14 @@
   const std::string key = std::string(kRegisteredPrefix) + options_.node;
   const std::string value = options_.domain + " " + options_.relay_address;
   auto known = mirror_.Items().find(key);
-  if (known != mirror_.Items().end() && known->second.value == value)
+  // One of an older era is kept for a while, but a restored store lacks it.
+  const bool is_registered =
+      known != mirror_.Items().end() &&
+      known->second.revision.era == mirror_.Revision().era;
+  if (is_registered && known->second.value == value)
     return;
   options_.count("store_registrations");
-  const uint64_t expected =
-      known == mirror_.Items().end() ? 0 : known->second.revision.number;
+  const uint64_t expected = is_registered ? known->second.revision.number : 0;
   CallRegistry(now, platform::EncodeStorePut(options_.store_address, key, value,
                                              expected));
 }
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -1,6 +1,9 @@
 /// @file site_watch_test.cc Tests of a hosted process's control thread against
 /// a store on loopback.
+#include <Poco/Base64Encoder.h>
+
 #include <boost/test/unit_test.hpp>
+#include <sstream>
 
 #include "network/compression.h"
 #include "proto/fuchsiafall.pb.h"
@@ -13,6 +16,14 @@
 
 constexpr size_t kMaxAnswerBytes = 1U << 20;
 
+std::string EncodeBase64(const std::string& text) {
+  std::ostringstream out;
+  Poco::Base64Encoder encoder(out);
+  encoder << text;
+  encoder.close();
+  return out.str();
+}
+
 /// Reads the confirmed age of a relay's answer.
 int64_t AgeOf(const std::string& body) {
   proto::mirror_answer answer;
@@ -85,9 +96,12 @@
 }
 
 // A relay knows one era of the store at a time, and its readers another.
-BOOST_AUTO_TEST_CASE(a_relay_tells_the_eras_of_the_store_apart) {
+BOOST_AUTO_TEST_CASE(a_relay_tells_eras_apart_and_registers_in_each) {
   event_loop loop;
   uint64_t era = 1;
+  const std::string store_address = FreeAddress();
+  const std::string relay_address = FreeAddress();
+  std::vector<std::string> registrations;
   http_listener store(
       &loop, {},
       {.on_request =
@@ -96,17 +110,20 @@
              auto head = MakeAnswerHead(200);
              head.set("Store-Era", std::to_string(era));
              std::string answer = R"({"events":[],"At":7})";
+             // The copy of the later era lacks the registration.
              if (target.starts_with("/kv-range"))
-               answer = R"({"Items":[{"Key":"a","Value":"aGk=","Revision":4}],)"
-                        R"("HasMore":false,"At":7})";
+               answer = R"({"Items":[{"Key":"relays/)" +
+                        std::string(era == 1 ? "n" : "other") +
+                        R"(","Value":")" + EncodeBase64("d " + relay_address) +
+                        R"(","Revision":4}],"HasMore":false,"At":7})";
+             if (target.starts_with("/kv-txn"))
+               registrations.push_back(request.body);
              loop.StartTimer(now + milliseconds(20),
                              [from, head, answer](time_point at) {
                                from->Answer(at, head, answer);
                              });
            },
        .on_disconnected = [](time_point, http_server_connection*) {}});
-  const std::string store_address = FreeAddress();
-  const std::string relay_address = FreeAddress();
   BOOST_REQUIRE(store.Listen(store_address));
   site_watch watch({.node = "n",
                     .domain = "d",
@@ -154,6 +171,8 @@
   BOOST_TEST(answers["after=7&era=2"] == 503);
   BOOST_TEST(answers["after=6&era=1"] == 410);
   BOOST_TEST(answers["after=7&era=3"] == 200);
+  BOOST_REQUIRE(registrations.size() == 1u);
+  BOOST_TEST(registrations[0].find(R"("Revision":0)") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
