Add: The soak's store comes back from an older copy

Every five seconds of the faults the stand-in restores itself from a copy of three seconds ago in a new era, names the era in its answers, refuses watches from revisions that it does not have with 410, and has the operator's and the servers' items written again half a second later. The draws of other faults are as before.

--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -139,6 +139,15 @@
   }
 }
 
+void soak_site::RestoreStore(time_point now) {
+  if (now >= faults_end_at_)
+    return;
+  LogFault("store restored");
+  store_.Restore(now);
+  loop_->StartTimer(now + kRestoreInterval,
+                    [this](time_point at) { RestoreStore(at); });
+}
+
 void soak_site::InjectLinkFault(time_point) {
   const std::string& link = links_[random_() % links_.size()];
   const std::string group = link.substr(0, link.find('='));
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -264,6 +264,8 @@
   loop_->StartTimer(now + kWarmUp / 2,
                     [this](time_point at) { callers_->Start(at); });
   loop_->StartTimer(now + kWarmUp, [this](time_point at) { InjectFault(at); });
+  loop_->StartTimer(now + kWarmUp + kRestoreInterval,
+                    [this](time_point at) { RestoreStore(at); });
 }
 
 void soak_site::CheckAndStop(time_point now) {
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -37,6 +37,9 @@
   time_point restart_at{};
 };
 
+/// Time between two returns of the store from an older copy.
+constexpr seconds kRestoreInterval{5};
+
 /// Starts the site and its processes, keeps them running, and injects faults.
 class soak_site {
  public:
@@ -71,6 +74,8 @@
   // Kinds of faults, one of which InjectFault() draws.
   void InjectProcessFault(time_point now);
   void InjectStoreFault(time_point now);
+  /// Restores the store from an older copy, again and again.
+  void RestoreStore(time_point now);
   void InjectLinkFault(time_point now);
   void InjectServerFault(time_point now);
   void InjectOperatorChange(time_point now);
--- a/src/tests/soak/store_standin.cc
+++ b/src/tests/soak/store_standin.cc
@@ -19,6 +19,9 @@
 
 constexpr size_t kPageItems = 50;  // Items in one page of a range.
 constexpr milliseconds kWatchPollInterval{50};
+constexpr milliseconds kCopyInterval{500};
+constexpr seconds kCopyAge{3};
+constexpr milliseconds kWriteAgainDelay{500};
 
 std::string FromBase64(const std::string& text) {
   std::istringstream in(text);
@@ -88,9 +91,10 @@
 void store_standin::Answer(const std::shared_ptr<http_server_connection>& to,
                            int status,
                            const std::string& body) {
-  auto send = [to, status, body](time_point now) {
+  auto send = [to, status, body, era = era_](time_point now) {
     auto head = MakeAnswerHead(status);
     head.setContentType("application/json");
+    head.set("Store-Era", std::to_string(era));
     to->Answer(now, head, body);
   };
   if (delay == milliseconds(0))
@@ -124,7 +128,7 @@
 }
 
 void store_standin::Watch(time_point now, const watcher& item) {
-  if (item.after < compacted_)
+  if (item.after < compacted_ || item.after > revision_)
     return Answer(item.connection, 410, "{}");
   if (!AnswerWatch(item, now >= item.until))
     watchers_.push_back(item);
@@ -160,6 +164,7 @@
       return AnswerWatch(item, now >= item.until);
     });
   }
+  MakeCopy(now);
   listener_.EnforceTimeouts(now);
   loop_->StartTimer(now + kWatchPollInterval,
                     [this](time_point at) { AnswerWatchers(at); });
@@ -203,14 +208,51 @@
 }
 
 void store_standin::Put(const std::string& key, const std::string& value) {
+  written_[key] = value;
   Apply(key, &value);
 }
 
 void store_standin::Remove(const std::string& key) {
+  written_.erase(key);
   if (items_.contains(key))
     Apply(key, nullptr);
 }
 
+void store_standin::MakeCopy(time_point now) {
+  if (!copies_.empty() && now - copies_.back().made_at < kCopyInterval)
+    return;
+  copies_.push_back({.made_at = now, .items = items_, .revision = revision_});
+  while (now - copies_.front().made_at > kCopyAge)
+    copies_.pop_front();
+}
+
+void store_standin::Restore(time_point now) {
+  const stored_copy copy = copies_.front();
+  copies_.clear();
+  ++era_;
+  items_ = copy.items;
+  revision_ = copy.revision;
+  Compact();
+  loop_->StartTimer(now + kWriteAgainDelay,
+                    [this](time_point) { WriteAgain(); });
+}
+
+void store_standin::WriteAgain() {
+  std::vector<std::string> removed;
+  for (const auto& [key, item] : items_) {
+    if ((key.starts_with("op/") || key.starts_with("servers/")) &&
+        !written_.contains(key))
+      removed.push_back(key);
+  }
+  for (const std::string& key : removed)
+    Apply(key, nullptr);
+  for (const auto& [key, value] : written_) {
+    auto known = items_.find(key);
+    if (known == items_.end() || known->second.value != value)
+      Apply(key, &value);
+  }
+}
+
 void store_standin::Compact() {
   compacted_ = revision_;
   history_.clear();
--- a/src/tests/soak/store_standin.h
+++ b/src/tests/soak/store_standin.h
@@ -3,6 +3,7 @@
 #ifndef TESTS_SOAK_STORE_STANDIN_H_
 #define TESTS_SOAK_STORE_STANDIN_H_
 
+#include <deque>
 #include <map>
 #include <random>
 #include <string>
@@ -34,6 +35,9 @@
   void Remove(const std::string& key);
   /// Drops the history and breaks the connections of waiting watches.
   void Compact();
+  /// Comes back from a copy in a new era. What operators and servers wrote
+  /// since is written again a little later, the system's own items are lost.
+  void Restore(time_point now);
 
   store_mode mode = store_mode::kOpen;
   milliseconds delay{0};         ///< Before each answer.
@@ -45,6 +49,11 @@
     std::string value;
     uint64_t revision = 0;
   };
+  struct stored_copy {
+    time_point made_at{};
+    std::map<std::string, stored_item> items;
+    uint64_t revision = 0;
+  };
   struct stored_change {
     std::string key;
     std::string value;
@@ -71,6 +80,8 @@
                         const std::string& body);
   void Apply(const std::string& key, const std::string* value);
   void AnswerWatchers(time_point now);
+  void MakeCopy(time_point now);
+  void WriteAgain();
 
   event_loop* loop_;
   std::mt19937_64 random_;
@@ -80,6 +91,10 @@
   uint64_t revision_ = 1;
   uint64_t compacted_ = 0;  ///< The history up to this revision is dropped.
   std::vector<watcher> watchers_;
+  uint64_t era_ = 1;
+  std::deque<stored_copy> copies_;
+  /// What operators and servers have written, by key.
+  std::map<std::string, std::string> written_;
 };
 
 }  // namespace fuchsiafall::soak
