--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -14,7 +14,13 @@
 }  // namespace
 
 void mirror_relay::Update(time_point now, const store_mirror& mirror) {
-  if (history_start_ == 0)
+  if (revision_.era != mirror.Revision().era) {
+    // Readers of the older era take the whole content.
+    items_.clear();
+    removed_at_.clear();
+    history_start_ = {};
+  }
+  if (history_start_.number == 0)
     history_start_ = mirror.Revision();
   revision_ = mirror.Revision();
   for (auto& [key, item] : items_) {
@@ -27,30 +33,34 @@
     item.revision = revision_;
     removed_at_[key] = now;
   }
-  for (const auto& [key, item] : mirror.Items())
-    items_[key] = item;
+  for (const auto& [key, item] : mirror.Items()) {
+    // What a restored store lacks is no content of it, even while it is kept.
+    if (item.revision.era == revision_.era)
+      items_[key] = item;
+  }
 }
 
 proto::mirror_answer mirror_relay::Answer(time_point now,
-                                          uint64_t after) const {
+                                          store_revision after) const {
   proto::mirror_answer answer;
-  answer.set_revision(revision_);
-  if (after != 0 && after < history_start_) {
+  answer.set_revision(revision_.number);
+  answer.set_era(revision_.era);
+  if (after.number != 0 && after < history_start_) {
     answer.set_history_gone(true);
     return answer;
   }
   for (const auto& [key, item] : items_) {
     auto removed = removed_at_.find(key);
-    const bool is_recent_removal = item.is_deleted && after != 0 &&
+    const bool is_recent_removal = item.is_deleted && after.number != 0 &&
                                    removed != removed_at_.end() &&
                                    now - removed->second < kRemovalRetention;
     if (!is_recent_removal &&
-        (item.revision <= after || (item.is_deleted && after == 0)))
+        (item.revision <= after || (item.is_deleted && after.number == 0)))
       continue;
     proto::mirror_item* to = answer.add_items();
     to->set_key(key);
     to->set_value(item.value);
-    to->set_revision(item.revision);
+    to->set_revision(item.revision.number);
     to->set_is_deleted(item.is_deleted);
     to->set_changed_after_ms(
         std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -78,6 +78,8 @@
   hooks.on_interim = [open](time_point at) { OnProgress(at, open.get()); };
   hooks.on_head = [open](time_point, const Poco::Net::HTTPResponse& head) {
     open->status = head.getStatus();
+    if (open->call.on_head)
+      open->call.on_head(head);
     return true;
   };
   hooks.on_body = [open](time_point at, std::string_view bytes) {
--- a/src/network/async_http_call.h
+++ b/src/network/async_http_call.h
@@ -20,6 +20,8 @@
   milliseconds max_pause{0};
   /// Receives the answer; status 0 means that no complete answer arrived.
   std::function<void(time_point, int status, std::string body)> on_done;
+  /// Receives the head of the answer before on_done; may be empty.
+  std::function<void(const Poco::Net::HTTPResponse& head)> on_head;
   /// Called at each part of the answer; may be empty.
   std::function<void(time_point)> on_progress;
   /// Called before on_done, with the size of what has arrived of the body; may
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "network/http_listener.h"
+#include "store_revision_type.h"
 #include "time_type.h"
 
 namespace fuchsiafall {
@@ -138,10 +139,17 @@
   bool is_model_server = false;  ///< Whether it is a model server.
   std::vector<held_layers> models;
   int64_t started_at_ms = 0;  ///< Start time, ms since the epoch; 0 if unknown.
-  uint64_t revision = 0;      ///< Revision of the item in the store.
+  store_revision revision;    ///< Revision of the item in the store.
   time_point seen_at{};       ///< When this process first read this revision.
 };
 
+/// Server whose item was removed from the store.
+struct departed_server {
+  int64_t started_at_ms = 0;  ///< Lifetime of the server.
+  uint64_t era = 0;           ///< Era of the store in which it was removed.
+  time_point removed_at{};
+};
+
 /// When operators announced a version of the weights.
 struct version_announcement {
   /// Earliest time at which it may have been announced: the last confirmed read
@@ -168,15 +176,18 @@
 
 /// Known state of the site, built from the store. Immutable once published.
 struct site_view {
-  uint64_t revision = 0;                ///< Revision of the store.
-  uint64_t configuration_revision = 0;  ///< Revision of the configuration item.
+  store_revision revision;  ///< Revision of the store.
+  store_revision
+      configuration_revision;  ///< Revision of the configuration item.
   site_configuration configuration;
   std::map<std::string, site_server> servers;  ///< By id.
+  /// Servers removed lately, by id. A restored store may list them again.
+  std::map<std::string, departed_server> departed;
   std::set<std::string> evacuated;  ///< Failure domains being evacuated.
   size_t entry_count = 0;  ///< Entries registered, over all failure domains.
   std::map<std::string, wanted_weights> weights;  ///< By model.
   /// Revisions of the items that could not be decoded, by key.
-  std::map<std::string, uint64_t> unreadable;
+  std::map<std::string, store_revision> unreadable;
 };
 
 }  // namespace fuchsiafall
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -8,7 +8,7 @@
 #include "ip_port_func.h"
 #include "log_event_func.h"
 #include "network/compression.h"
-#include "platform/documents.h"
+#include "platform/headers.h"
 
 namespace fuchsiafall {
 
@@ -47,7 +47,8 @@
 constexpr std::string_view kRegisteredPrefix = "relays/";
 
 std::string RelayRequest(const store_call& call, const std::string& address) {
-  return "GET /mirror?after=" + std::to_string(call.after_revision) +
+  return "GET /mirror?after=" + std::to_string(call.after_revision.number) +
+         "&era=" + std::to_string(call.after_revision.era) +
          "&wait=" + std::to_string(call.wait.count()) +
          " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
 }
@@ -65,7 +66,7 @@
   answer.status = message.history_gone()
                       ? store_answer::status_type::kHistoryCompacted
                       : store_answer::status_type::kOk;
-  answer.revision = message.revision();
+  answer.revision = {message.era(), message.revision()};
   answer.confirmed_age = milliseconds(message.sound_age_ms());
   answer.held = milliseconds(message.held_ms());
   for (const proto::mirror_item& item : message.items()) {
@@ -205,19 +206,24 @@
          // again right after it.
          const bool is_too_old = source_.IsTooOld(answer.confirmed_age) &&
                                  body.size() < kLargeAnswerBytes;
-         const bool has_failed = has_no_answer || is_cut_off || is_too_old;
+         const bool is_behind =
+             answer.revision.era != 0 && answer.revision.era < mirror_.Era();
+         const bool has_failed =
+             has_no_answer || is_cut_off || is_behind || is_too_old;
          if (has_failed) {
            relay_failure_ = has_no_answer ? "silent"
                             : is_cut_off  ? "cut_off"
+                            : is_behind   ? "behind"
                                           : "stale";
            options_.count(has_no_answer ? "relay_failed"
                           : is_cut_off  ? "relay_cut_off"
+                          : is_behind   ? "relay_behind"
                                         : "relay_too_old");
            source_.OnRelayFailed(at, address, !has_no_answer);
          } else {
            source_.OnRelayAnswered(address);
          }
-         if (!has_no_answer && !is_cut_off)
+         if (!has_no_answer && !is_cut_off && !is_behind)
            OnAnswer(at, answer);
          if (!has_failed)
            return;
@@ -232,21 +238,28 @@
                            const store_call& call,
                            const store_hook& done) {
   const auto written = platform::EncodeStoreCall(call, options_.store_address);
-  Read(now, options_.store_address, written.bytes, written.timeout,
-       [kind = call.kind, done](time_point at, int status,
-                                const std::string& body) {
-         store_answer answer;
-         if (status != 0)
-           answer = platform::DecodeStoreAnswer(kind, status, body);
-         done(at, status, std::move(answer));
-       });
+  auto era = std::make_shared<uint64_t>(0);
+  Read(
+      now, options_.store_address, written.bytes, written.timeout,
+      [kind = call.kind, era, done](time_point at, int status,
+                                    const std::string& body) {
+        // An answer that breaks off states the era, too.
+        store_answer answer{.revision = {*era, 0}};
+        if (status != 0)
+          answer = platform::DecodeStoreAnswer(kind, status, body, *era);
+        done(at, status, std::move(answer));
+      },
+      [era](const Poco::Net::HTTPResponse& head) {
+        *era = platform::DecodeStoreEra(head);
+      });
 }
 
 void site_watch::Read(time_point now,
                       const std::string& address,
                       const std::string& request,
                       milliseconds timeout,
-                      const call_hook& done) {
+                      const call_hook& done,
+                      const head_hook& on_head) {
   StartAsyncHttpCall(
       now, &loop_, &pool_,
       {.address = address,
@@ -269,6 +282,7 @@
              }
              done(at, status, std::move(body));
            },
+       .on_head = on_head,
        .on_progress =
            [this](time_point at) { receiving_until_ = at + kMaxAnswerGap; },
        .on_timeout =
@@ -291,7 +305,9 @@
 
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
   CheckPause(now);
+  const uint64_t era_before = mirror_.Era();
   const bool has_changes = mirror_.OnAnswer(now, answer);
+  ReportEra(era_before);
   if (mirror_.IsReachable() != was_reachable_) {
     was_reachable_ = mirror_.IsReachable();
     if (!was_reachable_)
@@ -299,7 +315,7 @@
     LogEvent(was_reachable_ ? log_event::kStoreReachable
                             : log_event::kStoreUnreachable,
              options_.store_address +
-                 " revision=" + std::to_string(mirror_.Revision()));
+                 " revision=" + std::to_string(mirror_.Revision().number));
   }
   if (answer.status == store_answer::status_type::kRefused)
     options_.count("store_refused");
@@ -317,6 +333,16 @@
   loop_.Post([this] { RunDue(BootNow()); });
 }
 
+void site_watch::ReportEra(uint64_t before) {
+  if (before == 0 || mirror_.Era() == before)
+    return;
+  options_.count("store_restorations");
+  LogEvent(log_event::kStoreRestored,
+           options_.store_address + " era=" + std::to_string(mirror_.Era()) +
+               " before=" + std::to_string(before) +
+               " revision=" + std::to_string(mirror_.Revision().number));
+}
+
 void site_watch::Publish(time_point now) {
   // The readers go first: reading a large configuration takes a while.
   relay_.Update(now, mirror_);
@@ -338,7 +364,7 @@
     LogEvent(
         log_event::kConfigurationAdopted,
         "version=" + std::to_string(view->configuration.version) +
-            " revision=" + std::to_string(view->revision) +
+            " revision=" + std::to_string(view->revision.number) +
             " routes=" + std::to_string(view->configuration.routes.size()) +
             " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
   }
@@ -394,29 +420,40 @@
     return;
   const auto known =
       mirror_.Items().find(std::string(kRegisteredPrefix) + *node);
-  if (known == mirror_.Items().end())
+  if (known == mirror_.Items().end() ||
+      known->second.revision.era != mirror_.Era())
     return;
   LogEvent(log_event::kRelayRemoved, "node=" + *node);
   options_.count("store_relays_removed");
   CallRegistry(now,
                platform::EncodeStoreRemove(options_.store_address, known->first,
-                                           known->second.revision));
+                                           known->second.revision.number));
 }
 
 void site_watch::CallRegistry(time_point now, const std::string& request) {
   is_registering_ = true;
+  auto era = std::make_shared<uint64_t>(0);
   StartAsyncHttpCall(
       now, &loop_, &pool_,
       {.address = options_.store_address,
        .request = request,
        .timeout = kRegisterTimeout,
        .on_done =
-           [this](time_point at, int, const std::string&) {
+           [this, era](time_point at, int, const std::string&) {
+             const uint64_t era_before = mirror_.Era();
+             if (mirror_.OnEra(at, *era)) {
+               ReportEra(era_before);
+               loop_.Post([this] { RunDue(BootNow()); });
+             }
              // The watch reports whether the change took effect; until then
              // other relays serve the domain.
              loop_.StartTimer(at + kRegisterPause,
                               [this](time_point) { is_registering_ = false; });
            },
+       .on_head =
+           [era](const Poco::Net::HTTPResponse& head) {
+             *era = platform::DecodeStoreEra(head);
+           },
        .on_timeout = [this](
                          time_point,
                          size_t) { options_.count("control_calls_silent"); }});
@@ -428,13 +465,16 @@
   const std::string key = std::string(kRegisteredPrefix) + options_.node;
   const std::string value = options_.domain + " " + options_.relay_address;
   auto known = mirror_.Items().find(key);
-  if (known != mirror_.Items().end() && known->second.value == value)
+  // One of an older era is kept for a while, but a restored store lacks it.
+  const bool is_registered =
+      known != mirror_.Items().end() &&
+      known->second.revision.era == mirror_.Revision().era;
+  if (is_registered && known->second.value == value)
     return;
   options_.count("store_registrations");
-  const uint64_t revision =
-      known == mirror_.Items().end() ? 0 : known->second.revision;
+  const uint64_t expected = is_registered ? known->second.revision.number : 0;
   CallRegistry(now, platform::EncodeStorePut(options_.store_address, key, value,
-                                             revision));
+                                             expected));
 }
 
 http_listener_hooks site_watch::RelayHooks() {
@@ -460,7 +500,9 @@
     const Poco::URI uri(request.head.getURI());
     for (const auto& [name, value] : uri.getQueryParameters()) {
       if (name == "after")
-        item.after = std::stoull(value);
+        item.after.number = std::stoull(value);
+      if (name == "era")
+        item.after.era = std::stoull(value);
       if (name == "wait")
         item.until = now + milliseconds(std::stoul(value));
     }
@@ -468,8 +510,11 @@
     from->Answer(now, MakeAnswerHead(400), "malformed query\n");
     return;
   }
+  // A reader that states no era has the present one.
+  if (item.after.era == 0)
+    item.after.era = relay_.Revision().era;
   if (!mirror_.IsLoaded() || (!mirror_.IsReachable() && !IsReceiving(now)) ||
-      waiters_.size() >= kMaxWaiters) {
+      relay_.IsBehind(item.after) || waiters_.size() >= kMaxWaiters) {
     from->Answer(now, MakeAnswerHead(kNoStoreAccess), "nothing to relay\n");
     return;
   }
@@ -513,7 +558,7 @@
   compressed_after_ = item.after;
   compressed_age_ = age;
   compressed_confirmed_at_ = mirror_.ConfirmedAt();
-  compressed_revision_ = answer.revision();
+  compressed_revision_ = relay_.Revision();
   item.connection->Answer(now, MakeAnswerHead(200), compressed_answer_);
 }
 
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -10,6 +10,7 @@
 #include "mirror_relay_base.h"
 #include "network/async_http_call.h"
 #include "network/http_listener.h"
+#include "platform/documents.h"
 #include "site_type.h"
 
 namespace fuchsiafall {
@@ -49,13 +50,16 @@
   using call_hook =
       std::function<void(time_point, int status, std::string body)>;
 
+  /// Handles any answer of the store; the status is 0 if there was none.
+  using head_hook = std::function<void(const Poco::Net::HTTPResponse& head)>;
+
   /// Handles the store's answer; the status is 0 if there was none.
   using store_hook = std::function<void(time_point, int status, store_answer)>;
 
   /// Pending call of a reader in this failure domain that waits for changes.
   struct waiter {
     std::shared_ptr<http_server_connection> connection;
-    uint64_t after = 0;
+    store_revision after;
     time_point since{};
     time_point until{};
     time_point held_at{};  ///< When it was last told to keep waiting.
@@ -80,10 +84,14 @@
             const std::string& address,
             const std::string& request,
             milliseconds timeout,
-            const call_hook& done);
+            const call_hook& done,
+            const head_hook& on_head = {});
   void OnAnswer(time_point now, const store_answer& answer);
   /// Notices that the process was paused.
   void CheckPause(time_point now);
+  /// Logs and counts that the store came back from an older copy.
+  /// @param before Era known before.
+  void ReportEra(uint64_t before);
   void Publish(time_point now);
   /// Logs the versions of the weights that are new in a view.
   void LogAnnouncements(time_point now, const site_view& view) const;
@@ -126,10 +134,10 @@
   std::vector<waiter> waiters_;
   /// Last compressed answer; most waiters share it.
   std::string compressed_answer_;
-  uint64_t compressed_after_ = 0;
+  store_revision compressed_after_;
   milliseconds compressed_age_{0};  ///< Confirmed age that it states.
   time_point compressed_confirmed_at_{};
-  uint64_t compressed_revision_ = 0;
+  store_revision compressed_revision_;
   std::shared_ptr<const site_view> view_ = std::make_shared<site_view>();
   timer_id run_timer_ = 0;
   std::optional<time_point> ran_at_;  ///< When the loop last ran.
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -28,6 +28,10 @@
           210,
           Info,
           "large answer of a relay or the store read")
+LOG_EVENT(kStoreRestored,
+          211,
+          Warning,
+          "platform store restored from an older copy")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
