Fix: Date a version by a relay only if none was missed in between (VERSION)

What callers saw: nothing yet; the fault came with the times that relays hand on.

Cause: a relay tells when the last change of an item happened. A reader that was paused or cut off over two changes, or that starts, took it for the end of the version that it knows. With version 2 named at 1 s and version 3 at 3 s, it ended version 1 by version 3, 2 s too late, at entries and at agents alike. Class: a belief handed on without what it refers to.

Evidence: the test, which failed before on both counts (a reader that missed version 2, and one that starts).

Change: an item carries the revision that its last change replaced. A reader that knows this revision or a later one takes the time; another one keeps its own estimate, or does not know the time, as before.

a_version_missed_in_between_does_not_postpone_the_bound failed before.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -55,6 +55,7 @@
     to->set_changed_after_ms(
         std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
             .count());
+    to->set_replaced_revision(item.replaced_revision);
   }
   return answer;
 }
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -66,7 +66,8 @@
                             .value = item.value(),
                             .revision = item.revision(),
                             .is_deleted = item.is_deleted(),
-                            .max_age = max_age});
+                            .max_age = max_age,
+                            .replaced_revision = item.replaced_revision()});
   }
   return answer;
 }
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -155,10 +155,15 @@
   if (it != items_.end() && it->second.revision >= item.revision)
     return;
   maybe_expired_.erase(item.key);
+  const uint64_t replaced_revision =
+      it == items_.end() ? 0 : it->second.revision;
   store_item& applied = items_[item.key];
   applied = item;
+  applied.replaced_revision = replaced_revision;
   applied.changed_after = is_loaded_ ? ChangedAfter() : time_point{};
-  if (item.max_age)
+  // If the relay knew a later one, it does not tell when the known one was
+  // replaced.
+  if (item.max_age && replaced_revision >= item.replaced_revision)
     applied.changed_after =
         std::max(applied.changed_after, confirmed_at - *item.max_age);
 }
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -24,6 +24,8 @@
   /// Answers of relays: maximum age of the change at the relay's last confirmed
   /// read of the store; nullopt if the relay does not know it.
   std::optional<milliseconds> max_age;
+  /// Revision of the item that the change replaced; 0 if there was none.
+  uint64_t replaced_revision = 0;
   /// Mirror: earliest time from which the change counts; time_point{} if
   /// unknown.
   time_point changed_after{};
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -201,6 +201,18 @@
   BOOST_TEST(after.count() <= 5200);
 }
 
+// Reads an item of a relay's answer.
+store_item ReadRelayedItem(const proto::mirror_item& from,
+                           time_point confirmed_at) {
+  return {.key = from.key(),
+          .value = from.value(),
+          .revision = from.revision(),
+          .max_age =
+              std::chrono::ceil<milliseconds>(confirmed_at.time_since_epoch()) -
+              milliseconds(from.changed_after_ms()),
+          .replaced_revision = from.replaced_revision()};
+}
+
 // A process that starts, or learns of a version late, has read nothing that
 // tells when it was announced.
 BOOST_AUTO_TEST_CASE(a_relay_tells_when_a_version_was_announced) {
@@ -223,6 +235,54 @@
   BOOST_TEST((announced.announced_after == now - milliseconds(3250)));
 }
 
+// Version 1 ended with version 2, which this process never read; the relay
+// tells only when version 3 replaced that.
+BOOST_AUTO_TEST_CASE(a_version_missed_in_between_does_not_postpone_the_bound) {
+  time_point now{std::chrono::hours(1)};
+  const auto read = [&](store_mirror* mirror, std::vector<store_item> items,
+                        uint64_t revision) {
+    now = std::max(now, mirror->NextCallAt());
+    mirror->NextCall(now);
+    mirror->OnAnswer(now, {.status = status_type::kOk,
+                           .items = std::move(items),
+                           .revision = revision});
+  };
+  const auto version = [](uint64_t number, uint64_t revision) {
+    return store_item{.key = "op/version/m",
+                      .value = "{\"Version\":" + std::to_string(number) + "}",
+                      .revision = revision};
+  };
+  const auto announced = [](const store_mirror& mirror, time_point at) {
+    std::vector<std::string> problems;
+    return platform::BuildView(at, mirror, {}, &problems)
+        .weights.at("m")
+        .announcements.at(3);
+  };
+  store_mirror relayed{{}};
+  store_mirror reader{{}};
+  read(&relayed, {}, 9);
+  read(&reader, {}, 9);
+  const time_point last_read = reader.ConfirmedAt();
+  mirror_relay relay;
+  relay.Update(now, relayed);
+  now += seconds(1);
+  read(&relayed, {version(2, 10)}, 10);
+  now += seconds(2);
+  read(&relayed, {}, 10);
+  read(&relayed, {version(3, 11)}, 11);
+  relay.Update(now, relayed);
+  const auto relay_reads = [&](store_mirror* mirror, uint64_t after) {
+    const auto answer = relay.Answer(now, after);
+    BOOST_REQUIRE(answer.items_size() == 1);
+    read(mirror, {ReadRelayedItem(answer.items(0), relayed.ConfirmedAt())}, 11);
+  };
+  relay_reads(&reader, 9);
+  BOOST_TEST((announced(reader, now).announced_after == last_read));
+  store_mirror started{{}};
+  relay_reads(&started, 0);
+  BOOST_TEST(!announced(started, now).was_watched);
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_does_not_tell_what_it_has_not_watched) {
   store_mirror mirror{{}};
   time_point now{std::chrono::hours(1)};
