Fix: Take no limit on calls for an outage of the store (VERSION)

What callers saw: nothing yet; found by review.

Cause: every refusal of a call counted as an outage of the store, which suspends the bound of a version. A refusal by a limit on calls (429) is none: the store serves other machines and the operator meanwhile, who may name a version then. An entry refused for 9 s would date that version up to 9 s too late, and hand the date on. Class: a failure of one's own taken for one of the other side.

Evidence: the test, which failed before.

Change: such a refusal leaves the date of a change as it was.

a_limit_on_calls_does_not_postpone_the_bound failed before.

--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -43,7 +43,7 @@
     // them with each retry; the size of a listing is bounded.
     if (answer.status == store_answer::status_type::kNoAnswer && !is_listing_)
       BeginListing();
-    CheckOutage(answer.status);
+    CheckOutage(answer);
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
     ++failures_;
     next_at_ = now + std::min<duration>(doubled, options_.max_backoff);
@@ -99,9 +99,11 @@
   return true;
 }
 
-void store_mirror::CheckOutage(store_answer::status_type status) {
+void store_mirror::CheckOutage(const store_answer& answer) {
+  if (answer.is_limited)
+    return;
   // A first call without an answer may only have found its connection dead.
-  const bool is_silent = status == store_answer::status_type::kNoAnswer;
+  const bool is_silent = answer.status == store_answer::status_type::kNoAnswer;
   const bool is_shown = !is_silent || (options_.trusts_silence &&
                                        failures_ > 0 && sent_at_ > resumed_at_);
   if (is_shown)
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -41,8 +41,9 @@
   };
   status_type status = status_type::kNoAnswer;
   std::vector<store_item> items;
-  bool has_more = false;  ///< Whether a listing has another page.
-  uint64_t revision = 0;  ///< Revision of the store.
+  bool is_limited = false;  ///< Refused by a limit on the calls of machines.
+  bool has_more = false;    ///< Whether a listing has another page.
+  uint64_t revision = 0;    ///< Revision of the store.
   /// Answers of relays: age of the relay's last confirmed read of the store.
   milliseconds confirmed_age{0};
   /// Time for which the call was held before it was answered: the answer is at
@@ -142,7 +143,7 @@
 
  private:
   /// Records an outage if a failed call shows one.
-  void CheckOutage(store_answer::status_type status);
+  void CheckOutage(const store_answer& answer);
   /// @param confirmed_at Time of the confirmed read that the item comes from.
   void Apply(const store_item& item, time_point confirmed_at);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -194,6 +194,25 @@
   BOOST_TEST(AnnouncedAfterSilence(mirror, 3, false).count() == 0);
 }
 
+// The store serves the operator, who names versions, meanwhile.
+BOOST_AUTO_TEST_CASE(a_limit_on_calls_does_not_postpone_the_bound) {
+  const auto watch = store_call::kind_type::kWatch;
+  time_point now{std::chrono::hours(1)};
+  store_mirror mirror{{}};
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, {.status = status_type::kOk, .revision = 9});
+  const time_point confirmed = mirror.ConfirmedAt();
+  for (int i = 0; i < 5; ++i) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, platform::DecodeStoreAnswer(watch, 429, ""));
+  }
+  now = mirror.NextCallAt();
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, {.status = status_type::kOk, .revision = 10});
+  BOOST_TEST((mirror.ChangedAfter() == confirmed));
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_store_suspends_the_bound) {
   // Until the third call, which was sent after two of 2 s and their pauses.
   const auto after = AnnouncedAfterSilence(store_mirror{{}}, 3, false);
