--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -300,7 +300,8 @@
                                   options_.min_attempt_timeout));
   }
   call->recall_at.reset();
-  if (call->is_model) {
+  // Only a stream shows when its request begins to run.
+  if (call->is_model && call->kind == call_kind::kStream) {
     if (const auto outdated_at =
             selector_.OutdatedAt(call->server, call->request.model))
       call->recall_at = *outdated_at - options_.recall_margin;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -72,7 +72,7 @@
     // them with each retry; the size of a listing is bounded.
     if (answer.status == store_answer::status_type::kNoAnswer && !is_listing_)
       BeginListing();
-    CheckOutage(answer.status);
+    CheckOutage(answer);
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
     ++failures_;
     next_at_ = now + std::min<duration>(doubled, options_.max_backoff);
@@ -134,9 +134,11 @@
   return true;
 }
 
-void store_mirror::CheckOutage(store_answer::status_type status) {
+void store_mirror::CheckOutage(const store_answer& answer) {
+  if (answer.is_limited)
+    return;
   // A first call without an answer may only have found its connection dead.
-  const bool is_silent = status == store_answer::status_type::kNoAnswer;
+  const bool is_silent = answer.status == store_answer::status_type::kNoAnswer;
   const bool is_shown = !is_silent || (options_.trusts_silence &&
                                        failures_ > 0 && sent_at_ > resumed_at_);
   if (is_shown)
@@ -194,11 +196,23 @@
   if (it != items_.end() && it->second.revision >= RevisionOf(item))
     return;
   maybe_expired_.erase(item.key);
+  const store_item known = it == items_.end() ? store_item{} : it->second;
   store_item& applied = items_[item.key];
   applied = item;
   applied.revision = RevisionOf(item);
+  if (known.revision.number > 0 && known.value == item.value) {
+    // It was only written again, as after the store's return from a copy.
+    applied.changed_after = known.changed_after;
+    applied.replaced_revision =
+        known.revision.era == era_ ? known.replaced_revision : 0;
+    return;
+  }
+  applied.replaced_revision =
+      known.revision.era == era_ ? known.revision.number : 0;
   applied.changed_after = is_loaded_ ? ChangedAfter() : time_point{};
-  if (item.max_age)
+  // If the relay knew a later one, it does not tell when the known one was
+  // replaced.
+  if (item.max_age && applied.replaced_revision >= item.replaced_revision)
     applied.changed_after =
         std::max(applied.changed_after, confirmed_at - *item.max_age);
 }
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -25,6 +25,9 @@
   /// Answers of relays: maximum age of the change at the relay's last confirmed
   /// read of the store; nullopt if the relay does not know it.
   std::optional<milliseconds> max_age;
+  /// Revision of the item that the change replaced, in the same era; 0 if there
+  /// was none.
+  uint64_t replaced_revision = 0;
   /// Mirror: earliest time from which the change counts; time_point{} if
   /// unknown.
   time_point changed_after{};
@@ -40,7 +43,8 @@
   };
   status_type status = status_type::kNoAnswer;
   std::vector<store_item> items;
-  bool has_more = false;  ///< Whether a listing has another page.
+  bool is_limited = false;  ///< Refused by a limit on the calls of machines.
+  bool has_more = false;    ///< Whether a listing has another page.
   /// Revision of the store. Refusals state only its era.
   store_revision revision;
   /// Answers of relays: age of the relay's last confirmed read of the store.
@@ -166,7 +170,7 @@
 
  private:
   /// Records an outage if a failed call shows one.
-  void CheckOutage(store_answer::status_type status);
+  void CheckOutage(const store_answer& answer);
   /// @return Whether the era is newer than the known one.
   bool EnterEra(uint64_t era);
   /// Revision of an item of an answer, which is of the present era.
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -389,6 +389,22 @@
   BOOST_TEST(it.Next().after_revision == store_revision(3, 6));
 }
 
+// The operators write a version again that the store has lost; its bound goes
+// on from the first time.
+BOOST_AUTO_TEST_CASE(a_value_written_again_keeps_the_time_of_its_change) {
+  listed_mirror it(Servers(2), 5);
+  it.Next();
+  it.Answer(Ok({{.key = "op/version/m", .value = "2", .revision = 6}}, 6));
+  const time_point changed = it.mirror.Items().at("op/version/m").changed_after;
+  BOOST_TEST((changed > time_point{}));
+  it.now += seconds(3);
+  it.Next();
+  it.Answer(Ok({{.key = "op/version/m", .value = "2", .revision = 7}}, 7));
+  const store_item& again = it.mirror.Items().at("op/version/m");
+  BOOST_TEST((again.revision == store_revision(7)));
+  BOOST_TEST((again.changed_after == changed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
