Fix: Stale relays sent all their readers to a slow store at once (CONFIG)

Since a reader asks the next source at once after a stale answer, a store that is slow, so that every relay is stale, was read by over a hundred processes within a second. Class: a fallback whose load grows with the fault that it answers.

A reader goes through all relays at once as before, and on to the store only after 0.3 to 0.9 s without a recent answer, and after each such read again; a relay does not wait. At most 0.9 s are added to an age of 1.1 s, within the bound of 2 s.

stale_relays_do_not_send_all_readers_to_a_slow_store fails without the wait: all 100 readers ask at once.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -103,7 +103,12 @@
   if (!is_relay_ && !relays_.empty() && now < startup_until_)
     return none;
   const bool has_relays = !is_relay_ && relays_.size() > unresponsive;
-  return has_relays && now < store_retry_at_ ? none : options_.store_address;
+  const bool waits_for_relays =
+      stale_since_ &&
+      now < *stale_since_ + AddJitter(options_.stale_store_delay);
+  return has_relays && (now < store_retry_at_ || waits_for_relays)
+             ? none
+             : options_.store_address;
 }
 
 void relay_selector::OnRelayFailed(time_point now,
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -72,6 +72,11 @@
   /// Time for which a relay with stale answers is not asked: its next answer
   /// may be fresh again.
   milliseconds stale_pause{600};
+  /// Mean time for which a process whose relays all have stale answers goes on
+  /// asking them before it asks the store. Their answers are stale too if the
+  /// store is slow, and direct reads by all processes would make it slower.
+  /// Each process adds its own jitter of up to 50 %.
+  milliseconds stale_store_delay{600};
   /// Mean pause after a failed call to the store, for a process whose relays
   /// answer but cannot read the store either. The relays notice first when the
   /// store is reachable again; direct reads by all processes would saturate the
@@ -106,6 +111,16 @@
   void BeginStartup(time_point now);
   /// Records that a direct call to the store failed.
   void OnStoreFailed(time_point now);
+  /// Records a relay's answer that has no recent read of the store.
+  void OnRelayStale(time_point now) {
+    if (!stale_since_)
+      stale_since_ = now;
+  }
+  /// Records that the store answered a direct call.
+  void OnStoreAnswered(time_point now) {
+    if (stale_since_)
+      stale_since_ = now;
+  }
   bool IsRelay(const std::string& address) const {
     return !address.empty() && address != options_.store_address;
   }
@@ -114,6 +129,7 @@
   void OnRelayFailed(time_point now, const std::string& address, bool is_stale);
   void OnRelayAnswered(const std::string& address) {
     failing_since_.erase(address);
+    stale_since_.reset();
   }
   /// Finds a relay that has failed for so long that its registration can be
   /// removed. A live relay registers again.
@@ -130,8 +146,11 @@
   std::vector<relay_registration> relays_;  ///< Best first.
   bool is_relay_ = false;        ///< Whether this process is a relay.
   time_point store_retry_at_{};  ///< Earliest next direct call to the store.
-  time_point startup_until_{};   ///< End of the start phase, before which the
-                                 ///< store is not asked if there are relays.
+  /// Since when no relay has had a recent read of the store, or the last direct
+  /// read meanwhile.
+  std::optional<time_point> stale_since_;
+  time_point startup_until_{};  ///< End of the start phase, before which the
+                                ///< store is not asked if there are relays.
   struct avoidance {
     time_point until{};
     bool is_unresponsive = false;
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -184,6 +184,7 @@
     if (answer.items.empty())
       answer.held = call.wait;
     if (answer.status == store_answer::status_type::kOk) {
+      source_.OnStoreAnswered(at);
       RemoveLostRelay(at);
     } else if (answer.status != store_answer::status_type::kHistoryCompacted) {
       source_.OnStoreFailed(at);
@@ -221,6 +222,8 @@
                           : is_behind   ? "relay_behind"
                                         : "relay_too_old");
            source_.OnRelayFailed(at, address, !has_no_answer);
+           if (!has_no_answer && !is_cut_off)
+             source_.OnRelayStale(at);
          } else {
            source_.OnRelayAnswered(address);
          }
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -1,6 +1,8 @@
 /// @file mirror_relay_test.cc Tests of the choice between relays and the store.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <numeric>
 #include <set>
 
 #include "mirror_relay_base.h"
@@ -182,10 +184,10 @@
 BOOST_AUTO_TEST_CASE(a_standby_leaves_a_stale_relay_before_the_readers_do) {
   const relay_selector_options options;
   const relay_selector reader = SelectorOf("other", 20);
-  const std::string first = reader.Choose(kStart);
+  const std::string& first = reader.Choose(kStart);
   relay_selector next = SelectorOf("other", 20);
   next.OnRelayFailed(kStart, first, true);
-  const std::string second = next.Choose(kStart);
+  const std::string& second = next.Choose(kStart);
   const relay_selector standby =
       SelectorOf(second.substr(0, second.find(':')), 20);
   // The standby polls the relay and reads the store once until then.
@@ -198,6 +200,33 @@
       !standby.IsTooOld(store_mirror_options().watch_wait + milliseconds(100)));
 }
 
+// Regression: while the store was slow, all relays were stale, and over a
+// hundred processes read it themselves within a second.
+BOOST_AUTO_TEST_CASE(stale_relays_do_not_send_all_readers_to_a_slow_store) {
+  constexpr int kReaders = 100;
+  std::vector<int> asked(10);  // First reads of the store, each 100 ms.
+  for (int i = 0; i < kReaders; ++i) {
+    relay_selector reader = SelectorOf("reader" + std::to_string(i), 20);
+    for (size_t interval = 0; interval < asked.size(); ++interval) {
+      const time_point now = kStart + milliseconds(100) * interval;
+      std::string source = reader.Choose(now);
+      while (reader.IsRelay(source)) {
+        reader.OnRelayFailed(now, source, true);
+        reader.OnRelayStale(now);
+        source = reader.Choose(now);
+      }
+      if (source == kStore) {
+        ++asked[interval];
+        break;
+      }
+    }
+  }
+  BOOST_TEST(asked[0] == 0);
+  BOOST_TEST(*std::max_element(asked.begin(), asked.end()) <= kReaders / 4);
+  // The state is at most 1.1 s old at first, and has to be read within 2 s.
+  BOOST_TEST(std::accumulate(asked.begin(), asked.end(), 0) == kReaders);
+}
+
 // A relay whose processor is busy confirms its items somewhat late. If all its
 // readers turned to the store for seconds, that would cost far more than one
 // call each.
