--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -111,7 +111,7 @@
   void BeginStartup(time_point now);
   /// Records that a direct call to the store failed.
   void OnStoreFailed(time_point now);
-  /// Records a relay's answer that has no recent read of the store.
+  /// Records that a relay answered, but has no recent read of the store.
   void OnRelayStale(time_point now) {
     if (!stale_since_)
       stale_since_ = now;
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -222,7 +222,7 @@
                           : is_behind   ? "relay_behind"
                                         : "relay_too_old");
            source_.OnRelayFailed(at, address, !has_no_answer);
-           if (!has_no_answer && !is_cut_off)
+           if (!has_no_answer)
              source_.OnRelayStale(at);
          } else {
            source_.OnRelayAnswered(address);
