Fix: An entry that was paused used a grant that had run out

Cause: after a pause the event loop may hand a grant to the dispatch before the timer that ends its place request. The request was then sent with a place that the agent had given away and a key whose state was last confirmed before the pause, so past the revocation bound. Change: a grant counts for 400 ms after its request, the time after which the agent may reclaim the place. Later ones are released, and the call is checked and dispatched anew.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -221,6 +221,7 @@
     call->server = *server;
     call->asked_servers.insert(server->id);
     ++call->place_request_count;
+    call->place_requested_at = now;
     call->timeout_at = now + options_.place_timeout;
     call->place_request_id = next_place_request_id_++;
     open_place_requests_[call->place_request_id] = call->id;
@@ -258,6 +259,12 @@
   selector_.OnPlaceAnswered(call.server.id);
   selector_.OnLoad(now, call.server.id, reply.load, reply.slots);
   selector_.SetAnswerLimit(call.server.id, reply.max_answer_tokens);
+  if (reply.is_granted &&
+      now - call.place_requested_at > options_.max_grant_age) {
+    hooks_.release_place(call.server, place_request_id, attempt_result::kOther);
+    hooks_.count("grants_expired");
+    return Dispatch(now, &call);
+  }
   if (reply.is_granted) {
     call.has_place = true;
     call.is_suspect = reply.is_suspect;
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -56,6 +56,10 @@
   /// Timeout of a place request. Covers the latency between regions plus two
   /// weight chunks queued ahead on the link of the agent.
   milliseconds place_timeout{70};
+  /// Age of a place request after which a grant is not used. Its agent may have
+  /// given the place to another request, and the state that the call was checked
+  /// against may be outdated, after a pause of this process.
+  milliseconds max_grant_age{400};
   /// Time without an answer of an agent, after which its server gets requests
   /// without a place.
   milliseconds agent_timeout{1000};
@@ -207,6 +211,7 @@
     bool has_place = false;
     bool is_suspect = false;        ///< Of crashing servers, as its agent says.
     uint64_t place_request_id = 0;  ///< Id of the current place request.
+    time_point place_requested_at{};
     uint32_t place_request_count = 0;  ///< Since the last attempt.
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -311,6 +311,27 @@
   BOOST_TEST(entry.attempts.empty());
 }
 
+// A process that was paused for seconds read a grant before its timers ran, and
+// sent the request although its key could not be confirmed any more.
+BOOST_AUTO_TEST_CASE(a_grant_from_before_a_pause_of_the_process_is_not_used) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  const uint64_t place_request_id = entry.place_requests.back().call;
+  entry.now += milliseconds(4900);
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.empty());
+  BOOST_TEST(
+      (entry.released_requests == std::vector<uint64_t>{place_request_id}));
+  BOOST_REQUIRE(entry.refusals.size() == 1u);
+  BOOST_TEST(entry.refusals[0].status == 503);
+  entry.dispatch.SetConfirmedAt(entry.now);
+  entry.SendRequest(2, "models");
+  entry.now += milliseconds(600);
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.empty());
+  BOOST_TEST(entry.place_requests.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(
     without_a_place_the_refusal_is_immediate_with_retry_after) {
   fake_entry entry;
