Fix: Servers read back all old pieces before they fetched a new version

Cause: the target of a new version made every staged piece unknown, and chunks were requested only once all positions had been read: 96 calls to the engine. Change: a position known to hold another piece counts as missing without a read. Check: pieces_known_to_be_of_another_version_are_not_read_first.

--- a/src/piece_stager.cc
+++ b/src/piece_stager.cc
@@ -6,9 +6,21 @@
 namespace fuchsiafall {
 
 void piece_stager::SetTarget(std::vector<digest> pieces) {
+  const std::vector<staged_piece> before = std::move(pieces_);
   pieces_.clear();
-  for (digest& expected : pieces)
-    pieces_.push_back({.expected = std::move(expected)});
+  for (digest& expected : pieces) {
+    staged_piece piece{.expected = std::move(expected)};
+    // What the engine holds of the previous target need not be read to know
+    // that it is another piece.
+    if (pieces_.size() < before.size()) {
+      const staged_piece& previous = before[pieces_.size()];
+      const bool is_known = previous.state == piece_state::kWritten ||
+                            previous.state == piece_state::kVerified;
+      if (is_known && previous.expected != piece.expected)
+        piece.state = piece_state::kMissing;
+    }
+    pieces_.push_back(std::move(piece));
+  }
 }
 
 void piece_stager::Invalidate() {
--- a/src/piece_stager_base.h
+++ b/src/piece_stager_base.h
@@ -30,8 +30,9 @@
 
   explicit piece_stager(piece_stager_options options) : options_(options) {}
 
-  /// Sets the pieces to be staged. All positions are read first, so that pieces
-  /// already staged are not written again.
+  /// Sets the pieces to be staged. Positions of which it is not known that they
+  /// hold another piece are read first, so that pieces already staged are not
+  /// written again.
   void SetTarget(std::vector<digest> pieces);
   bool HasTarget() const { return !pieces_.empty(); }
   /// Discards all verification results, after a restart of the engine.
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -169,6 +169,31 @@
   BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
 }
 
+// Every server read back all pieces of the served version before it requested
+// the first chunk of a new one.
+BOOST_AUTO_TEST_CASE(pieces_known_to_be_of_another_version_are_not_read_first) {
+  piece_stager stager({});
+  const time_point now{std::chrono::hours(1)};
+  stager.SetTarget({digest("a1"), digest("b"), digest("c1")});
+  BOOST_TEST(!stager.HasReadAll());
+  stager.OnReadBack(now, 0, digest("a1"));
+  stager.OnReadBack(now, 1, digest("b"));
+  stager.SetTarget({digest("a2"), digest("b"), digest("c2")});
+  stager.OnAvailable(0);
+  // The second may be the same, and the third has not been read yet.
+  auto next = stager.Next(now, false);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == piece_stager::operation_type::kRead));
+  BOOST_TEST(next->piece == 1u);
+  stager.OnReadBack(now, 1, digest("b"));
+  stager.OnReadBack(now, 2, std::nullopt);
+  BOOST_TEST(stager.HasReadAll());
+  next = stager.Next(now, false);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
+  BOOST_TEST(next->piece == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(an_order_without_effect_is_repeated_and_a_restart_seen) {
   engine_monitor monitor({.order_timeout = milliseconds(600)});
   monitor.SetModel("m", 16);
