Fix: Every server read the manifest of its weights from the origin

Cause: the agents' own interface has few importers for each domain, the hosted one let each agent read the manifest by itself, and again after 0.3 s while it had none. The origin accepts 48 connections and resets others, so that the crowd also broke off the reads of pieces, 40 of which were open at once besides. Every test had at most 15 servers; nothing bounded the calls of the fleet. Change: the transfer knows a manifest by its name where the origin publishes no digest of it. Its importers read it, twice until two reads agree, and all others get it from neighbours. A have-map tells how many reads stand behind a manifest, so that one found to be corrupted later is replaced everywhere. A manifest that the origin no longer has delays only itself. The import order is computed once for each chunk instead of at each have-map, and upload queues hold two chunks, since a longer one holds chunks that are no longer rare. Check: weight_spread_suite, fleets of 37, 157 and 414 machines in virtual time: two reads of the manifest each, all weights before the first servers load, dead readers, an origin that is down or has dropped a version, corrupted reads.

--- a/src/blob_store.cc
+++ b/src/blob_store.cc
@@ -5,9 +5,11 @@
 
 void blob_store::Put(const digest& key, shared_bytes bytes) {
   std::lock_guard lock(mutex_);
-  const uint64_t size = bytes->size();
-  if (blobs_.emplace(key, std::move(bytes)).second)
-    total_bytes_ += size;
+  shared_bytes& stored = blobs_[key];
+  if (stored != nullptr)
+    total_bytes_ -= stored->size();
+  stored = std::move(bytes);
+  total_bytes_ += stored->size();
 }
 
 shared_bytes blob_store::Find(const digest& key) const {
--- a/src/blob_store_base.h
+++ b/src/blob_store_base.h
@@ -16,8 +16,9 @@
 /// Holds blobs whose bytes match their digests. Thread-safe.
 class blob_store {
  public:
-  /// Adds a blob.
-  /// @pre The caller has verified that the bytes match the digest.
+  /// Adds a blob, or replaces the one stored under this key.
+  /// @pre The caller has verified that the bytes match the digest, unless the
+  /// key is the name of a manifest without one.
   void Put(const digest& key, shared_bytes bytes);
   /// Looks up a blob.
   /// @return Null when it is not stored.
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds kEngineTimeout{1000};
 /// A piece takes 30 ms over the origin's link, where a few may be queued.
 constexpr milliseconds kOriginTimeout{1500};
+/// Delay of a further read of a manifest of which reads differ.
+constexpr milliseconds kManifestRetryDelay{300};
 /// Time without an outstanding request after which another server's imports are
 /// taken over: several times the transmission time of a piece at the nominal
 /// rate.
@@ -37,8 +39,18 @@
 /// No request may begin on weights past their bound, so a recovered origin must
 /// be noticed quickly.
 constexpr milliseconds kMaxOriginBackoff{600};
+/// The origin accepts a bounded number of connections, idle ones included.
+constexpr milliseconds kMaxOriginIdle{1000};
+/// Each failure domain has four importers, so that with five domains at most
+/// twenty pieces share the origin's link.
+constexpr size_t kMaxOriginRequests = 1;
 /// Several times the queueing and transmission time at a holder of a chunk.
 constexpr milliseconds kChunkTimeout{700};
+/// Chunks queued for upload. A longer queue holds chunks that are no longer the
+/// rarest, and place replies wait behind it.
+constexpr size_t kUploadQueue = 2;
+/// Servers to exchange chunks with; each gets a have-map for every chunk.
+constexpr size_t kNeighbours = 8;
 /// Minimum interval between have-maps. A piece takes 27 ms over a link; its
 /// announcement should not take much longer.
 constexpr milliseconds kMapInterval{40};
@@ -65,11 +77,20 @@
                    .own_incarnation = process_.OwnIncarnation(),
                    .rate = settings.link_bytes * kBulkShare,
                    .chunk_timeout = kChunkTimeout,
+                   .upload_queue = kUploadQueue,
+                   .neighbours = kNeighbours,
                    .map_interval = kMapInterval,
                    .outside_probe_interval = kOutsideProbeInterval,
                    .excludes_stalls = true,
                    .idle_takeover_delay = kIdleTakeover,
+                   .max_origin_requests = kMaxOriginRequests,
                    .max_origin_backoff = kMaxOriginBackoff,
+                   .has_named_manifests = true,
+                   .on_manifest =
+                       [this](const artifact_ref& part,
+                              const named_manifest& manifest) {
+                         OnPeerManifest(part, manifest);
+                       },
                    .seed = process_.OwnIncarnation().value},
                   blobs_),
         stager_({}),
@@ -80,6 +101,7 @@
                         .seed = process_.OwnIncarnation().value},
                        CrashHooks()),
         pool_(&process_.Loop(), {}),
+        origin_pool_(&process_.Loop(), {.max_idle = kMaxOriginIdle}),
         control_(&process_.Loop(),
                  [this](time_point now,
                         const std::string& from,
@@ -283,8 +305,13 @@
     std::vector<uint64_t> fetch = plan_.fetch;
     if (fetch.empty() && engine_monitor_.ServedVersion() > 0)
       fetch.push_back(engine_monitor_.ServedVersion());
-    for (uint64_t version : fetch)
-      FetchManifest(now, version);
+    SetTransferTarget(now, fetch);
+    for (uint64_t version : fetch) {
+      // Bytes from the origin did not match it.
+      if (manifests_.Find(version) != nullptr &&
+          manifests_.NeedsRead(now, version))
+        ReadManifest(now, version);
+    }
     const uint64_t stage =
         plan_.stage != 0 ? plan_.stage : engine_monitor_.ServedVersion();
     const transfer_manifest* manifest = manifests_.Find(stage);
@@ -292,23 +319,30 @@
       staged_version_ = stage;
       stager_.SetTarget(manifest->pieces);
     }
-    if (!stager_.HasTarget() || !stager_.HasReadAll())
-      return;  // Pieces staged at the engine already are not fetched.
-    SetTransferTarget(now, fetch);
+    // Pieces staged at the engine already are not fetched.
+    if (staged_version_ != 0 && stager_.HasReadAll())
+      read_version_ = staged_version_;
+    transfer_.SetMayRequestChunks(
+        now, staged_version_ != 0 && read_version_ == staged_version_);
   }
 
-  void FetchManifest(time_point now, uint64_t version) {
-    if (!manifests_.NeedsRead(now, version))
+  /// Reads a manifest from the origin until enough reads agree on it.
+  void ReadManifest(time_point now, uint64_t version) {
+    if (manifests_.IsReading(version))
       return;
+    if (manifests_.IsConfirmed(version)) {
+      GiveManifest(now, version);
+      return;
+    }
     manifests_.OnReadStarted(version);
-    Call(now,
-         {.address = origin_,
-          .request = platform::EncodeManifestCall(origin_, model_, version),
-          .timeout = kOriginTimeout,
-          .on_done = [this, version](time_point at, int status,
-                                     const std::string& body) {
-            OnManifest(at, version, status, body);
-          }});
+    CallOrigin(
+        now, {.address = origin_,
+              .request = platform::EncodeManifestCall(origin_, model_, version),
+              .timeout = kOriginTimeout,
+              .on_done = [this, version](time_point at, int status,
+                                         const std::string& body) {
+                OnManifest(at, version, status, body);
+              }});
   }
 
   void OnManifest(time_point now,
@@ -323,37 +357,61 @@
                "manifest version=" + std::to_string(version) +
                    " why=" + is_changed.LastReason());
       process_.Metrics().Count("origin_failed");
+      blob_arrival failed{.wanted = ManifestName(model_, version)};
+      failed.status = status == kHttpNotFound || status == kHttpGone
+                          ? blob_arrival::status_type::kNotHere
+                          : blob_arrival::status_type::kUnreachable;
+      OnBlob(now, failed);
       return;
     }
-    if (!*is_changed)
+    if (*is_changed && staged_version_ == version)
+      staged_version_ = 0;
+    if (manifests_.IsConfirmed(version)) {
+      GiveManifest(now, version);
+      Tick(now);
       return;
-    // Targets set from the previous manifest have to be set again.
-    target_versions_.clear();
-    if (staged_version_ == version)
+    }
+    const bool is_first_read = manifests_.Reads(version) == 1;
+    process_.Loop().StartTimer(
+        now + (is_first_read ? milliseconds(0) : kManifestRetryDelay),
+        [this, version](time_point at) { ReadManifest(at, version); });
+  }
+
+  /// Gives a manifest read from the origin to the transfer, which spreads it.
+  void GiveManifest(time_point now, uint64_t version) {
+    const transfer_manifest* manifest = manifests_.Find(version);
+    output_list out;
+    transfer_.ReplaceManifest(
+        now, ManifestName(model_, version),
+        {.bytes = manifest->bytes, .reads = manifests_.Reads(version)}, &out);
+    Perform(now, &out);
+  }
+
+  void OnPeerManifest(const artifact_ref& part,
+                      const named_manifest& manifest) {
+    const uint64_t version = std::stoull(part.name);
+    if (manifests_.Adopt(version, manifest.bytes, manifest.reads) &&
+        staged_version_ == version)
       staged_version_ = 0;
-    Tick(now);
   }
 
   void SetTransferTarget(time_point now, const std::vector<uint64_t>& fetch) {
+    if (fetch.empty() || fetch == target_versions_)
+      return;
+    target_versions_ = fetch;
     std::vector<artifact_ref> parts;
-    std::vector<uint64_t> versions;
     for (uint64_t version : fetch) {
-      const transfer_manifest* manifest = manifests_.Find(version);
-      if (manifest == nullptr)
-        continue;
-      blobs_->Put(manifest->name, manifest->bytes);
-      parts.push_back({std::to_string(version), manifest->name});
-      versions.push_back(version);
+      parts.push_back({std::to_string(version), ManifestName(model_, version)});
     }
-    if (parts.empty() || versions == target_versions_)
-      return;
-    target_versions_ = versions;
     output_list out;
     transfer_.SetTarget(now, topology_, process_.Settings().service, parts,
-                        !has_transfer_ && versions.front() == kFirstVersion,
-                        &out);
+                        !has_transfer_ && fetch.front() == kFirstVersion, &out);
     has_transfer_ = true;
     Perform(now, &out);
+    for (uint64_t version : fetch) {
+      if (manifests_.IsConfirmed(version))
+        GiveManifest(now, version);
+    }
   }
 
   void Perform(time_point now, output_list* out) {
@@ -368,7 +426,7 @@
           control_.Send(send->address, send->message);
         }
       } else if (auto* fetch = std::get_if<fetch_from_origin>(&item)) {
-        FetchPiece(now, fetch->wanted);
+        FetchFromOrigin(now, fetch->wanted);
       } else if (auto* reset = std::get_if<reset_link>(&item)) {
         bulk_.Reset(reset->address);
       } else if (auto* line = std::get_if<log_line>(&item)) {
@@ -379,27 +437,33 @@
     }
   }
 
-  void FetchPiece(time_point now, const digest& wanted) {
+  void FetchFromOrigin(time_point now, const digest& wanted) {
+    for (uint64_t version : target_versions_) {
+      if (ManifestName(model_, version) == wanted)
+        return ReadManifest(now, version);
+    }
     const auto piece = manifests_.LocatePiece(wanted);
     if (!piece)
       return;
-    Call(now, {.address = origin_,
-               .request = platform::EncodePieceCall(
-                   origin_, model_, piece->version, piece->index),
-               .timeout = kOriginTimeout,
-               .on_done = [this, wanted](time_point at, int status,
-                                         std::string body) {
-                 blob_arrival blob{.wanted = wanted};
-                 if (status == 200) {
-                   blob.actual = DigestOf(body);
-                   if (blob.actual != wanted)
-                     manifests_.OnPieceMismatch(wanted);
-                   blob.bytes = std::make_shared<std::string>(std::move(body));
-                 } else {
-                   blob.status = blob_arrival::status_type::kUnreachable;
-                 }
-                 OnBlob(at, blob);
-               }});
+    CallOrigin(now, {.address = origin_,
+                     .request = platform::EncodePieceCall(
+                         origin_, model_, piece->version, piece->index),
+                     .timeout = kOriginTimeout,
+                     .max_pause = kOriginTimeout,
+                     .on_done = [this, wanted](time_point at, int status,
+                                               std::string body) {
+                       blob_arrival blob{.wanted = wanted};
+                       if (status == 200) {
+                         blob.actual = DigestOf(body);
+                         if (blob.actual != wanted)
+                           manifests_.OnPieceMismatch(wanted);
+                         blob.bytes =
+                             std::make_shared<std::string>(std::move(body));
+                       } else {
+                         blob.status = blob_arrival::status_type::kUnreachable;
+                       }
+                       OnBlob(at, blob);
+                     }});
   }
 
   void OnBlob(time_point now, const blob_arrival& blob) {
@@ -669,6 +733,10 @@
     StartAsyncHttpCall(now, &process_.Loop(), &pool_, call);
   }
 
+  void CallOrigin(time_point now, const async_http_call& call) {
+    StartAsyncHttpCall(now, &process_.Loop(), &origin_pool_, call);
+  }
+
   void Tick(time_point now) {
     if (tick_timer_ != 0)
       process_.Loop().CancelTimer(tick_timer_);
@@ -681,6 +749,7 @@
     Stage(now);
     UnloadOutdated(now);
     pool_.CloseIdle(now);
+    origin_pool_.CloseIdle(now);
     const bool is_busy = has_transfer_ && !transfer_.IsComplete();
     tick_timer_ = process_.Loop().StartTimer(
         now + (is_busy ? kTransferInterval : kReportInterval),
@@ -698,7 +767,8 @@
   engine_monitor engine_monitor_;
   place_table places_;
   crash_monitor crash_monitor_;
-  http_client_pool pool_;
+  http_client_pool pool_;         ///< Connections to the engine.
+  http_client_pool origin_pool_;  ///< Connections to the origin of weights.
   datagram_link control_;
   std::unique_ptr<zmq::context_t> context_;
   message_link bulk_;
@@ -712,6 +782,8 @@
   manifest_cache manifests_{{}};
   weights_plan plan_;
   uint64_t staged_version_ = 0;
+  /// Version for which everything staged at the engine before was read.
+  uint64_t read_version_ = 0;
   std::vector<uint64_t>
       target_versions_;  ///< Versions that the transfer has as its target.
   std::optional<time_point> last_piece_at_;  ///< When a piece last arrived.
--- a/src/manifest_book.cc
+++ b/src/manifest_book.cc
@@ -31,6 +31,8 @@
     all += piece->value;
     converted.pieces.push_back(*piece);
   }
+  if (converted.pieces.empty())
+    return failure{"manifest has no pieces"};
   manifest.set_whole_digest(DigestOf(all).value);
   converted.bytes = std::make_shared<std::string>(manifest.SerializeAsString());
   converted.name = DigestOf(*converted.bytes);
@@ -39,6 +41,62 @@
 
 }  // namespace
 
+digest ManifestName(const std::string& model, uint64_t version) {
+  return DigestOf("manifest " + model + " " + std::to_string(version));
+}
+
+bool manifest_cache::IsReading(uint64_t version) const {
+  auto it = records_.find(version);
+  return it != records_.end() && it->second.is_reading;
+}
+
+bool manifest_cache::IsConfirmed(uint64_t version) const {
+  auto it = records_.find(version);
+  if (it == records_.end() || it->second.candidates.empty())
+    return false;
+  const manifest_record& record = it->second;
+  return record.candidates[record.selected].read_count >= kConfirmingReads;
+}
+
+uint32_t manifest_cache::Reads(uint64_t version) const {
+  auto it = records_.find(version);
+  return it == records_.end() ? 0 : it->second.reads;
+}
+
+bool manifest_cache::Adopt(uint64_t version,
+                           const shared_bytes& bytes,
+                           uint32_t reads) {
+  proto::manifest decoded;
+  if (!decoded.ParseFromString(*bytes) || decoded.chunk_digests().empty())
+    return false;
+  transfer_manifest manifest{.name = DigestOf(*bytes), .bytes = bytes};
+  for (const std::string& piece : decoded.chunk_digests())
+    manifest.pieces.emplace_back(piece);
+  IndexPieces(version, manifest);
+  manifest_record& record = records_[version];
+  for (candidate& other : record.candidates)
+    other.read_count = 0;
+  record.selected = AddCandidate(&record, std::move(manifest));
+  record.candidates[record.selected].read_count = kConfirmingReads;
+  record.reads = std::max(record.reads, reads);
+  record.is_in_doubt = false;
+  record.mismatches.clear();
+  return true;
+}
+
+size_t manifest_cache::AddCandidate(manifest_record* record,
+                                    transfer_manifest manifest) {
+  auto known =
+      std::find_if(record->candidates.begin(), record->candidates.end(),
+                   [&](const candidate& other) {
+                     return other.manifest.name == manifest.name;
+                   });
+  const auto index = static_cast<size_t>(known - record->candidates.begin());
+  if (known == record->candidates.end())
+    record->candidates.push_back({.manifest = std::move(manifest)});
+  return index;
+}
+
 bool manifest_cache::NeedsRead(time_point now, uint64_t version) const {
   auto it = records_.find(version);
   if (it == records_.end())
@@ -64,23 +122,17 @@
     return failure{converted.LastReason()};
   }
   record.next_at = now + options_.recheck_interval;
-  const digest name = converted->name;
-  auto known = std::find_if(
-      record.candidates.begin(), record.candidates.end(),
-      [&](const candidate& other) { return other.manifest.name == name; });
-  if (known == record.candidates.end()) {
-    IndexPieces(version, *converted);
-    record.candidates.push_back({.manifest = std::move(*converted)});
-    known = record.candidates.end() - 1;
-  }
-  if (++known->read_count >= kConfirmingReads)
+  ++record.reads;
+  IndexPieces(version, *converted);
+  const size_t index = AddCandidate(&record, std::move(*converted));
+  candidate& known = record.candidates[index];
+  if (++known.read_count >= kConfirmingReads)
     record.is_in_doubt = false;
-  const bool is_first = record.candidates.size() == 1 && known->read_count == 1;
-  const auto selected = static_cast<size_t>(known - record.candidates.begin());
+  const bool is_first = record.candidates.size() == 1 && known.read_count == 1;
   const bool is_better =
-      known->read_count > record.candidates[record.selected].read_count;
+      known.read_count > record.candidates[record.selected].read_count;
   if (is_better)
-    record.selected = selected;
+    record.selected = index;
   return is_first || is_better;
 }
 
--- a/src/manifest_book_base.h
+++ b/src/manifest_book_base.h
@@ -20,6 +20,9 @@
   std::vector<digest> pieces;
 };
 
+/// Computes the name by which the manifest of a version is known among agents.
+digest ManifestName(const std::string& model, uint64_t version);
+
 /// Position of a piece within the weights.
 struct piece_location {
   uint64_t version = 0;
@@ -43,6 +46,7 @@
 
   /// Whether the manifest of a version should be read now.
   bool NeedsRead(time_point now, uint64_t version) const;
+  bool IsReading(uint64_t version) const;
   void OnReadStarted(uint64_t version) { records_[version].is_reading = true; }
   /// Processes the origin's response.
   /// @return Whether the manifest in use has changed, or why the response is
@@ -50,6 +54,14 @@
   outcome<bool> OnReadResult(time_point now,
                              uint64_t version,
                              const outcome<weights_manifest>& answer);
+  /// Uses a manifest that a peer decided on.
+  /// @param reads Reads of the origin by which it did.
+  /// @return Whether the bytes are a manifest.
+  bool Adopt(uint64_t version, const shared_bytes& bytes, uint32_t reads);
+  /// Whether enough reads have agreed on the manifest in use.
+  bool IsConfirmed(uint64_t version) const;
+  /// Number of reads of the origin that decided on the manifest in use.
+  uint32_t Reads(uint64_t version) const;
   /// Records that the origin sent bytes that do not match a piece's digest.
   void OnPieceMismatch(const digest& piece);
 
@@ -66,11 +78,14 @@
   struct manifest_record {
     std::vector<candidate> candidates;
     size_t selected = 0;  ///< Index of the candidate in use.
+    uint32_t reads = 0;   ///< Usable reads of the origin, here or at a peer.
     bool is_reading = false;
     bool is_in_doubt = false;
     time_point next_at{};                   ///< Earliest time of the next read.
     std::map<digest, uint32_t> mismatches;  ///< Count by piece.
   };
+  static size_t AddCandidate(manifest_record* record,
+                             transfer_manifest manifest);
   void IndexPieces(uint64_t version, const transfer_manifest& manifest);
 
   manifest_cache_options options_;
--- /dev/null
+++ b/src/tests/weight_spread_test.cc
@@ -0,0 +1,130 @@
+/// @file weight_spread_test.cc Spread of weights to fleets of different sizes,
+/// in virtual time.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fake_weight_fleet.h"
+#include "weights_plan_func.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+/// Agents in each of five failure domains, for fleets of 37, 157 and 414
+/// machines.
+constexpr size_t kFleets[] = {4, 22, 57};
+/// Bound within which new weights replace old ones.
+constexpr seconds kVersionBound{10};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(weight_spread_suite)
+
+BOOST_AUTO_TEST_CASE(manifest_is_read_twice_for_the_whole_fleet) {
+  for (const size_t servers : kFleets) {
+    fake_weight_fleet fleet({.servers = servers});
+    fleet.SetVersions({2});
+    fleet.Run(seconds(2));
+    BOOST_TEST(fleet.manifest_reads[2] == 2u, servers);
+    BOOST_TEST(fleet.KnownManifests() == fleet.Vms().size(), servers);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(weights_arrive_before_the_first_servers_load) {
+  for (const size_t servers : kFleets) {
+    fake_weight_fleet fleet({.servers = servers});
+    const time_point start = fleet.now;
+    fleet.SetVersions({2});
+    fleet.RunUntil([&] { return fleet.AllComplete(); }, kVersionBound);
+    const double share =
+        ToSeconds(fleet.now - start) / ToSeconds(kVersionBound);
+    BOOST_TEST(share <= weights_plan_options().load_slots_begin,
+               servers << " agents a domain needed " << share);
+    BOOST_TEST(fleet.chunk_reads <= 100u, servers);
+  }
+}
+
+// The first reader of each version is known only once it has read.
+BOOST_AUTO_TEST_CASE(reader_that_dies_before_it_has_the_manifest_is_replaced) {
+  fake_weight_fleet probe({});
+  probe.SetVersions({2});
+  probe.RunUntil([&] { return !probe.ManifestReaders().empty(); }, seconds(5));
+  const std::string reader = probe.ManifestReaders().front();
+  fake_weight_fleet fleet({});
+  fleet.SetVersions({2});
+  fleet.Kill(reader);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.AllComplete(); }, kVersionBound));
+  BOOST_TEST(fleet.ManifestReaders().front() != reader);
+  BOOST_TEST(fleet.manifest_reads[2] == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(reader_without_a_way_to_the_origin_is_taken_over) {
+  fake_weight_fleet probe({});
+  probe.SetVersions({2});
+  probe.RunUntil([&] { return !probe.ManifestReaders().empty(); }, seconds(5));
+  fake_weight_fleet fleet({});
+  fleet.SetVersions({2});
+  fleet.CutFromOrigin(probe.ManifestReaders().front());
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.AllComplete(); }, kVersionBound));
+}
+
+BOOST_AUTO_TEST_CASE(origin_that_is_down_is_asked_by_few) {
+  std::vector<size_t> reads;
+  for (const size_t servers : {kFleets[0], kFleets[2]}) {
+    fake_weight_fleet fleet({.servers = servers});
+    fleet.is_origin_down = true;
+    fleet.SetVersions({2});
+    fleet.Run(seconds(10));
+    reads.push_back(fleet.manifest_reads[2]);
+    fleet.is_origin_down = false;
+    BOOST_TEST(
+        fleet.RunUntil([&] { return fleet.AllComplete(); }, kVersionBound));
+  }
+  BOOST_TEST(reads.back() <= reads.front() * 2);
+}
+
+BOOST_AUTO_TEST_CASE(
+    manifest_corrupted_alike_in_two_reads_is_replaced_everywhere) {
+  fake_weight_fleet fleet({.corrupt_reads = 2});
+  fleet.SetVersions({2});
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.CompleteCount() == 110; },
+                            3 * kVersionBound));
+}
+
+BOOST_AUTO_TEST_CASE(version_that_the_origin_has_dropped_holds_up_no_other) {
+  std::vector<size_t> reads;
+  for (const size_t servers : {22, 57}) {
+    fake_weight_fleet fleet({.servers = servers});
+    fleet.dropped_versions = {2};
+    fleet.SetVersions({2, 3});
+    const size_t agents = fleet.Vms().size();
+    BOOST_TEST(fleet.RunUntil([&] { return fleet.CompleteCount() == agents; },
+                              kVersionBound));
+    BOOST_TEST(fleet.manifest_reads[3] == 2u);
+    fleet.Run(seconds(5));
+    reads.push_back(fleet.manifest_reads[2]);
+  }
+  // The number of agents that ask does not grow with the fleet.
+  BOOST_TEST(reads.back() <= reads.front() * 3 / 2);
+}
+
+// Each agent read the manifest on a connection of its own, and the origin reset
+// all beyond its limit, also those for chunks.
+BOOST_AUTO_TEST_CASE(connections_to_the_origin_do_not_grow_with_the_fleet) {
+  constexpr size_t kOriginConnections = 48;
+  for (const size_t domains : {1, 3, 5, 15}) {
+    for (const size_t servers : {4, 20}) {
+      fake_weight_fleet fleet({.domains = domains, .servers = servers});
+      fleet.SetVersions({2});
+      fleet.Run(seconds(3));
+      // Two versions may be transferred at once.
+      BOOST_TEST(2 * fleet.max_open_reads <= kOriginConnections,
+                 domains << " domains of " << servers);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -33,13 +33,15 @@
   if (item == nullptr) {
     // An empty map shows that this server is alive but has no chunk of it.
     if (map.reply_wanted())
-      SendMap(digest(map.manifest_digest()), {}, from, false, out);
+      SendMap(digest(map.manifest_digest()), nullptr, from, false, out);
     return;
   }
   holder& peer = item->holders[from];
   peer.awaits_reply = false;
   peer.has_sent_map = true;
   peer.has_manifest = map.count() > 0;
+  peer.manifest_reads = map.manifest_reads();
+  peer.manifest_check = map.manifest_check();
   const size_t count = item->chunks.size();
   std::vector<bool> before = std::move(peer.chunks);
   before.resize(count, false);
@@ -62,7 +64,7 @@
       --item->availability[i];
   }
   if (map.reply_wanted())
-    SendMap(item->part.manifest, item->have, from, false, out);
+    SendMap(item->part.manifest, item, from, false, out);
   if (item->stage != transfer_stage::kComplete)
     RunDue(now, out);
 }
@@ -126,12 +128,12 @@
       continue;
     if (is_refresh)
       MarkAwaitingReply(now, &peer);
-    SendMap(item->part.manifest, item->have, id, is_refresh, out);
+    SendMap(item->part.manifest, item, id, is_refresh, out);
   }
 }
 
 void weight_transfer::SendMap(const digest& manifest,
-                              const std::vector<bool>& have,
+                              const artifact* item,
                               const vm_id& to,
                               bool reply_wanted,
                               output_list* out) {
@@ -142,8 +144,12 @@
       MakeEnvelope(options_.self, options_.own_incarnation);
   proto::have_map* map = message.mutable_have();
   map->set_manifest_digest(manifest.value);
-  map->set_count(static_cast<uint32_t>(have.size()));
-  map->set_bits(PackBits(have));
+  if (item != nullptr) {
+    map->set_count(static_cast<uint32_t>(item->have.size()));
+    map->set_bits(PackBits(item->have));
+    map->set_manifest_reads(item->manifest_reads);
+    map->set_manifest_check(item->manifest_check);
+  }
   map->set_reply_wanted(reply_wanted);
   out->Send(plane::kControl, address, std::move(message));
 }
@@ -160,7 +166,7 @@
     return;
   peer.last_probe = now;
   MarkAwaitingReply(now, &peer);
-  SendMap(item->part.manifest, item->have, id, true, out);
+  SendMap(item->part.manifest, item, id, true, out);
 }
 
 void weight_transfer::MarkAwaitingReply(time_point now, holder* peer) {
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -13,8 +13,8 @@
 constexpr size_t kMaxPeerRequests = 16;  // Outstanding requests to peers.
 // Outstanding requests to one server.
 constexpr size_t kMaxRequestsPerHolder = 2;
-// Outstanding fetches from the origin.
-constexpr size_t kMaxOriginRequests = 2;
+// Importers of another domain that are asked for a blob.
+constexpr size_t kOutsideImporters = 2;
 // Outstanding imports, including those from the origin.
 constexpr size_t kMaxImportRequests = 6;
 // Chunks up to which the download link is reserved ahead.
@@ -41,13 +41,16 @@
         RequestManifest(now, i, out);
         break;
       case transfer_stage::kChunks:
-        RequestImports(now, i, out);
-        RequestFromNeighbours(now, i, out);
+        if (may_request_chunks_) {
+          RequestImports(now, i, out);
+          RequestFromNeighbours(now, i, out);
+        }
         UpdateIdleSince(now, i);
         break;
       default:
         break;
     }
+    RequestBetterManifest(now, i, out);
     SendMaps(now, &item, out);
   }
 }
@@ -134,27 +137,24 @@
 std::optional<weight_transfer::outside_source>
 weight_transfer::ChooseOutsideSource(time_point now,
                                      artifact* item,
-                                     const digest& blob,
                                      std::optional<size_t> chunk) {
-  std::vector<std::string> domains;
-  for (const auto& [id, ranked] : item->importers_by_domain)
-    domains.push_back(id);
   const bool is_before_takeover =
       now - item->takeover_since <= TakeoverTimeout(*item);
-  for (size_t d : RendezvousRank(blob.value, domains, domains.size())) {
-    if (domains[d] == options_.domain.value) {
-      if (now >= origin_retry_at_)
+  for (const auto& [domain, importers] : PlanOf(item, chunk).domains) {
+    if (domain == options_.domain.value) {
+      const bool may_ask_origin =
+          now >= origin_retry_at_ && (chunk || now >= item->next_manifest_try);
+      if (may_ask_origin)
         return outside_source{};
       continue;
     }
-    std::vector<vm_id> order = ImportOrder(*item, domains[d], blob);
-    for (size_t i = 0; i < std::min<size_t>(2, order.size()); ++i) {
-      holder& peer = item->holders[order[i]];
+    for (size_t i = 0; i < std::min(kOutsideImporters, importers.size()); ++i) {
+      holder& peer = item->holders[importers[i]];
       if (IsAvoided(now, peer))
         continue;
       bool has_it = chunk ? peer.Has(*chunk) : peer.has_manifest;
       if (has_it && CanRequestFrom(now, peer))
-        return outside_source{order[i]};
+        return outside_source{importers[i]};
       // This importer responds and will obtain the chunk, so a second copy need
       // not be imported from elsewhere.
       if (has_it || is_before_takeover)
@@ -164,46 +164,73 @@
   return std::nullopt;
 }
 
+void weight_transfer::ProbeImporters(time_point now,
+                                     artifact* item,
+                                     bool asks_outside,
+                                     output_list* out) {
+  for (const auto& [domain, importers] : item->importers_by_domain) {
+    const bool is_own = domain == options_.domain.value;
+    if (!is_own && !asks_outside)
+      continue;
+    const milliseconds interval =
+        is_own ? kImporterProbeInterval : options_.outside_probe_interval;
+    for (const vm_id& importer : importers)
+      Probe(now, item, importer, interval, out);
+  }
+}
+
+bool weight_transfer::IsManifestRequested(size_t index) const {
+  return origin_pending_.contains(artifacts_[index].part.manifest) ||
+         std::any_of(pending_.begin(), pending_.end(),
+                     [index](const auto& id_and_request) {
+                       const pending_request& request = id_and_request.second;
+                       return request.artifact_index == index && !request.chunk;
+                     });
+}
+
+void weight_transfer::RequestBetterManifest(time_point now,
+                                            size_t index,
+                                            output_list* out) {
+  artifact& item = artifacts_[index];
+  if (!options_.has_named_manifests || item.chunks.empty() ||
+      IsManifestRequested(index))
+    return;
+  for (auto& [id, peer] : item.holders) {
+    if (peer.has_manifest && peer.manifest_reads > item.manifest_reads &&
+        peer.manifest_check != item.manifest_check &&
+        CanRequestFrom(now, peer)) {
+      Request(now, index, std::nullopt, id, out);
+      return;
+    }
+  }
+}
+
 void weight_transfer::RequestManifest(time_point now,
                                       size_t index,
                                       output_list* out) {
   artifact& item = artifacts_[index];
-  if (origin_pending_.contains(item.part.manifest))
+  if (IsManifestRequested(index))
     return;
-  for (const auto& [id, request] : pending_) {
-    if (request.artifact_index == index)
-      return;
-  }
   for (auto& [id, peer] : item.holders) {
     if (peer.is_neighbour && peer.has_manifest && CanRequestFrom(now, peer)) {
       Request(now, index, std::nullopt, id, out);
       return;
     }
   }
-  auto ranked = item.importers_by_domain.find(options_.domain.value);
-  if (ranked == item.importers_by_domain.end())
+  const import_plan& plan = PlanOf(&item, std::nullopt);
+  const std::vector<vm_id>* order = plan.Find(options_.domain.value);
+  if (order == nullptr)
     return;
-  std::vector<vm_id> order =
-      ImportOrder(item, options_.domain.value, item.part.manifest);
-  auto own = std::find(order.begin(), order.end(), options_.self);
-  if (own == order.end())
+  auto own = std::find(order->begin(), order->end(), options_.self);
+  if (own == order->end())
     return;
-  const auto rank = static_cast<size_t>(own - order.begin());
-  for (size_t i = 0; i < rank; ++i)
-    Probe(now, &item, order[i], kImporterProbeInterval, out);
-  if (!ActsAsImporter(now, &item, order, rank))
+  const auto rank = static_cast<size_t>(own - order->begin());
+  const bool acts_as_importer = ActsAsImporter(now, &item, *order, rank);
+  ProbeImporters(now, &item, acts_as_importer, out);
+  if (!acts_as_importer)
     return;
-  for (const auto& [id, other] : item.importers_by_domain) {
-    if (id == options_.domain.value)
-      continue;
-    std::vector<vm_id> outside_order =
-        ImportOrder(item, id, item.part.manifest);
-    for (size_t i = 0; i < std::min<size_t>(2, outside_order.size()); ++i) {
-      Probe(now, &item, outside_order[i], options_.outside_probe_interval, out);
-    }
-  }
   std::optional<outside_source> source =
-      ChooseOutsideSource(now, &item, item.part.manifest, std::nullopt);
+      ChooseOutsideSource(now, &item, std::nullopt);
   if (source)
     Request(now, index, std::nullopt, source->source_vm, out);
 }
@@ -216,37 +243,26 @@
   for (const auto& [id, request] : pending_) {
     import_requests += item.holders[*request.source_vm].is_neighbour ? 0 : 1;
   }
-  std::set<vm_id> probed;
-  auto probe = [&](const vm_id& id, milliseconds interval) {
-    if (probed.insert(id).second)
-      Probe(now, &item, id, interval, out);
-  };
+  bool is_importing = false;
+  bool asks_outside = false;
   for (const auto& [chunk, rank] : item.import_rank) {
     if (item.have[chunk] || item.in_flight[chunk] ||
         HasAvailableNeighbour(now, item, chunk))
       continue;
-    std::vector<vm_id> order =
-        ImportOrder(item, options_.domain.value, item.chunks[chunk]);
-    for (size_t i = 0; i < rank; ++i)
-      probe(order[i], kImporterProbeInterval);
+    const import_plan& plan = PlanOf(&item, chunk);
+    const std::vector<vm_id>& order = *plan.Find(options_.domain.value);
+    is_importing = true;
     if (!ActsAsImporter(now, &item, order, rank))
       continue;
-    for (const auto& [id, ranked] : item.importers_by_domain) {
-      if (id == options_.domain.value)
-        continue;
-      std::vector<vm_id> outside_order =
-          ImportOrder(item, id, item.chunks[chunk]);
-      for (size_t i = 0; i < std::min<size_t>(2, outside_order.size()); ++i) {
-        probe(outside_order[i], options_.outside_probe_interval);
-      }
-    }
+    asks_outside = true;
     if (import_requests >= kMaxImportRequests || !HasDownloadCapacity(now))
       continue;
     std::optional<outside_source> source =
-        ChooseOutsideSource(now, &item, item.chunks[chunk], chunk);
+        ChooseOutsideSource(now, &item, chunk);
     if (!source)
       continue;
-    if (!source->source_vm && origin_pending_.size() >= kMaxOriginRequests)
+    if (!source->source_vm &&
+        origin_pending_.size() >= options_.max_origin_requests)
       continue;
     if (rank > 0) {
       out->Count("imports_taken_over");
@@ -256,6 +272,8 @@
     Request(now, index, chunk, source->source_vm, out);
     ++import_requests;
   }
+  if (is_importing)
+    ProbeImporters(now, &item, asks_outside, out);
 }
 
 void weight_transfer::RequestFromNeighbours(time_point now,
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -9,7 +9,10 @@
 namespace {
 
 // Servers of a domain that share the imports from outside.
-constexpr size_t kImporters = 4;
+constexpr size_t kMaxImporters = 4;
+// Importers of all domains together. The origin accepts a bounded number of
+// connections and resets others.
+constexpr size_t kMaxImportersOfAll = 24;
 // Servers that take over when all importers are unresponsive.
 constexpr size_t kStandbys = 2;
 constexpr uint64_t kMaxChunks = 1U << 20;
@@ -17,6 +20,9 @@
 constexpr seconds kCorruptBackoff{60};
 constexpr milliseconds kBusyBackoff{40};
 constexpr milliseconds kMinOriginBackoff{500};
+// For a manifest that the origin does not have.
+constexpr milliseconds kMinManifestBackoff{2000};
+constexpr milliseconds kMaxManifestBackoff{16000};
 
 /// Validates the sizes in a manifest before memory is allocated for it.
 outcome<done> CheckManifest(const proto::manifest& manifest) {
@@ -93,6 +99,8 @@
     if (item.stage != transfer_stage::kManifest)
       BuildImportRanks(&item);
     CountAvailability(&item);
+    if (options_.has_named_manifests)
+      continue;  // ReplaceManifest() also tells how reliable it is.
     shared_bytes manifest = blobs_->Find(item.part.manifest);
     if (item.stage == transfer_stage::kManifest && manifest != nullptr) {
       AdoptManifest(now, &item, manifest, out);
@@ -117,7 +125,9 @@
     OnRefusedBlob(now, *request, blob, out);
     return;
   }
-  if (blob.actual != blob.wanted) {
+  const bool is_named_manifest =
+      !request->chunk && options_.has_named_manifests;
+  if (!is_named_manifest && blob.actual != blob.wanted) {
     OnCorruptBlob(now, *request, out);
     return;
   }
@@ -134,10 +144,89 @@
     return;
   }
   CountSource(*request, blob.bytes->size(), out);
+  if (is_named_manifest) {
+    AdoptNamedManifest(now, *request, blob, out);
+    return;
+  }
   blobs_->Put(blob.wanted, blob.bytes);
   AdoptManifest(now, &item, blob.bytes, out);
 }
 
+void weight_transfer::AdoptNamedManifest(time_point now,
+                                         const pending_request& request,
+                                         const blob_arrival& blob,
+                                         output_list* out) {
+  artifact& item = artifacts_[request.artifact_index];
+  const holder& peer = item.holders[*request.source_vm];
+  // The peer may have replaced its manifest since it sent its have-map.
+  const bool is_as_announced = peer.manifest_check == Hash64(*blob.bytes);
+  const named_manifest manifest{
+      .bytes = blob.bytes, .reads = is_as_announced ? peer.manifest_reads : 1};
+  if (!item.chunks.empty() && manifest.reads <= item.manifest_reads)
+    return;
+  ReplaceManifest(now, item.part.manifest, manifest, out);
+  if (options_.on_manifest)
+    options_.on_manifest(item.part, manifest);
+}
+
+void weight_transfer::ReplaceManifest(time_point now,
+                                      const digest& name,
+                                      const named_manifest& manifest,
+                                      output_list* out) {
+  for (size_t i = 0; i < artifacts_.size(); ++i) {
+    artifact& item = artifacts_[i];
+    if (item.part.manifest != name)
+      continue;
+    DropRequestsUnless([i](const pending_request& request) {
+      return request.artifact_index != i;
+    });
+    item.manifest_reads = manifest.reads;
+    const uint64_t check = Hash64(*manifest.bytes);
+    if (item.chunks.empty() || check != item.manifest_check) {
+      item.manifest_check = check;
+      AdoptManifest(now, &item, manifest.bytes, out);
+    }
+    return;
+  }
+}
+
+void weight_transfer::DropRequestsUnless(
+    const std::function<bool(const pending_request&)>& is_kept) {
+  auto drop = [&](const auto& key_and_request) {
+    if (is_kept(key_and_request.second))
+      return false;
+    Release(key_and_request.second, true);
+    return true;
+  };
+  std::erase_if(pending_, drop);
+  std::erase_if(origin_pending_, drop);
+}
+
+void weight_transfer::SetMayRequestChunks(time_point now, bool may_request) {
+  if (may_request && !may_request_chunks_) {
+    for (artifact& item : artifacts_) {
+      if (item.stage != transfer_stage::kChunks)
+        continue;
+      AddHeldChunks(&item);
+      item.takeover_since = now;
+      item.idle_since = now;
+    }
+  }
+  may_request_chunks_ = may_request;
+}
+
+void weight_transfer::AddHeldChunks(artifact* item) {
+  for (size_t i = 0; i < item->chunks.size(); ++i) {
+    if (item->have[i] || blobs_->Find(item->chunks[i]) == nullptr)
+      continue;
+    item->have[i] = true;
+    ++item->have_count;
+    item->map_changed = true;
+  }
+  if (item->have_count == item->chunks.size())
+    item->stage = transfer_stage::kComplete;
+}
+
 void weight_transfer::StoreLateChunk(time_point now,
                                      const blob_arrival& blob,
                                      output_list* out) {
@@ -264,8 +353,15 @@
   });
 }
 
+size_t weight_transfer::ImporterCount() const {
+  const size_t domains = std::max<size_t>(1, topology_->Domains().size());
+  return std::clamp<size_t>(kMaxImportersOfAll / domains, 1, kMaxImporters);
+}
+
 void weight_transfer::BuildImporters(artifact* item) {
   item->importers_by_domain.clear();
+  item->manifest_plan.reset();
+  item->chunk_plans.assign(item->chunks.size(), std::nullopt);
   if (options_.is_direct) {
     item->importers_by_domain[options_.domain.value] = {options_.self};
     return;
@@ -276,29 +372,43 @@
       continue;
     std::string key = "import " + item->part.manifest.value;
     for (size_t i :
-         RendezvousRank(key, servers->second, kImporters + kStandbys)) {
+         RendezvousRank(key, servers->second, ImporterCount() + kStandbys)) {
       item->importers_by_domain[id].emplace_back(servers->second[i]);
     }
   }
 }
 
-std::vector<vm_id> weight_transfer::ImportOrder(const artifact& item,
-                                                const std::string& domain,
-                                                const digest& chunk) const {
-  auto ranked = item.importers_by_domain.find(domain);
-  if (ranked == item.importers_by_domain.end())
-    return {};
-  std::vector<std::string> importers;
-  for (size_t i = 0; i < std::min(kImporters, ranked->second.size()); ++i) {
-    importers.push_back(ranked->second[i].value);
-  }
-  std::vector<vm_id> order;
-  for (size_t i : RendezvousRank(chunk.value, importers, importers.size())) {
-    order.emplace_back(importers[i]);
-  }
-  for (size_t i = kImporters; i < ranked->second.size(); ++i)
-    order.push_back(ranked->second[i]);
-  return order;
+const std::vector<vm_id>* import_plan::Find(const std::string& domain) const {
+  auto it = std::find_if(
+      domains.begin(), domains.end(),
+      [&](const domain_order& order) { return order.domain == domain; });
+  return it == domains.end() ? nullptr : &it->importers;
+}
+
+const import_plan& weight_transfer::PlanOf(artifact* item,
+                                           std::optional<size_t> chunk) const {
+  std::optional<import_plan>& plan =
+      chunk ? item->chunk_plans[*chunk] : item->manifest_plan;
+  if (plan)
+    return *plan;
+  plan.emplace();
+  const digest& blob = chunk ? item->chunks[*chunk] : item->part.manifest;
+  std::vector<std::string> domains;
+  for (const auto& [id, ranked] : item->importers_by_domain)
+    domains.push_back(id);
+  for (size_t d : RendezvousRank(blob.value, domains, domains.size())) {
+    import_plan::domain_order order{.domain = domains[d]};
+    const std::vector<vm_id>& ranked = item->importers_by_domain[domains[d]];
+    std::vector<std::string> importers;
+    for (size_t i = 0; i < std::min(ImporterCount(), ranked.size()); ++i)
+      importers.push_back(ranked[i].value);
+    for (size_t i : RendezvousRank(blob.value, importers, importers.size()))
+      order.importers.emplace_back(importers[i]);
+    for (size_t i = ImporterCount(); i < ranked.size(); ++i)
+      order.importers.push_back(ranked[i]);
+    plan->domains.push_back(std::move(order));
+  }
+  return *plan;
 }
 
 void weight_transfer::AdoptManifest(time_point now,
@@ -323,20 +433,17 @@
   item->stage = transfer_stage::kChunks;
   item->last_reason.clear();
   const size_t count = static_cast<size_t>(item->manifest.chunk_digests_size());
+  item->chunks.clear();
+  item->have_count = 0;
   item->have.assign(count, false);
   item->in_flight.assign(count, false);
   item->availability.assign(count, 0);
   for (auto& [id, peer] : item->holders)
     peer.chunks.resize(count, false);
   CountAvailability(item);
-  for (const std::string& chunk : item->manifest.chunk_digests()) {
+  for (const std::string& chunk : item->manifest.chunk_digests())
     item->chunks.emplace_back(chunk);
-    if (blobs_->Find(item->chunks.back()) == nullptr)
-      continue;
-    // Shared with an artifact already held.
-    item->have[item->chunks.size() - 1] = true;
-    ++item->have_count;
-  }
+  item->chunk_plans.assign(count, std::nullopt);
   item->map_changed = true;
   item->takeover_since = now;
   item->idle_since = now;
@@ -344,8 +451,7 @@
   CheckMemory(item, out);
   if (item->stage != transfer_stage::kChunks)
     return;
-  if (item->have_count == count)
-    item->stage = transfer_stage::kComplete;
+  AddHeldChunks(item);  // Those shared with an artifact already held.
   BuildImportRanks(item);
   DropUnneeded();
 }
@@ -374,8 +480,8 @@
   if (std::find(own.begin(), own.end(), options_.self) == own.end())
     return;
   for (size_t i = 0; i < item->chunks.size(); ++i) {
-    std::vector<vm_id> order =
-        ImportOrder(*item, options_.domain.value, item->chunks[i]);
+    const std::vector<vm_id>& order =
+        *PlanOf(item, i).Find(options_.domain.value);
     auto rank = std::find(order.begin(), order.end(), options_.self);
     if (rank != order.end())
       item->import_rank[i] = static_cast<size_t>(rank - order.begin());
@@ -457,8 +563,15 @@
     out->Count(lacks_chunk ? "blobs_not_here" : "blobs_busy");
     return;
   }
-  BackOffOrigin(now);
   bool is_missing = blob.status == blob_arrival::status_type::kNotHere;
+  if (is_missing && options_.has_named_manifests && !request.chunk) {
+    // The origin has dropped this version; it still has newer ones.
+    item.manifest_backoff = std::clamp(item.manifest_backoff * 2,
+                                       kMinOriginBackoff, kMaxManifestBackoff);
+    item.next_manifest_try = now + item.manifest_backoff;
+  } else {
+    BackOffOrigin(now);
+  }
   out->Count(is_missing ? "origin_not_found" : "origin_unreachable");
   item.last_reason =
       is_missing ? "the origin does not have " + ToHex(blob.wanted.value)
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -3,6 +3,7 @@
 #ifndef WEIGHT_TRANSFER_BASE_H_
 #define WEIGHT_TRANSFER_BASE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,15 @@
 
 namespace fuchsiafall {
 
+/// Encoded manifest that carries no checksum and may be corrupted at the
+/// origin.
+struct named_manifest {
+  shared_bytes bytes;
+  /// Reads of the origin that decided on it. Of two manifests with the same
+  /// name, the one with more is used.
+  uint32_t reads = 0;
+};
+
 struct weight_transfer_options {
   vm_id self;
   domain_id domain;
@@ -40,10 +50,19 @@
   /// transfer, another server's imports are taken over, since its link may be
   /// far slower than the local one.
   milliseconds idle_takeover_delay{60000};
+  /// Outstanding fetches of this server from the origin. All importers share
+  /// the origin's link, so that it delays each answer by the answers to the
+  /// others.
+  size_t max_origin_requests = 2;
   /// Maximum back-off after failures of the origin.
   milliseconds max_origin_backoff{60000};
   bool is_direct = false;  ///< Fetches only from the origin, not from peers.
-  uint64_t seed = 1;       ///< Seed of random choices among equal candidates.
+  /// Whether manifests are known by a name instead of their digest, because the
+  /// origin publishes no digest of them.
+  bool has_named_manifests = false;
+  /// Receives each named manifest that is adopted from a peer; may be empty.
+  std::function<void(const artifact_ref&, const named_manifest&)> on_manifest;
+  uint64_t seed = 1;  ///< Seed of random choices among equal candidates.
 };
 
 /// Blob that arrived from a peer or from the origin.
@@ -63,8 +82,10 @@
   std::vector<bool> chunks;
   size_t count = 0;  ///< Number of chunks that it holds.
   bool has_manifest = false;
-  bool is_neighbour = false;  ///< Exchanges any chunk with this server.
-  bool has_sent_map = false;  ///< Whether it has sent a have-map.
+  bool is_neighbour = false;    ///< Exchanges any chunk with this server.
+  bool has_sent_map = false;    ///< Whether it has sent a have-map.
+  uint32_t manifest_reads = 0;  ///< Of its named manifest.
+  uint64_t manifest_check = 0;  ///< Hash of its named manifest.
   /// Whether a request or have-map has been unanswered since awaiting_since.
   bool awaits_reply = false;
   time_point awaiting_since{};
@@ -79,6 +100,21 @@
   }
 };
 
+/// Servers that import one blob, the same on all servers.
+struct import_plan {
+  /// Importers and stand-bys in one domain.
+  struct domain_order {
+    std::string domain;
+    std::vector<vm_id> importers;  ///< Best first.
+  };
+  /// Best first. The first reachable domain fetches the blob from the origin.
+  std::vector<domain_order> domains;
+
+  /// Finds the order in a domain.
+  /// @return Null if the service has no server there.
+  const std::vector<vm_id>* Find(const std::string& domain) const;
+};
+
 /// Stages of the transfer of one artifact.
 enum class transfer_stage { kManifest, kChunks, kComplete, kFailed };
 
@@ -97,6 +133,9 @@
   std::map<vm_id, holder> holders;
   /// Importers and stand-bys by domain, ranked.
   std::map<std::string, std::vector<vm_id>> importers_by_domain;
+  /// Of each chunk and of the manifest, computed on first use.
+  std::vector<std::optional<import_plan>> chunk_plans;
+  std::optional<import_plan> manifest_plan;
   /// Rank of this server as importer of each chunk; lower ranks import first.
   std::map<size_t, size_t> import_rank;
   /// Start of the takeover timeout: the start of the transfer, shifted by the
@@ -109,6 +148,9 @@
   bool may_have_joined_late = false;
   bool map_changed = true;
   time_point last_map_sent{};
+  uint32_t manifest_reads = 0;  ///< Of a named manifest.
+  uint64_t manifest_check = 0;  ///< Hash of a named manifest.
+  /// When the origin may be asked again for a manifest that it does not have.
   time_point next_manifest_try{};
   milliseconds manifest_backoff{0};
 };
@@ -147,6 +189,16 @@
                      const proto::blob_request& request,
                      output_list* out);
   void OnBlob(time_point now, const blob_arrival& blob, output_list* out);
+  /// Sets or replaces a named manifest after reads of the origin, which are
+  /// done outside since several may be needed. Only their failures are passed
+  /// to OnBlob().
+  void ReplaceManifest(time_point now,
+                       const digest& name,
+                       const named_manifest& manifest,
+                       output_list* out);
+  /// Sets whether chunks may be requested. While they may not, because others
+  /// are still read from elsewhere, manifests are requested and chunks served.
+  void SetMayRequestChunks(time_point now, bool may_request);
   /// Expires overdue requests, sends new ones, and sends have-maps that are
   /// due.
   void RunDue(time_point now, output_list* out);
@@ -180,19 +232,28 @@
     std::optional<vm_id> source_vm;  ///< Empty for the origin.
   };
 
+  /// Number of importers in each domain.
+  size_t ImporterCount() const;
   void BuildImporters(artifact* item);
   void BuildNeighbours(artifact* item);
   void AdoptManifest(time_point now,
                      artifact* item,
                      const shared_bytes& bytes,
                      output_list* out);
+  void AdoptNamedManifest(time_point now,
+                          const pending_request& request,
+                          const blob_arrival& blob,
+                          output_list* out);
+  void AddHeldChunks(artifact* item);
+  /// Forgets outstanding requests. Answers to them count as late.
+  void DropRequestsUnless(
+      const std::function<bool(const pending_request&)>& is_kept);
   void BuildImportRanks(artifact* item);
   static void CountAvailability(artifact* item);
   void DropUnneeded();
   void CheckMemory(artifact* item, output_list* out);
-  std::vector<vm_id> ImportOrder(const artifact& item,
-                                 const std::string& domain,
-                                 const digest& chunk) const;
+  /// @param chunk Empty for the manifest.
+  const import_plan& PlanOf(artifact* item, std::optional<size_t> chunk) const;
 
   // Source selection.
   bool IsUnresponsive(time_point now, const holder& peer) const;
@@ -209,10 +270,19 @@
   std::optional<outside_source> ChooseOutsideSource(
       time_point now,
       artifact* item,
-      const digest& blob,
       std::optional<size_t> chunk);
+  /// Asks the importers of the own domain what they hold, and optionally those
+  /// of the others.
+  void ProbeImporters(time_point now,
+                      artifact* item,
+                      bool asks_outside,
+                      output_list* out);
   milliseconds TakeoverTimeout(const artifact& item) const;
   void RequestManifest(time_point now, size_t index, output_list* out);
+  /// Requests a manifest that more reads of the origin decided on, if a peer
+  /// has one.
+  void RequestBetterManifest(time_point now, size_t index, output_list* out);
+  bool IsManifestRequested(size_t index) const;
   void RequestImports(time_point now, size_t index, output_list* out);
   void RequestFromNeighbours(time_point now, size_t index, output_list* out);
   std::optional<size_t> RarestChunk(time_point now, const artifact& item);
@@ -257,7 +327,7 @@
   // Have-maps.
   void SendMaps(time_point now, artifact* item, output_list* out);
   void SendMap(const digest& manifest,
-               const std::vector<bool>& have,
+               const artifact* item,
                const vm_id& to,
                bool reply_wanted,
                output_list* out);
@@ -301,6 +371,7 @@
   time_point window_halved_at_{};  ///< When the window was last halved.
   time_point origin_retry_at_{};
   milliseconds origin_backoff_{0};
+  bool may_request_chunks_ = true;
 };
 
 }  // namespace fuchsiafall
