Fix: Each server that joined made all others request their chunks again

Cause: a change of the servers sets the targets of the transfer anew, which forgot all outstanding requests. With 44 servers that join within seconds, each of the others asked again for up to eight chunks at every one of them. Change: requests for a manifest that is still wanted are kept, unless their server has left.

--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -109,6 +109,22 @@
   BOOST_TEST(reads.back() <= reads.front() * 3 / 2);
 }
 
+// Each change of the fleet made all agents forget their outstanding requests
+// and request the same chunks again.
+BOOST_AUTO_TEST_CASE(
+    servers_that_join_do_not_make_others_request_chunks_twice) {
+  fake_weight_fleet fleet({.servers = 10});
+  fleet.SetVersions({2});
+  for (size_t servers = 11; servers <= 20; ++servers) {
+    fleet.Run(milliseconds(300));
+    fleet.Resize(servers);
+  }
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(30)));
+  BOOST_TEST(fleet.chunk_reads <= 2 * 96u);
+  const size_t needed = fleet.Vms().size() * 96;
+  BOOST_TEST(fleet.chunks_delivered + fleet.chunk_reads <= needed * 105 / 100);
+}
+
 // Each agent read the manifest on a connection of its own, and the origin reset
 // all beyond its limit, also those for chunks.
 BOOST_AUTO_TEST_CASE(connections_to_the_origin_do_not_grow_with_the_fleet) {
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -62,10 +62,20 @@
                                 output_list* out) {
   topology_ = config;
   service_ = service;
+  DropRequestsUnless([&](const pending_request& request) {
+    const digest& manifest = artifacts_[request.artifact_index].part.manifest;
+    const bool is_wanted = std::any_of(
+        parts.begin(), parts.end(),
+        [&](const artifact_ref& part) { return part.manifest == manifest; });
+    return is_wanted && (!request.source_vm ||
+                         topology_->FindVm(*request.source_vm) != nullptr);
+  });
   std::vector<artifact> kept;
+  std::vector<size_t> new_indices(artifacts_.size());
   for (const artifact_ref& part : parts) {
     artifact* known = FindArtifact(part.manifest.value);
     if (known != nullptr) {
+      new_indices[static_cast<size_t>(known - artifacts_.data())] = kept.size();
       known->part = part;
       kept.push_back(std::move(*known));
       continue;
@@ -76,6 +86,10 @@
     item.may_have_joined_late = has_just_started;
     kept.push_back(std::move(item));
   }
+  for (auto& [id, request] : pending_)
+    request.artifact_index = new_indices[request.artifact_index];
+  for (auto& [wanted, request] : origin_pending_)
+    request.artifact_index = new_indices[request.artifact_index];
   const bool is_same =
       std::equal(parts.begin(), parts.end(), target_.begin(), target_.end(),
                  [](const artifact_ref& a, const artifact_ref& b) {
@@ -87,13 +101,7 @@
   }
   target_ = parts;
   artifacts_ = std::move(kept);
-  // Answers to requests for the previous target are ignored.
-  pending_.clear();
-  origin_pending_.clear();
   for (artifact& item : artifacts_) {
-    std::fill(item.in_flight.begin(), item.in_flight.end(), false);
-    for (auto& [id, peer] : item.holders)
-      peer.outstanding = 0;
     BuildImporters(&item);
     BuildNeighbours(&item);
     if (item.stage != transfer_stage::kManifest)
