Feature: Under overload, calls that yield more ask more servers for a place

Load pattern: a steady overload of 1.1 to 1.7 times the capacity, in which every server is full and a call gets a place if it asks often enough. Every call asked six servers, whatever it costs the engine that takes it. Change: place_search (src/load/) ranks a call among the recent ones of its route by worth for engine time. While few place requests are granted, the lowest ask two servers and the highest ten; the limits return to six and ten without steps as more are granted. None is left without a try.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -14,6 +14,10 @@
 /// An attempt with less time left than this cannot be answered in time.
 constexpr milliseconds kMinTimeLeft{20};
 
+/// Part of the target latency that more place requests than usual may take: the
+/// rest is needed to wait for and to compute the first token.
+constexpr int kSearchShareOfTarget = 4;
+
 /// The first request of a caller allows somewhat less time than the timeout of
 /// the route. One with less than this share of it is a retry.
 constexpr double kFirstRequestTimeShare = 0.84;
@@ -43,6 +47,7 @@
       hooks_(std::move(hooks)),
       random_(options_.seed),
       selector_(options_.selector),
+      place_search_(options_.place_search),
       budget_(options_.budget) {}
 
 void call_dispatch::SetIndex(const site_index* index) {
@@ -136,10 +141,29 @@
   const site_service* service = index_->FindService(call.service);
   call.is_model = service != nullptr && service->engine.has_value() &&
                   !request.model.empty();
+  if (call.is_model) {
+    call.yield_rank = place_search_.Rank(
+        route->name, EstimateCost(*service->engine, request.prompt_tokens,
+                                  request.hinted_tokens));
+  }
   budget_.OnRequest(now);
   Dispatch(now, &call);
 }
 
+bool call_dispatch::MayRequestPlace(time_point now,
+                                    const call_state& call) const {
+  const uint32_t usual = options_.place_search.usual_requests;
+  // The caller already has part of the answer of a resumed stream.
+  const uint32_t limit = call.is_streaming
+                             ? usual
+                             : place_search_.MaxRequests(now, call.yield_rank);
+  if (call.place_request_count >= limit)
+    return false;
+  return call.place_request_count < usual ||
+         now - call.arrived_at <
+             call.route.target_latency / kSearchShareOfTarget;
+}
+
 bool call_dispatch::EndsBeforeExit(time_point now,
                                    const call_state& call) const {
   if (!exit_at_)
@@ -197,7 +221,7 @@
   const auto ranked = selector_.Rank(now, QueryOf(*call));
   if (ranked.empty())
     return RefuseWithoutServer(now, call);
-  if (call->place_request_count >= options_.max_place_requests)
+  if (!MayRequestPlace(now, *call))
     return Refuse(now, call, call_refusal::kNoPlace);
   server_query query_without_place = QueryOf(*call);
   query_without_place.is_without_place = true;
@@ -266,6 +290,7 @@
     return Dispatch(now, &call);
   }
   if (reply.is_granted) {
+    place_search_.OnReply(now, true);
     call.has_place = true;
     call.is_suspect = reply.is_suspect;
     Send(now, &call);
@@ -275,6 +300,8 @@
     OnQuarantined(now, reply.quarantined_trait);
     return Refuse(now, &call, call_refusal::kQuarantined);
   }
+  if (reply.slots > 0)
+    place_search_.OnReply(now, false);
   selector_.OnFull(now, call.server.id, reply.expected_free_in);
   if (reply.slots > 0 && (!call.expected_free_in ||
                           reply.expected_free_in < *call.expected_free_in)) {
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -15,6 +15,7 @@
 #include "caller_call_type.h"
 #include "crash_ledger_base.h"
 #include "event_splitter_base.h"
+#include "load/place_search_base.h"
 #include "log_event_func.h"
 #include "network/http_exchange.h"
 #include "place_table_base.h"
@@ -57,8 +58,8 @@
   /// weight chunks queued ahead on the link of the agent.
   milliseconds place_timeout{70};
   /// Age of a place request after which a grant is not used. Its agent may have
-  /// given the place to another request, and the state that the call was checked
-  /// against may be outdated, after a pause of this process.
+  /// given the place to another request, and the state that the call was
+  /// checked against may be outdated, after a pause of this process.
   milliseconds max_grant_age{400};
   /// Time without an answer of an agent, after which its server gets requests
   /// without a place.
@@ -67,7 +68,7 @@
   /// come here, requests that arrive with less time than this before the
   /// process exits are refused.
   milliseconds usual_stream_time{4000};
-  uint32_t max_place_requests = 6;  ///< Maximum of sequential place requests.
+  place_search_options place_search;  ///< Sequential place requests.
   /// Timeout for the first and each further event of a stream. A healthy
   /// server sends one event per pass.
   milliseconds event_timeout{1200};
@@ -212,6 +213,7 @@
     bool is_suspect = false;        ///< Of crashing servers, as its agent says.
     uint64_t place_request_id = 0;  ///< Id of the current place request.
     time_point place_requested_at{};
+    double yield_rank = 0.5;           ///< Among the recent calls of its route.
     uint32_t place_request_count = 0;  ///< Since the last attempt.
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
@@ -238,6 +240,8 @@
   };
 
   void DispatchModelCall(time_point now, call_state* call);
+  /// Whether a call may ask another server for a place.
+  bool MayRequestPlace(time_point now, const call_state& call) const;
   void DispatchPlainCall(time_point now, call_state* call);
   /// Chooses the server of the next attempt or place request.
   void Dispatch(time_point now, call_state* call);
@@ -281,6 +285,7 @@
   call_dispatch_hooks hooks_;
   std::mt19937_64 random_;
   server_selector selector_;
+  place_search place_search_;
   retry_budget budget_;
   const site_index* index_ = nullptr;
   time_point confirmed_at_{};
