Fix: Servers that joined got weights from each other instead of the holders

Cause: a new server knows the others at once, they learn of it a second or two later and cannot answer before. It asked all neighbours again only when it had sent no have-map for 1.5 s, and it sends one for each chunk. So the holders counted as silent for as long as anything arrived from elsewhere. Change: neighbours that have not answered are asked every 0.3 s, and the refresh of all maps has its own interval.

--- a/src/tests/fake_weight_fleet.cc
+++ b/src/tests/fake_weight_fleet.cc
@@ -29,6 +29,23 @@
 }
 
 void fake_weight_fleet::Resize(size_t servers) {
+  BuildTopology(servers);
+  for (auto& [id, item] : nodes_)
+    SetTarget(&item);
+}
+
+void fake_weight_fleet::AddUnknown(size_t servers) {
+  std::set<std::string> known;
+  for (const auto& [id, item] : nodes_)
+    known.insert(id);
+  BuildTopology(servers);
+  for (auto& [id, item] : nodes_) {
+    if (!known.contains(id))
+      SetTarget(&item);
+  }
+}
+
+void fake_weight_fleet::BuildTopology(size_t servers) {
   proto::configuration configuration;
   proto::inventory* inventory = configuration.mutable_inventory();
   for (size_t d = 0; d < options_.domains; ++d) {
@@ -51,8 +68,6 @@
     if (!nodes_.contains(vm.id()))
       AddNode(vm);
   }
-  for (auto& [id, item] : nodes_)
-    SetTarget(&item);
 }
 
 void fake_weight_fleet::AddNode(const proto::vm& vm) {
--- a/src/tests/fake_weight_fleet.h
+++ b/src/tests/fake_weight_fleet.h
@@ -37,6 +37,8 @@
   void SetVersions(const std::vector<uint64_t>& versions);
   /// Changes the number of servers in each domain. New ones join empty.
   void Resize(size_t servers);
+  /// Adds servers that the others do not know until Resize() is called.
+  void AddUnknown(size_t servers);
   void Run(duration span);
   bool RunUntil(const std::function<bool()>& condition, duration timeout);
   /// Ends an agent's process.
@@ -84,6 +86,7 @@
     std::function<void(bool is_complete)> on_done;
   };
 
+  void BuildTopology(size_t servers);
   void AddNode(const proto::vm& vm);
   void SetTarget(node* item);
   void RunNode(node* item);
--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -125,6 +125,26 @@
   BOOST_TEST(fleet.chunks_delivered + fleet.chunk_reads <= needed * 105 / 100);
 }
 
+// The holders did not answer servers that they did not know yet, and were not
+// asked again while the new servers made progress: these fetched from each
+// other and from outside for ten seconds.
+BOOST_AUTO_TEST_CASE(servers_that_others_learn_of_late_fetch_from_all_holders) {
+  fake_weight_fleet fleet({.servers = 13});
+  fleet.SetVersions({1});
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(30)));
+  const size_t reads = fleet.chunk_reads;
+  fleet.AddUnknown(22);
+  fleet.Run(milliseconds(1500));
+  fleet.Resize(22);
+  const time_point known_at = fleet.now;
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(30)));
+  const double share =
+      ToSeconds(fleet.now - known_at) / ToSeconds(kVersionBound);
+  BOOST_TEST(share <= weights_plan_options().load_slots_begin);
+  // A server that nobody answers may fetch from outside after a while.
+  BOOST_TEST(fleet.chunk_reads <= reads + 96 / 4);
+}
+
 // Each agent read the manifest on a connection of its own, and the origin reset
 // all beyond its limit, also those for chunks.
 BOOST_AUTO_TEST_CASE(connections_to_the_origin_do_not_grow_with_the_fleet) {
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -11,6 +11,9 @@
 
 // Between unconditional have-maps, as maps may be lost.
 constexpr milliseconds kMapRefreshInterval{1500};
+// Between questions to neighbours that are silent. They answer nothing while
+// they do not know this server yet.
+constexpr milliseconds kSilentProbeInterval{300};
 // Upload backlog that is always accepted.
 constexpr milliseconds kAcceptedBacklog{50};
 
@@ -111,20 +114,25 @@
 void weight_transfer::SendMaps(time_point now,
                                artifact* item,
                                output_list* out) {
-  bool is_due =
+  const bool is_complete = item->stage == transfer_stage::kComplete;
+  if (!is_complete)
+    ProbeSilentNeighbours(now, item, out);
+  const bool is_due =
       item->map_changed && now - item->last_map_sent >= options_.map_interval;
-  bool is_refresh = item->stage != transfer_stage::kComplete &&
-                    now - item->last_map_sent >= kMapRefreshInterval;
+  const bool is_refresh =
+      !is_complete && now - item->last_refresh >= kMapRefreshInterval;
   if (!is_due && !is_refresh)
     return;
   item->last_map_sent = now;
   item->map_changed = false;
+  if (is_refresh)
+    item->last_refresh = now;
   for (auto& [id, peer] : item->holders) {
     if (!peer.is_neighbour)
       continue;
     bool peer_has_all =
         !item->chunks.empty() && peer.count == item->chunks.size();
-    if (peer_has_all && item->stage != transfer_stage::kComplete)
+    if (peer_has_all && !is_complete)
       continue;
     if (is_refresh)
       MarkAwaitingReply(now, &peer);
@@ -132,6 +140,15 @@
   }
 }
 
+void weight_transfer::ProbeSilentNeighbours(time_point now,
+                                            artifact* item,
+                                            output_list* out) {
+  for (auto& [id, peer] : item->holders) {
+    if (peer.is_neighbour && (!peer.has_sent_map || IsUnresponsive(now, peer)))
+      Probe(now, item, id, kSilentProbeInterval, out);
+  }
+}
+
 void weight_transfer::SendMap(const digest& manifest,
                               const artifact* item,
                               const vm_id& to,
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -148,6 +148,7 @@
   bool may_have_joined_late = false;
   bool map_changed = true;
   time_point last_map_sent{};
+  time_point last_refresh{};    ///< When all neighbours were last asked.
   uint32_t manifest_reads = 0;  ///< Of a named manifest.
   uint64_t manifest_check = 0;  ///< Hash of a named manifest.
   /// When the origin may be asked again for a manifest that it does not have.
@@ -326,6 +327,7 @@
 
   // Have-maps.
   void SendMaps(time_point now, artifact* item, output_list* out);
+  void ProbeSilentNeighbours(time_point now, artifact* item, output_list* out);
   void SendMap(const digest& manifest,
                const artifact* item,
                const vm_id& to,
