Fix: A manifest that the origin has dropped was asked for every half second

Cause: the back-off for such a manifest began with that for an unreachable origin. Change: it begins with 2 s, as declared; the linter saw the unused constant.

--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -574,8 +574,8 @@
   bool is_missing = blob.status == blob_arrival::status_type::kNotHere;
   if (is_missing && options_.has_named_manifests && !request.chunk) {
     // The origin has dropped this version; it still has newer ones.
-    item.manifest_backoff = std::clamp(item.manifest_backoff * 2,
-                                       kMinOriginBackoff, kMaxManifestBackoff);
+    item.manifest_backoff = std::clamp(
+        item.manifest_backoff * 2, kMinManifestBackoff, kMaxManifestBackoff);
     item.next_manifest_try = now + item.manifest_backoff;
   } else {
     BackOffOrigin(now);
