--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -109,6 +109,17 @@
   BOOST_TEST(reads.back() <= reads.front() * 3 / 2);
 }
 
+// The back-off for a manifest that the origin has dropped began with that for
+// an unreachable origin.
+BOOST_AUTO_TEST_CASE(dropped_manifest_is_not_asked_for_every_half_second) {
+  fake_weight_fleet fleet({.domains = 1, .servers = 1});
+  fleet.dropped_versions = {2};
+  fleet.SetVersions({2});
+  fleet.Run(seconds(10));
+  // At once, and 2 s and 6 s later.
+  BOOST_TEST(fleet.manifest_reads[2] == 3u);
+}
+
 // Each change of the fleet made all agents forget their outstanding requests
 // and request the same chunks again.
 BOOST_AUTO_TEST_CASE(
