Codechange: Split manifests and import orders off weight_transfer.cc

Only moves: weight_manifest.cc checks and adopts manifests, weight_import.cc tells which servers import which blobs.

--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -1,4 +1,4 @@
-/// @file weight_transfer.cc Targets, manifests and received blobs.
+/// @file weight_transfer.cc Targets and received blobs.
 #include <algorithm>
 
 #include "hash_func.h"
@@ -8,15 +8,6 @@
 
 namespace {
 
-// Servers of a domain that share the imports from outside.
-constexpr size_t kMaxImporters = 4;
-// Importers of all domains together. The origin accepts a bounded number of
-// connections and resets others.
-constexpr size_t kMaxImportersOfAll = 24;
-// Servers that take over when all importers are unresponsive.
-constexpr size_t kStandbys = 2;
-constexpr uint64_t kMaxChunks = 1U << 20;
-constexpr uint32_t kMaxChunkBytes = 64U << 20;
 constexpr seconds kCorruptBackoff{60};
 constexpr milliseconds kBusyBackoff{40};
 constexpr milliseconds kMinOriginBackoff{500};
@@ -24,26 +15,6 @@
 constexpr milliseconds kMinManifestBackoff{2000};
 constexpr milliseconds kMaxManifestBackoff{16000};
 
-/// Validates the sizes in a manifest before memory is allocated for it.
-outcome<done> CheckManifest(const proto::manifest& manifest) {
-  if (manifest.chunk_bytes() == 0 || manifest.chunk_bytes() > kMaxChunkBytes) {
-    return failure{"manifest: chunk size " +
-                   std::to_string(manifest.chunk_bytes()) + " is out of range"};
-  }
-  if (manifest.total_bytes() == 0)
-    return failure{"manifest: total size is zero"};
-  uint64_t chunks = (manifest.total_bytes() + manifest.chunk_bytes() - 1) /
-                    manifest.chunk_bytes();
-  if (chunks > kMaxChunks ||
-      chunks != static_cast<uint64_t>(manifest.chunk_digests_size())) {
-    return failure{
-        "manifest: " + std::to_string(manifest.chunk_digests_size()) +
-        " chunk digests do not match a size of " +
-        std::to_string(manifest.total_bytes()) + " bytes"};
-  }
-  return done{};
-}
-
 }  // namespace
 
 weight_transfer::weight_transfer(weight_transfer_options options,
@@ -160,44 +131,6 @@
   AdoptManifest(now, &item, blob.bytes, out);
 }
 
-void weight_transfer::AdoptNamedManifest(time_point now,
-                                         const pending_request& request,
-                                         const blob_arrival& blob,
-                                         output_list* out) {
-  artifact& item = artifacts_[request.artifact_index];
-  const holder& peer = item.holders[*request.source_vm];
-  // The peer may have replaced its manifest since it sent its have-map.
-  const bool is_as_announced = peer.manifest_check == Hash64(*blob.bytes);
-  const named_manifest manifest{
-      .bytes = blob.bytes, .reads = is_as_announced ? peer.manifest_reads : 1};
-  if (!item.chunks.empty() && manifest.reads <= item.manifest_reads)
-    return;
-  ReplaceManifest(now, item.part.manifest, manifest, out);
-  if (options_.on_manifest)
-    options_.on_manifest(item.part, manifest);
-}
-
-void weight_transfer::ReplaceManifest(time_point now,
-                                      const digest& name,
-                                      const named_manifest& manifest,
-                                      output_list* out) {
-  for (size_t i = 0; i < artifacts_.size(); ++i) {
-    artifact& item = artifacts_[i];
-    if (item.part.manifest != name)
-      continue;
-    DropRequestsUnless([i](const pending_request& request) {
-      return request.artifact_index != i;
-    });
-    item.manifest_reads = manifest.reads;
-    const uint64_t check = Hash64(*manifest.bytes);
-    if (item.chunks.empty() || check != item.manifest_check) {
-      item.manifest_check = check;
-      AdoptManifest(now, &item, manifest.bytes, out);
-    }
-    return;
-  }
-}
-
 void weight_transfer::DropRequestsUnless(
     const std::function<bool(const pending_request&)>& is_kept) {
   auto drop = [&](const auto& key_and_request) {
@@ -361,141 +294,6 @@
   });
 }
 
-size_t weight_transfer::ImporterCount() const {
-  const size_t domains = std::max<size_t>(1, topology_->Domains().size());
-  return std::clamp<size_t>(kMaxImportersOfAll / domains, 1, kMaxImporters);
-}
-
-void weight_transfer::BuildImporters(artifact* item) {
-  item->importers_by_domain.clear();
-  item->manifest_plan.reset();
-  item->chunk_plans.assign(item->chunks.size(), std::nullopt);
-  if (options_.is_direct) {
-    item->importers_by_domain[options_.domain.value] = {options_.self};
-    return;
-  }
-  for (const auto& [id, domain] : topology_->Domains()) {
-    auto servers = domain.servers.find(service_);
-    if (servers == domain.servers.end())
-      continue;
-    std::string key = "import " + item->part.manifest.value;
-    for (size_t i :
-         RendezvousRank(key, servers->second, ImporterCount() + kStandbys)) {
-      item->importers_by_domain[id].emplace_back(servers->second[i]);
-    }
-  }
-}
-
-const std::vector<vm_id>* import_plan::Find(const std::string& domain) const {
-  auto it = std::find_if(
-      domains.begin(), domains.end(),
-      [&](const domain_order& order) { return order.domain == domain; });
-  return it == domains.end() ? nullptr : &it->importers;
-}
-
-const import_plan& weight_transfer::PlanOf(artifact* item,
-                                           std::optional<size_t> chunk) const {
-  std::optional<import_plan>& plan =
-      chunk ? item->chunk_plans[*chunk] : item->manifest_plan;
-  if (plan)
-    return *plan;
-  plan.emplace();
-  const digest& blob = chunk ? item->chunks[*chunk] : item->part.manifest;
-  std::vector<std::string> domains;
-  for (const auto& [id, ranked] : item->importers_by_domain)
-    domains.push_back(id);
-  for (size_t d : RendezvousRank(blob.value, domains, domains.size())) {
-    import_plan::domain_order order{.domain = domains[d]};
-    const std::vector<vm_id>& ranked = item->importers_by_domain[domains[d]];
-    std::vector<std::string> importers;
-    for (size_t i = 0; i < std::min(ImporterCount(), ranked.size()); ++i)
-      importers.push_back(ranked[i].value);
-    for (size_t i : RendezvousRank(blob.value, importers, importers.size()))
-      order.importers.emplace_back(importers[i]);
-    for (size_t i = ImporterCount(); i < ranked.size(); ++i)
-      order.importers.push_back(ranked[i]);
-    plan->domains.push_back(std::move(order));
-  }
-  return *plan;
-}
-
-void weight_transfer::AdoptManifest(time_point now,
-                                    artifact* item,
-                                    const shared_bytes& bytes,
-                                    output_list* out) {
-  proto::manifest manifest;
-  outcome<done> checked =
-      manifest.ParseFromString(*bytes)
-          ? CheckManifest(manifest)
-          : outcome<done>(failure{"manifest: cannot be parsed"});
-  if (!checked) {
-    item->stage = transfer_stage::kFailed;
-    item->last_reason = checked.LastReason();
-    out->Count("rollouts_failed");
-    out->Log(log_event::kRolloutFailed,
-             item->part.name + " " + item->last_reason);
-    return;
-  }
-  blobs_->Put(item->part.manifest, bytes);
-  item->manifest = std::move(manifest);
-  item->stage = transfer_stage::kChunks;
-  item->last_reason.clear();
-  const size_t count = static_cast<size_t>(item->manifest.chunk_digests_size());
-  item->chunks.clear();
-  item->have_count = 0;
-  item->have.assign(count, false);
-  item->in_flight.assign(count, false);
-  item->availability.assign(count, 0);
-  for (auto& [id, peer] : item->holders)
-    peer.chunks.resize(count, false);
-  CountAvailability(item);
-  for (const std::string& chunk : item->manifest.chunk_digests())
-    item->chunks.emplace_back(chunk);
-  item->chunk_plans.assign(count, std::nullopt);
-  item->map_changed = true;
-  item->takeover_since = now;
-  item->idle_since = now;
-  out->Log(log_event::kManifestVerified, "part=" + item->part.name);
-  CheckMemory(item, out);
-  if (item->stage != transfer_stage::kChunks)
-    return;
-  AddHeldChunks(item);  // Those shared with an artifact already held.
-  BuildImportRanks(item);
-  DropUnneeded();
-}
-
-void weight_transfer::CheckMemory(artifact* item, output_list* out) {
-  uint64_t needed = 0;
-  for (const artifact& each : artifacts_)
-    needed += each.manifest.total_bytes();
-  if (needed <= options_.staging_bytes)
-    return;
-  item->stage = transfer_stage::kFailed;
-  item->last_reason =
-      "memory: " + std::to_string(needed) + " bytes do not fit the " +
-      std::to_string(options_.staging_bytes) + " of weights.staging";
-  out->Count("rollouts_failed");
-  out->Log(log_event::kRolloutFailed,
-           item->part.name + " " + item->last_reason);
-}
-
-void weight_transfer::BuildImportRanks(artifact* item) {
-  item->import_rank.clear();
-  auto ranked = item->importers_by_domain.find(options_.domain.value);
-  if (ranked == item->importers_by_domain.end())
-    return;
-  const std::vector<vm_id>& own = ranked->second;
-  if (std::find(own.begin(), own.end(), options_.self) == own.end())
-    return;
-  for (size_t i = 0; i < item->chunks.size(); ++i) {
-    const std::vector<vm_id>& order =
-        *PlanOf(item, i).Find(options_.domain.value);
-    auto rank = std::find(order.begin(), order.end(), options_.self);
-    if (rank != order.end())
-      item->import_rank[i] = static_cast<size_t>(rank - order.begin());
-  }
-}
-
 void weight_transfer::CountAvailability(artifact* item) {
   std::fill(item->availability.begin(), item->availability.end(), 0);
   for (const auto& [id, peer] : item->holders) {
