Fix: Pieces shared by two versions were read from the older one

Cause: since each read of a manifest indexes its pieces anew, so that a late read of an older version took over the pieces of a newer one. The origin drops old versions first (410). Change: the newest version that has a piece tells where it is read. Check: shared_piece_is_not_read_from_the_older_version.

--- a/src/manifest_book.cc
+++ b/src/manifest_book.cc
@@ -171,8 +171,12 @@
 
 void manifest_cache::IndexPieces(uint64_t version,
                                  const transfer_manifest& manifest) {
-  for (uint32_t i = 0; i < manifest.pieces.size(); ++i)
-    locations_[manifest.pieces[i]] = {version, i};
+  for (uint32_t i = 0; i < manifest.pieces.size(); ++i) {
+    // The origin keeps newer versions for longer.
+    piece_location& location = locations_[manifest.pieces[i]];
+    if (version >= location.version)
+      location = {version, i};
+  }
 }
 
 }  // namespace fuchsiafall
--- a/src/tests/manifest_book_test.cc
+++ b/src/tests/manifest_book_test.cc
@@ -95,6 +95,19 @@
   BOOST_TEST(!cache.NeedsRead(now + seconds(60), kVersion));
 }
 
+BOOST_AUTO_TEST_CASE(shared_piece_is_not_read_from_the_older_version) {
+  manifest_cache cache{{}};
+  weights_manifest older = MakeManifest();
+  older.version = kVersion - 1;
+  BOOST_TEST(
+      cache.OnReadResult(kStart, kVersion, MakeManifest()).Value().has_value());
+  BOOST_TEST(
+      cache.OnReadResult(kStart, kVersion - 1, older).Value().has_value());
+  const auto location = cache.LocatePiece(cache.Find(kVersion)->pieces.front());
+  BOOST_REQUIRE(location.has_value());
+  BOOST_TEST(location->version == kVersion);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
