Fix: Servers that join made agents on the platform request chunks again

Cause: kept outstanding requests over a change of the servers, but the hosted agent then gives its transfer the manifest that it knows, which dropped them all the same. The simulated fleet left that step out. Change: a manifest that is known already drops no requests for chunks.

--- a/src/tests/fake_weight_fleet.cc
+++ b/src/tests/fake_weight_fleet.cc
@@ -126,6 +126,15 @@
     parts.push_back({std::to_string(version), ManifestName("model", version)});
   output_list out;
   item->transfer->SetTarget(now, topology_, "model", parts, false, &out);
+  for (uint64_t version : versions_) {
+    if (!item->manifests.IsConfirmed(version))
+      continue;
+    item->transfer->ReplaceManifest(
+        now, ManifestName("model", version),
+        {.bytes = item->manifests.Find(version)->bytes,
+         .reads = item->manifests.Reads(version)},
+        &out);
+  }
   Perform(item, &out);
 }
 
--- a/src/weight_manifest.cc
+++ b/src/weight_manifest.cc
@@ -58,12 +58,13 @@
     artifact& item = artifacts_[i];
     if (item.part.manifest != name)
       continue;
-    DropRequestsUnless([i](const pending_request& request) {
-      return request.artifact_index != i;
+    const uint64_t check = Hash64(*manifest.bytes);
+    const bool is_known = !item.chunks.empty() && check == item.manifest_check;
+    DropRequestsUnless([&](const pending_request& request) {
+      return request.artifact_index != i || (is_known && request.chunk);
     });
     item.manifest_reads = manifest.reads;
-    const uint64_t check = Hash64(*manifest.bytes);
-    if (item.chunks.empty() || check != item.manifest_check) {
+    if (!is_known) {
       item.manifest_check = check;
       AdoptManifest(now, &item, manifest.bytes, out);
     }
