Fix: A version was given up although the newest came too late

Cause: an older version was only finished from 0.7 of its transfer on. At two thirds it was dropped, and the newest, from nothing, came after the bound of the served version; agents near the threshold decided differently. Change: below the threshold, the older version is finished first if the server is then without weights for a shorter time, by the rate of its transfer so far. Check: a_version_is_finished_if_the_newest_would_come_too_late.

--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -135,6 +135,29 @@
        2u));
 }
 
+// Two namings 4 s apart, with a transfer time of 6 s: the first version was
+// given up at two thirds of its transfer, and the second came after the bound
+// of the served one.
+BOOST_AUTO_TEST_CASE(a_version_is_finished_if_the_newest_would_come_too_late) {
+  const weights_plan_options options{.bound = milliseconds(10000)};
+  auto fetch = [&](milliseconds gap, double progress) {
+    const std::vector<wanted_version> wanted{{2, kTargetSince, progress},
+                                             {3, kTargetSince + gap, 0}};
+    return PlanWeights(kTargetSince + gap, options, 1, wanted, 0.5).fetch;
+  };
+  const std::vector<uint64_t> both{2, 3};
+  const std::vector<uint64_t> newest{3};
+  BOOST_TEST(fetch(milliseconds(4000), 0.65) == both);
+  BOOST_TEST(fetch(milliseconds(4000), 0.55) == both);
+  // The newest is in time by itself.
+  BOOST_TEST(fetch(milliseconds(2000), 0.4) == newest);
+  // With the older one first, the newest would be too late.
+  BOOST_TEST(fetch(milliseconds(2000), 0.27) == newest);
+  // Neither is in time.
+  BOOST_TEST(fetch(milliseconds(6000), 0.1) == newest);
+  BOOST_TEST(fetch(milliseconds(6000), 0) == newest);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_ordered_before_all_pieces_are_compared) {
   piece_stager stager({.max_verified_age = milliseconds(2000)});
   stager.SetTarget({Piece('a'), Piece('b')});
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -24,6 +24,34 @@
 /// pieces over a link at a tenth of its nominal rate.
 constexpr milliseconds kLinkSaturation{1500};
 
+/// Whether an incomplete version should be transferred before the newest one,
+/// because the server is then without weights for a shorter time. The rate is
+/// estimated from the progress of this version.
+/// @param outdated_at When the served version was replaced.
+bool ShouldFinishFirst(time_point now,
+                       const weights_plan_options& options,
+                       const wanted_version& older,
+                       const wanted_version& newest,
+                       time_point outdated_at) {
+  if (older.progress <= 0)
+    return false;
+  const auto transfer_time = std::chrono::duration_cast<duration>(
+      (now - older.target_since) / older.progress);
+  // Time without weights if the next version arrives after the last load slot
+  // for the one replaced at `replaced_at`.
+  auto gap = [&](time_point arrival, time_point replaced_at) {
+    const time_point last_slot =
+        replaced_at + FractionOf(options.bound, options.load_slots_end);
+    return std::max<duration>(arrival - last_slot, duration::zero());
+  };
+  const duration newest_time = FractionOf(transfer_time, 1 - newest.progress);
+  const time_point older_at =
+      now + FractionOf(transfer_time, 1 - older.progress);
+  const duration gap_with_it = gap(older_at, outdated_at) +
+                               gap(older_at + newest_time, newest.target_since);
+  return gap_with_it < gap(now + newest_time, outdated_at);
+}
+
 /// Time before the end of the bound at which replaced weights are unloaded:
 /// several intervals of the check, plus the call to the engine on the same VM.
 constexpr milliseconds kUnloadMargin{300};
@@ -43,7 +71,9 @@
   for (auto it = wanted.begin(); it + 1 < wanted.end(); ++it) {
     if (now + options.min_use > (it + 1)->target_since + options.bound)
       continue;  // Hardly any request may begin on it anymore.
-    if (it->progress >= options.min_finish_progress)
+    if (it->progress >= options.min_finish_progress ||
+        ShouldFinishFirst(now, options, *it, newest,
+                          wanted.front().target_since))
       plan.fetch.push_back(it->version);
     if (it->progress >= 1)
       fallback = &*it;
