Fix: Agents that start together all read the manifest from the origin

Change: an agent imports from outside once its own server has been listed, or after 5 s; until then it asks its neighbours only.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -41,6 +41,8 @@
 constexpr milliseconds kMaxOriginBackoff{600};
 /// The origin accepts a bounded number of connections, idle ones included.
 constexpr milliseconds kMaxOriginIdle{1000};
+/// Time in which the store lists a server that starts together with its agent.
+constexpr milliseconds kMaxListingDelay{5000};
 /// Each failure domain has four importers, so that with five domains at most
 /// twenty pieces share the origin's link.
 constexpr size_t kMaxOriginRequests = 1;
@@ -146,6 +148,8 @@
     if (process_.Index() == nullptr)
       return;
     const site_view& view = process_.Index()->View();
+    if (!first_view_at_)
+      first_view_at_ = now;
     const site_service* service =
         process_.Index()->FindService(process_.Settings().service);
     if (service == nullptr || !service->engine ||
@@ -175,8 +179,10 @@
     Plan(now);
     is_draining_ = false;
     for (const auto& [id, server] : view.servers) {
-      if (server.address == process_.Settings().engine_address)
-        is_draining_ = server.is_draining;
+      if (server.address != process_.Settings().engine_address)
+        continue;
+      is_draining_ = server.is_draining;
+      has_been_listed_ = true;
     }
     is_evacuated_ = view.evacuated.contains(process_.Settings().domain);
   }
@@ -305,6 +311,8 @@
     std::vector<uint64_t> fetch = plan_.fetch;
     if (fetch.empty() && engine_monitor_.ServedVersion() > 0)
       fetch.push_back(engine_monitor_.ServedVersion());
+    transfer_.SetMayImport(
+        now, has_been_listed_ || now - *first_view_at_ > kMaxListingDelay);
     SetTransferTarget(now, fetch);
     for (uint64_t version : fetch) {
       // Bytes from the origin did not match it.
@@ -791,6 +799,8 @@
   bool is_staging_ = false;
   bool is_serving_ = false;
   bool is_draining_ = false;
+  bool has_been_listed_ = false;  ///< The own server, in the store.
+  std::optional<time_point> first_view_at_;
   bool is_evacuated_ = false;
   timer_id tick_timer_ = 0;
 };
--- a/src/tests/fake_weight_fleet.cc
+++ b/src/tests/fake_weight_fleet.cc
@@ -34,6 +34,23 @@
     SetTarget(&item);
 }
 
+void fake_weight_fleet::StartUnlisted(const std::vector<uint64_t>& versions) {
+  versions_ = versions;
+  const topology_ptr all = topology_;
+  for (auto& [id, item] : nodes_) {
+    proto::configuration configuration;
+    proto::inventory* inventory = configuration.mutable_inventory();
+    proto::failure_domain* domain = inventory->add_domains();
+    domain->set_id(item.domain);
+    domain->set_region(item.domain);
+    *inventory->add_vms() = *all->FindVm(item.id);
+    topology_ = std::make_shared<topology>(std::move(configuration));
+    SetTarget(&item);
+    item.transfer->SetMayImport(now, false);
+  }
+  topology_ = all;
+}
+
 void fake_weight_fleet::AddUnknown(size_t servers) {
   std::set<std::string> known;
   for (const auto& [id, item] : nodes_)
@@ -125,6 +142,7 @@
   for (uint64_t version : versions_)
     parts.push_back({std::to_string(version), ManifestName("model", version)});
   output_list out;
+  item->transfer->SetMayImport(now, true);
   item->transfer->SetTarget(now, topology_, "model", parts, false, &out);
   for (uint64_t version : versions_) {
     if (!item->manifests.IsConfirmed(version))
--- a/src/tests/fake_weight_fleet.h
+++ b/src/tests/fake_weight_fleet.h
@@ -37,6 +37,9 @@
   void SetVersions(const std::vector<uint64_t>& versions);
   /// Changes the number of servers in each domain. New ones join empty.
   void Resize(size_t servers);
+  /// Makes the agents want these versions while each knows only itself.
+  /// Resize() makes them known to each other.
+  void StartUnlisted(const std::vector<uint64_t>& versions);
   /// Adds servers that the others do not know until Resize() is called.
   void AddUnknown(size_t servers);
   void Run(duration span);
--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -120,6 +120,17 @@
   BOOST_TEST(fleet.manifest_reads[2] == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(
+    agents_that_know_only_themselves_do_not_all_read_the_manifest) {
+  fake_weight_fleet fleet({});
+  fleet.StartUnlisted({1});
+  fleet.Run(seconds(3));
+  BOOST_TEST(fleet.manifest_reads[1] == 0u);
+  fleet.Resize(22);
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(10)));
+  BOOST_TEST(fleet.manifest_reads[1] == 2u);
+}
+
 // Each change of the fleet made all agents forget their outstanding requests
 // and request the same chunks again.
 BOOST_AUTO_TEST_CASE(
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -109,6 +109,8 @@
                                      artifact* item,
                                      const std::vector<vm_id>& order,
                                      size_t rank) {
+  if (!may_import_)
+    return false;
   if (rank == 0) {
     // A replaced server first learns which chunks its domain already has.
     return !item->may_have_joined_late ||
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -156,6 +156,14 @@
   may_request_chunks_ = may_request;
 }
 
+void weight_transfer::SetMayImport(time_point now, bool may_import) {
+  if (may_import && !may_import_) {
+    for (artifact& item : artifacts_)
+      item.takeover_since = now;
+  }
+  may_import_ = may_import;
+}
+
 void weight_transfer::AddHeldChunks(artifact* item) {
   for (size_t i = 0; i < item->chunks.size(); ++i) {
     if (item->have[i] || blobs_->Find(item->chunks[i]) == nullptr)
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -200,6 +200,9 @@
   /// Sets whether chunks may be requested. While they may not, because others
   /// are still read from elsewhere, manifests are requested and chunks served.
   void SetMayRequestChunks(time_point now, bool may_request);
+  /// Sets whether this server may import. A server that others do not know yet
+  /// may know no other either, and is then the only importer in its view.
+  void SetMayImport(time_point now, bool may_import);
   /// Expires overdue requests, sends new ones, and sends have-maps that are
   /// due.
   void RunDue(time_point now, output_list* out);
@@ -374,6 +377,7 @@
   time_point origin_retry_at_{};
   milliseconds origin_backoff_{0};
   bool may_request_chunks_ = true;
+  bool may_import_ = true;
 };
 
 }  // namespace fuchsiafall
