--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -14,9 +14,9 @@
 /// An attempt with less time left than this cannot be answered in time.
 constexpr milliseconds kMinTimeLeft{20};
 
-/// Part of the target latency that more place requests than usual may take: the
-/// rest is needed to wait for and to compute the first token.
-constexpr int kSearchShareOfTarget = 4;
+/// Place requests beyond the usual number may take the target latency divided
+/// by this. The rest is needed to wait for and to compute the first token.
+constexpr int kTargetToSearchRatio = 4;
 
 /// The first request of a caller allows somewhat less time than the timeout of
 /// the route. One with less than this share of it is a retry.
@@ -161,7 +161,7 @@
     return false;
   return call.place_request_count < usual ||
          now - call.arrived_at <
-             call.route.target_latency / kSearchShareOfTarget;
+             call.route.target_latency / kTargetToSearchRatio;
 }
 
 bool call_dispatch::EndsBeforeExit(time_point now,
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -329,9 +329,9 @@
     }
     // Pieces staged at the engine already are not fetched.
     if (staged_version_ != 0 && stager_.HasReadAll())
-      read_version_ = staged_version_;
+      compared_version_ = staged_version_;
     transfer_.SetMayRequestChunks(
-        now, staged_version_ != 0 && read_version_ == staged_version_);
+        now, staged_version_ != 0 && compared_version_ == staged_version_);
   }
 
   /// Reads a manifest from the origin until enough reads agree on it.
@@ -339,7 +339,7 @@
     if (manifests_.IsReading(version))
       return;
     if (manifests_.IsConfirmed(version)) {
-      GiveManifest(now, version);
+      PassManifestToTransfer(now, version);
       return;
     }
     manifests_.OnReadStarted(version);
@@ -375,7 +375,7 @@
     if (*is_changed && staged_version_ == version)
       staged_version_ = 0;
     if (manifests_.IsConfirmed(version)) {
-      GiveManifest(now, version);
+      PassManifestToTransfer(now, version);
       Tick(now);
       return;
     }
@@ -386,7 +386,7 @@
   }
 
   /// Gives a manifest read from the origin to the transfer, which spreads it.
-  void GiveManifest(time_point now, uint64_t version) {
+  void PassManifestToTransfer(time_point now, uint64_t version) {
     const transfer_manifest* manifest = manifests_.Find(version);
     output_list out;
     transfer_.ReplaceManifest(
@@ -395,6 +395,7 @@
     Perform(now, &out);
   }
 
+  /// Uses a manifest that the transfer got from a peer.
   void OnPeerManifest(const artifact_ref& part,
                       const named_manifest& manifest) {
     const uint64_t version = std::stoull(part.name);
@@ -418,7 +419,7 @@
     Perform(now, &out);
     for (uint64_t version : fetch) {
       if (manifests_.IsConfirmed(version))
-        GiveManifest(now, version);
+        PassManifestToTransfer(now, version);
     }
   }
 
@@ -741,6 +742,7 @@
     StartAsyncHttpCall(now, &process_.Loop(), &pool_, call);
   }
 
+  /// Calls the origin of weights on a connection that is soon closed again.
   void CallOrigin(time_point now, const async_http_call& call) {
     StartAsyncHttpCall(now, &process_.Loop(), &origin_pool_, call);
   }
@@ -790,8 +792,8 @@
   manifest_cache manifests_{{}};
   weights_plan plan_;
   uint64_t staged_version_ = 0;
-  /// Version for which everything staged at the engine before was read.
-  uint64_t read_version_ = 0;
+  /// Version with which everything staged at the engine has been compared.
+  uint64_t compared_version_ = 0;
   std::vector<uint64_t>
       target_versions_;  ///< Versions that the transfer has as its target.
   std::optional<time_point> last_piece_at_;  ///< When a piece last arrived.
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -311,8 +311,7 @@
   BOOST_TEST(entry.attempts.empty());
 }
 
-// A process that was paused for seconds read a grant before its timers ran, and
-// sent the request although its key could not be confirmed any more.
+// After a pause, sockets may be read before due timers run.
 BOOST_AUTO_TEST_CASE(a_grant_from_before_a_pause_of_the_process_is_not_used) {
   fake_entry entry;
   entry.SendRequest(1, "models");
--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -43,7 +43,7 @@
   }
 }
 
-// The first reader of each version is known only once it has read.
+// The same options give the same first reader in both fleets.
 BOOST_AUTO_TEST_CASE(reader_that_dies_before_it_has_the_manifest_is_replaced) {
   fake_weight_fleet probe({});
   probe.SetVersions({2});
@@ -131,8 +131,6 @@
   BOOST_TEST(fleet.manifest_reads[1] == 2u);
 }
 
-// Each change of the fleet made all agents forget their outstanding requests
-// and request the same chunks again.
 BOOST_AUTO_TEST_CASE(
     servers_that_join_do_not_make_others_request_chunks_twice) {
   fake_weight_fleet fleet({.servers = 10});
@@ -147,9 +145,6 @@
   BOOST_TEST(fleet.chunks_delivered + fleet.chunk_reads <= needed * 105 / 100);
 }
 
-// The holders did not answer servers that they did not know yet, and were not
-// asked again while the new servers made progress: these fetched from each
-// other and from outside for ten seconds.
 BOOST_AUTO_TEST_CASE(servers_that_others_learn_of_late_fetch_from_all_holders) {
   fake_weight_fleet fleet({.servers = 13});
   fleet.SetVersions({1});
@@ -167,8 +162,6 @@
   BOOST_TEST(fleet.chunk_reads <= reads + 96 / 4);
 }
 
-// Each agent read the manifest on a connection of its own, and the origin reset
-// all beyond its limit, also those for chunks.
 BOOST_AUTO_TEST_CASE(connections_to_the_origin_do_not_grow_with_the_fleet) {
   constexpr size_t kOriginConnections = 48;
   for (const size_t domains : {1, 3, 5, 15}) {
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -192,8 +192,6 @@
   BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
 }
 
-// Every server read back all pieces of the served version before it requested
-// the first chunk of a new one.
 BOOST_AUTO_TEST_CASE(pieces_known_to_be_of_another_version_are_not_read_first) {
   piece_stager stager({});
   const time_point now{std::chrono::hours(1)};
--- a/src/weight_exchange.cc
+++ b/src/weight_exchange.cc
@@ -44,7 +44,7 @@
   peer.has_sent_map = true;
   peer.has_manifest = map.count() > 0;
   peer.manifest_reads = map.manifest_reads();
-  peer.manifest_check = map.manifest_check();
+  peer.manifest_hash = map.manifest_hash();
   const size_t count = item->chunks.size();
   std::vector<bool> before = std::move(peer.chunks);
   before.resize(count, false);
@@ -165,7 +165,7 @@
     map->set_count(static_cast<uint32_t>(item->have.size()));
     map->set_bits(PackBits(item->have));
     map->set_manifest_reads(item->manifest_reads);
-    map->set_manifest_check(item->manifest_check);
+    map->set_manifest_hash(item->manifest_hash);
   }
   map->set_reply_wanted(reply_wanted);
   out->Send(plane::kControl, address, std::move(message));
--- a/src/weight_import.cc
+++ b/src/weight_import.cc
@@ -51,8 +51,9 @@
   return it == domains.end() ? nullptr : &it->importers;
 }
 
-const import_plan& weight_transfer::PlanOf(artifact* item,
-                                           std::optional<size_t> chunk) const {
+const import_plan& weight_transfer::ImportPlanOf(
+    artifact* item,
+    std::optional<size_t> chunk) const {
   std::optional<import_plan>& plan =
       chunk ? item->chunk_plans[*chunk] : item->manifest_plan;
   if (plan)
@@ -87,7 +88,7 @@
     return;
   for (size_t i = 0; i < item->chunks.size(); ++i) {
     const std::vector<vm_id>& order =
-        *PlanOf(item, i).Find(options_.domain.value);
+        *ImportPlanOf(item, i).Find(options_.domain.value);
     auto rank = std::find(order.begin(), order.end(), options_.self);
     if (rank != order.end())
       item->import_rank[i] = static_cast<size_t>(rank - order.begin());
--- a/src/weight_manifest.cc
+++ b/src/weight_manifest.cc
@@ -40,7 +40,7 @@
   artifact& item = artifacts_[request.artifact_index];
   const holder& peer = item.holders[*request.source_vm];
   // The peer may have replaced its manifest since it sent its have-map.
-  const bool is_as_announced = peer.manifest_check == Hash64(*blob.bytes);
+  const bool is_as_announced = peer.manifest_hash == Hash64(*blob.bytes);
   const named_manifest manifest{
       .bytes = blob.bytes, .reads = is_as_announced ? peer.manifest_reads : 1};
   if (!item.chunks.empty() && manifest.reads <= item.manifest_reads)
@@ -59,13 +59,13 @@
     if (item.part.manifest != name)
       continue;
     const uint64_t check = Hash64(*manifest.bytes);
-    const bool is_known = !item.chunks.empty() && check == item.manifest_check;
+    const bool is_known = !item.chunks.empty() && check == item.manifest_hash;
     DropRequestsUnless([&](const pending_request& request) {
       return request.artifact_index != i || (is_known && request.chunk);
     });
     item.manifest_reads = manifest.reads;
     if (!is_known) {
-      item.manifest_check = check;
+      item.manifest_hash = check;
       AdoptManifest(now, &item, manifest.bytes, out);
     }
     return;
--- a/src/weight_source.cc
+++ b/src/weight_source.cc
@@ -142,7 +142,7 @@
                                      std::optional<size_t> chunk) {
   const bool is_before_takeover =
       now - item->takeover_since <= TakeoverTimeout(*item);
-  for (const auto& [domain, importers] : PlanOf(item, chunk).domains) {
+  for (const auto& [domain, importers] : ImportPlanOf(item, chunk).domains) {
     if (domain == options_.domain.value) {
       const bool may_ask_origin =
           now >= origin_retry_at_ && (chunk || now >= item->next_manifest_try);
@@ -199,8 +199,7 @@
     return;
   for (auto& [id, peer] : item.holders) {
     if (peer.has_manifest && peer.manifest_reads > item.manifest_reads &&
-        peer.manifest_check != item.manifest_check &&
-        CanRequestFrom(now, peer)) {
+        peer.manifest_hash != item.manifest_hash && CanRequestFrom(now, peer)) {
       Request(now, index, std::nullopt, id, out);
       return;
     }
@@ -219,7 +218,7 @@
       return;
     }
   }
-  const import_plan& plan = PlanOf(&item, std::nullopt);
+  const import_plan& plan = ImportPlanOf(&item, std::nullopt);
   const std::vector<vm_id>* order = plan.Find(options_.domain.value);
   if (order == nullptr)
     return;
@@ -251,7 +250,7 @@
     if (item.have[chunk] || item.in_flight[chunk] ||
         HasAvailableNeighbour(now, item, chunk))
       continue;
-    const import_plan& plan = PlanOf(&item, chunk);
+    const import_plan& plan = ImportPlanOf(&item, chunk);
     const std::vector<vm_id>& order = *plan.Find(options_.domain.value);
     is_importing = true;
     if (!ActsAsImporter(now, &item, order, rank))
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -85,7 +85,7 @@
   bool is_neighbour = false;    ///< Exchanges any chunk with this server.
   bool has_sent_map = false;    ///< Whether it has sent a have-map.
   uint32_t manifest_reads = 0;  ///< Of its named manifest.
-  uint64_t manifest_check = 0;  ///< Hash of its named manifest.
+  uint64_t manifest_hash = 0;   ///< Hash of its named manifest.
   /// Whether a request or have-map has been unanswered since awaiting_since.
   bool awaits_reply = false;
   time_point awaiting_since{};
@@ -150,7 +150,7 @@
   time_point last_map_sent{};
   time_point last_refresh{};    ///< When all neighbours were last asked.
   uint32_t manifest_reads = 0;  ///< Of a named manifest.
-  uint64_t manifest_check = 0;  ///< Hash of a named manifest.
+  uint64_t manifest_hash = 0;   ///< Hash of a named manifest.
   /// When the origin may be asked again for a manifest that it does not have.
   time_point next_manifest_try{};
   milliseconds manifest_backoff{0};
@@ -244,10 +244,13 @@
                      artifact* item,
                      const shared_bytes& bytes,
                      output_list* out);
+  /// Uses a named manifest from a peer, unless more reads decided on the one in
+  /// use.
   void AdoptNamedManifest(time_point now,
                           const pending_request& request,
                           const blob_arrival& blob,
                           output_list* out);
+  /// Marks chunks that are in the blob store as held.
   void AddHeldChunks(artifact* item);
   /// Forgets outstanding requests. Answers to them count as late.
   void DropRequestsUnless(
@@ -256,8 +259,10 @@
   static void CountAvailability(artifact* item);
   void DropUnneeded();
   void CheckMemory(artifact* item, output_list* out);
+  /// Returns which servers import a chunk, computed on first use.
   /// @param chunk Empty for the manifest.
-  const import_plan& PlanOf(artifact* item, std::optional<size_t> chunk) const;
+  const import_plan& ImportPlanOf(artifact* item,
+                                  std::optional<size_t> chunk) const;
 
   // Source selection.
   bool IsUnresponsive(time_point now, const holder& peer) const;
@@ -286,6 +291,7 @@
   /// Requests a manifest that more reads of the origin decided on, if a peer
   /// has one.
   void RequestBetterManifest(time_point now, size_t index, output_list* out);
+  /// Whether a request for an artifact's manifest is outstanding.
   bool IsManifestRequested(size_t index) const;
   void RequestImports(time_point now, size_t index, output_list* out);
   void RequestFromNeighbours(time_point now, size_t index, output_list* out);
@@ -330,6 +336,7 @@
 
   // Have-maps.
   void SendMaps(time_point now, artifact* item, output_list* out);
+  /// Asks neighbours again that have not answered.
   void ProbeSilentNeighbours(time_point now, artifact* item, output_list* out);
   void SendMap(const digest& manifest,
                const artifact* item,
