Add: Events for streams closed before their end and unread input

A call that had begun a stream and could not go on was logged as refused with a status that its caller never got, and connections that the listener closed were not logged at all. E605 names the reason and how long the server had been silent; E606 is a connection closed with bytes that were not read; counters tell each close of a connection by its reason.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -319,6 +319,7 @@
   call->forwards_events = false;
   call->has_new_event = false;
   call->body.clear();
+  call->progress_at = now;
   call->events.Clear();
   call->tried.insert(call->server.id);
   selector_.OnAttemptSent(call->server.id);
@@ -453,18 +454,30 @@
     answer.status = kHttpUnavailable;
     answer.retry_after = RetryAfter(*call);
   }
+  if (call->is_streaming)
+    return CutStream(now, call, reason);
   hooks_.log(log_event::kCallRefused,
              Describe(now, *call) + " status=" + std::to_string(answer.status) +
                  " why=\"" + std::string(TextOf(reason)) + "\"");
   hooks_.count("refused " + std::string(TextOf(reason)));
   const uint64_t id = call->id;
-  const bool is_streaming = call->is_streaming;
   Erase(id);
-  if (is_streaming) {
-    hooks_.abort_stream(id);
-  } else {
-    hooks_.send_refusal(id, answer);
-  }
+  hooks_.send_refusal(id, answer);
+}
+
+void call_dispatch::CutStream(time_point now,
+                              call_state* call,
+                              call_refusal reason) {
+  const std::string text(TextOf(reason));
+  hooks_.log(log_event::kStreamCut,
+             Describe(now, *call) +
+                 " events=" + std::to_string(call->last_event.value_or(0)) +
+                 " silent_ms=" + std::to_string(ToMs(now - call->progress_at)) +
+                 " why=\"" + text + "\"");
+  hooks_.count("streams_aborted " + text);
+  const uint64_t id = call->id;
+  Erase(id);
+  hooks_.abort_stream(id);
 }
 
 void call_dispatch::OnCallerDisconnected(time_point now, uint64_t id) {
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -69,6 +69,7 @@
     return false;
   }
   call->has_head = true;
+  call->progress_at = now;
   call->head = head;
   if (head.has_load)
     selector_.OnLoad(now, call->server.id, head.running + head.waiting,
@@ -98,6 +99,7 @@
   call_state* call = Find(id, attempt);
   if (call == nullptr)
     return;
+  call->progress_at = now;
   if (!call->forwards_events) {
     if (!call->is_streaming)
       call->body += bytes;
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -218,6 +218,7 @@
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     time_point timeout_at{};           ///< Timeout of the current stage.
+    time_point progress_at{};  ///< When the current attempt last sent bytes.
     /// When the current attempt is aborted unless it has begun to run.
     std::optional<time_point> recall_at;
     bool has_head = false;
@@ -272,6 +273,8 @@
   /// Gives up the open place request, and releases its place if granted.
   void CancelPlaceRequest(call_state* call);
   void Refuse(time_point now, call_state* call, call_refusal reason);
+  /// Ends a stream that has begun, so that it does not look complete.
+  void CutStream(time_point now, call_state* call, call_refusal reason);
   void Erase(uint64_t id) { calls_.erase(id); }
   server_query QueryOf(const call_state& call) const;
   /// Finds the call if the attempt is its current one; nullptr otherwise.
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -125,6 +125,14 @@
       LogEvent(log_event::kCallRefused,
                "status=" + std::to_string(status) + " why=\"" + reason + "\"");
     };
+    hooks.on_close = [this](time_point, listener_close why, bool has_input) {
+      const std::string text(TextOf(why));
+      process_.Metrics().Count("connections_closed " + text);
+      if (!has_input)
+        return;
+      process_.Metrics().Count("connections_closed_unread");
+      LogEvent(log_event::kInputDropped, "why=\"" + text + "\"");
+    };
     return hooks;
   }
 
@@ -372,6 +380,7 @@
       const bool is_idle = dispatch_.OpenCallCount() == 0 &&
                            callers_.IsIdle() && passed > kBalancerRemoval;
       if (is_idle || passed > process_.Settings().grace - kExitMargin) {
+        ReportExit(now);
         process_.Finish();
         return;
       }
@@ -380,6 +389,17 @@
                                [this](time_point at) { RunHousekeeping(at); });
   }
 
+  /// Logs what the exit of the process cuts off.
+  void ReportExit(time_point now) {
+    const size_t unread = callers_.UnreadCount();
+    if (dispatch_.OpenCallCount() == 0 && unread == 0)
+      return;
+    LogEvent(log_event::kInputDropped,
+             "why=exit calls=" + std::to_string(dispatch_.OpenCallCount()) +
+                 " unread=" + std::to_string(unread) +
+                 " after_ms=" + std::to_string(ToMs(now - *shutdown_at_)));
+  }
+
   hosted_process process_;
   call_dispatch dispatch_;
   http_listener callers_;
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -18,6 +18,18 @@
 
 }  // namespace
 
+std::string_view TextOf(listener_close why) {
+  switch (why) {
+    case listener_close::kIdleTimeout:
+      return "idle";
+    case listener_close::kStopping:
+      return "stopping";
+    case listener_close::kInputOverflow:
+      return "input overflow";
+  }
+  return "";
+}
+
 Poco::Net::HTTPResponse MakeAnswerHead(int status) {
   Poco::Net::HTTPResponse head;
   head.setStatusAndReason(
@@ -49,6 +61,7 @@
     if (stage_ == stage::kAnswering) {
       // A pipelined request waits until the current one is answered.
       if (input->size() > limits_->header_bytes + limits_->body_bytes) {
+        ReportClose(now, listener_close::kInputOverflow);
         connection_->Close();
         OnClosed(now);
       }
@@ -198,8 +211,15 @@
 void http_server_connection::CloseWhenIdle(time_point now) {
   close_after_answer_ = true;
   if (stage_ == stage::kHead && !has_head_bytes_ &&
-      now - timeout_start_ > kCloseDelay)
+      now - timeout_start_ > kCloseDelay && IsOpen()) {
+    ReportClose(now, listener_close::kStopping);
     connection_->CloseWhenSent();
+  }
+}
+
+void http_server_connection::ReportClose(time_point now, listener_close why) {
+  if (hooks_->on_close)
+    hooks_->on_close(now, why, connection_->HasInput());
 }
 
 bool http_server_connection::IsIdle() const {
@@ -209,8 +229,10 @@
 
 void http_server_connection::EnforceTimeouts(time_point now) {
   if (stage_ == stage::kHead && !has_head_bytes_) {
-    if (now - timeout_start_ > limits_->idle_timeout)
+    if (now - timeout_start_ > limits_->idle_timeout) {
+      ReportClose(now, listener_close::kIdleTimeout);
       connection_->Close();
+    }
   } else if (stage_ != stage::kAnswering &&
              now - timeout_start_ > limits_->header_timeout) {
     Refuse(now, 408, "request not complete in time");
@@ -252,6 +274,12 @@
   is_closing_ = true;
 }
 
+size_t http_listener::UnreadCount() const {
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& item) { return item.second->HasInput(); }));
+}
+
 bool http_listener::IsIdle() const {
   return std::all_of(connections_.begin(), connections_.end(),
                      [](const auto& item) { return item.second->IsIdle(); });
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -23,6 +23,16 @@
 
 class http_server_connection;
 
+/// Why the listener closes a connection that owes no answer.
+enum class listener_close {
+  kIdleTimeout,    ///< No request came within the idle timeout.
+  kStopping,       ///< The process stops and has no request of it.
+  kInputOverflow,  ///< The caller sent too much ahead of its answer.
+};
+
+/// Returns the text of a reason for logs and counters.
+std::string_view TextOf(listener_close why);
+
 /// Request with its body.
 struct http_request {
   Poco::Net::HTTPRequest head;
@@ -41,6 +51,9 @@
   /// a limit or not complete in time.
   std::function<void(time_point, int status, const std::string& why)>
       on_refused;
+  /// The listener is about to close a connection.
+  /// @param has_input Whether bytes of the caller have not been read yet.
+  std::function<void(time_point, listener_close why, bool has_input)> on_close;
 };
 
 /// Connection of a caller. An answer is sent as a whole, or as a head followed
@@ -74,6 +87,8 @@
   void CloseWhenIdle(time_point now);
   /// Whether no request is being read or answered, and all is sent.
   bool IsIdle() const;
+  /// Whether bytes of the caller have not been read yet.
+  bool HasInput() const { return IsOpen() && connection_->HasInput(); }
   /// Enforces the timeouts.
   void EnforceTimeouts(time_point now);
   bool IsOpen() const { return connection_->IsOpen(); }
@@ -86,6 +101,7 @@
   void OnClosed(time_point now);
   bool ReadHead(time_point now);
   void Refuse(time_point now, int status, const std::string& why);
+  void ReportClose(time_point now, listener_close why);
   void FinishAnswer(time_point now);
 
   std::shared_ptr<tcp_connection> connection_;
@@ -119,6 +135,8 @@
   /// Whether no connection has a request to read, to answer or to send the
   /// answer of.
   bool IsIdle() const;
+  /// Returns how many connections have bytes that were not read yet.
+  size_t UnreadCount() const;
 
  private:
   event_loop* loop_;
