Fix: A silent server ended answers that it would have completed

What callers saw: a stream whose server was silent for 1.2 s was closed without an end, and a call whose server had not begun for 1.2 s was answered 502, although the server was sound and would have gone on.

Cause: silence aborted the attempt first. The repeat was refused afterwards, when the retry budget was used up, no place was free, the attempts of the route were used up, or the call could not be repeated at all.

Fix: silence starts a search for a substitute beside the running attempt. The attempt is aborted, and a retry consumed, once a place is granted and all checks hold. An answer that goes on ends the search and releases the place. A search without success is repeated every 400 ms; the deadline ends the call at the latest. Requests for places and attempts are separate members of a call now, so that both may be open. A retry is consumed when it is sent, no longer when it is intended.

bytes_without_an_event_do_not_extend_the_timeout expected the cut after 1.2 s of silence on the last attempt. It now expects it at the end of the route's timeout, and a new test expects that such bytes do not postpone the search.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -11,13 +11,6 @@
 
 /// Time limit of callers that set none.
 constexpr milliseconds kDefaultTimeLimit{30000};
-/// An attempt with less time left than this cannot be answered in time.
-constexpr milliseconds kMinTimeLeft{20};
-
-/// Place requests beyond the usual number may take the target latency divided
-/// by this. The rest is needed to wait for and to compute the first token.
-constexpr int kTargetToSearchRatio = 4;
-
 /// The first request of a caller allows somewhat less time than the timeout of
 /// the route. One with less than this share of it is a retry.
 constexpr double kFirstRequestTimeShare = 0.84;
@@ -33,6 +26,7 @@
     "server failed",
     "quarantined",
     "leaving",
+    "no retry left",
 };
 
 }  // namespace
@@ -150,20 +144,6 @@
   Dispatch(now, &call);
 }
 
-bool call_dispatch::MayRequestPlace(time_point now,
-                                    const call_state& call) const {
-  const uint32_t usual = options_.place_search.usual_requests;
-  // The caller already has part of the answer of a resumed stream.
-  const uint32_t limit = call.is_streaming
-                             ? usual
-                             : place_search_.MaxRequests(now, call.yield_rank);
-  if (call.place_request_count >= limit)
-    return false;
-  return call.place_request_count < usual ||
-         now - call.arrived_at <
-             call.route.target_latency / kTargetToSearchRatio;
-}
-
 bool call_dispatch::EndsBeforeExit(time_point now,
                                    const call_state& call) const {
   if (!exit_at_)
@@ -181,186 +161,90 @@
     auto it = calls_.find(id);
     if (it == calls_.end())
       continue;
-    call_state& call = it->second;
-    if (call.current_stage == stage::kSent) {
-      EndAttempt(&call);
-      hooks_.abort_attempt(id);
-    } else {
-      CancelPlaceRequest(&call);
-    }
-    Refuse(now, &call, call_refusal::kLeaving);
-  }
-}
-
-void call_dispatch::Dispatch(time_point now, call_state* call) {
-  if (call->deadline - now < kMinTimeLeft)
-    return Refuse(now, call, call_refusal::kTimedOut);
-  if (call->has_key && !IsFresh(now))
-    return Refuse(now, call, call_refusal::kStateTooOld);
-  if (crashes_.FindQuarantined(now, call->request.traits))
-    return Refuse(now, call, call_refusal::kQuarantined);
-  call->current_stage = stage::kRequestingPlace;
-  call->has_place = false;
-  call->is_suspect = false;
-  if (call->is_model) {
-    DispatchModelCall(now, call);
-  } else {
-    DispatchPlainCall(now, call);
-  }
-}
-
-void call_dispatch::RefuseWithoutServer(time_point now, call_state* call) {
-  if (const auto until = selector_.FirstPauseEnd(now, QueryOf(*call))) {
-    call->expected_free_in =
-        std::chrono::duration_cast<milliseconds>(*until - now);
+    if (it->second.has_attempt)
+      AbortAttempt(&it->second);
+    Refuse(now, &it->second, call_refusal::kLeaving);
   }
-  Refuse(now, call, call_refusal::kNoServer);
 }
 
-void call_dispatch::DispatchModelCall(time_point now, call_state* call) {
-  const auto ranked = selector_.Rank(now, QueryOf(*call));
-  if (ranked.empty())
-    return RefuseWithoutServer(now, call);
-  if (!MayRequestPlace(now, *call))
-    return Refuse(now, call, call_refusal::kNoPlace);
-  server_query query_without_place = QueryOf(*call);
-  query_without_place.is_without_place = true;
-  for (const site_server* server : ranked) {
-    if (call->asked_servers.contains(server->id))
-      continue;
-    const server_health& health = selector_.Health(server->id);
-    const bool is_unresponsive = health.unanswered_place_requests > 1;
-    const bool is_agent_down =
-        is_unresponsive &&
-        now - health.unanswered_since > options_.agent_timeout;
-    if (is_agent_down && health.in_flight < options_.max_without_place &&
-        server->cold_remaining == milliseconds(0) &&
-        selector_.IsEligible(now, *server, query_without_place)) {
-      // The agent does not answer, but the server itself may be healthy.
-      call->server = *server;
-      return Send(now, call);
-    }
-    if (is_unresponsive && !is_agent_down)
-      continue;
-    call->server = *server;
-    call->asked_servers.insert(server->id);
-    ++call->place_request_count;
-    call->place_requested_at = now;
-    call->timeout_at = now + options_.place_timeout;
-    call->place_request_id = next_place_request_id_++;
-    open_place_requests_[call->place_request_id] = call->id;
-    place_request request{.call = call->place_request_id,
-                          .prompt_tokens = call->request.prompt_tokens,
-                          .answer_tokens = call->request.hinted_tokens,
-                          .is_resumed = call->is_streaming,
-                          .traits = call->request.traits};
-    request.first_token_budget = std::chrono::duration_cast<milliseconds>(
-        std::max<duration>(duration(0), call->target_deadline - now));
-    request.time_left =
-        std::chrono::duration_cast<milliseconds>(call->deadline - now);
-    hooks_.request_place(call->server, request);
-    return;
-  }
-  Refuse(now, call, call_refusal::kNoPlace);
-}
-
-void call_dispatch::DispatchPlainCall(time_point now, call_state* call) {
-  const auto ranked = selector_.Rank(now, QueryOf(*call));
-  if (ranked.empty())
-    return RefuseWithoutServer(now, call);
-  call->server = *ranked.front();
-  Send(now, call);
-}
-
-void call_dispatch::OnPlaceReply(time_point now,
-                                 uint64_t place_request_id,
-                                 const place_reply& reply) {
-  auto open = open_place_requests_.find(place_request_id);
-  if (open == open_place_requests_.end())
-    return;  // CancelPlaceRequest() has released the place.
-  call_state& call = calls_.at(open->second);
-  open_place_requests_.erase(open);
-  selector_.OnPlaceAnswered(call.server.id);
-  selector_.OnLoad(now, call.server.id, reply.load, reply.slots);
-  selector_.SetAnswerLimit(call.server.id, reply.max_answer_tokens);
-  if (reply.is_granted &&
-      now - call.place_requested_at > options_.max_grant_age) {
-    hooks_.release_place(call.server, place_request_id, attempt_result::kOther);
-    hooks_.count("grants_expired");
-    return Dispatch(now, &call);
+void call_dispatch::Send(time_point now,
+                         call_state* call,
+                         const site_server& server,
+                         std::optional<granted_place> place) {
+  const bool is_repeat = call->attempt > 0;
+  auto obstacle = FindObstacle(now, *call);
+  if (!obstacle && is_repeat && !budget_.TryConsume(now)) {
+    hooks_.count("retries_over_budget");
+    obstacle = call_refusal::kNoRetry;
   }
-  if (reply.is_granted) {
-    place_search_.OnReply(now, true);
-    call.has_place = true;
-    call.is_suspect = reply.is_suspect;
-    Send(now, &call);
-    return;
+  if (obstacle) {
+    if (place)
+      hooks_.release_place(server, place->id, attempt_result::kOther);
+    return OnNoServer(now, call, *obstacle);
   }
-  if (reply.is_quarantined) {
-    OnQuarantined(now, reply.quarantined_trait);
-    return Refuse(now, &call, call_refusal::kQuarantined);
+  if (is_repeat) {
+    hooks_.count("retries");
+    hooks_.log(
+        log_event::kAttemptRepeated,
+        Describe(now, *call) +
+            " may_have_run=" + (call->possible_runs > 0 ? "1" : "0") +
+            " last_event=" + std::to_string(call->last_event.value_or(0)));
   }
-  if (reply.slots > 0)
-    place_search_.OnReply(now, false);
-  selector_.OnFull(now, call.server.id, reply.expected_free_in);
-  if (reply.slots > 0 && (!call.expected_free_in ||
-                          reply.expected_free_in < *call.expected_free_in)) {
-    call.expected_free_in = reply.expected_free_in;
+  if (call->has_attempt) {
+    AbortAttempt(call);
+    hooks_.count("attempts_replaced");
   }
-  hooks_.count("place_denied");
-  Dispatch(now, &call);
+  StartAttempt(now, call, server, place);
 }
 
-void call_dispatch::Send(time_point now, call_state* call) {
+void call_dispatch::StartAttempt(time_point now,
+                                 call_state* call,
+                                 const site_server& server,
+                                 std::optional<granted_place> place) {
   ++call->attempt;
-  call->current_stage = stage::kSent;
+  call->server = server;
+  call->has_attempt = true;
+  call->place = place;
   call->has_head = false;
   call->has_event = false;
   call->forwards_events = false;
   call->has_new_event = false;
+  call->is_silent = false;
   call->body.clear();
   call->progress_at = now;
   call->events.Clear();
-  call->tried.insert(call->server.id);
-  selector_.OnAttemptSent(call->server.id);
+  call->tried.insert(server.id);
+  selector_.OnAttemptSent(server.id);
   ++call->possible_runs;
-  duration limit = call->deadline - now;
+  call->search_at.reset();
   if (call->kind == call_kind::kStream) {
-    limit = std::min<duration>(limit, options_.event_timeout);
-  } else if (call->kind == call_kind::kIdempotent &&
-             call->possible_runs < call->route.attempts) {
-    limit = std::min<duration>(
-        limit, std::max<duration>(options_.attempt_timeout_targets *
-                                      call->route.target_latency,
-                                  options_.min_attempt_timeout));
+    call->search_at = now + options_.event_timeout;
+  } else if (MayRepeat(*call, true)) {
+    call->search_at =
+        now + std::max<duration>(
+                  options_.attempt_timeout_targets * call->route.target_latency,
+                  options_.min_attempt_timeout);
   }
   call->recall_at.reset();
   // Only a stream shows when its request begins to run.
   if (call->is_model && call->kind == call_kind::kStream) {
     if (const auto outdated_at =
-            selector_.OutdatedAt(call->server, call->request.model))
+            selector_.OutdatedAt(server, call->request.model))
       call->recall_at = *outdated_at - options_.recall_margin;
   }
-  SetTimeout(call, now + limit);
-  attempt_headers headers{.instance = call->server.id,
+  attempt_headers headers{.instance = server.id,
                           .tenant = call->tenant,
                           .last_event = call->last_event,
                           .weights = call->weights};
   headers.time_left =
       std::chrono::duration_cast<milliseconds>(call->deadline - now);
   hooks_.log(log_event::kAttemptSent,
-             Describe(now, *call) + " load=" +
-                 std::to_string(selector_.Health(call->server.id).load) +
-                 " place=" + (call->has_place ? "1" : "0"));
+             Describe(now, *call) +
+                 " load=" + std::to_string(selector_.Health(server.id).load) +
+                 " place=" + (place ? "1" : "0"));
   hooks_.start_attempt(call->id, call->attempt, call->server, headers);
 }
 
-void call_dispatch::SetTimeout(call_state* call, time_point at) {
-  call->timeout_at = std::min(call->deadline, at);
-  if (call->recall_at && !call->has_event)
-    call->timeout_at = std::min(call->timeout_at, *call->recall_at);
-}
-
 void call_dispatch::OnQuarantined(time_point now, fingerprint trait) {
   if (trait.value != 0)
     crashes_.Adopt(now, {.trait = trait}, now + options_.quarantine_time);
@@ -369,50 +253,30 @@
 call_dispatch::call_state* call_dispatch::Find(uint64_t id, uint32_t attempt) {
   auto it = calls_.find(id);
   if (it == calls_.end() || it->second.attempt != attempt ||
-      it->second.current_stage != stage::kSent) {
+      !it->second.has_attempt) {
     return nullptr;
   }
   return &it->second;
 }
 
 void call_dispatch::EndAttempt(call_state* call, attempt_result result) {
+  CancelPlaceRequest(call);
+  call->search_at.reset();
+  call->has_attempt = false;
   selector_.OnAttemptEnded(call->server.id);
-  if (call->has_place) {
-    call->has_place = false;
-    hooks_.release_place(call->server, call->place_request_id, result);
-  }
-  call->current_stage = stage::kRequestingPlace;
+  if (call->place)
+    hooks_.release_place(call->server, call->place->id, result);
+  call->place.reset();
 }
 
-void call_dispatch::CancelPlaceRequest(call_state* call) {
-  if (open_place_requests_.erase(call->place_request_id) > 0) {
-    // The place may have been granted and the reply not received yet.
-    hooks_.release_place(call->server, call->place_request_id,
-                         attempt_result::kOther);
-  }
+void call_dispatch::AbortAttempt(call_state* call) {
+  EndAttempt(call);
+  hooks_.abort_attempt(call->id);
 }
 
-void call_dispatch::Retry(time_point now, call_state* call, bool may_have_run) {
-  const bool may_repeat =
-      !may_have_run || call->kind == call_kind::kIdempotent ||
-      (call->kind == call_kind::kStream && call->route.is_resumable);
-  const bool has_attempts =
-      call->possible_runs < std::max(1U, call->route.attempts);
-  if (!may_repeat || !has_attempts || call->deadline - now < kMinTimeLeft)
-    return Refuse(now, call, call_refusal::kServerFailed);
-  if (!budget_.TryConsume(now)) {
-    hooks_.count("retries_over_budget");
-    return may_have_run ? Refuse(now, call, call_refusal::kServerFailed)
-                        : Refuse(now, call, call_refusal::kNoPlace);
-  }
-  hooks_.count("retries");
-  hooks_.log(log_event::kAttemptRepeated,
-             Describe(now, *call) +
-                 " may_have_run=" + (may_have_run ? "1" : "0") +
-                 " last_event=" + std::to_string(call->last_event.value_or(0)));
-  call->place_request_count = 0;
-  call->asked_servers.clear();
-  Dispatch(now, call);
+void call_dispatch::Erase(call_state* call) {
+  CancelPlaceRequest(call);
+  calls_.erase(call->id);
 }
 
 milliseconds call_dispatch::RetryAfter(const call_state& call) {
@@ -461,7 +325,7 @@
                  " why=\"" + std::string(TextOf(reason)) + "\"");
   hooks_.count("refused " + std::string(TextOf(reason)));
   const uint64_t id = call->id;
-  Erase(id);
+  Erase(call);
   hooks_.send_refusal(id, answer);
 }
 
@@ -476,7 +340,7 @@
                  " why=\"" + text + "\"");
   hooks_.count("streams_aborted " + text);
   const uint64_t id = call->id;
-  Erase(id);
+  Erase(call);
   hooks_.abort_stream(id);
 }
 
@@ -487,52 +351,65 @@
   call_state& call = it->second;
   hooks_.log(log_event::kCallerGone, Describe(now, call));
   hooks_.count("callers_gone");
-  if (call.current_stage == stage::kSent) {
-    EndAttempt(&call);
-    hooks_.abort_attempt(id);
-  } else {
-    CancelPlaceRequest(&call);
-  }
-  Erase(id);
+  if (call.has_attempt)
+    AbortAttempt(&call);
+  Erase(&call);
 }
 
 void call_dispatch::RunDue(time_point now) {
   std::vector<uint64_t> due;
   for (const auto& [id, call] : calls_) {
-    if (now >= call.timeout_at || now >= call.deadline)
+    if (now >= DueAt(call))
       due.push_back(id);
   }
   for (uint64_t id : due) {
     auto it = calls_.find(id);
-    if (it == calls_.end())
-      continue;
-    call_state& call = it->second;
-    if (call.current_stage == stage::kRequestingPlace) {
-      selector_.OnPlaceTimeout(now, call.server.id);
-      CancelPlaceRequest(&call);
-      hooks_.count("asks_silent");
-      Dispatch(now, &call);
-      continue;
+    if (it != calls_.end())
+      RunDueCall(now, &it->second);
+  }
+}
+
+void call_dispatch::RunDueCall(time_point now, call_state* call) {
+  const bool is_recalled = IsRecalled(now, *call);
+  if (now >= call->deadline) {
+    if (call->has_attempt) {
+      if (!is_recalled && !call->is_silent)
+        selector_.OnFailure(now, call->server.id);
+      AbortAttempt(call);
     }
-    EndAttempt(&call);
-    hooks_.abort_attempt(id);
-    const bool is_recalled =
-        call.recall_at && now >= *call.recall_at && !call.has_event;
-    if (!is_recalled)
-      selector_.OnFailure(now, call.server.id);
-    if (now >= call.deadline) {
-      Refuse(now, &call, call_refusal::kTimedOut);
-      continue;
+    return Refuse(now, call, call_refusal::kTimedOut);
+  }
+  if (is_recalled) {
+    AbortAttempt(call);
+    hooks_.count("attempts_recalled");
+    return Retry(now, call, true);
+  }
+  if (call->place_inquiry) {
+    if (now >= call->place_inquiry->timeout_at) {
+      selector_.OnPlaceTimeout(now, call->place_inquiry->server.id);
+      CancelPlaceRequest(call);
+      hooks_.count("asks_silent");
+      Dispatch(now, call);
     }
-    hooks_.count(is_recalled ? "attempts_recalled" : "attempts_silent");
-    Retry(now, &call, true);
+    return;
   }
+  if (call->search_at && now >= *call->search_at)
+    Search(now, call);
+}
+
+time_point call_dispatch::DueAt(const call_state& call) {
+  time_point at = call.deadline;
+  if (call.has_attempt && call.recall_at && !call.has_event)
+    at = std::min(at, *call.recall_at);
+  if (call.place_inquiry)
+    return std::min(at, call.place_inquiry->timeout_at);
+  return call.search_at ? std::min(at, *call.search_at) : at;
 }
 
 std::optional<time_point> call_dispatch::NextDue() const {
   std::optional<time_point> next;
   for (const auto& [id, call] : calls_) {
-    const time_point at = std::min(call.timeout_at, call.deadline);
+    const time_point at = DueAt(call);
     if (!next || at < *next)
       next = at;
   }
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -81,7 +81,7 @@
                           is_event_stream && is_same_version &&
                           call->kind == call_kind::kStream;
   if (call->forwards_events) {
-    SetTimeout(call, now + options_.event_timeout);
+    OnProgress(now, call);
     call->is_resumed = call->is_streaming;
     if (!call->is_streaming) {
       call->is_streaming = true;
@@ -115,7 +115,7 @@
       if (call->last_event && *event_id <= *call->last_event)
         continue;  // The caller already has it.
       if (HasGapBefore(*call, *event_id))
-        return AbortAttempt(now, call);
+        return OnMalformedAnswer(now, call);
       if (call->has_new_event && call->last_event)
         call->max_event_step =
             std::max(call->max_event_step, *event_id - *call->last_event);
@@ -129,11 +129,11 @@
     out += event;
   }
   if (!out.empty()) {
-    SetTimeout(call, now + options_.event_timeout);
+    OnProgress(now, call);
     hooks_.send_events(id, out);
   }
   if (call->events.Incomplete().size() > options_.max_event_bytes)
-    AbortAttempt(now, call);
+    OnMalformedAnswer(now, call);
 }
 
 bool call_dispatch::HasGapBefore(const call_state& call, uint64_t event_id) {
@@ -142,9 +142,8 @@
          event_id - *call.last_event > call.max_event_step;
 }
 
-void call_dispatch::AbortAttempt(time_point now, call_state* call) {
-  EndAttempt(call);
-  hooks_.abort_attempt(call->id);
+void call_dispatch::OnMalformedAnswer(time_point now, call_state* call) {
+  AbortAttempt(call);
   selector_.OnFailure(now, call->server.id);
   hooks_.count("attempts_malformed");
   Retry(now, call, true);
@@ -157,6 +156,7 @@
   call_state* call = Find(id, attempt);
   if (call == nullptr)
     return;
+  const bool is_suspect = call->place && call->place->is_suspect;
   EndAttempt(call, ResultOf(*call, end));
   if (end == exchange_end::kBroken)
     RecordAbort(now, *call);
@@ -169,7 +169,7 @@
   if (end != exchange_end::kComplete || !call->has_head) {
     selector_.OnFailure(now, call->server.id);
     hooks_.count("attempts_broken");
-    if (call->is_suspect) {
+    if (is_suspect) {
       hooks_.count("retries_suspect");
       return Refuse(now, call, call_refusal::kServerFailed);
     }
@@ -232,7 +232,7 @@
                  std::to_string(call->last_event.value_or(0)));
   hooks_.record_duration("call", now - call->arrived_at);
   const uint64_t id = call->id;
-  Erase(id);
+  Erase(call);
   hooks_.end_stream(id);
 }
 
@@ -242,7 +242,7 @@
   hooks_.record_duration("call", now - call->arrived_at);
   const uint64_t id = call->id;
   const std::string body = std::move(call->body);
-  Erase(id);
+  Erase(call);
   hooks_.answer(id, body);
 }
 
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -36,6 +36,7 @@
   kServerFailed,  ///< A sent attempt failed and may have run.
   kQuarantined,   ///< The request crashes servers.
   kLeaving,       ///< This process exits before the answer would be complete.
+  kNoRetry,       ///< The retry budget is used up.
 };
 
 /// Returns the text of a reason for logs and counters.
@@ -69,16 +70,18 @@
   /// process exits are refused.
   milliseconds usual_stream_time{4000};
   place_search_options place_search;  ///< Sequential place requests.
-  /// Timeout for the first and each further event of a stream. A healthy
-  /// server sends one event per pass.
+  /// Time without an event, after which a substitute is looked for. A server
+  /// may be silent for longer and go on.
   milliseconds event_timeout{1200};
+  /// Time until a call that found no substitute looks for one again.
+  milliseconds search_interval{400};
   /// Time before the end of the bound of replaced weights at which a request
   /// that has not begun there is aborted. The agent has made its engine reject
   /// such requests by then, unless it does not run.
   milliseconds recall_margin{100};
   size_t max_event_bytes = 262144;  ///< Of one event of a stream.
-  /// Timeout of an attempt of an idempotent call, as a multiple of the target
-  /// latency of its route.
+  /// Time without an answer to an idempotent call, after which a substitute is
+  /// looked for, as a multiple of the target latency of its route.
   int attempt_timeout_targets = 2;
   milliseconds min_attempt_timeout{250};
   /// Maximum of requests in flight at a server whose agent does not answer.
@@ -188,7 +191,19 @@
   bool IsCurrent(time_point now) const;
 
  private:
-  enum class stage { kRequestingPlace, kSent };
+  /// Place request whose reply has not been received.
+  struct inquiry {
+    uint64_t id = 0;
+    site_server server;
+    time_point requested_at{};
+    time_point timeout_at{};
+  };
+
+  /// Place that an agent has granted to an attempt.
+  struct granted_place {
+    uint64_t id = 0;          ///< Of its place request.
+    bool is_suspect = false;  ///< Of crashing servers, as its agent says.
+  };
 
   /// State of a request that has not been answered completely yet.
   struct call_state {
@@ -204,20 +219,22 @@
     time_point arrived_at{};
     time_point deadline{};
     time_point target_deadline{};
-    stage current_stage = stage::kRequestingPlace;
     std::set<std::string> tried;  ///< Servers not to be tried again.
-    /// Servers that received a place request since the last attempt.
+    /// Servers that received a place request since the search began.
     std::set<std::string> asked_servers;
-    site_server server;  ///< Of the current place request or attempt.
-    bool has_place = false;
-    bool is_suspect = false;        ///< Of crashing servers, as its agent says.
-    uint64_t place_request_id = 0;  ///< Id of the current place request.
-    time_point place_requested_at{};
-    double yield_rank = 0.5;           ///< Among the recent calls of its route.
-    uint32_t place_request_count = 0;  ///< Since the last attempt.
+    /// The only place request, or one for a substitute of the attempt.
+    std::optional<inquiry> place_inquiry;
+    bool has_attempt = false;  ///< Whether an attempt runs.
+    /// Of the attempt, or of the last place request if there is none.
+    site_server server;
+    std::optional<granted_place> place;  ///< Of the attempt.
+    bool is_silent = false;   ///< Whether the attempt was silent for too long.
+    double yield_rank = 0.5;  ///< Among the recent calls of its route.
+    uint32_t place_request_count = 0;  ///< Since the search began.
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
-    time_point timeout_at{};           ///< Timeout of the current stage.
+    /// When a server is next looked for, unless the attempt goes on.
+    std::optional<time_point> search_at;
     time_point progress_at{};  ///< When the current attempt last sent bytes.
     /// When the current attempt is aborted unless it has begun to run.
     std::optional<time_point> recall_at;
@@ -241,33 +258,59 @@
   };
 
   void DispatchModelCall(time_point now, call_state* call);
+  void DispatchPlainCall(time_point now, call_state* call);
   /// Whether a call may ask another server for a place.
   bool MayRequestPlace(time_point now, const call_state& call) const;
-  void DispatchPlainCall(time_point now, call_state* call);
-  /// Chooses the server of the next attempt or place request.
+  void RequestPlace(time_point now,
+                    call_state* call,
+                    const site_server& server);
+  /// Finds why a call may be sent to no server now; nullopt if it may.
+  std::optional<call_refusal> FindObstacle(time_point now,
+                                           const call_state& call) const;
+  /// Chooses the server of the next attempt or place request. The current
+  /// attempt, if any, goes on meanwhile.
   void Dispatch(time_point now, call_state* call);
-  void Send(time_point now, call_state* call);
-  /// Sets the timeout of the current attempt.
-  void SetTimeout(call_state* call, time_point at);
+  /// Handles a dispatch that found no server.
+  void OnNoServer(time_point now, call_state* call, call_refusal reason);
+  void OnNoEligibleServer(time_point now, call_state* call);
+  /// Sends a call to a server, in place of the current attempt, if any.
+  void Send(time_point now,
+            call_state* call,
+            const site_server& server,
+            std::optional<granted_place> place);
+  void StartAttempt(time_point now,
+                    call_state* call,
+                    const site_server& server,
+                    std::optional<granted_place> place);
+  /// Whether the route allows one more attempt.
+  static bool MayRepeat(const call_state& call, bool may_have_run);
   /// Repeats the request if route, time and budget allow it.
   void Retry(time_point now, call_state* call, bool may_have_run);
+  /// Looks for a server to repeat a request on.
+  void Search(time_point now, call_state* call);
+  /// Handles an answer that goes on.
+  void OnProgress(time_point now, call_state* call);
+  /// Records once per attempt that its server is silent.
+  void RecordSilence(time_point now, call_state* call);
+  /// Whether an attempt must not begin to run any more.
+  static bool IsRecalled(time_point now, const call_state& call);
   void FinishBuffered(time_point now, call_state* call);
   void FinishStream(time_point now, call_state* call);
   /// Whether events are missing between those forwarded and a resumed answer.
   static bool HasGapBefore(const call_state& call, uint64_t event_id);
-  /// Aborts an attempt whose answer is malformed.
-  void AbortAttempt(time_point now, call_state* call);
+  void OnMalformedAnswer(time_point now, call_state* call);
   /// Records what the server announced in the head of its answer.
   void RecordNotices(time_point now, const call_state& call);
   /// Whether a call may be taken with what is left before the exit.
   bool EndsBeforeExit(time_point now, const call_state& call) const;
-  /// Refuses a request for which no server is eligible.
-  void RefuseWithoutServer(time_point now, call_state* call);
   /// Determines what the end of an exchange says about the attempt.
   static attempt_result ResultOf(const call_state& call, exchange_end end);
-  /// Ends the current attempt and releases its place.
+  /// Ends the current attempt and the search for a substitute, and releases
+  /// their places.
   void EndAttempt(call_state* call,
                   attempt_result result = attempt_result::kOther);
+  /// Ends the current attempt before its answer is complete.
+  void AbortAttempt(call_state* call);
   /// Records that a server of a plain service aborted a request.
   void RecordAbort(time_point now, const call_state& call);
   /// Gives up the open place request, and releases its place if granted.
@@ -275,7 +318,10 @@
   void Refuse(time_point now, call_state* call, call_refusal reason);
   /// Ends a stream that has begun, so that it does not look complete.
   void CutStream(time_point now, call_state* call, call_refusal reason);
-  void Erase(uint64_t id) { calls_.erase(id); }
+  void Erase(call_state* call);
+  void RunDueCall(time_point now, call_state* call);
+  /// Returns the time of the next timeout of a call.
+  static time_point DueAt(const call_state& call);
   server_query QueryOf(const call_state& call) const;
   /// Finds the call if the attempt is its current one; nullptr otherwise.
   call_state* Find(uint64_t id, uint32_t attempt);
--- /dev/null
+++ b/src/call_dispatch_retry.cc
@@ -0,0 +1,60 @@
+/// @file call_dispatch_retry.cc Repeats at a hosted entry: after an attempt
+/// that failed, and in place of one whose server is silent.
+#include "call_dispatch_base.h"
+
+namespace fuchsiafall {
+
+bool call_dispatch::MayRepeat(const call_state& call, bool may_have_run) {
+  const bool is_repeatable =
+      !may_have_run || call.kind == call_kind::kIdempotent ||
+      (call.kind == call_kind::kStream && call.route.is_resumable);
+  return is_repeatable &&
+         call.possible_runs < std::max(1U, call.route.attempts);
+}
+
+void call_dispatch::Retry(time_point now, call_state* call, bool may_have_run) {
+  if (!MayRepeat(*call, may_have_run))
+    return Refuse(now, call, call_refusal::kServerFailed);
+  call->place_request_count = 0;
+  call->asked_servers.clear();
+  Dispatch(now, call);
+}
+
+void call_dispatch::RecordSilence(time_point now, call_state* call) {
+  if (call->is_silent)
+    return;
+  call->is_silent = true;
+  selector_.OnFailure(now, call->server.id);
+  hooks_.count("attempts_silent");
+}
+
+void call_dispatch::OnProgress(time_point now, call_state* call) {
+  CancelPlaceRequest(call);
+  call->search_at = now + options_.event_timeout;
+}
+
+void call_dispatch::Search(time_point now, call_state* call) {
+  call->search_at.reset();
+  if (call->has_attempt) {
+    RecordSilence(now, call);
+    if (!MayRepeat(*call, true))
+      return;
+  }
+  Retry(now, call, true);
+}
+
+void call_dispatch::OnNoServer(time_point now,
+                               call_state* call,
+                               call_refusal reason) {
+  if (!call->has_attempt)
+    return Refuse(now, call, reason);
+  // Its server may still go on.
+  call->search_at = now + options_.search_interval;
+}
+
+bool call_dispatch::IsRecalled(time_point now, const call_state& call) {
+  return call.has_attempt && call.recall_at && now >= *call.recall_at &&
+         !call.has_event;
+}
+
+}  // namespace fuchsiafall
--- a/src/retry_budget_base.h
+++ b/src/retry_budget_base.h
@@ -30,11 +30,15 @@
   }
 
   void OnRequest(time_point now) { Refill(now, options_.ratio); }
+  /// Whether a retry is left.
+  bool HasRetry(time_point now) {
+    Refill(now, 0);
+    return tokens_ >= 1;
+  }
   /// Consumes one retry.
   /// @return Whether one was left.
   bool TryConsume(time_point now) {
-    Refill(now, 0);
-    if (tokens_ < 1)
+    if (!HasRetry(now))
       return false;
     tokens_ -= 1;
     return true;
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -178,6 +178,12 @@
                           {.is_granted = true, .slots = 16});
   }
 
+  /// Denies the last place request: the server is full.
+  void DenyPlace() {
+    dispatch.OnPlaceReply(now, place_requests.back().call,
+                          {.expected_free_in = milliseconds(100), .slots = 16});
+  }
+
   /// Delivers the head of the answer to the last attempt.
   /// @param did_not_run Whether the server says that the call did not run.
   bool DeliverHead(int status, bool is_stream, bool did_not_run = false) {
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -124,11 +124,27 @@
 BOOST_AUTO_TEST_CASE(bytes_without_an_event_do_not_extend_the_timeout) {
   resumed_stream entry;
   entry.Answer({.status = 200, .is_sealed = true}, true);
-  for (int i = 0; i < 15; ++i) {
+  for (int i = 0; i < 60; ++i) {
     entry.DeliverBody("x");
     entry.Advance(milliseconds(100));
   }
   BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  BOOST_TEST(entry.aborted_calls.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_without_an_event_do_not_postpone_the_search) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  entry.GrantPlace();
+  entry.DeliverHead(200, true);
+  entry.DeliverBody("id:1\n\n");
+  for (int i = 0; i < 12; ++i) {
+    entry.Advance(milliseconds(100));
+    entry.DeliverBody("x");
+  }
+  BOOST_TEST(entry.place_requests.size() == 2u);
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.size() == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(a_resumed_stream_without_explicit_version_goes_on) {
