Fix: A stream whose server broke off was cut while waiting could help

What callers would see: a started stream whose server broke off was closed at once when no place was free, the retry budget was empty, or the state was just too old to use a key, although each of these passes within a second.

Cause: every refusal of a repeat ended a started stream.

Evidence on the code before: a_broken_stream_waits_for_a_place_until_its_deadline: received_text == "<id:1 " has failed [<id:1 |]

Fix: the call stays open without an attempt and looks for a server every 400 ms, until its deadline or until its caller leaves. What cannot go on ends at once as before: attempts used up, no eligible server, not resumable, quarantined, exit of the process. Calls that have not begun to be answered are refused at once as before, so that their callers may repeat them.

Measured: silent_server, call_dispatch, resumed_stream, once, docs and crash_monitor suites pass.

--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -73,7 +73,7 @@
   /// Time without an event, after which a substitute is looked for. A server
   /// may be silent for longer and go on.
   milliseconds event_timeout{1200};
-  /// Time until a call that found no substitute looks for one again.
+  /// Time until a call that found no server to go on looks for one again.
   milliseconds search_interval{400};
   /// Time before the end of the bound of replaced weights at which a request
   /// that has not begun there is aborted. The agent has made its engine reject
@@ -270,7 +270,12 @@
   /// Chooses the server of the next attempt or place request. The current
   /// attempt, if any, goes on meanwhile.
   void Dispatch(time_point now, call_state* call);
-  /// Handles a dispatch that found no server.
+  /// Whether what keeps a call from being sent may pass by itself.
+  bool MayPass(time_point now,
+               const call_state& call,
+               call_refusal reason) const;
+  /// Handles a dispatch that found no server: the call waits for its attempt or
+  /// for a server to resume its stream, or is refused.
   void OnNoServer(time_point now, call_state* call, call_refusal reason);
   void OnNoEligibleServer(time_point now, call_state* call);
   /// Sends a call to a server, in place of the current attempt, if any.
--- a/src/call_dispatch_retry.cc
+++ b/src/call_dispatch_retry.cc
@@ -43,12 +43,30 @@
   Retry(now, call, true);
 }
 
+bool call_dispatch::MayPass(time_point now,
+                            const call_state& call,
+                            call_refusal reason) const {
+  switch (reason) {
+    case call_refusal::kStateTooOld:
+    case call_refusal::kNoPlace:
+    case call_refusal::kNoRetry:
+      return true;
+    case call_refusal::kNoServer:
+      return selector_.FirstPauseEnd(now, QueryOf(call)).has_value();
+    default:
+      return false;
+  }
+}
+
 void call_dispatch::OnNoServer(time_point now,
                                call_state* call,
                                call_refusal reason) {
-  if (!call->has_attempt)
+  // The server of the attempt may still go on. A caller that has part of a
+  // stream can only lose it by a refusal.
+  const bool may_wait =
+      call->has_attempt || (call->is_streaming && MayPass(now, *call, reason));
+  if (!may_wait)
     return Refuse(now, call, reason);
-  // Its server may still go on.
   call->search_at = now + options_.search_interval;
 }
 
--- a/src/tests/silent_server_test.cc
+++ b/src/tests/silent_server_test.cc
@@ -1,5 +1,5 @@
-/// @file silent_server_test.cc Calls whose server falls silent: a substitute is
-/// looked for while the attempt runs on.
+/// @file silent_server_test.cc Calls whose server falls silent or breaks off: a
+/// substitute is looked for, while a silent attempt runs on.
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fake_site.h"
@@ -121,6 +121,37 @@
   BOOST_TEST(entry.refusals.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_broken_stream_waits_for_a_place_until_its_deadline) {
+  for (const bool gets_place : {true, false}) {
+    fake_entry entry;
+    entry.SendRequest(1, "models");
+    entry.GrantPlace();
+    entry.DeliverHead(200, true);
+    entry.DeliverBody("id:1\n\n");
+    entry.EndExchange(exchange_end::kBroken);
+    for (int i = 0; i < 10; ++i) {
+      BOOST_REQUIRE(entry.place_requests.size() >= 2u);
+      entry.DenyPlace();
+      entry.Advance(milliseconds(100));
+    }
+    BOOST_TEST(entry.received_text == "<id:1\n\n");
+    BOOST_TEST(entry.place_requests.size() <= 6u);
+    if (gets_place) {
+      const size_t asked = entry.place_requests.size();
+      while (entry.place_requests.size() == asked)
+        entry.Advance(milliseconds(10));
+      entry.GrantPlace();
+      entry.DeliverHead(200, true);
+      entry.DeliverBody("id:2\n\n");
+      entry.EndExchange(exchange_end::kComplete);
+      BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+    } else {
+      entry.Advance(milliseconds(5100));
+      BOOST_TEST(entry.received_text == "<id:1\n\n|");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
