Fix: A pause of an entry ended its requests as silent

What callers would see: after an entry of the own interface had been paused for 5 s, a booking was refused (may have run) and a started stream got an error event, although the agents had gone on and their parts waited to be read. Idempotent requests were run a second time.

Cause: the timeout between two parts counted the pause of the entry itself. After a pause the control thread feeds what is in its queue and then runs the timers, while the thread of the link has not read its sockets yet.

Evidence on the code before: request_suite/a_pause_of_the_entry_ends_none_of_its_requests: check !net->Answer(booking).is_refused has failed

Fix: the entry restarts these timeouts when it notices a pause. The simulated network runs the timers of a process that resumes before it delivers what has arrived meanwhile (the other way round before), and tells entries of a pause as it told agents, as the processes do.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -17,6 +17,7 @@
   } else if (std::holds_alternative<pause_detected>(input)) {
     out.Count("pauses");
     out.Log(log_event::kPauseNoticed, "");
+    requests_.OnPause(now);
   } else if (std::holds_alternative<shutdown_order>(input)) {
     is_shutting_down_ = true;
     requests_.ShutDown();
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -125,6 +125,11 @@
   AcceptPart(now, &item, part, out);
 }
 
+void request_table::OnPause(time_point now) {
+  for (auto& [id, item] : requests_)
+    item.last_progress = now;
+}
+
 void request_table::RunDue(time_point now, output_list* out) {
   std::vector<uint64_t> ids;
   ids.reserve(requests_.size());
--- a/src/request_table_base.h
+++ b/src/request_table_base.h
@@ -60,6 +60,9 @@
               const vm_id& from,
               const proto::call_part& part,
               output_list* out);
+  /// Restarts the time-outs of attempts after a pause of this process: what
+  /// agents have sent meanwhile has not been read yet.
+  void OnPause(time_point now);
   /// Ends expired requests, retries waiting ones and times out attempts.
   void RunDue(time_point now, output_list* out);
   /// Refuses all new requests.
--- a/src/tests/fake_network.cc
+++ b/src/tests/fake_network.cc
@@ -84,6 +84,7 @@
   const time_point until = now + span;
   while (now < until) {
     now += kTick;
+    ResumePaused();
     while (!events_.empty() && events_.begin()->first <= now) {
       event next = std::move(events_.begin()->second);
       const time_point at = events_.begin()->first;
@@ -100,14 +101,8 @@
     }
     PollStore();
     for (auto& [id, item] : nodes_) {
-      auto paused = paused_until_.find(id);
-      if (paused != paused_until_.end()) {
-        if (now < paused->second)
-          continue;
-        paused_until_.erase(paused);
-        if (item.agent_machine != nullptr)
-          RunAgent(&item, pause_detected());
-      }
+      if (paused_until_.contains(id))
+        continue;
       if (item.agent_machine != nullptr)
         RunAgent(&item, tick());
       if (item.entry_machine != nullptr)
@@ -116,6 +111,20 @@
   }
 }
 
+void fake_network::ResumePaused() {
+  for (auto& [id, item] : nodes_) {
+    auto paused = paused_until_.find(id);
+    if (paused == paused_until_.end() || now < paused->second)
+      continue;
+    paused_until_.erase(paused);
+    // Its timers may run before it has read its sockets.
+    for (const bool is_tick : {false, true}) {
+      RunAgent(&item, is_tick ? agent_input(tick()) : pause_detected());
+      RunEntry(&item, is_tick ? entry_input(tick()) : pause_detected());
+    }
+  }
+}
+
 bool fake_network::RunUntil(const std::function<bool()>& condition,
                             duration timeout) {
   const time_point until = now + timeout;
--- a/src/tests/fake_network.h
+++ b/src/tests/fake_network.h
@@ -184,6 +184,8 @@
   };
 
   void StartNode(node* item);
+  /// Continues the processes whose pause has ended.
+  void ResumePaused();
   /// Passes an input to the agent, if it runs, and performs its outputs.
   void RunAgent(node* item, const agent_input& input);
   /// Passes an input to the entry, if it runs, and performs its outputs.
--- a/src/tests/request_test.cc
+++ b/src/tests/request_test.cc
@@ -347,6 +347,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_pause_of_the_entry_ends_none_of_its_requests) {
+  auto net = ServingNetwork();
+  for (auto& [vm, engine] : net->engines)
+    engine.call_time = seconds(7);
+  auto booking = net->Send("western-1", fake_network::MakeBooking("seat"));
+  net->Run(milliseconds(200));
+  net->Pause("western-1", milliseconds(6000));
+  BOOST_TEST(
+      net->RunUntil([&] { return net->Answer(booking).is_done; }, seconds(20)));
+  BOOST_TEST(!net->Answer(booking).is_refused);
+}
+
 BOOST_AUTO_TEST_CASE(shutdown_finishes_what_runs_and_refuses_the_rest) {
   auto net =
       ServingNetwork({.domains = {"western"}, .entries = 1, .servers = 1});
