Fix: Idle connections closed over requests, and by limits set later

What callers would see: a request on a kept connection that was reset, or that was refused with 408, 413 or 431 although it kept to the limits that it began under; beside a new configuration or a stop, without any answer.

Cause: connections read the limits of the newest configuration, so that a shorter idle time ended waits that had begun under a longer one. A timeout, and the close of an idle connection during a stop, did not look at bytes that had arrived meanwhile. The idle time also ran while an answer was still being sent to a slow caller, whose answer was then cut. During a stop, answers of the first 250 ms did not yet say "Connection: close".

Fix: a wait and the request that ends it keep the limits under which the wait began; larger ones apply at once. A close for idleness or for a stop, and a 408, first read the socket and decide again. A wait begins once the answer before it has been sent. All connections know of a stop at once.

A loop may run again, for the tests.

--- a/src/network/event_loop.cc
+++ b/src/network/event_loop.cc
@@ -94,6 +94,7 @@
 }
 
 void event_loop::Run() {
+  is_stopping_ = false;
   while (!is_stopping_) {
     int count = RunSockets(TimeoutMs());
     // One poll reports a part of many ready sockets, and bytes may have arrived
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -52,7 +52,7 @@
 
   /// Queues work from any thread; it runs in the loop's thread.
   void Post(std::function<void()> work);
-  /// Runs until Stop() is called.
+  /// Runs until Stop() is called. May be called again.
   void Run();
   void Stop();
 
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -30,6 +30,13 @@
   return "";
 }
 
+caller_limits LargerOf(const caller_limits& one, const caller_limits& other) {
+  return {.header_bytes = std::max(one.header_bytes, other.header_bytes),
+          .body_bytes = std::max(one.body_bytes, other.body_bytes),
+          .header_timeout = std::max(one.header_timeout, other.header_timeout),
+          .idle_timeout = std::max(one.idle_timeout, other.idle_timeout)};
+}
+
 Poco::Net::HTTPResponse MakeAnswerHead(int status) {
   Poco::Net::HTTPResponse head;
   head.setStatusAndReason(
@@ -39,11 +46,12 @@
 
 http_server_connection::http_server_connection(
     std::shared_ptr<tcp_connection> connection,
-    const caller_limits* limits,
+    const caller_limits* newest_limits,
     const http_listener_hooks* hooks,
     time_point now)
     : connection_(std::move(connection)),
-      limits_(limits),
+      newest_limits_(newest_limits),
+      limits_(*newest_limits),
       hooks_(hooks),
       id_(NextConnectionId()),
       timeout_start_(now) {}
@@ -60,7 +68,7 @@
   while (connection_->IsOpen()) {
     if (stage_ == stage::kAnswering) {
       // A pipelined request waits until the current one is answered.
-      if (input->size() > limits_->header_bytes + limits_->body_bytes) {
+      if (input->size() > limits_.header_bytes + limits_.body_bytes) {
         ReportClose(now, listener_close::kInputOverflow);
         connection_->Close();
         OnClosed(now);
@@ -74,7 +82,7 @@
       Refuse(now, 400, "malformed body");
       return;
     }
-    if (request_.body.size() > limits_->body_bytes) {
+    if (request_.body.size() > limits_.body_bytes) {
       Refuse(now, 413, "body over the limit");
       return;
     }
@@ -99,7 +107,7 @@
     timeout_start_ = now;
   }
   const size_t end = FindHeadEnd(*input);
-  if (std::min(end, input->size()) > limits_->header_bytes) {
+  if (std::min(end, input->size()) > limits_.header_bytes) {
     Refuse(now, 431, "head over the limit");
     return false;
   }
@@ -116,7 +124,7 @@
     return false;
   }
   if (framing->first == body_framing::kLength &&
-      framing->second > limits_->body_bytes) {
+      framing->second > limits_.body_bytes) {
     Refuse(now, 413, "body over the limit");
     return false;
   }
@@ -199,6 +207,7 @@
   stage_ = stage::kHead;
   has_head_bytes_ = false;
   timeout_start_ = now;
+  limits_ = *newest_limits_;
   if (!connection_->Input()->empty())
     OnBytes(now);
 }
@@ -209,9 +218,13 @@
 }
 
 void http_server_connection::CloseWhenIdle(time_point now) {
-  close_after_answer_ = true;
-  if (stage_ == stage::kHead && !has_head_bytes_ &&
-      now - timeout_start_ > kCloseDelay && IsOpen()) {
+  const auto is_due = [&] {
+    return IsOpen() && IsWaiting() && now - timeout_start_ > kCloseDelay;
+  };
+  if (!is_due())
+    return;
+  ReadArrived(now);
+  if (is_due()) {
     ReportClose(now, listener_close::kStopping);
     connection_->CloseWhenSent();
   }
@@ -223,20 +236,37 @@
 }
 
 bool http_server_connection::IsIdle() const {
-  return !IsOpen() || (stage_ == stage::kHead && !has_head_bytes_ &&
-                       !connection_->HasUnsent());
+  return !IsOpen() || (IsWaiting() && !connection_->HasUnsent());
+}
+
+bool http_server_connection::HasTimedOut(time_point now) const {
+  if (!IsOpen() || stage_ == stage::kAnswering)
+    return false;
+  return now - timeout_start_ >
+         (IsWaiting() ? limits_.idle_timeout : limits_.header_timeout);
+}
+
+void http_server_connection::ReadArrived(time_point now) {
+  // The limits on a request bound the loop.
+  while (stage_ != stage::kAnswering && connection_->ReadArrived(now)) {
+  }
 }
 
 void http_server_connection::EnforceTimeouts(time_point now) {
-  if (stage_ == stage::kHead && !has_head_bytes_) {
-    if (now - timeout_start_ > limits_->idle_timeout) {
-      ReportClose(now, listener_close::kIdleTimeout);
-      connection_->Close();
-    }
-  } else if (stage_ != stage::kAnswering &&
-             now - timeout_start_ > limits_->header_timeout) {
+  // A wait begins once the answer before it has been sent.
+  if (IsWaiting() && connection_->HasUnsent())
+    timeout_start_ = now;
+  if (!HasTimedOut(now))
+    return;
+  ReadArrived(now);
+  if (!HasTimedOut(now))
+    return;
+  if (!IsWaiting()) {
     Refuse(now, 408, "request not complete in time");
+    return;
   }
+  ReportClose(now, listener_close::kIdleTimeout);
+  connection_->Close();
 }
 
 http_listener::http_listener(event_loop* loop,
@@ -252,7 +282,7 @@
                       &hooks_, now);
                   made->RegisterHooks();
                   if (is_closing_)
-                    made->CloseWhenIdle(now);
+                    made->CloseAfterAnswer();
                   connections_[made->Id()] = made;
                 }) {}
 
@@ -270,8 +300,16 @@
   }
 }
 
+void http_listener::SetLimits(const caller_limits& limits) {
+  limits_ = limits;
+  for (auto& [id, connection] : connections_)
+    connection->RaiseLimits();
+}
+
 void http_listener::CloseWhenIdle() {
   is_closing_ = true;
+  for (auto& [id, connection] : connections_)
+    connection->CloseAfterAnswer();
 }
 
 size_t http_listener::UnreadCount() const {
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -21,6 +21,9 @@
   milliseconds idle_timeout{15000};   ///< Between requests.
 };
 
+/// Returns the larger of each two limits.
+caller_limits LargerOf(const caller_limits& one, const caller_limits& other);
+
 class http_server_connection;
 
 /// Why the listener closes a connection that owes no answer.
@@ -61,8 +64,10 @@
 class http_server_connection
     : public std::enable_shared_from_this<http_server_connection> {
  public:
+  /// @param newest_limits Limits for waits that begin later; larger ones apply
+  /// to the present wait and request as well.
   http_server_connection(std::shared_ptr<tcp_connection> connection,
-                         const caller_limits* limits,
+                         const caller_limits* newest_limits,
                          const http_listener_hooks* hooks,
                          time_point now);
   /// Registers the hooks of the TCP connection.
@@ -81,10 +86,13 @@
   /// Closes the connection, so that an unfinished answer does not look
   /// complete.
   void Abort();
-  /// Closes the connection after the current answer. Without one, closes it if
-  /// it has been idle for longer than a request may be in transit; to be called
-  /// again until then.
+  /// Closes the connection after the current or the next answer.
+  void CloseAfterAnswer() { close_after_answer_ = true; }
+  /// Closes a connection that has been idle for longer than a request may be in
+  /// transit; to be called again until then.
   void CloseWhenIdle(time_point now);
+  /// Applies the newest limits where they are larger.
+  void RaiseLimits() { limits_ = LargerOf(limits_, *newest_limits_); }
   /// Whether no request is being read or answered, and all is sent.
   bool IsIdle() const;
   /// Whether bytes of the caller have not been read yet.
@@ -97,6 +105,11 @@
 
  private:
   enum class stage { kHead, kBody, kAnswering };
+  /// Whether the caller has not begun a request.
+  bool IsWaiting() const { return stage_ == stage::kHead && !has_head_bytes_; }
+  bool HasTimedOut(time_point now) const;
+  /// Reads what has arrived, so that a close does not cross a request.
+  void ReadArrived(time_point now);
   void OnBytes(time_point now);
   void OnClosed(time_point now);
   bool ReadHead(time_point now);
@@ -105,7 +118,8 @@
   void FinishAnswer(time_point now);
 
   std::shared_ptr<tcp_connection> connection_;
-  const caller_limits* limits_;
+  const caller_limits* newest_limits_;
+  caller_limits limits_;  ///< Of the current wait and of its request.
   const http_listener_hooks* hooks_;
   uint64_t id_;
   stage stage_ = stage::kHead;
@@ -126,7 +140,9 @@
                 tcp_connection_options options,
                 http_listener_hooks hooks);
   outcome<done> Listen(const std::string& address);
-  void SetLimits(const caller_limits& limits) { limits_ = limits; }
+  /// Sets the limits of later waits and requests. Those that have begun keep
+  /// theirs, or get larger ones.
+  void SetLimits(const caller_limits& limits);
   /// Enforces the timeouts of all connections. To be called several times a
   /// second.
   void EnforceTimeouts(time_point now);
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -100,8 +100,9 @@
     Flush(now);
 }
 
-void tcp_connection::Read(time_point now) {
+bool tcp_connection::Read(time_point now) {
   std::array<char, kReadBytes> buffer{};
+  bool has_read = false;
   bool is_at_end = false;
   close_cause cause = close_cause::kPeerClosed;
   // The loop reports the socket again if there is more, after the other
@@ -119,6 +120,7 @@
       is_at_end = true;
     if (count <= 0)
       break;
+    has_read = true;
     input_.append(buffer.data(), static_cast<size_t>(count));
     if (count < static_cast<int>(kReadBytes))
       break;
@@ -127,6 +129,7 @@
     hooks_.on_bytes(now, &input_);
   if (is_at_end && is_open_)
     CloseAndNotify(now, cause);
+  return has_read;
 }
 
 bool tcp_connection::HasInput() const {
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -54,6 +54,9 @@
 
   void SetHooks(tcp_connection_hooks hooks) { hooks_ = std::move(hooks); }
   void Send(std::string_view bytes);
+  /// Reads bytes that the loop has not reported yet, and runs the hooks.
+  /// @return Whether there were any.
+  bool ReadArrived(time_point now) { return is_open_ && Read(now); }
   /// Closes once all bytes have been sent.
   void CloseWhenSent();
   void Close();
@@ -72,7 +75,8 @@
   /// Registers the socket with the event loop.
   void RegisterWithLoop();
   void OnEvents(time_point now, socket_events events);
-  void Read(time_point now);
+  /// @return Whether bytes arrived.
+  bool Read(time_point now);
   void Flush(time_point now);
   /// Closes the connection and calls on_closed.
   void CloseAndNotify(time_point now, close_cause cause);
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "network/http_listener.h"
 #include "tests/loopback_address.h"
@@ -56,10 +57,102 @@
   int disconnected = 0;
 };
 
+constexpr milliseconds kRound{20};
+
+/// Listener with one caller that writes while the loop does not run. Requests
+/// are answered with 200.
+struct blocking_caller_fixture {
+  blocking_caller_fixture() {
+    const std::string address = FreeAddress();
+    BOOST_REQUIRE(listener.Listen(address));
+    peer.connect(Poco::Net::SocketAddress(address));
+    Run();
+  }
+  void Run() {
+    loop.StartTimer(BootNow() + kRound, [this](time_point) { loop.Stop(); });
+    loop.Run();
+  }
+  void Send(const std::string& bytes) {
+    peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+
+  event_loop loop;
+  int requests = 0;
+  int refusals = 0;
+  int closes = 0;
+  size_t answer_bytes = 10;
+  http_listener listener{
+      &loop,
+      {},
+      {.on_request =
+           [this](time_point now, const auto& from, http_request&&) {
+             ++requests;
+             from->Answer(now, MakeAnswerHead(200),
+                          std::string(answer_bytes, 'x'));
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {},
+       .on_refused =
+           [this](time_point, int, const std::string&) { ++refusals; },
+       .on_close = [this](time_point, listener_close, bool) { ++closes; }}};
+  Poco::Net::StreamSocket peer;
+};
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_listener_suite)
 
+BOOST_AUTO_TEST_CASE(a_shorter_idle_time_does_not_end_a_wait_begun_before_it) {
+  blocking_caller_fixture fixture;
+  fixture.listener.SetLimits({.idle_timeout = milliseconds(1000)});
+  fixture.listener.EnforceTimeouts(BootNow() + seconds(14));
+  BOOST_TEST(fixture.closes == 0);
+  fixture.listener.EnforceTimeouts(BootNow() + seconds(16));
+  BOOST_TEST(fixture.closes == 1);
+}
+
+BOOST_AUTO_TEST_CASE(smaller_limits_do_not_refuse_a_request_in_hand) {
+  blocking_caller_fixture fixture;
+  fixture.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nA");
+  fixture.Run();
+  fixture.listener.SetLimits(
+      {.body_bytes = 2, .header_timeout = milliseconds(100)});
+  fixture.listener.EnforceTimeouts(BootNow() + seconds(2));
+  fixture.Send("whole bo");
+  fixture.Run();
+  BOOST_TEST(fixture.requests == 1);
+  BOOST_TEST(fixture.refusals == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_timeout_does_not_close_over_a_request_in_the_socket) {
+  for (bool is_stopping : {false, true}) {
+    for (size_t sent_before : {size_t{0}, size_t{5}}) {
+      blocking_caller_fixture fixture;
+      fixture.Send(kRequest.substr(0, sent_before));
+      fixture.Run();
+      fixture.Send(kRequest.substr(sent_before));
+      if (is_stopping)
+        fixture.listener.CloseWhenIdle();
+      fixture.listener.EnforceTimeouts(BootNow() + seconds(20));
+      fixture.Run();
+      BOOST_TEST(fixture.requests == 1);
+      BOOST_TEST(fixture.refusals == 0);
+      BOOST_TEST(fixture.closes == 0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_timeout_does_not_cut_an_answer_being_sent) {
+  blocking_caller_fixture fixture;
+  fixture.answer_bytes = 32U << 20;
+  fixture.Send(kRequest);
+  fixture.Run();
+  fixture.listener.EnforceTimeouts(BootNow() + seconds(20));
+  BOOST_TEST(fixture.closes == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_a_head_request_has_no_body) {
   for (bool is_streamed : {false, true}) {
     listener_fixture fixture([&](time_point now, http_server_connection* to) {
