Fix: A restarted entry was granted the places of its predecessor

What callers would see: within about 6.5 s of the restart of an entry on the same address, its first requests to model servers could be granted places without a check, since the ids of place requests began at 1 in every process and the agent took the request for a repeated one. The agent grants a repeated request also after the end of its grants, while its server is drained, evacuated or about to unload replaced weights, and over the server's limit or cold rate; two requests then share one place. The reply to a request of the earlier process could pass for a grant of another server.

Evidence: a_restarted_entry_gets_no_place_of_its_predecessor on the unchanged code: check !agent.RequestPlace(later, request).is_granted has failed

The ids now start at a hash of the process's seed, which is its incarnation, as those of the attempts of the other kind of entry do.

--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -15,6 +15,7 @@
 #include "caller_call_type.h"
 #include "crash_ledger_base.h"
 #include "event_splitter_base.h"
+#include "hash_func.h"
 #include "load/place_search_base.h"
 #include "log_event_func.h"
 #include "network/http_exchange.h"
@@ -351,7 +352,9 @@
   std::map<uint64_t, call_state> calls_;
   /// Call ids by place request id.
   std::map<uint64_t, uint64_t> open_place_requests_;
-  uint64_t next_place_request_id_ = 1;
+  /// Ids must differ from those of an earlier process on this VM, whose places
+  /// the agents may still hold.
+  uint64_t next_place_request_id_ = Hash64("place request", options_.seed) | 1;
 };
 
 }  // namespace fuchsiafall
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -103,6 +103,24 @@
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_restarted_entry_gets_no_place_of_its_predecessor) {
+  fake_entry before{{.seed = 1}};
+  fake_entry restarted{{.seed = 2}};
+  before.SendRequest(1, "models");
+  restarted.SendRequest(1, "models");
+  place_table agent{{}};
+  agent.SetProfile(MakeEngineProfile(), 0);
+  agent.SetAccepting(true);
+  place_request request = before.place_requests.back();
+  request.entry = "e:1";
+  BOOST_TEST(agent.RequestPlace(before.now, request).is_granted);
+  agent.SetGrantsEnd(before.now);
+  request = restarted.place_requests.back();
+  request.entry = "e:1";
+  const time_point later = before.now + milliseconds(500);
+  BOOST_TEST(!agent.RequestPlace(later, request).is_granted);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_outlast_the_grace_is_not_taken_late) {
   fake_entry entry;
   entry.dispatch.SetExitTime(entry.now + milliseconds(5000), entry.now);
