Fix: An agent began calls that had expired in its queue

What callers would see: after a pause of an agent, a call whose time limit had passed in the queue was begun on the server if the end of another call was handled before the next tick; its caller had left or had been refused, and the server worked for nobody.

Cause: StartReady() took calls from the queue without a look at their deadlines; only the tick removed expired ones.

Evidence: a_call_that_expired_in_a_pause_of_its_agent_is_not_begun on the unchanged code: check !agent.Started(2) has failed

The deadlines are now checked whenever calls are taken from the queue; an expired call is refused as not run. call_table_suite, request_suite, once_suite and golden_suite pass.

--- a/src/call_table.cc
+++ b/src/call_table.cc
@@ -178,9 +178,6 @@
 }
 
 void call_table::RunDue(time_point now, output_list* out) {
-  for (const call_id& id : admission_.RemoveExpired(now)) {
-    RefuseAndErase(id, reason::kQueueDeadline, out);
-  }
   StartReady(now, out);
   for (auto& [id, item] : calls_) {
     bool is_overdue =
@@ -291,6 +288,8 @@
 }
 
 void call_table::StartReady(time_point now, output_list* out) {
+  for (const call_id& id : admission_.RemoveExpired(now))
+    RefuseAndErase(id, reason::kQueueDeadline, out);
   for (const call_id& id : admission_.DequeueReady())
     Begin(now, id, out);
 }
