Fix: Servers were told more time than their calls had left

What callers would see: a server that obeys X-Deadline-Ms goes on with a call after its caller's time limit, by the time that the call had waited in the agent's queue and for its record in the store, and so holds a slot that others wait for.

Cause: the agent passed on the time that was left when the call arrived.

Evidence: a_server_is_told_only_the_time_that_a_call_has_left on the unchanged code, a call that waited 400 ms: check started->request.deadline_ms() == 600u has failed [1000 != 600]

The time that is left is now computed as the call is handed to the server. call_table_suite, request_suite, once_suite and golden_suite pass.

--- a/src/call_table.cc
+++ b/src/call_table.cc
@@ -283,6 +283,8 @@
   call& item = calls_.at(id);
   item.stage = call_stage::kRunning;
   item.started_at = now;
+  item.request.set_deadline_ms(
+      static_cast<uint32_t>(std::max<int64_t>(1, ToMs(item.deadline - now))));
   out->Count("calls_started");
   out->Add(start_call{id.attempt, id.entry, item.request});
 }
--- a/src/tests/call_table_test.cc
+++ b/src/tests/call_table_test.cc
@@ -49,6 +49,16 @@
 
 BOOST_AUTO_TEST_SUITE(call_table_suite)
 
+BOOST_AUTO_TEST_CASE(a_server_is_told_only_the_time_that_a_call_has_left) {
+  fake_agent agent;
+  agent.Call(kStart, 1, 1000);
+  agent.Call(kStart, 2, 1000);
+  agent.End(kStart + milliseconds(400), 1);
+  const start_call* started = agent.Started(2);
+  BOOST_TEST_REQUIRE(started);
+  BOOST_TEST(started->request.deadline_ms() == 600u);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_expired_in_a_pause_of_its_agent_is_not_begun) {
   fake_agent agent;
   agent.Call(kStart, 1, 1000);
