Fix: A trickling answer of the store, the origin or a report never ended

What callers would see (the project's own interface): while the store trickled an answer, calls that may not be repeated waited for their records, held slots and then a thread each for good; later ones were refused. A trickling report held the only thread that watches the server, a trickling store the one that watches the configuration.

Cause: the only bound of these calls was the wait for the next data.

Evidence: reports_and_store_calls_that_trickle_are_given_up on the unchanged code, for a report, a read and a write: check (std::chrono::steady_clock::now() - begun < kPromptly) has failed (three times)

--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -140,7 +140,8 @@
   void FetchFromOrigin(const digest& wanted) {
     http_result result = CallHttp({.address = settings_.origin,
                                    .path = "/blobs/" + ToHex(wanted.value),
-                                   .timeout = kOriginTimeout});
+                                   .timeout = kOriginTimeout,
+                                   .max_duration = 2 * kOriginTimeout});
     blob_arrival blob{.wanted = wanted};
     const bool is_answered =
         result.status == http_result::status_type::kAnswered;
--- a/src/network/engine_client.cc
+++ b/src/network/engine_client.cc
@@ -77,7 +77,8 @@
 engine_report engine_client::Report() const {
   http_result result = CallHttp({.address = options_.address,
                                  .path = "/admin/state",
-                                 .timeout = options_.report_timeout});
+                                 .timeout = options_.report_timeout,
+                                 .max_duration = 2 * options_.report_timeout});
   if (result.status != http_result::status_type::kAnswered ||
       result.http_status != kHttpOk) {
     return {};
@@ -118,7 +119,8 @@
                                  .method = "POST",
                                  .path = "/admin/load",
                                  .body = text.str(),
-                                 .timeout = options_.report_timeout});
+                                 .timeout = options_.report_timeout,
+                                 .max_duration = 2 * options_.report_timeout});
   if (result.status != http_result::status_type::kAnswered) {
     answer.status = load_answer::status_type::kUnreachable;
     answer.reason = "backend server did not answer the load order";
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -274,10 +274,11 @@
 void node_runtime::ReadVmList() {
   if (settings_.vm_list.empty())
     return;
-  http_result result =
-      CallHttp({.address = settings_.vm_list,
-                .path = "/vms",
-                .timeout = milliseconds(settings_.store_timeout_ms)});
+  const milliseconds timeout(settings_.store_timeout_ms);
+  http_result result = CallHttp({.address = settings_.vm_list,
+                                 .path = "/vms",
+                                 .timeout = timeout,
+                                 .max_duration = 2 * timeout});
   if (result.status != http_result::status_type::kAnswered)
     return;
   try {
--- a/src/network/store_client.cc
+++ b/src/network/store_client.cc
@@ -53,8 +53,10 @@
                 const std::string& path,
                 milliseconds timeout) {
   try {
-    return ParseValue(
-        CallHttp({.address = address, .path = path, .timeout = timeout}));
+    return ParseValue(CallHttp({.address = address,
+                                .path = path,
+                                .timeout = timeout,
+                                .max_duration = 2 * timeout}));
   } catch (const std::exception&) {
     return {};  // A malformed answer counts as unreachable.
   }
@@ -70,7 +72,8 @@
                                  .path = path,
                                  .body = body,
                                  .content_type = "application/octet-stream",
-                                 .timeout = timeout});
+                                 .timeout = timeout,
+                                 .max_duration = 2 * timeout});
   if (result.status == http_result::status_type::kNotSent)
     return store_write::kNotSent;
   if (result.status != http_result::status_type::kAnswered ||
--- a/src/tests/blocking_client_test.cc
+++ b/src/tests/blocking_client_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "network/engine_client.h"
+#include "network/store_client.h"
 #include "tests/loopback_address.h"
 
 namespace fuchsiafall::tests {
@@ -126,6 +127,28 @@
   BOOST_TEST((std::chrono::steady_clock::now() - begun < kPromptly));
 }
 
+BOOST_AUTO_TEST_CASE(reports_and_store_calls_that_trickle_are_given_up) {
+  const milliseconds timeout{200};
+  const std::function<void(const std::string&)> calls[] = {
+      [&](const std::string& address) {
+        engine_client client({.address = address, .report_timeout = timeout},
+                             [](const engine_part&) {});
+        BOOST_TEST(!client.Report().reachable);
+      },
+      [&](const std::string& address) {
+        MakeStoreClient(address, timeout).read("key");
+      },
+      [&](const std::string& address) {
+        MakeStoreClient(address, timeout).write("key", "value", 0);
+      }};
+  for (const auto& call : calls) {
+    client_fixture fixture(Trickle);
+    const auto begun = std::chrono::steady_clock::now();
+    call(fixture.listening.address().toString());
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < kPromptly));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
