Add: Soak with kept connections, overlapping planned work, silent servers

The soak's callers took connections that had been idle for 4 s at most, and a call that ended without an answer was counted and not judged, so it could not show what the incident tells of.

Callers now keep connections and use them again, also after pauses of up to four fifths of the idle time by all configurations that may be in force, until the entry closes them. Entries and agents get SIGTERM in series 0.3 to 1 s apart, beside series of configurations (idle time, limits of headers and bodies, timeouts, attempts, routes, keys) and of SIGHUPs; a series begins before the one before it has ended. Sound servers fall silent for 1 to 1.6 s before their first event or in a stream (`--silent SHARE`, 0.15 unless given). All this also runs beside the faults of before, which are drawn from a generator of their own as before. With `--planned` nothing else happens.

"cut, no answer": a request that had reached a server, or whose connection was closed later than 200 ms after it was sent (and as long as the soak's own loop was late), ended without a complete answer. Excused are the time limit, and the last sixth of the grace for requests sent no later than 3 s after SIGTERM. Beside faults only requests sent 3 s or more after the last one are judged. `--site N` gives a run addresses of its own.

--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -20,6 +20,9 @@
 constexpr int kLayers = 4;
 constexpr milliseconds kTickInterval{20};  // Between events of a stream.
 constexpr milliseconds kCallTime{15};
+constexpr milliseconds kLongCallTime{400};
+constexpr int kMinSilenceMs = 1000;
+constexpr int kMaxSilenceMs = 1600;
 constexpr milliseconds kLoadTime{100};
 constexpr milliseconds kDowntime{1500};
 /// Chunks corrupted longer than this before a load order must not be loaded.
@@ -283,6 +286,8 @@
                             const std::shared_ptr<http_server_connection>& from,
                             const http_request& request) {
   const std::string id = request.head.get("Request-Id", "");
+  if (auto it = record_->requests.find(id); it != record_->requests.end())
+    it->second.was_passed_on = true;
   auto refuse = [&](int status) {
     auto head = MakeAnswerHead(status);
     head.set("Request-Id", id);
@@ -303,7 +308,9 @@
   }
   record_->RecordRun(id, kRevocationDelay);
   const bool is_lost = DrawBool(faults_->lost_plain_answer_share, &random_);
-  loop_->StartTimer(now + kCallTime, [from, id, is_lost](time_point at) {
+  const milliseconds span =
+      DrawBool(faults_->silent_share, &random_) ? kLongCallTime : kCallTime;
+  loop_->StartTimer(now + span, [from, id, is_lost](time_point at) {
     if (is_lost)
       return from->Abort();
     auto head = MakeAnswerHead(200);
@@ -313,8 +320,13 @@
   });
 }
 
+milliseconds server_standin::DrawSilence() {
+  return milliseconds(std::uniform_int_distribution<int>(
+      kMinSilenceMs, kMaxSilenceMs)(random_));
+}
+
 void server_standin::BeginStream(
-    time_point,
+    time_point now,
     const std::shared_ptr<http_server_connection>& from,
     const http_request& request) {
   const std::string id = request.head.get("Request-Id", "");
@@ -330,6 +342,14 @@
                           .next = static_cast<uint32_t>(std::stoul(after)) + 1,
                           .last = EventCountOf(request.head.getURI()),
                           .version = loaded_version_};
+  if (!DrawBool(faults_->silent_share, &random_))
+    return;
+  stream& item = streams_[from.get()];
+  if (random_() % 2 == 0) {
+    item.silent_until = now + DrawSilence();
+  } else {
+    item.silent_before = 1 + static_cast<uint32_t>(random_() % item.last);
+  }
 }
 
 void server_standin::Tick(time_point now) {
@@ -342,6 +362,12 @@
     if (it == streams_.end())
       continue;
     stream& item = it->second;
+    if (item.next == item.silent_before) {
+      item.silent_before = 0;
+      item.silent_until = now + DrawSilence();
+    }
+    if (now < item.silent_until)
+      continue;
     if (item.next > item.last) {
       streams_.erase(it);
       connection->EndChunks(now);
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -35,12 +35,15 @@
     std::string key;
     bool may_repeat = false;
     uint32_t runs = 0;
-    bool was_refused = false;  ///< Its caller was told that it did not run.
+    bool was_refused = false;    ///< Its caller was told that it did not run.
+    bool was_passed_on = false;  ///< Whether it has reached a server.
   };
   std::map<std::string, request> requests;
   std::map<std::string, time_point> revoked;  ///< Time of revocation, by key.
   std::vector<std::string> violations;        ///< Guarantee and request.
   std::map<std::string, uint64_t> counts;
+  /// Calls sent since then met no unplanned fault.
+  time_point calm_since = time_point::max();
 
   /// Records a violated guarantee.
   void AddViolation(const std::string& guarantee, const std::string& detail);
@@ -55,6 +58,7 @@
   bool is_origin_down = false;
   double origin_corrupt_share = 0;     ///< Of its answers.
   double lost_plain_answer_share = 0;  ///< Of the plain runs.
+  double silent_share = 0;             ///< Of the streams and plain runs.
 };
 
 /// Backend server with an address of its own.
@@ -89,6 +93,8 @@
     uint32_t next = 1;
     uint32_t last = 0;
     uint64_t version = 0;
+    uint32_t silent_before = 0;  ///< Event before which it falls silent.
+    time_point silent_until{};
   };
 
   void OnRequest(time_point now,
@@ -113,6 +119,8 @@
   /// layers.
   std::string LayerFields() const;
   std::string Report() const;
+  /// Draws how long a sound server falls silent.
+  milliseconds DrawSilence();
   bool IsBusy() const { return loading_version_ > 0 || is_unloading_; }
   /// Writes its record to the store.
   void WriteServerRecord();
--- a/src/tests/soak/soak_callers.cc
+++ b/src/tests/soak/soak_callers.cc
@@ -1,7 +1,9 @@
 /// @file soak_callers.cc Callers of the soak test.
 #include "tests/soak/soak_callers.h"
 
+#include <iostream>
 #include <sstream>
+#include <utility>
 
 namespace fuchsiafall::soak {
 
@@ -11,6 +13,17 @@
 constexpr milliseconds kPlainDeadline{1000};
 /// Time after its deadline at which a caller aborts.
 constexpr milliseconds kAbortMargin{700};
+/// Time to a close after which an entry must have read the request.
+constexpr milliseconds kLossSlack{200};
+/// Time in which each entry has applied an acknowledged configuration.
+constexpr milliseconds kConfigurationDelay{2000};
+/// Shortest timeouts of the routes, less what an entry keeps for the way.
+constexpr milliseconds kShortestStreamTime{4900};
+constexpr milliseconds kShortestPlainTime{750};
+/// Calls sent so soon after SIGTERM may be cut from kCutsExcusedFrom on.
+constexpr seconds kSentBeforeStop{3};
+constexpr milliseconds kCutsExcusedFrom{6660};
+constexpr milliseconds kLagInterval{20};
 
 /// Returns whether a status promises the caller that its request did not run.
 bool PromisesNotRun(int status) {
@@ -28,21 +41,48 @@
       entries_(entries),
       options_(options),
       random_(options.seed),
-      pool_(loop, {}) {}
+      connections_(loop, options.seed) {}
 
 void soak_callers::Start(time_point now) {
+  MeasureLag(now, now);
   Send(now);
 }
 
+void soak_callers::AddIdleTimeout(time_point now, milliseconds idle_timeout) {
+  idle_timeouts_.emplace_back(now, idle_timeout);
+}
+
+milliseconds soak_callers::MaxIdle(time_point now) {
+  while (idle_timeouts_.size() > 1 &&
+         now - idle_timeouts_[1].first > kConfigurationDelay) {
+    idle_timeouts_.erase(idle_timeouts_.begin());
+  }
+  milliseconds least = milliseconds::max();
+  for (const auto& [at, idle_timeout] : idle_timeouts_)
+    least = std::min(least, idle_timeout);
+  return least / 5 * 4;
+}
+
+void soak_callers::MeasureLag(time_point now, time_point due) {
+  if (now - lag_since_ > seconds(1)) {
+    lag_since_ = now;
+    previous_lag_ = std::exchange(current_lag_, duration(0));
+  }
+  current_lag_ = std::max(current_lag_, BootNow() - due);
+  longest_lag_ = std::max(longest_lag_, current_lag_);
+  const time_point next = now + kLagInterval;
+  loop_->StartTimer(next,
+                    [this, next](time_point at) { MeasureLag(at, next); });
+}
+
 void soak_callers::Send(time_point now) {
   if (is_stopping_)
     return;
-  const auto gap =
-      std::exponential_distribution<double>(options_.rate)(random_);
+  const auto gap = std::exponential_distribution<double>(options_.rate *
+                                                         rate_factor)(random_);
   loop_->StartTimer(now + std::chrono::duration_cast<duration>(
                               std::chrono::duration<double>(gap)),
                     [this](time_point at) { Send(at); });
-  pool_.CloseIdle(now);
 
   auto item = std::make_shared<call>();
   item->id =
@@ -87,11 +127,16 @@
   item->is_in_window = is_window_open;
   if (item->is_in_window)
     ++window.sent;
-  auto acquired = pool_.Acquire(now, entry.address);
-  if (!acquired) {
+  auto taken = connections_.Take(now, entry.address, MaxIdle(now));
+  if (!taken) {
     ++record_->counts["not connected"];
     return;
   }
+  item->sent_at = now;
+  item->deadline = deadline;
+  item->idle = taken->idle;
+  item->is_first = taken->is_new;
+  ++record_->counts[item->is_first ? "new connections" : "connections reused"];
   ++open_;
   if (item->is_in_window)
     ++window.open;
@@ -103,7 +148,7 @@
       extra_headers + "Authorization: Bearer " + key +
       (has_body ? "\r\nContent-Length: 4\r\n\r\nbody" : "\r\n\r\n");
   exchange_hooks hooks;
-  auto connection = *acquired;
+  auto connection = taken->connection;
   const timer_id abort_timer = loop_->StartTimer(
       now + deadline + kAbortMargin, [this, connection, item](time_point) {
         ++record_->counts["gave up"];
@@ -117,9 +162,11 @@
   hooks.on_body = [item](time_point, std::string_view bytes) {
     item->body += bytes;
   };
-  hooks.on_end = [this, item, abort_timer](time_point, exchange_end end) {
+  hooks.on_end = [this, item, abort_timer](time_point at, exchange_end end) {
     loop_->CancelTimer(abort_timer);
     EndCall(*item);
+    if (end == exchange_end::kBroken)
+      CheckCut(at, *item);
     CheckAnswer(*item, end);
   };
   connection->Start(request, false, std::move(hooks));
@@ -169,6 +216,39 @@
     record_->AddViolation("body", item.id + " got " + item.body);
 }
 
+void soak_callers::CheckCut(time_point now, const call& item) {
+  const entry_endpoint& entry = (*entries_)[item.entry];
+  const bool was_passed_on = record_->requests[item.id].was_passed_on;
+  const auto after =
+      std::chrono::duration_cast<milliseconds>(now - item.sent_at);
+  const bool is_stopping = entry.stopping_since != time_point{};
+  const bool is_stream = item.type == kind::kStream;
+  std::ostringstream text;
+  text << item.id << " at entry-" << item.entry << " after " << after.count()
+       << " ms, idle " << item.idle.count() << " ms before"
+       << (item.is_first ? ", first of its connection" : "")
+       << (was_passed_on ? ", passed on, " : ", ") << item.body.size()
+       << " bytes of its answer";
+  if (is_stopping)
+    text << ", SIGTERM " << ToMs(now - entry.stopping_since) << " ms before";
+  std::clog << ToMs(now.time_since_epoch()) << " cut " << text.str() << "\n";
+
+  if (item.sent_at < record_->calm_since) {
+    ++record_->counts["cut beside faults"];
+  } else if (!was_passed_on &&
+             after < kLossSlack + std::max(previous_lag_, current_lag_)) {
+    ++record_->counts["cut as its connection closed"];
+  } else if (after >= (is_stream ? kShortestStreamTime : kShortestPlainTime)) {
+    ++record_->counts["cut at its time limit"];
+  } else if (is_stopping && was_passed_on &&
+             item.sent_at - entry.stopping_since <= kSentBeforeStop &&
+             now - entry.stopping_since >= kCutsExcusedFrom) {
+    ++record_->counts["cut at the end of the grace"];
+  } else {
+    record_->AddViolation("cut, no answer", text.str());
+  }
+}
+
 void soak_callers::CheckStream(const call& item) {
   std::istringstream lines(item.body);
   std::string line;
--- a/src/tests/soak/soak_callers.h
+++ b/src/tests/soak/soak_callers.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "network/http_exchange.h"
+#include "tests/soak/caller_connections.h"
 #include "tests/soak/site_standin.h"
 
 namespace fuchsiafall::soak {
@@ -19,6 +19,7 @@
   uint32_t start_count = 0;  ///< Number of starts of its process.
   /// Newest probe route that its process has answered with 200.
   uint64_t newest_probe_route = 0;
+  time_point stopping_since{};  ///< SIGTERM of its process; else zero.
 };
 
 /// Calls sent in a span of time.
@@ -43,11 +44,16 @@
   void Start(time_point now);
   void Stop() { is_stopping_ = true; }
   size_t Open() const { return open_; }
+  /// Returns how late the soak's own loop was at most.
+  duration LongestLag() const { return longest_lag_; }
+  /// Records the idle time of a configuration that the store has acknowledged.
+  void AddIdleTimeout(time_point now, milliseconds idle_timeout);
   /// API keys in use, including ones revoked meanwhile.
   std::vector<std::string> keys;
   /// Number of probe routes in the newest configuration. Each configuration
   /// adds one, so that a 404 shows that an entry went back to an older one.
   uint64_t probe_routes = 0;
+  double rate_factor = 1;  ///< Of the rate in the options.
   call_window window;
   bool is_window_open = false;  ///< Whether calls are sent in the window.
 
@@ -60,6 +66,10 @@
     uint64_t probe = 0;
     size_t entry = 0;
     uint32_t start_count = 0;
+    time_point sent_at{};
+    milliseconds deadline{0};
+    milliseconds idle{0};   ///< Of its connection before.
+    bool is_first = false;  ///< On its connection.
     bool is_in_window = false;
     Poco::Net::HTTPResponse head;
     std::string body;
@@ -69,13 +79,28 @@
   void EndCall(const call& item);
   void CheckAnswer(const call& item, exchange_end end);
   void CheckStream(const call& item);
+  /// Records a call that ended without a complete answer, unless its end is
+  /// excused.
+  void CheckCut(time_point now, const call& item);
+  /// Returns the longest idle time after which a connection may be used again
+  /// by all configurations that may be in force.
+  milliseconds MaxIdle(time_point now);
+  /// Measures how late the soak's own loop is.
+  void MeasureLag(time_point now, time_point due);
 
   event_loop* loop_;
   run_record* record_;
   std::vector<entry_endpoint>* entries_;
   caller_options options_;
   std::mt19937_64 random_;
-  http_client_pool pool_;
+  caller_connections connections_;
+  /// Idle times of the configurations that may be in force, by the time of
+  /// their acknowledgement.
+  std::vector<std::pair<time_point, milliseconds>> idle_timeouts_;
+  duration current_lag_{0};   ///< The longest since lag_since_.
+  duration previous_lag_{0};  ///< The longest in the second before.
+  duration longest_lag_{0};
+  time_point lag_since_{};
   uint64_t next_ = 1;
   size_t open_ = 0;
   bool is_stopping_ = false;
--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -12,15 +12,21 @@
 constexpr seconds kControlTimeout{2};
 constexpr int kMinPauseMs = 200;  // Between two faults.
 constexpr int kMaxPauseMs = 1800;
-constexpr size_t kMinKeys = 3;         // Never revoked.
+constexpr size_t kMinKeys = 3;          // Never revoked.
+constexpr seconds kFaultsEndWithin{5};  // By their own timers.
+constexpr seconds kContactTime{3};
 constexpr seconds kRecoveryTime{8};    // Between faults and the final window.
 constexpr seconds kMeasuredWindow{4};  // Final window, without faults.
 
 }  // namespace
 
-milliseconds soak_site::RandomSpan(int min_ms, int max_ms) {
+milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random) {
   return milliseconds(
-      std::uniform_int_distribution<int>(min_ms, max_ms)(random_));
+      std::uniform_int_distribution<int>(min_ms, max_ms)(*random));
+}
+
+milliseconds soak_site::RandomSpan(int min_ms, int max_ms) {
+  return DrawSpan(min_ms, max_ms, &random_);
 }
 
 void soak_site::LogFault(const std::string& fault) {
@@ -34,7 +40,7 @@
 
 void soak_site::SetLink(const std::string& group, const std::string& settings) {
   StartAsyncHttpCall(BootNow(), loop_, &control_pool_,
-                     {.address = kProxyControl,
+                     {.address = ProxyControl(),
                       .request = "GET /control/set?group=" + group + "&" +
                                  settings + " HTTP/1.1\r\nHost: proxy\r\n\r\n",
                       .timeout = kControlTimeout,
@@ -98,9 +104,7 @@
     }
     case 2:
       LogFault("term " + item.name);
-      item.is_stopping = true;
-      item.stopping_since = now;
-      item.process->Signal(SIGTERM);
+      StopProcess(now, &item);
       break;
     default:
       LogFault("hup " + item.name);
@@ -237,8 +241,9 @@
 
 void soak_site::EndFaults(time_point now) {
   LogFault("healed");
-  // Faults in force also end by their own timers within a few seconds.
-  faults_ = {};
+  if (!options_.is_planned)
+    record_.calm_since = now + kFaultsEndWithin + kContactTime;
+  faults_ = {.silent_share = faults_.silent_share};
   store_.mode = store_mode::kOpen;
   store_.delay = milliseconds(0);
   store_.lost_answer_share = 0;
--- a/src/tests/soak/soak_main.cc
+++ b/src/tests/soak/soak_main.cc
@@ -24,6 +24,12 @@
   add("minutes", po::value(&minutes), "duration of the faults");
   add("processes", po::value(&options.processes),
       "entries and agents, 6 to 200");
+  add("site", po::value(&options.site),
+      "0 to 9, another one for each run at the same time");
+  add("planned", po::bool_switch(&options.is_planned),
+      "only planned work: stops, reloads and changes");
+  add("silent", po::value(&options.silent_share),
+      "share of the streams in which a server falls silent");
   add("rate", po::value(&options.rate), "requests per second");
   po::variables_map values;
   try {
@@ -37,15 +43,18 @@
     std::cout << described;
     return 0;
   }
-  if (options.processes < 6 || options.processes > 200 || minutes <= 0) {
-    std::cerr
-        << "soak: --processes must be 6 to 200, --minutes greater than 0\n";
+  if (options.processes < 6 || options.processes > 200 || minutes <= 0 ||
+      options.site > 9) {
+    std::cerr << "soak: --processes must be 6 to 200, --minutes greater than "
+                 "0, --site at "
+                 "most 9\n";
     return 2;
   }
   options.span = std::chrono::duration_cast<seconds>(
       std::chrono::duration<double>(minutes * 60));
   options.directory =
-      harness::NewDirectory("soak-" + std::to_string(options.seed));
+      harness::NewDirectory((options.is_planned ? "soak-planned-" : "soak-") +
+                            std::to_string(options.seed));
   std::signal(SIGPIPE, SIG_IGN);
   event_loop loop;
   // Signals stop the loop, so that the started processes are ended as well.
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -14,9 +14,13 @@
 
 constexpr size_t kDomains = 3;
 constexpr size_t kPlainServers = 3;
-constexpr char kStoreListenAddress[] = "127.33.0.1:8107";
-constexpr char kOriginListenAddress[] = "127.33.0.2:8106";
-constexpr char kOriginProxyAddress[] = "127.33.0.2:8006";
+constexpr uint32_t kEntryNet = 30;
+constexpr uint32_t kServerNet = 31;
+constexpr uint32_t kPlatformNet = 33;
+constexpr char kStoreAddress[] = ".0.1:8107";
+constexpr char kOriginAddress[] = ".0.2:8106";
+constexpr char kOriginProxyAddress[] = ".0.2:8006";
+constexpr char kProxyControlAddress[] = ".0.3:8100";
 constexpr uint64_t kMaxProbeRoutes = 30;    // Reached in a long run.
 constexpr milliseconds kRestartDelay{300};  // From an end to the next start.
 constexpr seconds kStopTimeout{8};  // From SIGTERM to the end of a process.
@@ -24,31 +28,38 @@
 constexpr seconds kWarmUp{4};              // From the start to the first fault.
 constexpr double kMinAnsweredShare = 0.9;  // In the final window.
 constexpr milliseconds kSuperviseInterval{100};
+constexpr milliseconds kCallsWhileEnding{2000};
 
 std::string DomainOf(size_t i) {
   return "zone-" + std::to_string(i % kDomains);
 }
 
-std::string StoreProxyAddress(size_t domain) {
-  return "127.33.1." + std::to_string(10 + domain) + ":8007";
+}  // namespace
+
+std::string soak_site::ProxyControl() const {
+  return options_.Address(kPlatformNet, kProxyControlAddress);
 }
 
-std::string EntryIp(size_t i) {
-  return "127.30." + std::to_string(i % kDomains) + "." +
-         std::to_string(10 + i);
+std::string soak_site::StoreProxyAddress(size_t domain) const {
+  return options_.Address(kPlatformNet,
+                          ".1." + std::to_string(10 + domain) + ":8007");
 }
 
-std::string ServerIp(size_t i) {
-  return "127.31." + std::to_string(i % kDomains) + "." +
-         std::to_string(10 + i);
+std::string soak_site::EntryIp(size_t i) const {
+  return options_.Address(kEntryNet, "." + std::to_string(i % kDomains) + "." +
+                                         std::to_string(10 + i));
 }
 
-}  // namespace
+std::string soak_site::ServerIp(size_t i) const {
+  return options_.Address(kServerNet, "." + std::to_string(i % kDomains) + "." +
+                                          std::to_string(10 + i));
+}
 
 soak_site::soak_site(event_loop* loop, soak_options options)
     : loop_(loop),
       options_(std::move(options)),
       random_(options_.seed),
+      planned_random_(options_.seed + 1),
       store_(loop, options_.seed),
       origin_(loop, &faults_),
       control_pool_(loop, {}) {}
@@ -64,19 +75,20 @@
        {std::pair<std::function<outcome<done>(const std::string&)>,
                   std::string>(
             [this](const std::string& at) { return store_.Listen(at); },
-            kStoreListenAddress),
+            options_.Address(kPlatformNet, kStoreAddress)),
         {[this](const std::string& at) { return origin_.Listen(at); },
-         kOriginListenAddress}}) {
+         options_.Address(kPlatformNet, kOriginAddress)}}) {
     auto listening = listener(address);
     if (!listening)
       return listening;
   }
   for (size_t d = 0; d < kDomains; ++d) {
     links_.push_back("store-" + std::to_string(d) + "=" + StoreProxyAddress(d) +
-                     ">" + kStoreListenAddress);
+                     ">" + options_.Address(kPlatformNet, kStoreAddress));
   }
-  links_.push_back(std::string("origin=") + kOriginProxyAddress + ">" +
-                   kOriginListenAddress);
+  links_.push_back(std::string("origin=") +
+                   options_.Address(kPlatformNet, kOriginProxyAddress) + ">" +
+                   options_.Address(kPlatformNet, kOriginAddress));
   WriteConfiguration();
   store_.Put(std::string("op/version/") + kModel,
              R"({"Model":"m0","Version":1})");
@@ -109,13 +121,14 @@
       caller_options{.rate = options_.rate, .seed = options_.seed});
   callers_->keys = keys_;
   callers_->probe_routes = probe_routes_;
+  callers_->AddIdleTimeout(BootNow(), idle_timeout_);
   return done{};
 }
 
 outcome<done> soak_site::StartProxy() {
   std::vector<std::string> arguments{
       harness::ProgramDirectory() + "/fuchsiafall-standins", "proxy",
-      "--control", kProxyControl};
+      "--control", ProxyControl()};
   for (const std::string& link : links_)
     arguments.insert(arguments.end(), {"--link", link});
   proxy_ = std::make_unique<harness::child_process>(
@@ -137,14 +150,15 @@
   std::string path = options_.directory + "/" + item.name + ".conf";
   const std::string ip =
       item.is_entry ? EntryIp(item.index) : ServerIp(item.index);
-  std::ofstream file(path);
+  // A process may read its settings at any moment.
+  std::ofstream file(path + ".new");
   file << "Node=" << item.name << "\nIp=" << ip
        << "\nZone=" << DomainOf(item.index) << "\nRegion=region-"
        << item.index % kDomains
        << "\nInternalPorts=7700,7715\nLimits.LinkMbps=100\n"
        << "Platform.Address=" << StoreProxyAddress(item.index % kDomains)
        << "\n"
-       << "Bounds.RetryBudgetExtra=200\n";
+       << "Bounds.RetryBudgetExtra=" << retry_extra_ << "\n";
   for (size_t d = 0; d < kDomains; ++d)
     file << "Zones." << DomainOf(d) << "=region-" << d << "\n";
   if (item.is_entry) {
@@ -152,6 +166,8 @@
   } else {
     file << "app=" << ip << ":8001\nService=" << kModelService << "\n";
   }
+  file.close();
+  std::filesystem::rename(path + ".new", path);
   return path;
 }
 
@@ -163,15 +179,25 @@
       options_.directory + "/" + item->name + ".log",
       std::vector<std::string>{"FUCHSIAFALL_CONFIG=" + settings});
   item->process->Start();
+  item->started_at = BootNow();
   item->was_killed = item->is_stopping = item->is_frozen = false;
   item->restart_at = {};
   if (item->is_entry) {
     ++entries_[item->index].start_count;
     entries_[item->index].newest_probe_route = 0;
+    entries_[item->index].stopping_since = {};
   }
   ++record_.counts["starts"];
 }
 
+void soak_site::StopProcess(time_point now, soak_process* item) {
+  item->is_stopping = true;
+  item->stopping_since = now;
+  if (item->is_entry)
+    entries_[item->index].stopping_since = now;
+  item->process->Signal(SIGTERM);
+}
+
 void soak_site::WriteConfiguration() {
   probe_routes_ = std::min(probe_routes_ + 1, kMaxProbeRoutes);
   std::ostringstream text;
@@ -188,16 +214,20 @@
          << R"(,"TargetGapMs":300,"AllowedRegions":[]})";
   };
   text << R"({"Version":)" << ++configuration_version_ << R"(,"Routes":[)";
-  route("stream", "models.example", "/", "streaming", kModelService, 6000, 2);
+  const int plain_ms = static_cast<int>(plain_timeout_.count());
+  route("stream", "models.example", "/", "streaming", kModelService,
+        static_cast<int>(stream_timeout_.count()), attempts_);
   text << ",";
-  route("book", "desk.example", "/book/", "non_idempotent", kPlainService, 1000,
-        2);
+  route("book", "desk.example", "/book/", "non_idempotent", kPlainService,
+        plain_ms, attempts_);
   text << ",";
-  route("read", "desk.example", "/read/", "idempotent", kPlainService, 1000, 2);
+  route("read", "desk.example", "/read/", "idempotent", kPlainService, plain_ms,
+        attempts_);
   for (uint64_t i = 1; i <= probe_routes_; ++i) {
     text << ",";
     route("probe" + std::to_string(i), "probe.example",
-          "/v" + std::to_string(i) + "/", "idempotent", kPlainService, 1000, 2);
+          "/v" + std::to_string(i) + "/", "idempotent", kPlainService, plain_ms,
+          attempts_);
   }
   text << R"(],"Services":[{"Name":")" << kModelService
        << R"(","ColdStartS":0,"ColdPerS":0,"Engine":{"Slots":8,"Stride":1,)"
@@ -206,17 +236,22 @@
        << R"("pairs_per_m":0,"usual":{"prompt":900,"answer":15},"layers":4,)"
        << R"("Chunks":)" << kChunks << R"(,"ChunkBytes":)" << kChunkBytes
        << R"(}},{"Name":")" << kPlainService << R"("},{"Name":")"
-       << kOriginService << R"(","Origin":")" << kOriginProxyAddress
-       << R"("}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,)"
-       << R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[)";
+       << kOriginService << R"(","Origin":")"
+       << options_.Address(kPlatformNet, kOriginProxyAddress)
+       << R"("}],"Limits":{"MaxHeaderBytes":)" << header_bytes_
+       << R"(,"MaxBodyBytes":)" << body_bytes_
+       << R"(,"HeaderTimeoutMs":3000,"IdleTimeoutMs":)" << idle_timeout_.count()
+       << R"(},"Tenants":[)";
   for (size_t i = 0; i < keys_.size(); ++i) {
     text << (i > 0 ? "," : "") << R"({"Name":"tenant)" << i
          << R"(","ApiKeys":[")" << keys_[i] << R"("]})";
   }
   text << "]}";
   store_.Put("op/config", text.str());
-  if (callers_ != nullptr)
-    callers_->probe_routes = probe_routes_;
+  if (callers_ == nullptr)
+    return;
+  callers_->probe_routes = probe_routes_;
+  callers_->AddIdleTimeout(BootNow(), idle_timeout_);
 }
 
 void soak_site::SuperviseProcesses(time_point now) {
@@ -263,6 +298,14 @@
   SuperviseProcesses(now);
   loop_->StartTimer(now + kWarmUp / 2,
                     [this](time_point at) { callers_->Start(at); });
+  faults_.silent_share = options_.silent_share;
+  loop_->StartTimer(now + kWarmUp,
+                    [this](time_point at) { BeginPlannedSeries(at); });
+  if (options_.is_planned) {
+    record_.calm_since = now;
+    loop_->StartTimer(faults_end_at_, [this](time_point at) { EndFaults(at); });
+    return;
+  }
   loop_->StartTimer(now + kWarmUp, [this](time_point at) { InjectFault(at); });
   loop_->StartTimer(now + kWarmUp + kRestoreInterval,
                     [this](time_point at) { RestoreStore(at); });
@@ -287,20 +330,19 @@
         server->LoadedVersion() != 0)
       record_.AddViolation("old weights", server->Id());
   }
-  callers_->Stop();
+  RunAfter(kCallsWhileEnding, [this] { callers_->Stop(); });
   is_ending_ = true;
-  for (soak_process& item : processes_) {
-    item.is_stopping = true;
-    item.stopping_since = now;
-    item.process->Signal(SIGTERM);
-  }
+  for (soak_process& item : processes_)
+    StopProcess(now, &item);
 }
 
 bool soak_site::Report() const {
   for (const auto& [name, count] : record_.counts)
     std::cout << "  " << name << ": " << count << "\n";
   std::cout << "  store calls: " << store_.calls
-            << "\n  origin bytes: " << origin_.sent_bytes << "\n";
+            << "\n  origin bytes: " << origin_.sent_bytes
+            << "\n  longest lag in ms: " << ToMs(callers_->LongestLag())
+            << "\n";
   for (const std::string& line : record_.violations)
     std::cout << "BROKEN " << line << "\n";
   std::cout << "seed " << options_.seed << ": "
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -13,15 +13,24 @@
 
 namespace fuchsiafall::soak {
 
-/// Address of the proxy's control page.
-inline constexpr char kProxyControl[] = "127.33.0.3:8100";
-
 struct soak_options {
   uint64_t seed = 1;
   seconds span{30};       ///< Duration of the faults.
   size_t processes = 24;  ///< Entries and agents, half of them each.
   double rate = 40;       ///< Requests per second.
+  /// Whether only planned work happens: stops, reloads, changes and load.
+  bool is_planned = false;
+  /// Share of the streams in which a sound server falls silent for a while.
+  double silent_share = 0.15;
+  uint32_t site = 0;      ///< Number of a run beside others, 0 to 9.
   std::string directory;  ///< For settings and logs.
+
+  /// Returns an address of the run's own.
+  /// @param net Network of the site.
+  /// @param rest Of the address, from the second dot.
+  std::string Address(uint32_t net, const std::string& rest) const {
+    return "127." + std::to_string(net + 10 * site) + rest;
+  }
 };
 
 /// One process of the system.
@@ -33,6 +42,7 @@
   bool was_killed = false;   ///< By a fault, so that its end is expected.
   bool is_stopping = false;  ///< Got SIGTERM.
   bool is_frozen = false;
+  time_point started_at{};
   time_point stopping_since{};
   time_point restart_at{};
 };
@@ -40,6 +50,9 @@
 /// Time between two returns of the store from an older copy.
 constexpr seconds kRestoreInterval{5};
 
+/// Draws a random time.
+milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random);
+
 /// Starts the site and its processes, keeps them running, and injects faults.
 class soak_site {
  public:
@@ -54,7 +67,13 @@
 
  private:
   outcome<done> StartProxy();
+  std::string ProxyControl() const;
+  std::string StoreProxyAddress(size_t domain) const;
+  std::string EntryIp(size_t i) const;
+  std::string ServerIp(size_t i) const;
   void StartProcess(soak_process* item);
+  /// Sends SIGTERM.
+  void StopProcess(time_point now, soak_process* item);
   std::string WriteSettings(const soak_process& item) const;
   void WriteConfiguration();
   /// Restarts processes that have ended, and checks how they ended.
@@ -79,6 +98,13 @@
   void InjectLinkFault(time_point now);
   void InjectServerFault(time_point now);
   void InjectOperatorChange(time_point now);
+  // Planned work in series, each of which overlaps the ones before it.
+  void BeginPlannedSeries(time_point now);
+  void StopInSeries();
+  void ChangeInSeries();
+  void ReloadInSeries();
+  /// Changes limits, timeouts and keys, and writes the configuration.
+  void ChangeConfiguration(time_point now);
   /// Logs and counts a fault.
   void LogFault(const std::string& fault);
   /// Draws a random time.
@@ -87,6 +113,7 @@
   event_loop* loop_;
   soak_options options_;
   std::mt19937_64 random_;
+  std::mt19937_64 planned_random_;  ///< Of the planned work.
   run_record record_;
   site_faults faults_;
   store_standin store_;
@@ -101,6 +128,14 @@
   uint64_t probe_routes_ = 0;           ///< In the newest configuration.
   uint64_t configuration_version_ = 0;  ///< Of the newest configuration.
   uint64_t weights_version_ = 1;
+  milliseconds idle_timeout_{15000};
+  size_t header_bytes_ = 16384;
+  size_t body_bytes_ = 1048576;
+  milliseconds stream_timeout_{6000};
+  milliseconds plain_timeout_{1000};
+  int attempts_ = 2;
+  uint64_t retry_extra_ = 200;  ///< In the settings of the processes.
+  uint64_t next_key_ = 6;
   std::vector<std::string> keys_;
   bool is_healing_ = false;
   bool is_ending_ = false;
