Fix: A SIGHUP during the start of a process ended it

A process that got a SIGHUP before it watched its signals ended by the signal's default action (exit code 129 in the soak). Callers that had connected, and the calls of its server that the agent held places for, lost it until its restart. The roles of the project's own interface never watched SIGHUP: there any SIGHUP would have ended the process and cut all its calls.

Cause: main() blocked SIGTERM and SIGINT only; SIGHUP was blocked by hosted processes once their settings had been read and the log set up, and by no other role. Blocked in main(), it stays pending: a hosted process reads and logs it (E106) when it watches its signals, other roles ignore it.

Evidence, before: "check sigismember(&blocked, 1) == 1 has failed [0 != 1]". Not run since: the rest of process_suite.

--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -64,6 +64,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
--- a/src/network/node_runtime.h
+++ b/src/network/node_runtime.h
@@ -94,8 +94,8 @@
 /// the epoch.
 incarnation NewIncarnation();
 
-/// Blocks the signals that request a graceful shutdown. Must be called before
-/// any thread starts.
+/// Blocks the signals that request a graceful shutdown or a reload. Must be
+/// called before any thread starts.
 void BlockSignals();
 
 /// Creates the gossip options that are common to entries and agents.
--- a/src/tests/process_test.cc
+++ b/src/tests/process_test.cc
@@ -8,6 +8,7 @@
 
 #include "harness/fleet.h"
 #include "harness/load.h"
+#include "network/node_runtime.h"
 
 namespace fuchsiafall::tests {
 
@@ -256,6 +257,15 @@
   BOOST_TEST(output.size() == 65u);
 }
 
+BOOST_AUTO_TEST_CASE(a_reload_does_not_end_a_process_that_is_starting) {
+  sigset_t before;
+  sigset_t blocked;
+  pthread_sigmask(SIG_BLOCK, nullptr, &before);
+  BlockSignals();
+  pthread_sigmask(SIG_SETMASK, &before, &blocked);
+  BOOST_TEST(sigismember(&blocked, SIGHUP) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
