Change: The soak's configurations grow to 300 routes

With planned work each change adds up to 20 probe routes, so that a process spends as long on a new configuration as it would at a large site.

--- a/src/tests/soak/soak_planned.cc
+++ b/src/tests/soak/soak_planned.cc
@@ -12,6 +12,7 @@
 constexpr size_t kMinKeys = 3;  // Never revoked.
 /// Time to the start of main(), before which no program can handle a signal.
 constexpr milliseconds kStartTime{500};
+constexpr uint64_t kMaxNewRoutes = 20;
 constexpr size_t kMaxKeys = 8;
 /// Time for which callers go on to use a revoked key.
 constexpr seconds kRevokedKeyUse{6};
@@ -104,6 +105,7 @@
     plain_timeout_ = DrawSpan(800, 1200, &planned_random_);
     attempts_ = 2 + static_cast<int>(planned_random_() % 2);
   }
+  probe_routes_ += planned_random_() % kMaxNewRoutes;
   if (planned_random_() % 8 == 0 && keys_.size() > kMinKeys) {
     record_.revoked[keys_.back()] = now;
     keys_.pop_back();
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -21,7 +21,7 @@
 constexpr char kOriginAddress[] = ".0.2:8106";
 constexpr char kOriginProxyAddress[] = ".0.2:8006";
 constexpr char kProxyControlAddress[] = ".0.3:8100";
-constexpr uint64_t kMaxProbeRoutes = 30;    // Reached in a long run.
+constexpr uint64_t kMaxProbeRoutes = 300;   // Reached in a long run.
 constexpr milliseconds kRestartDelay{300};  // From an end to the next start.
 constexpr seconds kStopTimeout{8};  // From SIGTERM to the end of a process.
 constexpr seconds kStopTimeoutMargin{2};
