Fix: An entry that exits cut off requests that had just arrived

What callers saw: around a planned stop, connections that ended without an answer to a whole request. Of 160 requests that arrived while the entry's loop was late by 0.2 s at the end of its stop, none was answered: 63 had been read and sent to the server, of a route that must not be repeated, 97 were reset.

Cause: the check whether the entry is idle looked only at what had been read. A connection without a request, bytes in sockets and connections that wait to be accepted counted as nothing. Besides, Stop() is queued: the loop runs one more round in which it reads requests, and starts attempts, before it ends.

On the unchanged code, three runs of three:

planned_stop_test.cc(155): error: in "planned_stop_suite/ requests_that_arrive_while_an_entry_exits_are_answered": check answered == static_cast<int>(callers.size()) has failed [0 != 160] (63 lines E600; E606 why=exit calls=0 unread=80 after_ms=2624)

The entry now takes the last steps one after the other (shutdown_plan): it accepts what is pending and stops listening, answers what its connections still bring, and exits when none is open; so the last round of the loop has nothing to read. At the end of the grace it exits 0.4 s before it, or up to 0.2 s later while answers are sent or input is unread; all requests are refused at once by then, in the last round too. The margins are a part of a short grace period, so that calls may go on until its last sixth.

Six runs of the test on this code passed, with 8 cores at a load of 13.

--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -11,6 +11,7 @@
 #include "network/datagram_link.h"
 #include "place_message_func.h"
 #include "platform/headers.h"
+#include "shutdown_plan_base.h"
 
 namespace fuchsiafall {
 
@@ -18,14 +19,8 @@
 
 /// Interval of the checks for expired timeouts and idle connections.
 constexpr milliseconds kHousekeepingInterval{250};
-/// The balancer probes readiness once a second and removes an entry after two
-/// failed probes.
-constexpr milliseconds kBalancerRemoval{2500};
-/// Part of the grace period that is reserved for the exit: open calls are then
-/// answered, and these answers are sent.
-constexpr milliseconds kGraceMargin{700};
-/// Part of the grace period after which the process exits in any case.
-constexpr milliseconds kExitMargin{400};
+/// That interval during a shutdown, which ends with the last connection.
+constexpr milliseconds kShutdownInterval{50};
 /// Time without acknowledgement after which a connection to a server is closed.
 /// A round trip to the farthest server takes a few milliseconds.
 constexpr milliseconds kUserTimeout{1500};
@@ -248,7 +243,7 @@
   }
 
   bool IsReady() const {
-    return process_.Index() != nullptr && !shutdown_at_ &&
+    return process_.Index() != nullptr && !shutdown_ &&
            process_.Index()->View().configuration.version > 0;
   }
 
@@ -359,14 +354,16 @@
   }
 
   void ShutDown(time_point now) {
-    if (shutdown_at_)
+    if (shutdown_)
       return;
     shutdown_at_ = now;
-    const time_point ends_at = now + process_.Settings().grace - kGraceMargin;
-    dispatch_.SetExitTime(ends_at, now + kBalancerRemoval);
+    shutdown_.emplace(shutdown_plan_options{
+        .started_at = now, .grace = process_.Settings().grace});
+    dispatch_.SetExitTime(shutdown_->CallsEndAt(), shutdown_->RemovedAt());
     callers_.CloseWhenIdle();
-    process_.Loop().StartTimer(
-        ends_at, [this](time_point at) { dispatch_.EndCalls(at); });
+    process_.Loop().StartTimer(shutdown_->CallsEndAt(), [this](time_point at) {
+      dispatch_.EndCalls(at);
+    });
   }
 
   void RunHousekeeping(time_point now) {
@@ -375,18 +372,33 @@
     servers_.CloseIdle(now);
     process_.Metrics().SetGauge("connections_opened",
                                 static_cast<int64_t>(servers_.OpenedCount()));
-    if (shutdown_at_) {
-      const duration passed = now - *shutdown_at_;
-      const bool is_idle = dispatch_.OpenCallCount() == 0 &&
-                           callers_.IsIdle() && passed > kBalancerRemoval;
-      if (is_idle || passed > process_.Settings().grace - kExitMargin) {
-        ReportExit(now);
-        process_.Finish();
-        return;
-      }
+    if (shutdown_ && AdvanceShutdown(now))
+      return;
+    process_.Loop().StartTimer(
+        now + (shutdown_ ? kShutdownInterval : kHousekeepingInterval),
+        [this](time_point at) { RunHousekeeping(at); });
+  }
+
+  /// Takes the next steps of the shutdown.
+  /// @return Whether the process exits.
+  bool AdvanceShutdown(time_point now) {
+    shutdown_step step = shutdown_->Next(now, ShutdownState());
+    if (step == shutdown_step::kStopListening) {
+      callers_.StopListening(now);
+      step = shutdown_->Next(now, ShutdownState());
     }
-    process_.Loop().StartTimer(now + kHousekeepingInterval,
-                               [this](time_point at) { RunHousekeeping(at); });
+    if (step != shutdown_step::kExit)
+      return false;
+    ReportExit(now);
+    process_.Finish();
+    return true;
+  }
+
+  shutdown_state ShutdownState() const {
+    return {.open_calls = dispatch_.OpenCallCount(),
+            .open_connections = callers_.OpenCount(),
+            .is_busy = !callers_.IsIdle() || callers_.UnreadCount() > 0,
+            .is_listening = callers_.IsListening()};
   }
 
   /// Logs what the exit of the process cuts off.
@@ -397,7 +409,7 @@
     LogEvent(log_event::kInputDropped,
              "why=exit calls=" + std::to_string(dispatch_.OpenCallCount()) +
                  " unread=" + std::to_string(unread) +
-                 " after_ms=" + std::to_string(ToMs(now - *shutdown_at_)));
+                 " after_ms=" + std::to_string(ToMs(now - shutdown_at_)));
   }
 
   hosted_process process_;
@@ -411,7 +423,8 @@
   uint64_t next_call_ = 1;
   timer_id due_timer_ = 0;
   time_point due_at_{};
-  std::optional<time_point> shutdown_at_;
+  time_point shutdown_at_{};
+  std::optional<shutdown_plan> shutdown_;
 };
 
 }  // namespace
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -318,6 +318,17 @@
                     [](const auto& item) { return item.second->HasInput(); }));
 }
 
+size_t http_listener::OpenCount() const {
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& item) { return item.second->IsOpen(); }));
+}
+
+void http_listener::StopListening(time_point now) {
+  listener_.Accept(now);
+  listener_.Close();
+}
+
 bool http_listener::IsIdle() const {
   return std::all_of(connections_.begin(), connections_.end(),
                      [](const auto& item) { return item.second->IsIdle(); });
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -153,6 +153,11 @@
   bool IsIdle() const;
   /// Returns how many connections have bytes that were not read yet.
   size_t UnreadCount() const;
+  /// Returns how many connections are open.
+  size_t OpenCount() const;
+  bool IsListening() const { return listener_.IsOpen(); }
+  /// Accepts the connections that are pending, and then no more.
+  void StopListening(time_point now);
 
  private:
   event_loop* loop_;
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -105,11 +105,12 @@
   tcp_listener& operator=(const tcp_listener&) = delete;
 
   outcome<done> Listen(const std::string& address);
+  /// Accepts the connections that are pending.
+  void Accept(time_point now);
   void Close();
+  bool IsOpen() const { return is_open_; }
 
  private:
-  void Accept(time_point now);
-
   event_loop* loop_;
   accept_hook on_accept_;
   Poco::Net::ServerSocket socket_;
