Fix: A stop in the own interface cut off answers and waiting requests

What callers would see: at the end of a graceful stop a complete answer that was still being sent ended in the middle, and a request on a connection that waited for a free thread got neither an answer nor a refusal.

Cause: the process ended with HTTPServer::stopAll(true), which drops the queue of accepted connections and shuts down all sockets at once. The state machine counts a request as finished when its last part is handed to the HTTP thread, not when the caller has it; refusals of the requests that were open at the end of the drain time went the same way.

With stopAll(true) as before, behind the new name:

http_server_test.cc(68): an_answer_that_is_sent_while_the_server_stops_is_ whole: check Receive(&caller).size() > kBodyBytes has failed [3907584 <=] http_server_test.cc(85): requests_that_wait_for_a_thread_at_a_stop_are_ answered: check Receive(&first).ends_with("done") has failed http_server_test.cc(86): check Receive(&second).ends_with("done") has failed

The server now counts the requests in its handlers, and stops when there is none, none is queued and none has begun for 50 ms, in which the last chunk of an answer is sent; after 2 s in any case. From SIGTERM on each answer closes its connection, so that the threads come free.

--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -9,7 +9,9 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/ThreadPool.h>
 
+#include <chrono>
 #include <istream>
+#include <thread>
 
 namespace fuchsiafall {
 
@@ -18,14 +20,25 @@
 constexpr int kBacklog = 512;
 constexpr int kMaxQueued = 1024;
 constexpr int kKeepAliveS = 15;
+constexpr milliseconds kStopPollInterval{5};
+/// The end of a chunked answer is sent after its handler has returned.
+constexpr milliseconds kFlushTime{50};
 
 /// Passes requests to the handler; catches exceptions of disconnected callers.
 class function_handler : public Poco::Net::HTTPRequestHandler {
  public:
-  explicit function_handler(http_handler handler)
-      : handler_(std::move(handler)) {}
+  function_handler(http_handler handler, std::shared_ptr<http_server_load> load)
+      : handler_(std::move(handler)), load_(std::move(load)) {
+    ++load_->begun;
+    ++load_->open;
+  }
+  ~function_handler() override { --load_->open; }
+  function_handler(const function_handler&) = delete;
+  function_handler& operator=(const function_handler&) = delete;
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    if (load_->is_closing)
+      response.setKeepAlive(false);
     try {
       handler_(request, response);
     } catch (const Poco::Exception&) {
@@ -35,24 +48,53 @@
 
  private:
   http_handler handler_;
+  std::shared_ptr<http_server_load> load_;
 };
 
 class function_factory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  explicit function_factory(http_handler handler)
-      : handler_(std::move(handler)) {}
+  function_factory(http_handler handler, std::shared_ptr<http_server_load> load)
+      : handler_(std::move(handler)), load_(std::move(load)) {}
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest&) override {
-    return new function_handler(handler_);
+    return new function_handler(handler_, load_);
   }
 
  private:
   http_handler handler_;
+  std::shared_ptr<http_server_load> load_;
 };
 
 }  // namespace
 
-outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
+http_server::http_server(const http_handler& handler,
+                         std::shared_ptr<http_server_load> load,
+                         Poco::ThreadPool* pool,
+                         const Poco::Net::ServerSocket& socket,
+                         const Poco::Net::HTTPServerParams::Ptr& params)
+    : HTTPServer(new function_factory(handler, load), *pool, socket, params),
+      load_(std::move(load)) {}
+
+void http_server::StopWhenIdle(milliseconds timeout) {
+  CloseAfterAnswers();
+  const time_point stops_at = std::chrono::steady_clock::now() + timeout;
+  time_point idle_since{};
+  uint64_t begun = 0;
+  while (std::chrono::steady_clock::now() < stops_at) {
+    const time_point now = std::chrono::steady_clock::now();
+    const bool is_idle =
+        load_->open == 0 && queuedConnections() == 0 && load_->begun == begun;
+    begun = load_->begun;
+    if (!is_idle || idle_since == time_point{})
+      idle_since = now;
+    if (now - idle_since > kFlushTime)
+      break;
+    std::this_thread::sleep_for(kStopPollInterval);
+  }
+  stopAll(true);
+}
+
+outcome<std::shared_ptr<http_server>> StartHttpServer(
     const http_server_options& options,
     const http_handler& handler) {
   try {
@@ -69,17 +111,18 @@
     // another.
     struct pooled_server {
       Poco::ThreadPool pool;
-      Poco::Net::HTTPServer server;
+      http_server server;
       pooled_server(const http_handler& h,
                     int threads,
                     const Poco::Net::ServerSocket& s,
                     const Poco::Net::HTTPServerParams::Ptr& p)
-          : pool(2, threads + 2), server(new function_factory(h), pool, s, p) {}
+          : pool(2, threads + 2),
+            server(h, std::make_shared<http_server_load>(), &pool, s, p) {}
     };
     auto pooled = std::make_shared<pooled_server>(
         handler, static_cast<int>(options.threads), socket, params);
     pooled->server.start();
-    return std::shared_ptr<Poco::Net::HTTPServer>(pooled, &pooled->server);
+    return std::shared_ptr<http_server>(pooled, &pooled->server);
   } catch (const Poco::Exception& e) {
     return failure{"HTTP: cannot listen on " + options.ip + ":" +
                    std::to_string(options.port) + ": " + e.displayText()};
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -7,12 +7,14 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "outcome_type.h"
+#include "time_type.h"
 
 namespace fuchsiafall {
 
@@ -26,8 +28,33 @@
   int64_t threads = 8;
 };
 
+/// Requests of a server, counted by its threads.
+struct http_server_load {
+  std::atomic<int> open{0};
+  std::atomic<uint64_t> begun{0};
+  std::atomic<bool> is_closing{false};
+};
+
+class http_server : public Poco::Net::HTTPServer {
+ public:
+  http_server(const http_handler& handler,
+              std::shared_ptr<http_server_load> load,
+              Poco::ThreadPool* pool,
+              const Poco::Net::ServerSocket& socket,
+              const Poco::Net::HTTPServerParams::Ptr& params);
+
+  /// Closes each connection after its next answer.
+  void CloseAfterAnswers() { load_->is_closing = true; }
+  /// Stops once all requests that have arrived are answered.
+  /// @param timeout Time after which it stops in any case.
+  void StopWhenIdle(milliseconds timeout);
+
+ private:
+  std::shared_ptr<http_server_load> load_;
+};
+
 /// Binds the address and starts serving.
-outcome<std::shared_ptr<Poco::Net::HTTPServer>> StartHttpServer(
+outcome<std::shared_ptr<http_server>> StartHttpServer(
     const http_server_options& options,
     const http_handler& handler);
 
--- a/src/network/role_process.h
+++ b/src/network/role_process.h
@@ -54,17 +54,18 @@
     outcome<done> started = runtime_.Start();
     if (!started)
       return Fail(started.LastReason());
-    auto server = StartHttpServer(
+    auto started_server = StartHttpServer(
         {settings_.http_ip, settings_.http_port, settings_.http_threads},
         [this](auto& request, auto& response) { Answer(&request, &response); });
-    if (!server)
-      return Fail(server.LastReason());
+    if (!started_server)
+      return Fail(started_server.LastReason());
+    server_ = *started_server;
     LogEvent(log_event::kProcessStarted, Name());
     hooks_.on_started();
     loop_.Run([this] { return IsFinished(); });
     hooks_.on_stopped();
     runtime_.Stop();
-    (*server)->stopAll(true);
+    server_->StopWhenIdle(kAnswerTimeout);
     LogEvent(log_event::kProcessStopped, Name());
     return exit_code::kOk;
   }
@@ -75,6 +76,9 @@
   node_runtime& Runtime() { return runtime_; }
 
  private:
+  /// Time to send the answers that are ready at the end of a shutdown.
+  static constexpr milliseconds kAnswerTimeout{2000};
+
   node_hooks NodeHooks() {
     node_hooks hooks;
     hooks.on_message = [this](message_arrival m) { Post(std::move(m)); };
@@ -108,8 +112,10 @@
                               members.WatchesStore(now));
     if (!machine_->IsShuttingDown())
       return false;
-    if (!shutdown_started_at_)
+    if (!shutdown_started_at_) {
       shutdown_started_at_ = now;
+      server_->CloseAfterAnswers();
+    }
     const duration passed = now - *shutdown_started_at_;
     return passed > seconds(settings_.drain_s) ||
            hooks_.is_finished(*machine_, passed);
@@ -147,6 +153,7 @@
   node_runtime runtime_;
   std::unique_ptr<Machine> machine_;
   control_loop<Machine, Input> loop_;
+  std::shared_ptr<http_server> server_;
   std::optional<time_point> shutdown_started_at_;
 };
 
