Fix: A request whose handler failed ended without an answer

What callers would see in the own interface: the connection closes without an answer when the handler of a request throws before it has answered; an exception that is not Poco's left the handler instead.

http_server_test.cc(94): a_request_whose_handler_throws_is_answered: check Receive(&caller).starts_with("HTTP/1.1 500") has failed

Cause: exceptions were taken for disconnected callers and dropped. The caller now gets 500, which promises nothing about whether the request has run, if no head has been sent yet. No path that throws in the product is known; the test throws in a handler of its own.

--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -13,6 +13,8 @@
 #include <istream>
 #include <thread>
 
+#include "network/http_status.h"
+
 namespace fuchsiafall {
 
 namespace {
@@ -24,7 +26,16 @@
 /// The end of a chunked answer is sent after its handler has returned.
 constexpr milliseconds kFlushTime{50};
 
-/// Passes requests to the handler; catches exceptions of disconnected callers.
+/// Answers a request whose handler has failed.
+void AnswerFailure(Poco::Net::HTTPServerResponse* response) {
+  try {
+    AnswerHttp(response, kHttpServerError, "text/plain", "internal error\n");
+  } catch (const Poco::Exception&) {
+    response->setKeepAlive(false);  // The caller has disconnected.
+  }
+}
+
+/// Passes requests to the handler; catches its exceptions.
 class function_handler : public Poco::Net::HTTPRequestHandler {
  public:
   function_handler(http_handler handler, std::shared_ptr<http_server_load> load)
@@ -41,8 +52,10 @@
       response.setKeepAlive(false);
     try {
       handler_(request, response);
-    } catch (const Poco::Exception&) {
+    } catch (const std::exception&) {
       response.setKeepAlive(false);
+      if (!response.sent())
+        AnswerFailure(&response);
     }
   }
 
--- a/src/tests/http_server_test.cc
+++ b/src/tests/http_server_test.cc
@@ -18,8 +18,8 @@
 
 constexpr seconds kStopTimeout{5};
 
-std::shared_ptr<http_server> Serve(const std::string &address,
-                                   const http_handler &handler) {
+std::shared_ptr<http_server> Serve(const std::string& address,
+                                   const http_handler& handler) {
   const Poco::Net::SocketAddress at(address);
   auto server = StartHttpServer(
       {.ip = at.host().toString(), .port = at.port(), .threads = 1}, handler);
@@ -27,7 +27,7 @@
   return *server;
 }
 
-Poco::Net::StreamSocket SendRequest(const std::string &address) {
+Poco::Net::StreamSocket SendRequest(const std::string& address) {
   Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(address)};
   const std::string request =
       "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -36,19 +36,19 @@
 }
 
 /// Receives until the connection ends.
-std::string Receive(Poco::Net::StreamSocket *caller) {
+std::string Receive(Poco::Net::StreamSocket* caller) {
   std::string received;
   std::array<char, 65536> buffer{};
   try {
     while (const int count = caller->receiveBytes(buffer.data(), buffer.size()))
       received.append(buffer.data(), static_cast<size_t>(count));
-  } catch (const Poco::Exception &) {
+  } catch (const Poco::Exception&) {
     received += "(reset)";
   }
   return received;
 }
 
-} // namespace
+}  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_server_suite)
 
@@ -56,7 +56,7 @@
   constexpr size_t kBodyBytes = 32U << 20;
   const std::string address = FreeAddress();
   std::atomic<int> begun{0};
-  auto server = Serve(address, [&](auto &, auto &response) {
+  auto server = Serve(address, [&](auto&, auto& response) {
     ++begun;
     AnswerHttp(&response, 200, "text/plain", std::string(kBodyBytes, 'x'));
   });
@@ -71,7 +71,7 @@
 BOOST_AUTO_TEST_CASE(requests_that_wait_for_a_thread_at_a_stop_are_answered) {
   const std::string address = FreeAddress();
   std::atomic<int> begun{0};
-  auto server = Serve(address, [&](auto &, auto &response) {
+  auto server = Serve(address, [&](auto&, auto& response) {
     ++begun;
     std::this_thread::sleep_for(milliseconds(400));
     AnswerHttp(&response, 200, "text/plain", "done");
@@ -85,6 +85,15 @@
   BOOST_TEST(Receive(&second).ends_with("done"));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_whose_handler_throws_is_answered) {
+  const std::string address = FreeAddress();
+  auto server = Serve(
+      address, [&](auto&, auto&) { throw Poco::RuntimeException("handler"); });
+  auto caller = SendRequest(address);
+  BOOST_TEST(Receive(&caller).starts_with("HTTP/1.1 500"));
+  server->StopWhenIdle(kStopTimeout);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
-} // namespace fuchsiafall::tests
+}  // namespace fuchsiafall::tests
