Fix: SIGHUP ended processes of the own interface at once

What callers would see: SIGHUP, which announces changed settings, ended an entry or agent at once, with all its requests. A hosted process that got it within its first moments, before its signals are watched, ended as well.

process_test.cc(248): a_hangup_signal_ends_no_process: western-entry-0 (and the three agents) ... exit code 129

Cause: the signal was not handled outside of the hosted event loop. All roles now block it before they start threads, and log it (E106); settings are read at the start only, as before. The operators' commands keep the default.

--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -242,6 +242,7 @@
 }  // namespace
 
 exit_code RunAgent(const settings& from) {
+  BlockHangup();
   return agent_process(from).Run();
 }
 
--- a/src/entry_process.cc
+++ b/src/entry_process.cc
@@ -141,6 +141,7 @@
 }  // namespace
 
 exit_code RunEntry(const settings& from) {
+  BlockHangup();
   return entry_process(from).Run();
 }
 
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -103,6 +103,7 @@
 }
 
 exit_code RunHosted(const std::string& role, const std::string& path) {
+  BlockHangup();
   auto settings = platform::ReadSiteSettings(path);
   if (!settings) {
     std::cerr << "fuchsiafall: " << settings.LastReason() << "\n";
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -69,6 +69,13 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void BlockHangup() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 gossip_options GossipOptionsOf(const settings& from, incarnation own) {
   return {.self = vm_id(from.vm),
           .domain = domain_id(from.domain),
@@ -294,10 +301,15 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   const timespec poll_interval{0, kSignalPollNs};
   while (!is_stopping_) {
-    if (sigtimedwait(&signals, nullptr, &poll_interval) > 0)
+    const int signal = sigtimedwait(&signals, nullptr, &poll_interval);
+    if (signal == SIGHUP) {
+      LogEvent(log_event::kSettingsChanged, "vm=" + settings_.vm);
+    } else if (signal > 0) {
       hooks_.on_shutdown();
+    }
   }
 }
 
--- a/src/tests/process_test.cc
+++ b/src/tests/process_test.cc
@@ -236,6 +236,20 @@
   system.Stop();
 }
 
+BOOST_AUTO_TEST_CASE(a_hangup_signal_ends_no_process) {
+  harness::fleet_options options = SmallOptions("hangup-test");
+  options.has_proxy = false;
+  options.domains = {"western"};
+  fleet system(options);
+  StartServing(&system);
+  for (fleet_vm& vm : system.Vms())
+    vm.process->Signal(SIGHUP);
+  std::this_thread::sleep_for(milliseconds(500));
+  for (fleet_vm& vm : system.Vms())
+    BOOST_TEST(vm.process->IsRunning(), vm.vm.id());
+  system.Stop();
+}
+
 BOOST_AUTO_TEST_CASE(commands_refuse_bad_input_with_one_error) {
   harness::fleet_options options = SmallOptions("command-test");
   fleet system(options);
