--- a/src/agent_process.cc
+++ b/src/agent_process.cc
@@ -242,7 +242,6 @@
 }  // namespace
 
 exit_code RunAgent(const settings& from) {
-  BlockHangup();
   return agent_process(from).Run();
 }
 
--- a/src/entry_process.cc
+++ b/src/entry_process.cc
@@ -141,7 +141,6 @@
 }  // namespace
 
 exit_code RunEntry(const settings& from) {
-  BlockHangup();
   return entry_process(from).Run();
 }
 
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -103,7 +103,6 @@
 }
 
 exit_code RunHosted(const std::string& role, const std::string& path) {
-  BlockHangup();
   auto settings = platform::ReadSiteSettings(path);
   if (!settings) {
     std::cerr << "fuchsiafall: " << settings.LastReason() << "\n";
--- a/src/network/node_runtime.cc
+++ b/src/network/node_runtime.cc
@@ -69,13 +69,6 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void BlockHangup() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
 gossip_options GossipOptionsOf(const settings& from, incarnation own) {
   return {.self = vm_id(from.vm),
           .domain = domain_id(from.domain),
--- a/src/network/node_runtime.h
+++ b/src/network/node_runtime.h
@@ -97,9 +97,6 @@
 /// Blocks the signals that request a graceful shutdown or a reload. Must be
 /// called before any thread starts.
 void BlockSignals();
-/// Blocks the signal that settings have changed, which otherwise ends the
-/// process. Must be called before any thread of a role starts.
-void BlockHangup();
 
 /// Creates the gossip options that are common to entries and agents.
 gossip_options GossipOptionsOf(const settings& from, incarnation own);
