Fix: An agent granted places on a report from before its pause

What callers would see: after a pause of an agent its first grants went by the state of the engine before the pause. An engine that had restarted cold meanwhile got requests at the full rate until the next report, and may crash; one that had begun to drain or was full refused them, which costs the callers' time.

Cause: the table checked at each question whether granting is enabled, but not how old the report behind that is. The reports come every 100 ms, and one without an answer ends after 1 s, so only a pause of the agent makes them older.

Evidence: no_place_is_granted_on_a_report_from_before_a_pause on the unchanged code: check !reply.is_granted has failed check reply.slots == 0u has failed [16 != 0]

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -28,6 +28,8 @@
 constexpr milliseconds kReportInterval{100};
 constexpr milliseconds kTransferInterval{20};  // Of ticks during a transfer.
 constexpr milliseconds kEngineTimeout{1000};
+/// Longer than the interval of the reports and the timeout of one of them.
+constexpr milliseconds kMaxReportAge{1500};
 /// A piece takes 30 ms over the origin's link, where a few may be queued.
 constexpr milliseconds kOriginTimeout{1500};
 /// Delay of a further read of a manifest of which reads differ.
@@ -97,7 +99,7 @@
                   blobs_),
         stager_({}),
         engine_monitor_({}),
-        places_({}),
+        places_({.max_report_age = kMaxReportAge}),
         crash_monitor_({.self = self_,
                         .own_incarnation = process_.OwnIncarnation(),
                         .seed = process_.OwnIncarnation().value},
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -20,6 +20,7 @@
 
 void place_table::OnReport(time_point now, const staged_engine_report& report) {
   report_ = report;
+  reported_at_ = now;
   std::erase_if(
       places_, [&](const auto& item) { return now >= item.second.expires_at; });
   const size_t requests = report.running + report.waiting;
@@ -62,6 +63,13 @@
   return tokens;
 }
 
+bool place_table::MayGrant(time_point now) const {
+  if (!is_accepting_ || (grants_end_ && now > *grants_end_))
+    return false;
+  return options_.max_report_age.count() == 0 ||
+         (reported_at_ && now - *reported_at_ <= options_.max_report_age);
+}
+
 bool place_table::IsWithinColdRate(time_point now) {
   while (!recent_grants_.empty() && now - recent_grants_.front() > seconds(1))
     recent_grants_.pop_front();
@@ -78,7 +86,7 @@
     reply.is_granted = true;  // The reply to an earlier request was lost.
     return reply;
   }
-  if (!is_accepting_ || (grants_end_ && now > *grants_end_)) {
+  if (!MayGrant(now)) {
     reply.slots = 0;
     return reply;
   }
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -22,6 +22,10 @@
   /// If the engine reports fewer requests than there are places for this long,
   /// a release message was lost and a place is reclaimed.
   milliseconds leak_timeout{400};
+  /// Age of the last report after which nothing is granted; none if zero. After
+  /// a pause of this process the engine may have restarted cold, begun to drain
+  /// or become full.
+  milliseconds max_report_age{0};
 };
 
 /// Request of an entry for a place, which is an admission slot for one attempt
@@ -121,6 +125,7 @@
   };
   /// Counts the prompt tokens of places granted too recently to be prefilled.
   uint64_t PendingPromptTokens(time_point now) const;
+  bool MayGrant(time_point now) const;
   /// Whether a cold engine may get one more request within its rate.
   bool IsWithinColdRate(time_point now);
 
@@ -128,6 +133,7 @@
   engine_profile profile_;
   double cold_rate_ = 0;
   staged_engine_report report_;
+  std::optional<time_point> reported_at_;
   bool is_accepting_ = false;
   std::optional<time_point> grants_end_;
   time_point cold_until_{};
--- a/src/tests/place_table_test.cc
+++ b/src/tests/place_table_test.cc
@@ -15,8 +15,8 @@
 
 const time_point kStart{std::chrono::hours(1)};
 
-place_table MakeTable(double cold_rate = 0) {
-  place_table table{{}};
+place_table MakeTable(double cold_rate = 0, place_table_options options = {}) {
+  place_table table{options};
   table.SetProfile(MakeEngineProfile(), cold_rate);
   table.SetAccepting(true);
   return table;
@@ -143,6 +143,17 @@
   BOOST_TEST(table.GrantedCount() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(no_place_is_granted_on_a_report_from_before_a_pause) {
+  place_table table = MakeTable(1, {.max_report_age = milliseconds(1500)});
+  table.OnReport(kStart, {});
+  const time_point resumed_at = kStart + seconds(4);
+  const place_reply reply = table.RequestPlace(resumed_at, MakeRequest(1));
+  BOOST_TEST(!reply.is_granted);
+  BOOST_TEST(reply.slots == 0u);
+  table.OnReport(resumed_at, {});
+  BOOST_TEST(table.RequestPlace(resumed_at, MakeRequest(2)).is_granted);
+}
+
 BOOST_AUTO_TEST_CASE(places_expire_with_the_time_limit_of_their_callers) {
   place_table table = MakeTable();
   for (uint64_t call = 1; call <= 16; ++call)
