Fix: A late copy of an earlier listing hid the site from a process

What callers would see: a process whose store sends the list of relays twice on one connection took the copy for the whole content of the store. It knew no configuration, key or server, and as its watch went on from there it listed nothing again: an entry refuses all requests, and a machine in use answers 401 or 404 after a later copy of a last page.

Cause: answers of the store carry no id, and a listing may follow another one on the same connection.

Evidence: a_late_copy_of_the_list_of_relays_is_not_the_whole_site on the unchanged code: check entry_count == 1u has failed [0 != 1]

Listings now go out on connections of their own, which are kept for watches. A copy among the watches does no such harm: the mirror takes over no item older than the known one, and what it misses comes with the next watch. site_watch_suite, http_exchange_suite and mirror_relay_suite pass. A burst of changes opens a connection for each listing, which wasn't measured.

--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -65,7 +65,8 @@
                         event_loop* loop,
                         http_client_pool* pool,
                         const async_http_call& call) {
-  auto acquired = pool->Acquire(now, call.address);
+  auto acquired = call.needs_new_connection ? pool->Open(call.address)
+                                            : pool->Acquire(now, call.address);
   if (!acquired) {
     loop->Post([done = call.on_done] { done(BootNow(), 0, ""); });
     return;
--- a/src/network/async_http_call.h
+++ b/src/network/async_http_call.h
@@ -18,6 +18,10 @@
   /// Longest pause in an answer that has begun, interim answers included. Its
   /// size then decides how long it may take. None if zero.
   milliseconds max_pause{0};
+  /// Whether to open a connection. On one in use again a server may send a late
+  /// copy of an earlier answer, which an answer without an id cannot be told
+  /// from.
+  bool needs_new_connection = false;
   /// Receives the answer; status 0 means that no complete answer arrived.
   std::function<void(time_point, int status, std::string body)> on_done;
   /// Receives the head of the answer before on_done; may be empty.
@@ -29,7 +33,8 @@
   std::function<void(time_point, size_t received)> on_timeout;
 };
 
-/// Starts a call on an idle or a new connection of the pool.
+/// Starts a call on an idle or a new connection of the pool. The connection is
+/// then kept for other calls.
 void StartAsyncHttpCall(time_point now,
                         event_loop* loop,
                         http_client_pool* pool,
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -219,6 +219,11 @@
     }
     one->Abort();
   }
+  return Open(address);
+}
+
+outcome<std::shared_ptr<http_client_connection>> http_client_pool::Open(
+    const std::string& address) {
   auto connection =
       tcp_connection::Connect(loop_, address, options_.connection);
   if (!connection)
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -132,6 +132,9 @@
       time_point now,
       const std::string& address,
       const std::set<uint64_t>& excluded = {});
+  /// Opens a new connection.
+  outcome<std::shared_ptr<http_client_connection>> Open(
+      const std::string& address);
   /// Closes connections that were idle for too long.
   void CloseIdle(time_point now);
   uint64_t OpenedCount() const { return opened_; }
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -197,7 +197,10 @@
                            const std::string& address,
                            const store_call& call) {
   options_.count("relay_calls");
-  Read(now, address, RelayRequest(call, address), call.wait + kRelayTimeout,
+  Read(now,
+       {.address = address,
+        .request = RelayRequest(call, address),
+        .timeout = call.wait + kRelayTimeout},
        [this, address](time_point at, int status, const std::string& body) {
          store_answer answer = ReadRelayAnswer(status, body);
          const bool has_no_answer =
@@ -243,60 +246,55 @@
                            const store_hook& done) {
   const auto written = platform::EncodeStoreCall(call, options_.store_address);
   auto era = std::make_shared<uint64_t>(0);
-  Read(
-      now, options_.store_address, written.bytes, written.timeout,
-      [kind = call.kind, era, done](time_point at, int status,
-                                    const std::string& body) {
-        // An answer that breaks off states the era, too.
-        store_answer answer{.revision = {*era, 0}};
-        if (status != 0)
-          answer = platform::DecodeStoreAnswer(kind, status, body, *era);
-        done(at, status, std::move(answer));
-      },
-      [era](const Poco::Net::HTTPResponse& head) {
-        *era = platform::DecodeStoreEra(head);
-      });
+  Read(now,
+       {.address = options_.store_address,
+        .request = written.bytes,
+        .timeout = written.timeout,
+        // A copy of an earlier listing would pass for a page of this one, and
+        // all else for removed.
+        .needs_new_connection = call.kind == store_call::kind_type::kList,
+        .on_head =
+            [era](const Poco::Net::HTTPResponse& head) {
+              *era = platform::DecodeStoreEra(head);
+            }},
+       [kind = call.kind, era, done](time_point at, int status,
+                                     const std::string& body) {
+         // An answer that breaks off states the era, too.
+         store_answer answer{.revision = {*era, 0}};
+         if (status != 0)
+           answer = platform::DecodeStoreAnswer(kind, status, body, *era);
+         done(at, status, std::move(answer));
+       });
 }
 
 void site_watch::Read(time_point now,
-                      const std::string& address,
-                      const std::string& request,
-                      milliseconds timeout,
-                      const call_hook& done,
-                      const head_hook& on_head) {
-  StartAsyncHttpCall(
-      now, &loop_, &pool_,
-      {.address = address,
-       .request = request,
-       .timeout = timeout,
-       .max_pause = kMaxAnswerGap,
-       .on_done =
-           [this, now, address, done](time_point at, int status,
-                                      std::string body) {
-             receiving_until_ = at;
-             if (status == 200 && body.size() >= kLargeAnswerBytes) {
-               LogEvent(log_event::kLargeAnswerRead,
-                        "from=" + address +
-                            " bytes=" + std::to_string(body.size()) +
-                            " after_ms=" + std::to_string(ToMs(at - now)));
-               // Reading it takes time, too, and only the next answer is a
-               // recent one.
-               HoldWaiters(at);
-               receiving_until_ = at + kMaxAnswerGap;
-             }
-             done(at, status, std::move(body));
-           },
-       .on_head = on_head,
-       .on_progress =
-           [this](time_point at) { receiving_until_ = at + kMaxAnswerGap; },
-       .on_timeout =
-           [this, now, address](time_point at, size_t received) {
-             options_.count("control_calls_silent");
-             LogEvent(log_event::kSourceSilent,
-                      "from=" + address +
-                          " received=" + std::to_string(received) +
-                          " after_ms=" + std::to_string(ToMs(at - now)));
-           }});
+                      async_http_call call,
+                      const call_hook& done) {
+  const std::string address = call.address;
+  call.max_pause = kMaxAnswerGap;
+  call.on_done = [this, now, address, done](time_point at, int status,
+                                            std::string body) {
+    receiving_until_ = at;
+    if (status == 200 && body.size() >= kLargeAnswerBytes) {
+      LogEvent(log_event::kLargeAnswerRead,
+               "from=" + address + " bytes=" + std::to_string(body.size()) +
+                   " after_ms=" + std::to_string(ToMs(at - now)));
+      // Reading it takes time, too, and only the next answer is a recent one.
+      HoldWaiters(at);
+      receiving_until_ = at + kMaxAnswerGap;
+    }
+    done(at, status, std::move(body));
+  };
+  call.on_progress = [this](time_point at) {
+    receiving_until_ = at + kMaxAnswerGap;
+  };
+  call.on_timeout = [this, now, address](time_point at, size_t received) {
+    options_.count("control_calls_silent");
+    LogEvent(log_event::kSourceSilent,
+             "from=" + address + " received=" + std::to_string(received) +
+                 " after_ms=" + std::to_string(ToMs(at - now)));
+  };
+  StartAsyncHttpCall(now, &loop_, &pool_, call);
 }
 
 void site_watch::CheckPause(time_point now) {
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -50,9 +50,6 @@
   using call_hook =
       std::function<void(time_point, int status, std::string body)>;
 
-  /// Handles any answer of the store; the status is 0 if there was none.
-  using head_hook = std::function<void(const Poco::Net::HTTPResponse& head)>;
-
   /// Handles the store's answer; the status is 0 if there was none.
   using store_hook = std::function<void(time_point, int status, store_answer)>;
 
@@ -80,12 +77,8 @@
   /// Reads the registered relays, before anything else is read.
   void ReadRelays(time_point now);
   /// Reads items from a relay or the store, however long they take to arrive.
-  void Read(time_point now,
-            const std::string& address,
-            const std::string& request,
-            milliseconds timeout,
-            const call_hook& done,
-            const head_hook& on_head = {});
+  /// @param call Without the hooks that this sets.
+  void Read(time_point now, async_http_call call, const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
   /// Notices that the process was paused.
   void CheckPause(time_point now);
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "hash_func.h"
@@ -170,6 +171,47 @@
   BOOST_TEST(ages[1] - ages[0] > 400);
 }
 
+BOOST_AUTO_TEST_CASE(a_late_copy_of_the_list_of_relays_is_not_the_whole_site) {
+  constexpr char kRelays[] = R"({"Items":[],"HasMore":false,"At":7})";
+  event_loop loop;
+  std::set<http_server_connection*> told;  // Got the list of relays.
+  http_listener store(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&& request) {
+             const std::string& target = request.head.getURI();
+             const bool is_registry =
+                 target.find("AllowStale") != std::string::npos;
+             const bool is_copy = told.erase(from.get()) > 0;
+             if (is_registry)
+               told.insert(from.get());
+             const std::string answer = is_registry || is_copy ? kRelays
+                                        : target.starts_with("/kv-range")
+                                            ? ListingOf("127.0.0.1:1")
+                                            : R"({"events":[],"At":7})";
+             from->Answer(now, MakeAnswerHead(200), answer);
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string store_address = FreeAddress();
+  BOOST_REQUIRE(store.Listen(store_address));
+  std::atomic<size_t> entry_count{0};
+  site_watch watch({.node = "n",
+                    .domain = "d",
+                    .store_address = store_address,
+                    .on_change =
+                        [&](const auto& view, time_point) {
+                          if (view != nullptr)
+                            entry_count = view->entry_count;
+                        },
+                    .count = [](const std::string&) {}});
+  BOOST_REQUIRE(watch.Start());
+  loop.StartTimer(BootNow() + milliseconds(1000),
+                  [&](time_point) { loop.Stop(); });
+  loop.Run();
+  watch.Stop();
+  BOOST_TEST(entry_count == 1u);
+}
+
 // Regression: with two relays cut off from the store during a burst, the next
 // one asked them in turn and kept their old configuration for over 2 s.
 BOOST_AUTO_TEST_CASE(a_stale_relay_is_followed_by_the_next_source_at_once) {
