Fix: Last answers of a connection were reset on their way

What callers would see: a refusal (400, 408, 413, 431) that came while they still sent their body, or a last answer with "Connection: close", could be destroyed by a reset. During a stop, a connection whose streamed answer had begun before it was closed behind that answer without a word, over the caller's next request.

Cause: the connection was closed as soon as its last byte had been handed to the system. Closing with unread bytes, or bytes that arrive after it, reset it. The head of a started stream could no longer announce the close.

Fix: after the last byte only the sending side is closed; what arrives is discarded until the caller closes its side, at most 1 s and 4 MiB, and at most 256 connections of a listener linger. A process that stops counts them as work in hand. Only a close that the answer has announced follows the answer; other connections take one more request, and are closed when they have been idle. An idle connection is closed at once: a request that crosses the close has then not been read, so that the caller may repeat it.

--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -2,6 +2,7 @@
 #include "network/http_listener.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fuchsiafall {
 
@@ -10,6 +11,7 @@
 /// Maximum time that a caller's request may be in transit: a round trip to a
 /// mobile phone.
 constexpr milliseconds kCloseDelay{300};
+constexpr size_t kMaxLingering = 256;  // Connections, to bound descriptors.
 
 uint64_t NextConnectionId() {
   static uint64_t last = 0;
@@ -165,14 +167,19 @@
     connection_->Send("HTTP/1.1 102 Processing\r\n\r\n");
 }
 
+void http_server_connection::AnnounceClose(Poco::Net::HTTPResponse* head) {
+  is_close_announced_ = close_after_answer_;
+  if (close_after_answer_)
+    head->set("Connection", "close");
+}
+
 void http_server_connection::Answer(time_point now,
                                     Poco::Net::HTTPResponse head,
                                     std::string_view body) {
   if (!is_answer_pending_)
     return;
   head.set("Content-Length", std::to_string(body.size()));
-  if (close_after_answer_)
-    head.set("Connection", "close");
+  AnnounceClose(&head);
   std::string text = WriteHead(head);
   if (!is_head_request_)
     text += body;
@@ -182,8 +189,7 @@
 
 void http_server_connection::BeginChunks(Poco::Net::HTTPResponse head) {
   head.set("Transfer-Encoding", "chunked");
-  if (close_after_answer_)
-    head.set("Connection", "close");
+  AnnounceClose(&head);
   connection_->Send(WriteHead(head));
 }
 
@@ -200,8 +206,9 @@
 
 void http_server_connection::FinishAnswer(time_point now) {
   is_answer_pending_ = false;
-  if (close_after_answer_) {
-    connection_->CloseWhenSent();
+  is_head_request_ = false;
+  if (is_close_announced_) {
+    connection_->CloseWhenSent(now);
     return;
   }
   stage_ = stage::kHead;
@@ -219,14 +226,15 @@
 
 void http_server_connection::CloseWhenIdle(time_point now) {
   const auto is_due = [&] {
-    return IsOpen() && IsWaiting() && now - timeout_start_ > kCloseDelay;
+    return IsOpen() && IsWaiting() && !connection_->HasUnsent() &&
+           now - timeout_start_ > kCloseDelay;
   };
   if (!is_due())
     return;
   ReadArrived(now);
   if (is_due()) {
     ReportClose(now, listener_close::kStopping);
-    connection_->CloseWhenSent();
+    connection_->Close();
   }
 }
 
@@ -236,7 +244,7 @@
 }
 
 bool http_server_connection::IsIdle() const {
-  return !IsOpen() || (IsWaiting() && !connection_->HasUnsent());
+  return IsOpen() ? IsWaiting() && !connection_->HasUnsent() : !IsLingering();
 }
 
 bool http_server_connection::HasTimedOut(time_point now) const {
@@ -291,8 +299,10 @@
 }
 
 void http_listener::EnforceTimeouts(time_point now) {
-  std::erase_if(connections_,
-                [](const auto& item) { return !item.second->IsOpen(); });
+  std::erase_if(connections_, [](const auto& item) {
+    return !item.second->IsOpen() && !item.second->IsLingering();
+  });
+  LimitLingering();
   for (auto& [id, connection] : connections_) {
     connection->EnforceTimeouts(now);
     if (is_closing_)
@@ -300,6 +310,20 @@
   }
 }
 
+void http_listener::LimitLingering() {
+  auto count = std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& item) { return item.second->IsLingering(); });
+  for (auto& [id, connection] : connections_) {
+    if (std::cmp_less_equal(count, kMaxLingering))
+      return;
+    if (connection->IsLingering()) {
+      connection->EndLinger();
+      --count;
+    }
+  }
+}
+
 void http_listener::SetLimits(const caller_limits& limits) {
   limits_ = limits;
   for (auto& [id, connection] : connections_)
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -86,8 +86,10 @@
   /// Closes the connection, so that an unfinished answer does not look
   /// complete.
   void Abort();
-  /// Closes the connection after the current or the next answer.
+  /// Closes the connection after the next answer whose head can announce it.
   void CloseAfterAnswer() { close_after_answer_ = true; }
+  /// Closes a lingering connection.
+  void EndLinger() { connection_->Close(); }
   /// Closes a connection that has been idle for longer than a request may be in
   /// transit; to be called again until then.
   void CloseWhenIdle(time_point now);
@@ -100,6 +102,9 @@
   /// Enforces the timeouts.
   void EnforceTimeouts(time_point now);
   bool IsOpen() const { return connection_->IsOpen(); }
+  /// Whether the last answer has been sent, and the caller has not closed the
+  /// connection yet.
+  bool IsLingering() const { return connection_->IsLingering(); }
   bool IsAnswerPending() const { return is_answer_pending_; }
   uint64_t Id() const { return id_; }
 
@@ -110,6 +115,7 @@
   bool HasTimedOut(time_point now) const;
   /// Reads what has arrived, so that a close does not cross a request.
   void ReadArrived(time_point now);
+  void AnnounceClose(Poco::Net::HTTPResponse* head);
   void OnBytes(time_point now);
   void OnClosed(time_point now);
   bool ReadHead(time_point now);
@@ -129,6 +135,7 @@
       false;  ///< Whether a request has not been answered yet.
   bool is_head_request_ = false;     ///< Whether an answer has no body.
   bool close_after_answer_ = false;  ///< Whether to close after the answer.
+  bool is_close_announced_ = false;  ///< Whether the answer's head said so.
   bool has_head_bytes_ = false;      ///< Whether part of a head has arrived.
   time_point timeout_start_;         ///< Start of the current timeout.
 };
@@ -149,7 +156,7 @@
   /// Closes each connection once it has no request to answer.
   void CloseWhenIdle();
   /// Whether no connection has a request to read, to answer or to send the
-  /// answer of.
+  /// answer of, or waits for its caller to take a last answer.
   bool IsIdle() const;
   /// Returns how many connections have bytes that were not read yet.
   size_t UnreadCount() const;
@@ -160,6 +167,9 @@
   void StopListening(time_point now);
 
  private:
+  /// Closes the oldest lingering connections over the limit.
+  void LimitLingering();
+
   event_loop* loop_;
   tcp_connection_options options_;
   http_listener_hooks hooks_;
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -16,6 +16,8 @@
 constexpr size_t kReadBytes = 16384;
 constexpr int kMaxReads = 16;  // Of one socket in one round of the loop.
 constexpr int kBacklog = 256;
+constexpr milliseconds kLingerTime{1000};
+constexpr size_t kMaxDiscardedBytes = 4U << 20;
 constexpr int kKeepAliveIdleS = 1;      // Before the first probe.
 constexpr int kKeepAliveIntervalS = 1;  // Between probes.
 constexpr int kKeepAliveProbes = 3;     // Unanswered probes until it closes.
@@ -101,6 +103,10 @@
 }
 
 bool tcp_connection::Read(time_point now) {
+  if (closes_when_sent_) {
+    Discard();
+    return false;
+  }
   std::array<char, kReadBytes> buffer{};
   bool has_read = false;
   bool is_at_end = false;
@@ -185,7 +191,7 @@
     unsent_.erase(0, static_cast<size_t>(count));
   }
   if (closes_when_sent_) {
-    Close();
+    Linger(now);
     return;
   }
   if (wants_write_) {
@@ -194,16 +200,63 @@
   }
 }
 
-void tcp_connection::CloseWhenSent() {
+void tcp_connection::CloseWhenSent(time_point now) {
+  if (!is_open_)
+    return;
   closes_when_sent_ = true;
   if (unsent_.empty())
+    Linger(now);
+}
+
+void tcp_connection::Linger(time_point now) {
+  is_open_ = false;
+  is_lingering_ = true;
+  if (wants_write_)
+    loop_->SetInterest(socket_.impl()->sockfd(), true, false);
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
     Close();
+    return;
+  }
+  linger_timer_ = loop_->StartTimer(now + kLingerTime,
+                                    [weak = weak_from_this()](time_point) {
+                                      if (auto self = weak.lock())
+                                        self->Close();
+                                    });
+}
+
+void tcp_connection::Discard() {
+  std::array<char, kReadBytes> buffer{};
+  for (int reads = 0; reads < kMaxReads; ++reads) {
+    int count = 0;
+    try {
+      count = socket_.receiveBytes(buffer.data(), kReadBytes);
+    } catch (const Poco::Exception&) {
+      Close();
+      return;
+    }
+    if (count < 0)
+      return;
+    discarded_bytes_ += static_cast<size_t>(count);
+    if (count > 0 && discarded_bytes_ <= kMaxDiscardedBytes)
+      continue;
+    if (is_lingering_) {
+      Close();
+    } else {
+      // The peer may still read.
+      loop_->SetInterest(socket_.impl()->sockfd(), false, true);
+    }
+    return;
+  }
 }
 
 void tcp_connection::Close() {
-  if (!is_open_)
+  if (!is_open_ && !is_lingering_)
     return;
   is_open_ = false;
+  is_lingering_ = false;
+  loop_->CancelTimer(linger_timer_);
   loop_->Remove(socket_.impl()->sockfd());
   socket_.close();
 }
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -57,10 +57,15 @@
   /// Reads bytes that the loop has not reported yet, and runs the hooks.
   /// @return Whether there were any.
   bool ReadArrived(time_point now) { return is_open_ && Read(now); }
-  /// Closes once all bytes have been sent.
-  void CloseWhenSent();
+  /// Closes once all bytes have been sent: first the sending side, and the
+  /// whole connection when the peer has closed its side or after a short time.
+  /// What arrives meanwhile is discarded; unread bytes would reset the
+  /// connection, and a reset can destroy bytes that the peer has not read.
+  void CloseWhenSent(time_point now);
   void Close();
   bool IsOpen() const { return is_open_; }
+  /// Whether all has been sent, and the peer has not closed its side yet.
+  bool IsLingering() const { return is_lingering_; }
   bool IsConnected() const { return is_connected_; }
   std::string* Input() { return &input_; }
   bool HasUnsent() const { return !unsent_.empty(); }
@@ -78,6 +83,8 @@
   /// @return Whether bytes arrived.
   bool Read(time_point now);
   void Flush(time_point now);
+  void Discard();
+  void Linger(time_point now);
   /// Closes the connection and calls on_closed.
   void CloseAndNotify(time_point now, close_cause cause);
 
@@ -91,6 +98,9 @@
   bool is_connected_;
   bool wants_write_;
   bool closes_when_sent_ = false;
+  bool is_lingering_ = false;
+  timer_id linger_timer_ = 0;
+  size_t discarded_bytes_ = 0;
   bool is_overflowing_ = false;  ///< Whether bytes to be sent were dropped.
 };
 
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -55,7 +55,7 @@
 
   /// Sends bytes on the newest connection.
   void Send(const std::string& bytes) { connections.back()->Send(bytes); }
-  void Close() { connections.back()->CloseWhenSent(); }
+  void Close() { connections.back()->CloseWhenSent(BootNow()); }
   /// Closes the newest connection with a reset.
   void Reset() {
     sockets_.back().setLinger(true, 0);
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -77,17 +77,44 @@
     std::this_thread::sleep_for(milliseconds(1));
   }
 
+  /// Reads what has arrived.
+  /// @return The bytes, with "reset" after them if the connection was reset.
+  std::string Receive() {
+    std::string received(16384, '\0');
+    size_t size = 0;
+    peer.setReceiveTimeout(Poco::Timespan(0, 200000));
+    try {
+      while (int count =
+                 peer.receiveBytes(received.data() + size,
+                                   static_cast<int>(received.size() - size))) {
+        size += static_cast<size_t>(count);
+      }
+    } catch (const Poco::TimeoutException&) {
+      return received.substr(0, size);
+    } catch (const Poco::Exception&) {
+      return received.substr(0, size) + "reset";
+    }
+    return received.substr(0, size);
+  }
+
   event_loop loop;
   int requests = 0;
   int refusals = 0;
   int closes = 0;
   size_t answer_bytes = 10;
+  bool stops_in_answer = false;
   http_listener listener{
       &loop,
       {},
       {.on_request =
            [this](time_point now, const auto& from, http_request&&) {
              ++requests;
+             if (stops_in_answer && requests == 1) {
+               from->BeginChunks(MakeAnswerHead(200));
+               listener.CloseWhenIdle();
+               from->EndChunks(now);
+               return;
+             }
              from->Answer(now, MakeAnswerHead(200),
                           std::string(answer_bytes, 'x'));
            },
@@ -144,6 +171,46 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_is_not_reset_by_the_rest_of_the_body) {
+  blocking_caller_fixture fixture;
+  fixture.peer.setSendBufferSize(1 << 20);
+  fixture.peer.setBlocking(false);
+  fixture.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n" +
+               std::string(800000, 'x'));
+  fixture.Run();
+  fixture.peer.setBlocking(true);
+  const std::string received = fixture.Receive();
+  BOOST_TEST(received.starts_with("HTTP/1.1 413"));
+  BOOST_TEST(received.ends_with("body over the limit\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_listener_waits_a_bounded_time_for_a_last_answer) {
+  for (bool peer_closes : {false, true}) {
+    blocking_caller_fixture fixture;
+    fixture.listener.CloseWhenIdle();
+    fixture.Send(kRequest);
+    fixture.Run();
+    BOOST_TEST(!fixture.listener.IsIdle());
+    if (peer_closes)
+      fixture.peer.close();
+    else
+      std::this_thread::sleep_for(milliseconds(1100));
+    fixture.Run();
+    BOOST_TEST(fixture.listener.IsIdle());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_close_that_no_answer_announced_takes_a_next_request) {
+  blocking_caller_fixture fixture;
+  fixture.stops_in_answer = true;
+  fixture.Send(kRequest);
+  fixture.Run();
+  fixture.Send(kRequest);
+  fixture.Run();
+  BOOST_TEST(fixture.requests == 2);
+  BOOST_TEST(fixture.Receive().find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_timeout_does_not_cut_an_answer_being_sent) {
   blocking_caller_fixture fixture;
   fixture.answer_bytes = 32U << 20;
