Fix: A caller that sent much ahead lost the answer to its request

What callers would see: who pipelined more than the limits of one request while an answer was due was disconnected, and the whole request that had been passed on to a server got no answer.

Cause: the listener closed the connection to bound the memory of its input.

Fix: it stops reading instead, once more than a head's limit waits, and resumes with the answer; the caller's sending blocks meanwhile. A caller that closes the connection is still noticed, without its unread bytes. No connection is closed for too much input any more, so that reason is gone.

Evidence, on the unchanged code: a_caller_that_pipelines_over_the_limit_is_answered: disconnected [1 != 0], no answer received. This test replaces a_caller_that_pipelines_over_the_limit_is_reported, which demanded the close: it demands the answer, and that a caller who leaves is reported as before. Measured: the suites of the listener, the loop and the exchange pass.

--- a/src/network/event_loop.cc
+++ b/src/network/event_loop.cc
@@ -18,9 +18,13 @@
 constexpr int kMaxWaitMs = 1000;  // Longest wait for events.
 constexpr milliseconds kPauseThreshold{20};
 
-uint32_t MaskOf(bool wants_read, bool wants_write) {
-  return (wants_read ? EPOLLIN | EPOLLRDHUP : 0U) |
-         (wants_write ? static_cast<uint32_t>(EPOLLOUT) : 0U);
+uint32_t MaskOf(read_interest reads, bool wants_write) {
+  uint32_t mask = wants_write ? static_cast<uint32_t>(EPOLLOUT) : 0U;
+  if (reads == read_interest::kBytes)
+    mask |= EPOLLIN;
+  if (reads != read_interest::kNone)
+    mask |= EPOLLRDHUP;
+  return mask;
 }
 
 }  // namespace
@@ -49,14 +53,14 @@
 void event_loop::Add(int fd, bool wants_write, socket_hook hook) {
   sockets_[fd] = std::make_shared<socket_hook>(std::move(hook));
   epoll_event event{};
-  event.events = MaskOf(true, wants_write);
+  event.events = MaskOf(read_interest::kBytes, wants_write);
   event.data.fd = fd;
   epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event);
 }
 
-void event_loop::SetInterest(int fd, bool wants_read, bool wants_write) {
+void event_loop::SetInterest(int fd, read_interest reads, bool wants_write) {
   epoll_event event{};
-  event.events = MaskOf(wants_read, wants_write);
+  event.events = MaskOf(reads, wants_write);
   event.data.fd = fd;
   epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, fd, &event);
 }
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -29,6 +29,13 @@
   bool failed = false;  ///< Error or hang-up.
 };
 
+/// What a socket is read for.
+enum class read_interest {
+  kNone,
+  kPeerClose,  ///< Only that the peer has closed its side.
+  kBytes,
+};
+
 /// Runs the hooks of sockets and timers in one thread.
 class event_loop {
  public:
@@ -43,7 +50,7 @@
   /// Registers a socket for read events and, if wanted, for write events.
   void Add(int fd, bool wants_write, socket_hook hook);
   /// Changes the events that a socket is registered for.
-  void SetInterest(int fd, bool wants_read, bool wants_write);
+  void SetInterest(int fd, read_interest reads, bool wants_write);
   /// Unregisters a socket. Must be called before it is closed.
   void Remove(int fd);
 
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -26,8 +26,6 @@
       return "idle";
     case listener_close::kStopping:
       return "stopping";
-    case listener_close::kInputOverflow:
-      return "input overflow";
   }
   return "";
 }
@@ -69,12 +67,9 @@
   std::string* input = connection_->Input();
   while (connection_->IsOpen()) {
     if (stage_ == stage::kAnswering) {
-      // A pipelined request waits until the current one is answered.
-      if (input->size() > limits_.header_bytes + limits_.body_bytes) {
-        ReportClose(now, listener_close::kInputOverflow);
-        connection_->Close();
-        OnClosed(now);
-      }
+      // Pipelined requests wait until the current one is answered.
+      if (input->size() > limits_.header_bytes)
+        connection_->SetReading(false);
       return;
     }
     if (stage_ == stage::kHead && !ReadHead(now))
@@ -207,6 +202,7 @@
 void http_server_connection::FinishAnswer(time_point now) {
   is_answer_pending_ = false;
   is_head_request_ = false;
+  connection_->SetReading(true);
   if (is_close_announced_) {
     connection_->CloseWhenSent(now);
     return;
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -28,9 +28,8 @@
 
 /// Why the listener closes a connection that owes no answer.
 enum class listener_close {
-  kIdleTimeout,    ///< No request came within the idle timeout.
-  kStopping,       ///< The process stops and has no request of it.
-  kInputOverflow,  ///< The caller sent too much ahead of its answer.
+  kIdleTimeout,  ///< No request came within the idle timeout.
+  kStopping,     ///< The process stops and has no request of it.
 };
 
 /// Returns the text of a reason for logs and counters.
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -96,8 +96,12 @@
     CloseAndNotify(now, close_cause::kBroken);
     return;
   }
-  if (events.readable || events.failed)
-    Read(now);
+  if (events.readable || events.failed) {
+    if (reads_ == read_interest::kPeerClose)
+      CloseAndNotify(now, close_cause::kPeerClosed);
+    else
+      Read(now);
+  }
   if (is_open_ && events.writable)
     Flush(now);
 }
@@ -172,7 +176,7 @@
   unsent_.append(bytes.substr(sent));
   if (!unsent_.empty() && !wants_write_) {
     wants_write_ = true;
-    loop_->SetInterest(socket_.impl()->sockfd(), true, true);
+    UpdateInterest();
   }
 }
 
@@ -196,10 +200,22 @@
   }
   if (wants_write_) {
     wants_write_ = false;
-    loop_->SetInterest(socket_.impl()->sockfd(), true, false);
+    UpdateInterest();
   }
 }
 
+void tcp_connection::UpdateInterest() {
+  loop_->SetInterest(socket_.impl()->sockfd(), reads_, wants_write_);
+}
+
+void tcp_connection::SetReading(bool reads) {
+  const auto wanted = reads ? read_interest::kBytes : read_interest::kPeerClose;
+  if (!is_open_ || reads_ == wanted)
+    return;
+  reads_ = wanted;
+  UpdateInterest();
+}
+
 void tcp_connection::CloseWhenSent(time_point now) {
   if (!is_open_)
     return;
@@ -211,8 +227,11 @@
 void tcp_connection::Linger(time_point now) {
   is_open_ = false;
   is_lingering_ = true;
-  if (wants_write_)
-    loop_->SetInterest(socket_.impl()->sockfd(), true, false);
+  if (wants_write_) {
+    wants_write_ = false;
+    reads_ = read_interest::kBytes;
+    UpdateInterest();
+  }
   try {
     socket_.shutdownSend();
   } catch (const Poco::Exception&) {
@@ -245,7 +264,8 @@
       Close();
     } else {
       // The peer may still read.
-      loop_->SetInterest(socket_.impl()->sockfd(), false, true);
+      reads_ = read_interest::kNone;
+      UpdateInterest();
     }
     return;
   }
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -56,7 +56,12 @@
   void Send(std::string_view bytes);
   /// Reads bytes that the loop has not reported yet, and runs the hooks.
   /// @return Whether there were any.
-  bool ReadArrived(time_point now) { return is_open_ && Read(now); }
+  bool ReadArrived(time_point now) {
+    return is_open_ && reads_ == read_interest::kBytes && Read(now);
+  }
+  /// Stops or resumes reading, so that a peer that sends too much has to wait.
+  /// A peer that closes the connection is noticed in any case.
+  void SetReading(bool reads);
   /// Closes once all bytes have been sent: first the sending side, and the
   /// whole connection when the peer has closed its side or after a short time.
   /// What arrives meanwhile is discarded; unread bytes would reset the
@@ -84,6 +89,7 @@
   bool Read(time_point now);
   void Flush(time_point now);
   void Discard();
+  void UpdateInterest();
   void Linger(time_point now);
   /// Closes the connection and calls on_closed.
   void CloseAndNotify(time_point now, close_cause cause);
@@ -97,6 +103,7 @@
   bool is_open_ = true;
   bool is_connected_;
   bool wants_write_;
+  read_interest reads_ = read_interest::kBytes;
   bool closes_when_sent_ = false;
   bool is_lingering_ = false;
   timer_id linger_timer_ = 0;
