Fix: Requests that came with the end of a stop were told they may have run

What callers would see in the own interface: a request that an HTTP thread had read when the drain time ended was refused as "may have run" although nothing had been sent; a call that reached an agent at that moment was not refused at all, so that its entry waited for the progress timeout.

control_loop_test.cc(39): an_input_that_came_before_the_end_is_handled: check machine.numbers == std::vector<int>{7} has failed Collections size mismatch: 0 != 1

Cause: the control loop dropped the inputs that were still queued when it ended. It now feeds them to the machine, which refuses them as "not run".

--- a/src/network/control_loop.h
+++ b/src/network/control_loop.h
@@ -89,6 +89,15 @@
       }
       last_step = now;
     }
+    // So that what came before the end is answered by the machine, which knows
+    // that it has not run.
+    std::deque<Input> inputs;
+    {
+      std::lock_guard lock(mutex_);
+      inputs.swap(queue_);
+    }
+    for (Input& input : inputs)
+      Step(std::chrono::steady_clock::now(), input);
     std::lock_guard lock(mutex_);
     has_ended_ = true;
     for (auto& query : queries_)
