Fix: An answer lost the part read of the next request

What callers would see: a caller that sends its next request ahead, of which a part has arrived when the request before it is answered at once (a refusal): the head and the first part of the body were lost. The next request was handled with an empty path and the rest of its body, and so answered 404, or sent to the server of another route with a changed body.

Cause: an answer that is sent within on_request goes on with the input and begins the next request in request_, which was cleared after the hook returned.

On the unchanged code: an_answer_keeps_the_part_read_of_the_next_request: check received_targets == "/one/two" has failed [/one/ != /one/two] check body == "partlast" has failed [last != partlast]

The request is now taken out of request_ before the hook runs. http_listener_suite passes.

--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -87,8 +87,8 @@
       return;
     stage_ = stage::kAnswering;
     is_answer_pending_ = true;
-    hooks_->on_request(now, self, std::move(request_));
-    request_ = {};
+    // An answer that the hook sends at once begins the next request.
+    hooks_->on_request(now, self, std::exchange(request_, {}));
   }
 }
 
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -270,6 +270,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_keeps_the_part_read_of_the_next_request) {
+  std::string received_targets;
+  std::string body;
+  event_loop loop;
+  http_listener listener(
+      &loop, {},
+      {.on_request =
+           [&](time_point now, const auto& from, http_request&& request) {
+             received_targets += request.head.getURI();
+             body = request.body;
+             from->Answer(now, MakeAnswerHead(503), "leaving\n");
+           },
+       .on_disconnected = [](time_point, http_server_connection*) {}});
+  const std::string address = FreeAddress();
+  BOOST_REQUIRE(listener.Listen(address));
+  Poco::Net::StreamSocket peer{Poco::Net::SocketAddress(address)};
+  for (const std::string part : {"GET /one HTTP/1.1\r\nHost: h\r\n\r\n"
+                                 "POST /two HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: 8\r\n\r\npart",
+                                 "last"}) {
+    peer.sendBytes(part.data(), static_cast<int>(part.size()));
+    loop.StartTimer(BootNow() + kRound, [&](time_point) { loop.Stop(); });
+    loop.Run();
+  }
+  BOOST_TEST(received_targets == "/one/two");
+  BOOST_TEST(body == "partlast");
+}
+
 BOOST_AUTO_TEST_CASE(a_listener_with_unsent_answers_is_not_idle) {
   event_loop loop;
   const std::string address = FreeAddress();
