Fix: Pipelined requests could exhaust the stack of an entry

What callers would see: one caller that sends some thousand short requests at once, which the entry answers at once (refusals), ends the entry's process; all its other callers lose their requests without an answer.

Cause: an answer that is sent within on_request read the next request of the input in a nested call, so that each pipelined request added to the stack. One round of reads takes up to 256 KiB, about 14,000 of the shortest requests.

On the unchanged code: many_pipelined_requests_do_not_exhaust_the_stack: memory access violation

The loop that runs the hook now reads the next request after it has returned. http_listener_suite passes.

--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -63,6 +63,16 @@
 }
 
 void http_server_connection::OnBytes(time_point now) {
+  // An answer sent by a hook leaves pipelined requests to the loop below it, so
+  // that their number does not add to the stack.
+  if (is_reading_)
+    return;
+  is_reading_ = true;
+  ReadRequests(now);
+  is_reading_ = false;
+}
+
+void http_server_connection::ReadRequests(time_point now) {
   auto self = shared_from_this();
   std::string* input = connection_->Input();
   while (connection_->IsOpen()) {
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -116,6 +116,7 @@
   void ReadArrived(time_point now);
   void AnnounceClose(Poco::Net::HTTPResponse* head);
   void OnBytes(time_point now);
+  void ReadRequests(time_point now);
   void OnClosed(time_point now);
   bool ReadHead(time_point now);
   void Refuse(time_point now, int status, const std::string& why);
@@ -135,6 +136,7 @@
   bool is_head_request_ = false;     ///< Whether an answer has no body.
   bool close_after_answer_ = false;  ///< Whether to close after the answer.
   bool is_close_announced_ = false;  ///< Whether the answer's head said so.
+  bool is_reading_ = false;          ///< Whether requests are being read.
   bool has_head_bytes_ = false;      ///< Whether part of a head has arrived.
   time_point timeout_start_;         ///< Start of the current timeout.
 };
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -298,6 +298,26 @@
   BOOST_TEST(body == "partlast");
 }
 
+BOOST_AUTO_TEST_CASE(many_pipelined_requests_do_not_exhaust_the_stack) {
+  constexpr int kRequests = 14000;  // About what one read of a socket returns.
+  blocking_caller_fixture fixture;
+  std::string bytes;
+  for (int i = 0; i < kRequests; ++i)
+    bytes += "GET / HTTP/1.1\r\n\r\n";
+  fixture.peer.setBlocking(false);
+  while (!bytes.empty()) {
+    const int sent =
+        fixture.peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    if (sent > 0) {
+      bytes.erase(0, static_cast<size_t>(sent));
+      continue;
+    }
+    fixture.Run();
+  }
+  fixture.Run();
+  BOOST_TEST(fixture.requests == kRequests);
+}
+
 BOOST_AUTO_TEST_CASE(a_listener_with_unsent_answers_is_not_idle) {
   event_loop loop;
   const std::string address = FreeAddress();
