Fix: A stopping entry reset new callers while it still served others

Cause: the entry stopped listening once it had no call, 2.5 s after SIGTERM, and then served its kept connections for seconds more. Where fewer than half of a domain's entries are ready, the balancer goes on to send new callers to all.

On the code before: an_entry_that_still_serves_does_not_reset_new_callers: check plan.Next(...7500 ms, one open connection) == kContinue has failed

The entry now listens until nothing is open, and closes the port right before its exit. shutdown_plan_suite, planned_stop_suite and http_listener_suite pass.

--- a/src/shutdown_plan.cc
+++ b/src/shutdown_plan.cc
@@ -31,16 +31,16 @@
                                   const shutdown_state& state) const {
   if (now >= BeforeEnd(kLastMargin, kLastMinParts))
     return shutdown_step::kExit;
-  const bool is_done = state.open_calls == 0 && !state.is_busy;
   const bool is_exit_due = now >= BeforeEnd(kExitMargin, kExitMinParts);
-  if (state.is_listening) {
-    return is_exit_due || (is_done && now > RemovedAt())
-               ? shutdown_step::kStopListening
-               : shutdown_step::kContinue;
-  }
   // The request of a new connection may still be on its way.
-  return is_done && (is_exit_due || state.open_connections == 0)
-             ? shutdown_step::kExit
+  const bool is_done = state.open_calls == 0 && !state.is_busy &&
+                       (is_exit_due || state.open_connections == 0);
+  if (!state.is_listening)
+    return is_done ? shutdown_step::kExit : shutdown_step::kContinue;
+  // A closed port resets callers that the balancer still sends here, as it does
+  // where fewer than half of a domain's entries are ready.
+  return is_exit_due || (is_done && now > RemovedAt())
+             ? shutdown_step::kStopListening
              : shutdown_step::kContinue;
 }
 
--- a/src/tests/shutdown_plan_test.cc
+++ b/src/tests/shutdown_plan_test.cc
@@ -22,6 +22,18 @@
               shutdown_step::kStopListening);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_still_serves_does_not_reset_new_callers) {
+  const shutdown_plan plan({.started_at = kStart});
+  for (const shutdown_state& state :
+       {shutdown_state{.open_calls = 1}, shutdown_state{.open_connections = 1},
+        shutdown_state{.is_busy = true}}) {
+    BOOST_CHECK(plan.Next(kStart + milliseconds(7500), state) ==
+                shutdown_step::kContinue);
+    BOOST_CHECK(plan.Next(kStart + milliseconds(7600), state) ==
+                shutdown_step::kStopListening);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_does_not_exit_before_what_it_has_open) {
   const shutdown_plan plan({.started_at = kStart});
   const time_point now = kStart + milliseconds(3000);
