Fix: The rest of a body that was given up was read as a request

Cause: the connection was kept after a refusal that left the body unread.

Evidence: the_rest_of_a_body_that_is_given_up_is_no_request on the unchanged code: check requests == 1 has failed [2 != 1]

The connection is now closed after such a refusal. A caller that still sends may lose the refusal to the reset of the connection; that isn't solved here. Found while reading for bodies that trickle in. http_server_suite passes.

--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -147,19 +147,22 @@
   std::string body;
   std::string buffer(16 * 1024, '\0');
   std::istream& stream = request->stream();
+  auto fail = [&](const std::string& why) {
+    // The rest of the body must not be read as the next request.
+    request->response().setKeepAlive(false);
+    return failure{"body: " + why};
+  };
   while (stream.good()) {
     stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
     body.append(buffer, 0, static_cast<size_t>(stream.gcount()));
-    if (body.size() > max_bytes) {
-      return failure{"body: found more than " + std::to_string(max_bytes) +
-                     " bytes"};
-    }
+    if (body.size() > max_bytes)
+      return fail("found more than " + std::to_string(max_bytes) + " bytes");
   }
   bool is_truncated =
       request->hasContentLength() &&
       static_cast<std::streamsize>(body.size()) != request->getContentLength();
   if (is_truncated)
-    return failure{"body: it ended early"};
+    return fail("it ended early");
   return body;
 }
 
