Fix: A body that trickled in held a thread of the entry without end

What callers would see (the project's own interface): callers that send a byte of their body now and then hold a thread of the entry each; with as many of them as threads, nobody else is served.

Cause: a body was bounded by the wait for its next byte only.

Evidence: a_body_that_trickles_in_is_given_up on the unchanged code: check !IsTakenAtInterval(milliseconds(100)) has failed

A body may now take 10 s, and more by its size at 16 KiB/s; later it is refused as not run and the connection is closed.

--- a/src/network/http_server.cc
+++ b/src/network/http_server.cc
@@ -25,6 +25,7 @@
 constexpr milliseconds kStopPollInterval{5};
 /// The end of a chunked answer is sent after its handler has returned.
 constexpr milliseconds kFlushTime{50};
+constexpr double kMinBytesPerSecond = 16384;  // Mean rate of a body.
 
 /// Answers a request whose handler has failed.
 void AnswerFailure(Poco::Net::HTTPServerResponse* response) {
@@ -143,7 +144,9 @@
 }
 
 outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request,
-                              size_t max_bytes) {
+                              size_t max_bytes,
+                              milliseconds max_time) {
+  const time_point begun_at = std::chrono::steady_clock::now();
   std::string body;
   std::string buffer(16 * 1024, '\0');
   std::istream& stream = request->stream();
@@ -152,13 +155,19 @@
     request->response().setKeepAlive(false);
     return failure{"body: " + why};
   };
-  while (stream.good()) {
-    stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
-    body.append(buffer, 0, static_cast<size_t>(stream.gcount()));
+  while (stream.peek() != std::istream::traits_type::eof()) {
+    const std::streamsize count = stream.readsome(
+        buffer.data(), static_cast<std::streamsize>(buffer.size()));
+    body.append(buffer, 0, static_cast<size_t>(count));
     if (body.size() > max_bytes)
       return fail("found more than " + std::to_string(max_bytes) + " bytes");
+    const auto allowed =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            static_cast<double>(body.size()) / kMinBytesPerSecond));
+    if (std::chrono::steady_clock::now() - begun_at > max_time + allowed)
+      return fail("it arrived too slowly");
   }
-  bool is_truncated =
+  const bool is_truncated =
       request->hasContentLength() &&
       static_cast<std::streamsize>(body.size()) != request->getContentLength();
   if (is_truncated)
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -60,8 +60,11 @@
 
 /// Reads the whole body of a request.
 /// @param max_bytes Maximum size of the body.
+/// @param max_time Longest time to read it, in addition to the time that its
+///     size takes at a minimum rate.
 outcome<std::string> ReadBody(Poco::Net::HTTPServerRequest* request,
-                              size_t max_bytes);
+                              size_t max_bytes,
+                              milliseconds max_time = milliseconds(10000));
 
 /// Sends a complete answer.
 void AnswerHttp(Poco::Net::HTTPServerResponse* response,
--- a/src/tests/http_body_test.cc
+++ b/src/tests/http_body_test.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <thread>
 
 #include "network/http_server.h"
@@ -26,10 +27,40 @@
   }
 }
 
+/// Sends a body of ten bytes, one at a time.
+/// @return Whether the server took it.
+bool IsTakenAtInterval(milliseconds interval) {
+  const Poco::Net::SocketAddress address(FreeAddress());
+  std::promise<bool> is_taken;
+  auto server = StartHttpServer(
+      {.ip = address.host().toString(), .port = address.port(), .threads = 1},
+      [&](auto& request, auto& response) {
+        is_taken.set_value(
+            static_cast<bool>(ReadBody(&request, 100, milliseconds(300))));
+        AnswerHttp(&response, 200, "text/plain", "");
+      });
+  BOOST_TEST_REQUIRE(static_cast<bool>(server));
+  Poco::Net::StreamSocket socket(address);
+  const std::string head = "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n";
+  Send(&socket, head);
+  for (int i = 0; i < 10; ++i) {
+    Send(&socket, "x");
+    std::this_thread::sleep_for(interval);
+  }
+  const bool result = is_taken.get_future().get();
+  (*server)->stopAll(true);
+  return result;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_body_suite)
 
+BOOST_AUTO_TEST_CASE(a_body_that_trickles_in_is_given_up) {
+  BOOST_TEST(IsTakenAtInterval(milliseconds(1)));
+  BOOST_TEST(!IsTakenAtInterval(milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_CASE(the_rest_of_a_body_that_is_given_up_is_no_request) {
   const Poco::Net::SocketAddress address(FreeAddress());
   std::atomic<int> requests{0};
