Fix: Answers that arrived in parts were replaced as silent

Cause: the time until a substitute is looked for ran from the start of the attempt; only events of a stream restarted it.

On the unchanged code: an_answer_that_arrives_in_parts_is_not_replaced: check entry.attempts.size() == 1u has failed [2 != 1] check entry.received_text == "[xxxx]" has failed [ != [xxxx]]

Head and body now restart the time as events do, and give up the search for a substitute.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -211,20 +211,11 @@
   call->has_new_event = false;
   call->is_silent = false;
   call->body.clear();
-  call->progress_at = now;
   call->events.Clear();
   call->tried.insert(server.id);
   selector_.OnAttemptSent(server.id);
   ++call->possible_runs;
-  call->search_at.reset();
-  if (call->kind == call_kind::kStream) {
-    call->search_at = now + options_.event_timeout;
-  } else if (MayRepeat(*call, true)) {
-    call->search_at =
-        now + std::max<duration>(
-                  options_.attempt_timeout_targets * call->route.target_latency,
-                  options_.min_attempt_timeout);
-  }
+  OnProgress(now, call);
   call->recall_at.reset();
   // Only a stream shows when its request begins to run.
   if (call->is_model && call->kind == call_kind::kStream) {
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -80,8 +80,9 @@
   call->forwards_events = head.status == kHttpOk && head.is_sealed &&
                           is_event_stream && is_same_version &&
                           call->kind == call_kind::kStream;
-  if (call->forwards_events) {
+  if (call->forwards_events || !call->is_streaming)
     OnProgress(now, call);
+  if (call->forwards_events) {
     call->is_resumed = call->is_streaming;
     if (!call->is_streaming) {
       call->is_streaming = true;
@@ -101,8 +102,10 @@
     return;
   call->progress_at = now;
   if (!call->forwards_events) {
-    if (!call->is_streaming)
+    if (!call->is_streaming) {
       call->body += bytes;
+      OnProgress(now, call);
+    }
     return;
   }
   call->events.Add(bytes);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -294,7 +294,7 @@
   void Retry(time_point now, call_state* call, bool may_have_run);
   /// Looks for a server to repeat a request on.
   void Search(time_point now, call_state* call);
-  /// Handles an answer that goes on.
+  /// Handles an attempt that begins or goes on: sets when it counts as silent.
   void OnProgress(time_point now, call_state* call);
   /// Records once per attempt that its server is silent.
   void RecordSilence(time_point now, call_state* call);
--- a/src/call_dispatch_retry.cc
+++ b/src/call_dispatch_retry.cc
@@ -30,7 +30,16 @@
 
 void call_dispatch::OnProgress(time_point now, call_state* call) {
   CancelPlaceRequest(call);
-  call->search_at = now + options_.event_timeout;
+  call->progress_at = now;
+  call->search_at.reset();
+  if (call->kind == call_kind::kStream) {
+    call->search_at = now + options_.event_timeout;
+  } else if (MayRepeat(*call, true)) {
+    call->search_at =
+        now + std::max<duration>(
+                  options_.attempt_timeout_targets * call->route.target_latency,
+                  options_.min_attempt_timeout);
+  }
 }
 
 void call_dispatch::Search(time_point now, call_state* call) {
--- a/src/tests/silent_server_test.cc
+++ b/src/tests/silent_server_test.cc
@@ -107,6 +107,20 @@
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_arrives_in_parts_is_not_replaced) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain", "/read/x");
+  entry.Advance(milliseconds(200));
+  entry.DeliverHead(200, false);
+  for (int i = 0; i < 4; ++i) {
+    entry.DeliverBody("x");
+    entry.Advance(milliseconds(100));
+  }
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.attempts.size() == 1u);
+  BOOST_TEST(entry.received_text == "[xxxx]");
+}
+
 BOOST_AUTO_TEST_CASE(silent_calls_over_the_retry_budget_are_not_refused) {
   fake_entry entry;
   site_view view = entry.site.index->View();
