Fix: Searches of silent calls limited the searches of new calls

What callers would see: while a full site has many silent streams, each of which looks for a substitute every 400 ms, new requests ask two servers for a place in place of six or more, and more of them are refused with 503.

Cause: the share of granted places, which limits how many servers a call asks, also counted the replies to repeated searches; their number outweighs that of the calls that are limited.

On the code before, with 100 silent calls whose searches are denied for 3.2 s: searches_of_silent_calls_do_not_limit_those_of_others: check place_requests == usual_requests has failed [2070 - 2068 != 6]

Only replies to calls without an attempt and without part of an answer count. Suites of the dispatch, silent servers, resumed streams and the place search pass.

--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -144,8 +144,11 @@
     hooks_.count("grants_expired");
     return Dispatch(now, &call);
   }
+  // Repeated searches would outweigh the calls whose number they limit.
+  const bool is_sample = !call.has_attempt && !call.is_streaming;
   if (reply.is_granted) {
-    place_search_.OnReply(now, true);
+    if (is_sample)
+      place_search_.OnReply(now, true);
     return Send(now, &call, asked.server,
                 granted_place{.id = asked.id, .is_suspect = reply.is_suspect});
   }
@@ -153,7 +156,7 @@
     OnQuarantined(now, reply.quarantined_trait);
     return OnNoServer(now, &call, call_refusal::kQuarantined);
   }
-  if (reply.slots > 0)
+  if (is_sample && reply.slots > 0)
     place_search_.OnReply(now, false);
   selector_.OnFull(now, server, reply.expected_free_in);
   if (reply.slots > 0 && (!call.expected_free_in ||
--- a/src/tests/silent_server_test.cc
+++ b/src/tests/silent_server_test.cc
@@ -121,6 +121,37 @@
   BOOST_TEST(entry.received_text == "[xxxx]");
 }
 
+BOOST_AUTO_TEST_CASE(searches_of_silent_calls_do_not_limit_those_of_others) {
+  fake_entry entry;
+  site_view view = entry.site.index->View();
+  for (int i = 3; i < 20; ++i) {
+    site_server server = view.servers["m2"];
+    server.id = "m" + std::to_string(i);
+    view.servers[server.id] = server;
+  }
+  entry.site.Set(view);
+  entry.dispatch.SetIndex(entry.site.index.get());
+  for (uint64_t id = 1; id <= 100; ++id) {
+    entry.SendRequest(id, "models");
+    entry.GrantPlace();
+  }
+  size_t replied = entry.place_requests.size();
+  const auto deny_all = [&] {
+    for (; replied < entry.place_requests.size(); ++replied)
+      entry.dispatch.OnPlaceReply(entry.now, entry.place_requests[replied].call,
+                                  {.slots = 16});
+  };
+  for (int i = 0; i < 320; ++i) {
+    entry.Advance(milliseconds(10));
+    deny_all();
+  }
+  const size_t before = entry.place_requests.size();
+  entry.SendRequest(1000, "models");
+  deny_all();
+  BOOST_TEST(entry.place_requests.size() - before ==
+             place_search_options{}.usual_requests);
+}
+
 BOOST_AUTO_TEST_CASE(silent_calls_over_the_retry_budget_are_not_refused) {
   fake_entry entry;
   site_view view = entry.site.index->View();
