Fix: A place granted before its server drained was used afterwards

What callers would see: nothing at once; a request reached a server that this entry already knew to be draining, evacuated, replaced or on outdated weights, which may end before the answer is complete (and breaks DRAIN or EVAC).

Cause: the server was chosen when the place was asked for, and not looked at again when the grant came, up to 0.4 s later.

On the code before: a_grant_of_a_server_that_drains_meanwhile_is_not_used: check entry.attempts.empty() has failed; entry.released_requests.size() == 1u has failed [0 != 1]

A grant is now checked against the newest state; if the server may not run the call any more, its place is released and another one is looked for. The age of the key is already checked at the sending. call_dispatch, silent_server, resumed_stream, server_notices, place_search and docs suites pass.

--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -265,6 +265,10 @@
   void RequestPlace(time_point now,
                     call_state* call,
                     const site_server& server);
+  /// Whether a server that was asked for a place may still run the call.
+  bool IsStillEligible(time_point now,
+                       const call_state& call,
+                       const std::string& id) const;
   /// Finds why a call may be sent to no server now; nullopt if it may.
   std::optional<call_refusal> FindObstacle(time_point now,
                                            const call_state& call) const;
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -126,6 +126,17 @@
   Send(now, call, *ranked.front(), std::nullopt);
 }
 
+bool call_dispatch::IsStillEligible(time_point now,
+                                    const call_state& call,
+                                    const std::string& id) const {
+  const auto& servers = index_->Servers(call.service);
+  return std::any_of(servers.begin(), servers.end(),
+                     [&](const site_server* server) {
+                       return server->id == id &&
+                              selector_.IsEligible(now, *server, QueryOf(call));
+                     });
+}
+
 void call_dispatch::OnPlaceReply(time_point now,
                                  uint64_t place_request_id,
                                  const place_reply& reply) {
@@ -144,6 +155,11 @@
     hooks_.count("grants_expired");
     return Dispatch(now, &call);
   }
+  if (reply.is_granted && !IsStillEligible(now, call, server)) {
+    hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
+    hooks_.count("grants_outdated");
+    return Dispatch(now, &call);
+  }
   // Repeated searches would outweigh the calls whose number they limit.
   const bool is_sample = !call.has_attempt && !call.is_streaming;
   if (reply.is_granted) {
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -329,6 +329,22 @@
   BOOST_TEST(entry.attempts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_grant_of_a_server_that_drains_meanwhile_is_not_used) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  site_view view = entry.site.index->View();
+  view.servers[entry.requested_servers.back()].is_draining = true;
+  const std::unique_ptr<site_index> before = std::move(entry.site.index);
+  entry.site.Set(view);
+  entry.dispatch.SetIndex(entry.site.index.get());
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.empty());
+  BOOST_TEST(entry.released_requests.size() == 1u);
+  BOOST_REQUIRE(entry.place_requests.size() == 2u);
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
 // After a pause, sockets may be read before due timers run.
 BOOST_AUTO_TEST_CASE(a_grant_from_before_a_pause_of_the_process_is_not_used) {
   fake_entry entry;
