--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -282,6 +282,7 @@
   /// Handles a dispatch that found no server: the call waits for its attempt or
   /// for a server to resume its stream, or is refused.
   void OnNoServer(time_point now, call_state* call, call_refusal reason);
+  /// The same where no server is eligible, of which some may be paused.
   void OnNoEligibleServer(time_point now, call_state* call);
   /// Sends a call to a server, in place of the current attempt, if any.
   void Send(time_point now,
@@ -308,6 +309,7 @@
   void FinishStream(time_point now, call_state* call);
   /// Whether events are missing between those forwarded and a resumed answer.
   static bool HasGapBefore(const call_state& call, uint64_t event_id);
+  /// Aborts an attempt whose answer is malformed, and repeats the request.
   void OnMalformedAnswer(time_point now, call_state* call);
   /// Records what the server announced in the head of its answer.
   void RecordNotices(time_point now, const call_state& call);
@@ -328,7 +330,9 @@
   void Refuse(time_point now, call_state* call, call_refusal reason);
   /// Ends a stream that has begun, so that it does not look complete.
   void CutStream(time_point now, call_state* call, call_refusal reason);
+  /// Forgets a call that has been answered or refused.
   void Erase(call_state* call);
+  /// Handles the timeouts of one call that have expired.
   void RunDueCall(time_point now, call_state* call);
   /// Returns the time of the next timeout of a call.
   static time_point DueAt(const call_state& call);
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -114,8 +114,10 @@
   bool HasTimedOut(time_point now) const;
   /// Reads what has arrived, so that a close does not cross a request.
   void ReadArrived(time_point now);
+  /// Sets Connection: close if this answer is the last one.
   void AnnounceClose(Poco::Net::HTTPResponse* head);
   void OnBytes(time_point now);
+  /// Passes on the requests that have been received, one after the other.
   void ReadRequests(time_point now);
   void OnClosed(time_point now);
   bool ReadHead(time_point now);
--- a/src/shutdown_plan_base.h
+++ b/src/shutdown_plan_base.h
@@ -11,8 +11,8 @@
 
 struct shutdown_plan_options {
   time_point started_at{};
-  milliseconds grace{
-      8000};  ///< Time from the start until the process is killed.
+  /// Time from the start until the process is killed.
+  milliseconds grace{8000};
   /// The balancer probes readiness once a second and removes an entry after two
   /// failed probes.
   milliseconds balancer_removal{2500};
