Fix: A sound part that became deadly crashed servers more often

Cause: since replies to place requests of streams whose server had broken off no longer counted as samples of how easily places are got, besides those of silent attempts. After a crash these are most of the replies, so calls asked more servers than the state of the site allowed.

--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -160,8 +160,9 @@
     hooks_.count("grants_outdated");
     return Dispatch(now, &call);
   }
-  // Repeated searches would outweigh the calls whose number they limit.
-  const bool is_sample = !call.has_attempt && !call.is_streaming;
+  // Repeated searches beside silent attempts would outweigh the calls whose
+  // number of requests they limit.
+  const bool is_sample = !call.has_attempt;
   if (reply.is_granted) {
     if (is_sample)
       place_search_.OnReply(now, true);
