--- a/review/standins/lost_answers.cc
+++ b/review/standins/lost_answers.cc
@@ -88,10 +88,10 @@
       _exit(2);
     }
   }
-  const int64_t began = NowMs();
-  std::this_thread::sleep_until(Start() + ms(kAddedAt));
+  RestartTime();
+  SleepUntil(kAddedAt);
   platform.Put("op/config", Configuration(9, true));
-  out.Line("the store has confirmed version 9 with the roster's route; entries were ready at " + std::to_string(began));
+  out.Line("the store has confirmed version 9 with the roster's route");
 
   std::map<std::string, tally> steady;  // By the consumers' kind, requests sent in steady state.
   // A consumer: one request at a time on a kept channel, one retry as the pages say.
@@ -99,7 +99,7 @@
     size_t at = static_cast<size_t>(number) % entries.size();
     int fd = -1;
     std::string buffer;
-    Sleep(kAddedAt + 3000 - NowMs() + number * 37);
+    SleepUntil(kAddedAt + 3000 + number * 37);
     for (int turn = 0; NowMs() < kEnd; ++turn) {
       const int64_t sent_at = NowMs();
       const int64_t deadline = sent_at + 1000;
--- a/review/standins/lost_byte.cc
+++ b/review/standins/lost_byte.cc
@@ -90,6 +90,7 @@
       _exit(2);
     }
   }
+  RestartTime();
 
   int sent = 0, served = 0, wrong = 0;
   auto consumer = [&](int number) {
--- a/review/standins/poison_plain.cc
+++ b/review/standins/poison_plain.cc
@@ -94,6 +94,7 @@
       _exit(2);
     }
   }
+  RestartTime();
 
   // One request on a channel of its own.
   auto ask = [&](const process& entry, bool is_booking, const std::string& id, const std::string& body) {
@@ -127,7 +128,7 @@
       }
     });
   }
-  std::this_thread::sleep_until(Start() + ms(kPoisonFrom));
+  SleepUntil(kPoisonFrom);
   int sent = 0;
   for (int i = 0; NowMs() < kEnd - 2000; ++i) {
     const int64_t sent_at = NowMs();
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -37,14 +37,21 @@
 using steady = std::chrono::steady_clock;
 using ms = std::chrono::milliseconds;
 
-inline steady::time_point Start() {
-  static const steady::time_point at = steady::now();
-  return at;
-}
+// Time of the case: from the start of the program, and again from 3 s on once the entries are ready.
+inline std::atomic<int64_t> time_offset = 0;
 inline int64_t NowMs() {
-  return std::chrono::duration_cast<ms>(steady::now() - Start()).count();
+  static const steady::time_point start = steady::now();
+  return std::chrono::duration_cast<ms>(steady::now() - start).count() - time_offset;
+}
+inline void RestartTime() {
+  time_offset += NowMs() - 3000;
+}
+inline void Sleep(int64_t span) {
+  std::this_thread::sleep_for(ms(std::max<int64_t>(0, span)));
+}
+inline void SleepUntil(int64_t at) {
+  Sleep(at - NowMs());
 }
-inline void Sleep(int64_t span) { std::this_thread::sleep_for(ms(span)); }
 
 // ---- record.txt ----
 
--- a/review/standins/spoilt_id.cc
+++ b/review/standins/spoilt_id.cc
@@ -99,6 +99,7 @@
       _exit(2);
     }
   }
+  RestartTime();
 
   int streams = 0, complete = 0, broken = 0;
   auto consumer = [&](int number) {
