Review, cases 3 and 5: the doses of plain garble on the site

One of three servers, 2 of 100 answers, 5.5 s, with more consumers. Case 3: 3 of 5 spoilt streams end as complete without pieces that were sent; case 5: all 10 spoilt answers are passed on.

--- a/review/standins/lost_byte.cc
+++ b/review/standins/lost_byte.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr int64_t kTroubleFrom = 6000, kTroubleFor = 6000, kEnd = 16000;
-constexpr double kShare = 0.04;
-constexpr int kConsumers = 24;
+constexpr int64_t kTroubleFrom = 6000, kTroubleFor = 5500, kEnd = 15000;
+constexpr double kShare = 0.02;
+constexpr int kConsumers = 48;
 constexpr int64_t kInterval = 250;
 
 std::string Configuration() {
--- a/review/standins/spoilt_id.cc
+++ b/review/standins/spoilt_id.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr int64_t kTroubleFrom = 6000, kTroubleFor = 8000, kEnd = 17000;
-constexpr double kShare = 0.04;
-constexpr int kConsumers = 24, kEvents = 12;
+constexpr int64_t kTroubleFrom = 6000, kTroubleFor = 5500, kEnd = 15000;
+constexpr double kShare = 0.02;
+constexpr int kConsumers = 60, kEvents = 12;
 constexpr int64_t kInterval = 400, kEventInterval = 15;
 
 std::string Configuration() {
