Fix: Forward the headers that were checked, not decoded ones

Cause: ParseHead() checked raw lines and then took the values from POCO's parser, which decodes encoded words (RFC 2047) to any bytes, line ends included. WriteHead() wrote them unchecked.

The values are now taken from the checked bytes, and WriteHead() replaces control characters in any other text. The same parser's limits of 8,192 bytes a value and 200 fields are gone; MaxHeaderBytes bounds a head.

Evidence: of http_message_suite, all five cases fail on the code before (head ends 85 bytes early, holds "Tenant: other"; body framed by a decoded value; long value refused; line ends of a tenant's name written).

--- a/src/network/caller_http.cc
+++ b/src/network/caller_http.cc
@@ -10,6 +10,7 @@
 
 #include <sstream>
 
+#include "network/http_message.h"
 #include "network/http_server.h"
 
 namespace fuchsiafall {
@@ -89,6 +90,9 @@
     return failure{"Idempotency-Key: allowed are " +
                    std::to_string(kMaxIdempotencyKeyBytes) + " bytes"};
   }
+  // The key is forwarded, and the library decodes encoded words (RFC 2047).
+  if (!IsFieldValue(request->idempotency_key))
+    return failure{"Idempotency-Key: control character"};
   outcome<int> deadline = ReadNumber(from, "X-Deadline-Ms", kMaxDeadlineMs);
   if (!deadline)
     return failure{deadline.LastReason()};
--- a/src/network/http_message.cc
+++ b/src/network/http_message.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <sstream>
 #include <vector>
 
@@ -15,7 +16,6 @@
 namespace {
 
 constexpr size_t kMaxChunkLineBytes = 1024;  // With the extensions of a chunk.
-constexpr size_t kMaxHeaderFields = 200;
 
 bool IsToken(std::string_view text) {
   constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
@@ -25,29 +25,46 @@
   });
 }
 
-/// Checks each field line: no folding, no space before the colon, no control
-/// characters, no bare line ends.
-outcome<done> CheckLines(std::string_view head) {
+bool IsControl(char c) {
+  return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+}
+
+std::string_view TrimSpace(std::string_view text) {
+  constexpr std::string_view kSpace = " \t";
+  const size_t begin = text.find_first_not_of(kSpace);
+  if (begin == text.npos)
+    return {};
+  return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
+}
+
+/// Reads the lines of a head: no folding, no space before the colon, no control
+/// characters, no bare line ends. Values stay as they arrived. Encoded words
+/// (RFC 2047) are not decoded, since they can contain line ends.
+/// @return The first line.
+outcome<std::string_view> ReadLines(std::string_view head,
+                                    Poco::Net::MessageHeader* fields) {
+  std::string_view first;
   size_t at = 0;
-  bool is_first = true;
   while (at < head.size()) {
-    size_t end = head.find("\r\n", at);
+    const size_t end = head.find("\r\n", at);
     if (end == head.npos)
       return failure{"head: line without an end"};
-    std::string_view line = head.substr(at, end - at);
+    const std::string_view line = head.substr(at, end - at);
+    const bool is_first = at == 0;
     at = end + 2;
     if (line.empty())
-      return done{};
-    for (char c : line) {
-      if ((static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f)
-        return failure{"head: control character"};
-    }
-    if (!is_first) {
-      size_t colon = line.find(':');
-      if (colon == line.npos || !IsToken(line.substr(0, colon)))
-        return failure{"head: malformed field line"};
+      return first;
+    if (!IsFieldValue(line))
+      return failure{"head: control character"};
+    if (is_first) {
+      first = line;
+      continue;
     }
-    is_first = false;
+    const size_t colon = line.find(':');
+    if (colon == line.npos || !IsToken(line.substr(0, colon)))
+      return failure{"head: malformed field line"};
+    fields->add(std::string(line.substr(0, colon)),
+                std::string(TrimSpace(line.substr(colon + 1))));
   }
   return failure{"head: no blank line"};
 }
@@ -96,21 +113,42 @@
 
 template <typename Head>
 outcome<Head> ParseHead(std::string_view bytes) {
-  outcome<done> checked = CheckLines(bytes);
-  if (!checked)
-    return failure{checked.LastReason()};
-  Poco::MemoryInputStream stream(bytes.data(),
-                                 static_cast<std::streamsize>(bytes.size()));
+  Poco::Net::MessageHeader fields;
+  const outcome<std::string_view> first = ReadLines(bytes, &fields);
+  if (!first)
+    return failure{first.LastReason()};
+  const std::string start = std::string(*first) + "\r\n\r\n";
+  Poco::MemoryInputStream stream(start.data(),
+                                 static_cast<std::streamsize>(start.size()));
   Head head;
-  head.setFieldLimit(kMaxHeaderFields);
   try {
     head.read(stream);
   } catch (const Poco::Exception& e) {
     return failure{"head: " + e.displayText()};
   }
+  static_cast<Poco::Net::NameValueCollection&>(head) = std::move(fields);
   return head;
 }
 
+/// Appends text of a head. Values that do not come from a parsed head may
+/// contain control characters, which are replaced as RFC 9110 (5.5) allows.
+void AppendText(std::string_view text, std::string* head) {
+  const size_t at = head->size();
+  head->append(text);
+  std::replace_if(head->begin() + static_cast<ptrdiff_t>(at), head->end(),
+                  IsControl, ' ');
+}
+
+void AppendFields(const Poco::Net::MessageHeader& fields, std::string* head) {
+  for (const auto& [name, value] : fields) {
+    AppendText(name, head);
+    *head += ": ";
+    AppendText(value, head);
+    *head += "\r\n";
+  }
+  *head += "\r\n";
+}
+
 }  // namespace
 
 void body_reader::Start(body_framing framing, uint64_t length) {
@@ -194,6 +232,10 @@
   return at == bytes.npos ? at : at + 4;
 }
 
+bool IsFieldValue(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), IsControl);
+}
+
 outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head) {
   auto request = ParseHead<Poco::Net::HTTPRequest>(head);
   if (!request)
@@ -230,17 +272,22 @@
 }
 
 void RemoveConnectionHeaders(Poco::Net::MessageHeader* header) {
+  std::set<std::string> removed = {
+      "connection",        "keep-alive",     "proxy-connection",
+      "transfer-encoding", "content-length", "te",
+      "trailer",           "upgrade",        "expect"};
   for (const std::string& value : ValuesOf(*header, "Connection")) {
     std::istringstream names(value);
     std::string name;
     while (std::getline(names, name, ','))
-      header->erase(Poco::trim(name));
+      removed.insert(Poco::toLower(Poco::trim(name)));
   }
-  for (const char* name :
-       {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-        "Content-Length", "TE", "Trailer", "Upgrade", "Expect"}) {
-    header->erase(name);
+  Poco::Net::NameValueCollection kept;
+  for (const auto& [name, value] : *header) {
+    if (!removed.contains(Poco::toLower(name)))
+      kept.add(name, value);
   }
+  static_cast<Poco::Net::NameValueCollection&>(*header) = std::move(kept);
 }
 
 bool RequestsClose(const Poco::Net::HTTPMessage& message) {
@@ -254,20 +301,20 @@
 std::string WriteHead(const Poco::Net::HTTPRequest& request) {
   std::string text;
   text.reserve(512);
-  text += request.getMethod() + " " + request.getURI() + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : request)
-    text += name + ": " + value + "\r\n";
-  return text + "\r\n";
+  AppendText(request.getMethod() + " " + request.getURI(), &text);
+  text += " HTTP/1.1\r\n";
+  AppendFields(request, &text);
+  return text;
 }
 
 std::string WriteHead(const Poco::Net::HTTPResponse& response) {
   std::string text;
   text.reserve(512);
-  text += "HTTP/1.1 " + std::to_string(response.getStatus()) + " " +
-          response.getReason() + "\r\n";
-  for (const auto& [name, value] : response)
-    text += name + ": " + value + "\r\n";
-  return text + "\r\n";
+  text += "HTTP/1.1 " + std::to_string(response.getStatus()) + " ";
+  AppendText(response.getReason(), &text);
+  text += "\r\n";
+  AppendFields(response, &text);
+  return text;
 }
 
 std::string WriteChunk(std::string_view bytes) {
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -1,5 +1,5 @@
-/// @file http_message.h Incremental parsing of HTTP/1.1 messages: heads by
-/// Poco, framing of bodies.
+/// @file http_message.h Incremental parsing of HTTP/1.1 messages: heads and
+/// the framing of bodies.
 #ifndef NETWORK_HTTP_MESSAGE_H_
 #define NETWORK_HTTP_MESSAGE_H_
 
@@ -42,8 +42,13 @@
 /// @return Length of the head with its blank line, or npos.
 size_t FindHeadEnd(std::string_view bytes);
 
+/// Whether text can be written as the value of a field: it has no control
+/// characters, which include line ends.
+bool IsFieldValue(std::string_view text);
+
 /// Parses a request head strictly: refuses what another server could frame
-/// differently, against request smuggling.
+/// differently, against request smuggling. Values of fields are kept byte for
+/// byte.
 outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head);
 outcome<Poco::Net::HTTPResponse> ParseResponseHead(std::string_view head);
 
@@ -60,7 +65,8 @@
 /// Checks whether the connection is to be closed after a message.
 bool RequestsClose(const Poco::Net::HTTPMessage& message);
 
-/// Serializes a head with its blank line.
+/// Serializes a head with its blank line. The lines of the result are those of
+/// the fields, whatever these contain.
 std::string WriteHead(const Poco::Net::HTTPRequest& request);
 std::string WriteHead(const Poco::Net::HTTPResponse& response);
 
--- /dev/null
+++ b/src/tests/http_message_test.cc
@@ -0,0 +1,91 @@
+/// @file http_message_test.cc Tests that a head is written as it was read, and
+/// that what is no valid head is refused.
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "network/http_message.h"
+#include "platform/headers.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+/// Value of a field that decodes to the end of its head and a second message.
+constexpr char kEncodedMessage[] =
+    "=?UTF-8?Q?x=0D=0AContent-Length:_0=0D=0A=0D=0APOST_/p_HTTP/1.1=0D=0A"
+    "Tenant:_other?=";
+
+size_t CountLines(const std::string& text) {
+  size_t count = 0;
+  for (size_t at = 0; (at = text.find("\r\n", at)) != text.npos; at += 2)
+    ++count;
+  return count;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_message_suite)
+
+// A request hidden in an encoded word (RFC 2047) ran for another organisation.
+BOOST_AUTO_TEST_CASE(an_encoded_word_smuggles_no_request) {
+  const std::string note = "X-Note: " + std::string(kEncodedMessage) + "\r\n";
+  const auto head =
+      ParseRequestHead("POST /p HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n" +
+                       note + "Content-Length: 4\r\n\r\n");
+  BOOST_REQUIRE(head);
+  const std::string sent = WriteHead(
+      platform::EncodeAttempt(*head, {.instance = "i", .tenant = "acme"}));
+  BOOST_TEST(sent.find(note) != sent.npos);
+  BOOST_TEST(FindHeadEnd(sent) == sent.size());
+  BOOST_TEST(sent.find("Tenant: other") == sent.npos);
+}
+
+// An encoded blank line in a server's answer ended the head for the caller.
+BOOST_AUTO_TEST_CASE(an_encoded_word_does_not_end_the_head_of_an_answer) {
+  const std::string note = "X-Note: " + std::string(kEncodedMessage) + "\r\n";
+  const auto head = ParseResponseHead("HTTP/1.1 200 OK\r\n" + note +
+                                      "Content-Length: 4\r\n\r\n");
+  BOOST_REQUIRE(head);
+  const std::string sent = WriteHead(*head);
+  BOOST_TEST(sent.find(note) != sent.npos);
+  BOOST_TEST(FindHeadEnd(sent) == sent.size());
+}
+
+// The body was framed by a decoded value that the next server reads otherwise.
+BOOST_AUTO_TEST_CASE(an_encoded_word_does_not_frame_a_body) {
+  const auto head = ParseRequestHead(
+      "POST /p HTTP/1.1\r\nHost: h\r\n"
+      "Transfer-Encoding: =?UTF-8?Q?chunked?=\r\n\r\n");
+  BOOST_TEST((!head || !FramingOf(*head)));
+}
+
+// Heads within the limit of their bytes were refused for one long value or for
+// many fields.
+BOOST_AUTO_TEST_CASE(only_the_limit_of_bytes_bounds_a_head) {
+  const std::string start = "GET /p HTTP/1.1\r\nHost: h\r\n";
+  const std::string value(12000, 'v');
+  const auto long_value = ParseRequestHead(start + "X: " + value + "\r\n\r\n");
+  BOOST_REQUIRE(long_value);
+  BOOST_TEST(long_value->get("X") == value);
+  std::string fields;
+  for (int i = 0; i < 500; ++i)
+    fields += "X-" + std::to_string(i) + ": 1\r\n";
+  const auto many_fields = ParseRequestHead(start + fields + "\r\n");
+  BOOST_REQUIRE(many_fields);
+  BOOST_TEST(many_fields->size() == 501u);
+}
+
+// Names of the operators' documents become values of headers.
+BOOST_AUTO_TEST_CASE(text_that_has_line_ends_adds_no_line_to_a_head) {
+  Poco::Net::HTTPRequest request("GET", "/p", "HTTP/1.1");
+  request.set("Tenant", "a\r\n\r\nGET /q HTTP/1.1\r\nX: y");
+  const std::string sent = WriteHead(request);
+  BOOST_TEST(CountLines(sent) == 3u);
+  BOOST_TEST(FindHeadEnd(sent) == sent.size());
+  Poco::Net::HTTPResponse answer(Poco::Net::HTTPResponse::HTTP_OK, "O\r\nX: y");
+  BOOST_TEST(CountLines(WriteHead(answer)) == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
--- a/src/tests/http_server_test.cc
+++ b/src/tests/http_server_test.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "harness/fleet.h"
+#include "network/caller_http.h"
 #include "network/http_server.h"
 #include "tests/loopback_address.h"
 
@@ -27,10 +28,11 @@
   return *server;
 }
 
-Poco::Net::StreamSocket SendRequest(const std::string& address) {
+Poco::Net::StreamSocket SendRequest(const std::string& address,
+                                    const std::string& fields = "") {
   Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(address)};
   const std::string request =
-      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields + "\r\n";
   caller.sendBytes(request.data(), static_cast<int>(request.size()));
   return caller;
 }
@@ -94,6 +96,19 @@
   server->StopWhenIdle(kStopTimeout);
 }
 
+// A key with an encoded line end was written into the head for the engine.
+BOOST_AUTO_TEST_CASE(a_key_with_encoded_line_ends_is_refused) {
+  const std::string address = FreeAddress();
+  auto server = Serve(address, [&](auto& request, auto& response) {
+    const auto read = ReadCallerRequest(&request);
+    AnswerHttp(&response, 400, "text/plain", read ? "read" : read.LastReason());
+  });
+  auto caller =
+      SendRequest(address, "Idempotency-Key: =?UTF-8?Q?k=0D=0AX-Y:_1?=\r\n");
+  BOOST_TEST(Receive(&caller).ends_with("Idempotency-Key: control character"));
+  server->StopWhenIdle(kStopTimeout);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
