Fix: Take only a valid status line for the head of an answer

Cause: the status line was left to POCO, which takes up to three characters for a number and any word for the version, and nothing checked the range.

The request line is split at single spaces as well.

--- a/src/network/http_message.cc
+++ b/src/network/http_message.cc
@@ -1,8 +1,6 @@
 /// @file http_message.cc Incremental parsing of HTTP/1.1 messages.
 #include "network/http_message.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -111,23 +109,17 @@
                    *length);
 }
 
-template <typename Head>
-outcome<Head> ParseHead(std::string_view bytes) {
-  Poco::Net::MessageHeader fields;
-  const outcome<std::string_view> first = ReadLines(bytes, &fields);
-  if (!first)
-    return failure{first.LastReason()};
-  const std::string start = std::string(*first) + "\r\n\r\n";
-  Poco::MemoryInputStream stream(start.data(),
-                                 static_cast<std::streamsize>(start.size()));
-  Head head;
-  try {
-    head.read(stream);
-  } catch (const Poco::Exception& e) {
-    return failure{"head: " + e.displayText()};
-  }
-  static_cast<Poco::Net::NameValueCollection&>(head) = std::move(fields);
-  return head;
+bool IsVersion(std::string_view text) {
+  return text == Poco::Net::HTTPMessage::HTTP_1_1 ||
+         text == Poco::Net::HTTPMessage::HTTP_1_0;
+}
+
+/// Splits a line at the first space.
+std::pair<std::string_view, std::string_view> SplitWord(std::string_view line) {
+  const size_t at = line.find(' ');
+  if (at == line.npos)
+    return {line, {}};
+  return {line.substr(0, at), line.substr(at + 1)};
 }
 
 /// Appends text of a head. Values that do not come from a parsed head may
@@ -237,22 +229,44 @@
 }
 
 outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head) {
-  auto request = ParseHead<Poco::Net::HTTPRequest>(head);
-  if (!request)
-    return request;
-  if (!IsToken(request->getMethod()) || !request->getURI().starts_with('/'))
+  Poco::Net::HTTPRequest request;
+  const auto first = ReadLines(head, &request);
+  if (!first)
+    return failure{first.LastReason()};
+  const auto [method, rest] = SplitWord(*first);
+  const auto [target, version] = SplitWord(rest);
+  if (!IsToken(method) || !target.starts_with('/') ||
+      target.find('\t') != target.npos) {
     return failure{"head: malformed request line"};
-  if (request->getVersion() != Poco::Net::HTTPMessage::HTTP_1_1 &&
-      request->getVersion() != Poco::Net::HTTPMessage::HTTP_1_0) {
-    return failure{"head: unknown version of HTTP"};
   }
-  if (ValuesOf(*request, "Host").size() > 1)
+  if (!IsVersion(version))
+    return failure{"head: unknown version of HTTP"};
+  if (ValuesOf(request, "Host").size() > 1)
     return failure{"head: more than one Host"};
+  request.setMethod(std::string(method));
+  request.setURI(std::string(target));
+  request.setVersion(std::string(version));
   return request;
 }
 
 outcome<Poco::Net::HTTPResponse> ParseResponseHead(std::string_view head) {
-  return ParseHead<Poco::Net::HTTPResponse>(head);
+  constexpr size_t kStatusDigits = 3;
+  Poco::Net::HTTPResponse response;
+  const auto first = ReadLines(head, &response);
+  if (!first)
+    return failure{first.LastReason()};
+  const auto [version, rest] = SplitWord(*first);
+  // Some servers leave out the reason and the space before it.
+  const auto [digits, reason] = SplitWord(rest);
+  const auto status = ParseNumber(digits, 10);
+  if (!IsVersion(version) || digits.size() != kStatusDigits || !status ||
+      *status < 100 || *status > 599) {
+    return failure{"head: malformed status line"};
+  }
+  response.setVersion(std::string(version));
+  response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(*status));
+  response.setReason(std::string(reason));
+  return response;
 }
 
 outcome<std::pair<body_framing, uint64_t>> FramingOf(
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -50,6 +50,8 @@
 /// differently, against request smuggling. Values of fields are kept byte for
 /// byte.
 outcome<Poco::Net::HTTPRequest> ParseRequestHead(std::string_view head);
+/// Parses the head of an answer. The status has three digits, 100 to 599, and
+/// the version is HTTP/1.0 or 1.1; anything else is no answer.
 outcome<Poco::Net::HTTPResponse> ParseResponseHead(std::string_view head);
 
 /// Determines the framing of a body, with its length where it is known.
--- a/src/tests/http_message_test.cc
+++ b/src/tests/http_message_test.cc
@@ -86,6 +86,35 @@
   BOOST_TEST(CountLines(WriteHead(answer)) == 2u);
 }
 
+// "HTTP/1.1 20 OK" of a faulty server was passed on to the caller.
+BOOST_AUTO_TEST_CASE(a_line_without_a_valid_status_begins_no_answer) {
+  for (const char* line :
+       {"HTTP/1.1 20 OK", "HTTP/1.1 0 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 099 X",
+        "HTTP/1.1 600 X", "HTTP/1.1 +20 X", "HTTP/1.1 -20 X", "HTTP/1.1 2x0 X",
+        "HTTP/1.1  200 OK", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.2 200 OK",
+        "HTTP/2 200 OK", "HTP/1.1 200 OK", " HTTP/1.1 200 OK", "200 OK", ""}) {
+    BOOST_TEST(!ParseResponseHead(std::string(line) + "\r\n\r\n"), line);
+  }
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 404 Not Found",
+                           "HTTP/1.1 599 ", "HTTP/1.1 100"}) {
+    BOOST_TEST(!!ParseResponseHead(std::string(line) + "\r\n\r\n"), line);
+  }
+  const auto head = ParseResponseHead("HTTP/1.1 503 Try  again\r\n\r\n");
+  BOOST_REQUIRE(head);
+  BOOST_TEST(WriteHead(*head) == "HTTP/1.1 503 Try  again\r\n\r\n");
+}
+
+// The request line was split at other white space than a server may split it.
+BOOST_AUTO_TEST_CASE(a_request_line_of_other_than_three_words_is_refused) {
+  for (const char* line :
+       {"GET  /p HTTP/1.1", "GET /p  HTTP/1.1", "GET /p q HTTP/1.1",
+        "GET /p\tq HTTP/1.1", "GET /p HTTP/1.1 ", "GET /p", "G(T /p HTTP/1.1",
+        "GET p HTTP/1.1", "GET /p HTTP/1.10"}) {
+    BOOST_TEST(!ParseRequestHead(std::string(line) + "\r\nHost: h\r\n\r\n"),
+               line);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
