Fix: Tell a crash of a server without an agent from a lost answer

Cause: an entry counted each broken exchange as a crash of its own. Nothing told a crash from a lost answer, no entry told another, and no answer cleared the count.

A broken exchange now counts only with evidence: all connections to the server ended together, its address refuses, or its lifetime is over in the store. The lifetime names the crash, so that it counts once over all entries, which exchange crashes, full answers and quarantines by the messages that agents use. An answer of the server withdraws a crash that was none.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -42,12 +42,17 @@
       random_(options_.seed),
       selector_(options_.selector),
       place_search_(options_.place_search),
-      budget_(options_.budget) {}
+      budget_(options_.budget),
+      server_crashes_(options_.crashes,
+                      {.exchange = {.send = hooks_.send_crash_note,
+                                    .log = hooks_.log,
+                                    .count = hooks_.count},
+                       .is_connected = hooks_.is_connected}) {}
 
 void call_dispatch::SetIndex(const site_index* index) {
   index_ = index;
   selector_.SetIndex(index);
-  budget_.SetEntryCount(index->View().entry_count);
+  budget_.SetEntryCount(index->View().entry_relays.size());
 }
 
 bool call_dispatch::IsFresh(time_point now) const {
@@ -202,6 +207,7 @@
                                  const site_server& server,
                                  std::optional<granted_place> place) {
   ++call->attempt;
+  call->attempt_at = now;
   call->server = server;
   call->has_attempt = true;
   call->place = place;
@@ -238,7 +244,8 @@
 
 void call_dispatch::OnQuarantined(time_point now, fingerprint trait) {
   if (trait.value != 0)
-    crashes_.Adopt(now, {.trait = trait}, now + options_.quarantine_time);
+    agent_quarantines_.Adopt(now, {.trait = trait},
+                             now + options_.quarantine_time);
 }
 
 call_dispatch::call_state* call_dispatch::Find(uint64_t id, uint32_t attempt) {
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -21,16 +21,22 @@
 
 }  // namespace
 
-void call_dispatch::RecordAbort(time_point now, const call_state& call) {
+void call_dispatch::RecordServerEnd(time_point now,
+                                    const call_state& call,
+                                    exchange_end end) {
   if (call.is_model)
     return;  // Agents observe the crashes of engines.
-  crash_record crash;
-  crash.id.server = call.server.id;
-  crash.id.ordinal = next_crash_++;
-  crash.at = now;
-  crash.requests.push_back(call.request.traits);
-  crashes_.AddCrash(now, crash);
-  crashes_.Decide(now);
+  const request_traits& traits = call.request.traits;
+  if (end == exchange_end::kBroken) {
+    server_crashes_.OnBroken(now, call.server, traits);
+  } else if (end == exchange_end::kRefused) {
+    server_crashes_.OnConnectionRefused(now, call.server);
+  } else if (end == exchange_end::kComplete && call.has_head &&
+             !call.head.did_not_run &&
+             (call.head.instance.empty() ||
+              call.head.instance == call.server.id)) {
+    server_crashes_.OnAnswered(now, call.server, call.attempt_at, traits);
+  }
 }
 
 void call_dispatch::RecordNotices(time_point now, const call_state& call) {
@@ -159,11 +165,12 @@
   call_state* call = Find(id, attempt);
   if (call == nullptr)
     return;
-  const bool is_suspect = call->place && call->place->is_suspect;
+  const bool is_suspect =
+      call->is_model ? call->place && call->place->is_suspect
+                     : server_crashes_.IsSuspect(now, call->request.traits);
   EndAttempt(call, ResultOf(*call, end));
-  if (end == exchange_end::kBroken)
-    RecordAbort(now, *call);
-  if (end == exchange_end::kNotConnected) {
+  RecordServerEnd(now, *call, end);
+  if (end == exchange_end::kNotConnected || end == exchange_end::kRefused) {
     selector_.OnFailure(now, call->server.id);
     --call->possible_runs;
     hooks_.count("attempts_not_connected");
@@ -251,7 +258,7 @@
 
 attempt_result call_dispatch::ResultOf(const call_state& call,
                                        exchange_end end) {
-  if (end == exchange_end::kBroken)
+  if (IsBroken(end))
     return attempt_result::kBroken;
   if (end != exchange_end::kComplete || !call.has_head ||
       !IsSuccess(call.head.status)) {
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -22,6 +22,7 @@
 #include "place_table_base.h"
 #include "retry_budget_base.h"
 #include "server_board_base.h"
+#include "server_crash_monitor_base.h"
 
 namespace fuchsiafall {
 
@@ -92,6 +93,7 @@
   milliseconds min_retry_after{300};
   milliseconds retry_after_spread{2000};  ///< Range of the random part.
   retry_budget_options budget;
+  server_crash_options crashes;  ///< Of servers without agents.
   uint64_t seed = 1;
 };
 
@@ -123,6 +125,11 @@
   std::function<void(uint64_t call)> abort_stream;
   /// Parses the id of an event.
   std::function<std::optional<uint64_t>(std::string_view)> event_id;
+  /// Sends a message about crashes to another entry; it may be lost.
+  std::function<void(const std::string& address, const proto::envelope&)>
+      send_crash_note;
+  /// Whether an established connection to a server's address is open.
+  std::function<bool(const std::string& address)> is_connected;
   /// Logs a decision on a request.
   std::function<void(log_event, const std::string& detail)> log;
   std::function<void(const std::string& counter)> count;
@@ -136,6 +143,10 @@
   call_dispatch(call_dispatch_options options, call_dispatch_hooks hooks);
 
   void SetIndex(const site_index* index);
+  /// Sets the addresses of the other entries.
+  void SetPeers(time_point now, const std::vector<std::string>& peers) {
+    server_crashes_.SetPeers(now, peers);
+  }
   /// Sets the time of the last confirmed read of the store.
   void SetConfirmedAt(time_point at) { confirmed_at_ = at; }
   /// Sets when this process exits; answers must be complete by then.
@@ -180,6 +191,18 @@
                      uint64_t id,
                      uint32_t attempt,
                      exchange_end end);
+  /// Handles the message of another entry about crashes.
+  void OnCrashNote(time_point now,
+                   const std::string& from,
+                   const proto::envelope& message) {
+    server_crashes_.OnMessage(now, from, message);
+  }
+  /// Handles an idle connection that a server has ended.
+  void OnConnectionLost(time_point now, const std::string& address) {
+    server_crashes_.OnConnectionLost(now, address);
+  }
+  /// Decides on crashes of servers. To be called several times a second.
+  void RunCrashMonitor(time_point now) { server_crashes_.RunDue(now, index_); }
   /// Handles the timeouts that have expired.
   void RunDue(time_point now);
   /// Returns the time of the next timeout.
@@ -236,6 +259,7 @@
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     /// When a server is next looked for, unless the attempt goes on.
     std::optional<time_point> search_at;
+    time_point attempt_at{};   ///< When the current attempt was sent.
     time_point progress_at{};  ///< When the current attempt last sent bytes.
     /// When the current attempt is aborted unless it has begun to run.
     std::optional<time_point> recall_at;
@@ -323,8 +347,11 @@
                   attempt_result result = attempt_result::kOther);
   /// Ends the current attempt before its answer is complete.
   void AbortAttempt(call_state* call);
-  /// Records that a server of a plain service aborted a request.
-  void RecordAbort(time_point now, const call_state& call);
+  /// Records what the end of an exchange with a server without an agent says
+  /// about a crash of it.
+  void RecordServerEnd(time_point now,
+                       const call_state& call,
+                       exchange_end end);
   /// Gives up the open place request, and releases its place if granted.
   void CancelPlaceRequest(call_state* call);
   void Refuse(time_point now, call_state* call, call_refusal reason);
@@ -354,9 +381,8 @@
   time_point confirmed_at_{};
   std::optional<time_point> exit_at_;
   time_point removed_at_{};
-  /// Crashes of plain services, and quarantines told by agents.
-  crash_history crashes_{{}};
-  uint64_t next_crash_ = 1;
+  crash_history agent_quarantines_{{}};  ///< Told by agents.
+  server_crash_monitor server_crashes_;  ///< Of servers without agents.
   std::map<uint64_t, call_state> calls_;
   /// Call ids by place request id.
   std::map<uint64_t, uint64_t> open_place_requests_;
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -38,7 +38,12 @@
     return call_refusal::kTimedOut;
   if (call.has_key && !IsFresh(now))
     return call_refusal::kStateTooOld;
-  if (crashes_.FindQuarantined(now, call.request.traits))
+  const request_traits& traits = call.request.traits;
+  const bool is_quarantined =
+      call.is_model
+          ? agent_quarantines_.FindQuarantined(now, traits).has_value()
+          : server_crashes_.IsQuarantined(now, traits);
+  if (is_quarantined)
     return call_refusal::kQuarantined;
   return std::nullopt;
 }
--- a/src/crash_ledger.cc
+++ b/src/crash_ledger.cc
@@ -54,20 +54,19 @@
   }
   while (crashes_.size() > options_.max_crashes ||
          (request_count_ > options_.max_requests && crashes_.size() > 1)) {
-    RemoveOldestCrash();
+    EraseCrash(crashes_.begin());
   }
 }
 
-void crash_history::RemoveOldestCrash() {
-  auto oldest = crashes_.begin();
-  const crash_record& record = oldest->second.record;
+void crash_history::EraseCrash(crash_map::iterator crash) {
+  const crash_record& record = crash->second.record;
   request_count_ -= record.requests.size();
   keys_.erase(record.id);
   auto remove = [&](fingerprint trait) {
     auto it = traits_.find(trait);
     if (it == traits_.end())
       return;
-    std::erase(it->second.crashes, oldest->first);
+    std::erase(it->second.crashes, crash->first);
     if (it->second.crashes.empty())
       traits_.erase(it);
   };
@@ -76,13 +75,40 @@
     for (const fingerprint& part : traits.parts)
       remove(part);
   }
-  crashes_.erase(oldest);
+  crashes_.erase(crash);
+}
+
+std::vector<fingerprint> crash_history::RemoveCrash(const crash_id& id) {
+  auto known = keys_.find(id);
+  if (known == keys_.end())
+    return {};
+  auto crash = crashes_.find(known->second);
+  const std::vector<request_traits> requests = crash->second.record.requests;
+  EraseCrash(crash);
+  std::vector<fingerprint> released;
+  for (const request_traits& traits : requests) {
+    auto state = traits_.find(traits.request);
+    const bool is_still_suspect =
+        state != traits_.end() &&
+        EvidenceOf(traits.request, state->second).crashes >=
+            options_.request_crashes;
+    if (!is_still_suspect && Release(traits.request))
+      released.push_back(traits.request);
+  }
+  return released;
+}
+
+std::optional<time_point> crash_history::CrashedAt(const crash_id& id) const {
+  auto known = keys_.find(id);
+  if (known == keys_.end())
+    return std::nullopt;
+  return crashes_.at(known->second).record.at;
 }
 
 void crash_history::RemoveExpired(time_point now) {
   while (!crashes_.empty() &&
          now - crashes_.begin()->second.received_at > options_.retention) {
-    RemoveOldestCrash();
+    EraseCrash(crashes_.begin());
   }
   std::erase_if(quarantined_, [&](const auto& item) {
     return now >= item.second.expires_at;
@@ -159,11 +185,12 @@
     fingerprint trait,
     const trait_state& state) const {
   evidence against;
+  std::vector<time_point> times;
   for (uint64_t key : state.crashes) {
     const stored_crash& crash = crashes_.at(key);
     if (crash.culprit || (state.sound_at && crash.record.at < *state.sound_at))
       continue;
-    ++against.crashes;
+    times.push_back(crash.record.at);
     against.first_at = std::min(against.first_at, crash.record.at);
     against.first_received_at =
         std::min(against.first_received_at, crash.received_at);
@@ -177,9 +204,24 @@
       against.distinct_requests.insert(request.request);
     }
   }
+  against.crashes = state.is_part ? static_cast<uint32_t>(times.size())
+                                  : CountWaves(std::move(times));
   return against;
 }
 
+uint32_t crash_history::CountWaves(std::vector<time_point> crashes) const {
+  std::sort(crashes.begin(), crashes.end());
+  uint32_t count = 0;
+  time_point wave_end = time_point::min();
+  for (const time_point at : crashes) {
+    if (at <= wave_end && options_.wave_time.count() > 0)
+      continue;
+    ++count;
+    wave_end = at + options_.wave_time;
+  }
+  return count;
+}
+
 bool crash_history::IsCandidate(const evidence& against) const {
   return against.crashes >= options_.part_crashes &&
          against.distinct_requests.size() >= options_.part_requests;
@@ -250,8 +292,11 @@
 
 void crash_history::Quarantine(fingerprint trait,
                                time_point last_crash,
-                               time_point expires_at) {
-  quarantined_[trait] = {.last_crash = last_crash, .expires_at = expires_at};
+                               time_point expires_at,
+                               bool is_adopted) {
+  quarantined_[trait] = {.last_crash = last_crash,
+                         .expires_at = expires_at,
+                         .is_adopted = is_adopted};
   if (quarantined_.size() <= options_.max_quarantined)
     return;
   quarantined_.erase(std::min_element(quarantined_.begin(), quarantined_.end(),
@@ -301,7 +346,8 @@
       item.trait,
       std::max(item.last_crash,
                is_new ? time_point() : known->second.last_crash),
-      std::max(expires_at, is_new ? time_point() : known->second.expires_at));
+      std::max(expires_at, is_new ? time_point() : known->second.expires_at),
+      is_new || known->second.is_adopted);
   return is_new;
 }
 
@@ -313,15 +359,19 @@
     decided.push_back(*culprit);
   }
   for (const auto& [trait, state] : traits_) {
-    if (state.is_part || state.crashes.size() < options_.request_crashes ||
-        quarantined_.contains(trait)) {
+    if (state.is_part || state.crashes.size() < options_.request_crashes)
+      continue;
+    auto known = quarantined_.find(trait);
+    const bool is_adopted =
+        known != quarantined_.end() && known->second.is_adopted;
+    if (known != quarantined_.end() && !is_adopted)
       continue;
-    }
     if (EvidenceOf(trait, state).crashes < options_.request_crashes)
       continue;
     const time_point last_crash = crashes_.at(state.crashes.back()).record.at;
     Quarantine(trait, last_crash, last_crash + options_.retention);
-    decided.push_back(trait);
+    if (!is_adopted)
+      decided.push_back(trait);
   }
   return decided;
 }
@@ -375,7 +425,9 @@
   std::vector<quarantined_trait> items;
   for (const auto& [trait, state] : quarantined_) {
     if (now < state.expires_at)
-      items.push_back({.trait = trait, .last_crash = state.last_crash});
+      items.push_back({.trait = trait,
+                       .last_crash = state.last_crash,
+                       .is_adopted = state.is_adopted});
   }
   return items;
 }
--- a/src/crash_ledger_base.h
+++ b/src/crash_ledger_base.h
@@ -35,6 +35,7 @@
 struct quarantined_trait {
   fingerprint trait;
   time_point last_crash{};
+  bool is_adopted = false;  ///< Decided by another process.
 };
 
 /// Question to other processes whether a part is sound.
@@ -45,7 +46,10 @@
 
 struct crash_history_options {
   uint32_t request_crashes = 2;  ///< Crashes that quarantine a request.
-  uint32_t part_crashes = 3;     ///< Crashes that quarantine a part.
+  /// Crashes within this time after the first of them count as one against a
+  /// whole request.
+  milliseconds wave_time{0};
+  uint32_t part_crashes = 3;  ///< Crashes that quarantine a part.
   /// Different requests with a part that its crashes must have aborted.
   uint32_t part_requests = 2;
   /// Time from the first crash, or from a question, in which other processes
@@ -77,6 +81,11 @@
 
   /// Adds a crash. A further record of a known crash adds its new requests.
   void AddCrash(time_point now, const crash_record& crash);
+  /// Removes a crash that has turned out to be none.
+  /// @return Traits that this releases from quarantine.
+  std::vector<fingerprint> RemoveCrash(const crash_id& id);
+  /// Returns when a known crash happened.
+  std::optional<time_point> CrashedAt(const crash_id& id) const;
   /// Records that a request was answered in full.
   /// @return Traits that it releases from quarantine.
   std::vector<fingerprint> OnAnswered(time_point now,
@@ -130,6 +139,7 @@
   struct quarantine_state {
     time_point last_crash{};
     time_point expires_at{};
+    bool is_adopted = false;
   };
   /// Crashes that count against a trait.
   struct evidence {
@@ -141,9 +151,12 @@
   };
 
   void Index(uint64_t key, const request_traits& traits);
-  void RemoveOldestCrash();
+  using crash_map = std::map<uint64_t, stored_crash>;
+  void EraseCrash(crash_map::iterator crash);
   void RemoveExpired(time_point now);
   evidence EvidenceOf(fingerprint trait, const trait_state& state) const;
+  /// Counts crashes, those of one wave as one.
+  uint32_t CountWaves(std::vector<time_point> crashes) const;
   /// Whether a part takes part in enough crashes to be their cause.
   bool IsCandidate(const evidence& against) const;
   /// Whether a candidate is not known to be sound by earlier answers.
@@ -162,7 +175,8 @@
   void QuarantinePart(time_point now, fingerprint part);
   void Quarantine(fingerprint trait,
                   time_point last_crash,
-                  time_point expires_at);
+                  time_point expires_at,
+                  bool is_adopted = false);
   bool Release(fingerprint trait);
   std::optional<time_point> LastSound(fingerprint trait) const;
   void RememberSound(time_point now, fingerprint part, time_point granted_at);
@@ -173,8 +187,8 @@
   using sound_map = std::unordered_map<fingerprint, time_point>;
 
   crash_history_options options_;
-  std::map<uint64_t, stored_crash> crashes_;  ///< By order of arrival.
-  std::map<crash_id, uint64_t> keys_;         ///< Of crashes_.
+  crash_map crashes_;                  ///< By order of arrival.
+  std::map<crash_id, uint64_t> keys_;  ///< Of crashes_.
   uint64_t next_key_ = 1;
   size_t request_count_ = 0;                             ///< In crashes_.
   std::unordered_map<fingerprint, trait_state> traits_;  ///< Of crashes_.
--- a/src/crash_monitor.cc
+++ b/src/crash_monitor.cc
@@ -1,5 +1,5 @@
-/// @file crash_monitor.cc Crashes of an agent's own engine, and their exchange
-/// with other agents.
+/// @file crash_monitor.cc Crashes of an agent's own engine, and the exchange of
+/// crashes with other processes.
 #include "crash_monitor_base.h"
 
 #include <algorithm>
@@ -42,6 +42,26 @@
 
 }  // namespace
 
+std::optional<crash_record> ReadCrash(time_point now,
+                                      const proto::envelope& message) {
+  const proto::crash_note& note = message.crash_note();
+  if (note.ordinal() == 0)
+    return std::nullopt;
+  const bool is_own = note.server().empty();
+  crash_record crash{.id = {.server = is_own ? message.vm() : note.server(),
+                            .incarnation = is_own ? message.incarnation()
+                                                  : note.server_incarnation(),
+                            .ordinal = note.ordinal()},
+                     .at = now - milliseconds(note.age_ms())};
+  for (const auto& request : note.requests()) {
+    request_traits& added = crash.requests.emplace_back();
+    added.request = fingerprint(request.fingerprint());
+    for (uint64_t part : request.parts())
+      added.parts.emplace_back(part);
+  }
+  return crash;
+}
+
 crash_monitor::crash_monitor(crash_monitor_options options,
                              crash_monitor_hooks hooks)
     : options_(std::move(options)),
@@ -49,13 +69,13 @@
       history_(options_.history),
       random_(options_.seed) {}
 
-void crash_monitor::SetAgents(time_point now,
-                              const std::vector<std::string>& agents) {
-  for (auto& [address, forgotten_at] : agents_) {
+void crash_monitor::SetPeers(time_point now,
+                             const std::vector<std::string>& peers) {
+  for (auto& [address, forgotten_at] : peers_) {
     forgotten_at = std::min(forgotten_at, now + options_.history.retention);
   }
-  for (const std::string& address : agents)
-    agents_[address] = time_point::max();
+  for (const std::string& address : peers)
+    peers_[address] = time_point::max();
 }
 
 trait_verdict crash_monitor::Judge(time_point now,
@@ -151,11 +171,61 @@
   Decide(now);
 }
 
+void crash_monitor::ReportCrash(time_point now, const crash_record& crash) {
+  history_.AddCrash(now, crash);
+  auto known = std::find_if(
+      own_crashes_.begin(), own_crashes_.end(),
+      [&](const own_crash& item) { return item.record.id == crash.id; });
+  if (known != own_crashes_.end()) {
+    auto& requests = known->record.requests;
+    requests.insert(requests.end(), crash.requests.begin(),
+                    crash.requests.end());
+    known->sent = 0;
+  } else {
+    hooks_.count("servers_crashed");
+    hooks_.log(log_event::kServerCrashed,
+               "server=" + crash.id.server +
+                   " requests=" + std::to_string(crash.requests.size()) +
+                   " after_ms=" + std::to_string(ToMs(now - crash.at)));
+    own_crashes_.push_back({.record = crash, .observed_at = now});
+    SendCrash(now, own_crashes_.back());
+  }
+  Decide(now);
+}
+
+void crash_monitor::WithdrawCrash(time_point now, const crash_id& id) {
+  std::erase_if(own_crashes_,
+                [&](const own_crash& item) { return item.record.id == id; });
+  hooks_.count("crashes_withdrawn");
+  for (const fingerprint& trait : history_.RemoveCrash(id)) {
+    hooks_.count("quarantines_released");
+    hooks_.log(log_event::kQuarantineReleased, "trait=" + Hex(trait));
+  }
+  Decide(now);
+}
+
+void crash_monitor::OnAnswered(time_point now,
+                               time_point granted_at,
+                               const request_traits& traits) {
+  const bool was_suspect = history_.CrashesOf(now, traits.request) > 0;
+  const auto released = history_.OnAnswered(now, granted_at, traits);
+  if (!released.empty())
+    return SendReleased(now, released);
+  if (!was_suspect || history_.CrashesOf(now, traits.request) > 0)
+    return;
+  for (const auto& [peer, forgotten_at] : peers_)
+    SendSound(now, peer, {traits.request});
+}
+
 void crash_monitor::SendCrash(time_point now, const own_crash& crash) {
   proto::envelope message =
       MakeEnvelope(options_.self, options_.own_incarnation);
   proto::crash_note* note = message.mutable_crash_note();
   note->set_ordinal(crash.record.id.ordinal);
+  if (crash.record.id.server != options_.self.value) {
+    note->set_server(crash.record.id.server);
+    note->set_server_incarnation(crash.record.id.incarnation);
+  }
   note->set_age_ms(AgeMs(now, crash.record.at));
   for (const request_traits& request : crash.record.requests) {
     if (static_cast<size_t>(note->requests_size()) ==
@@ -170,8 +240,8 @@
     if (auto at = history_.SoundAt(now, part))
       AddTrait(note->add_sound(), part, AgeMs(now, *at));
   }
-  for (const auto& [agent, forgotten_at] : agents_)
-    hooks_.send(agent, message);
+  for (const auto& [peer, forgotten_at] : peers_)
+    hooks_.send(peer, message);
 }
 
 void crash_monitor::SendSound(time_point now,
@@ -196,8 +266,8 @@
     hooks_.count("quarantines_released");
     hooks_.log(log_event::kQuarantineReleased, "trait=" + Hex(trait));
   }
-  for (const auto& [agent, forgotten_at] : agents_)
-    SendSound(now, agent, traits);
+  for (const auto& [peer, forgotten_at] : peers_)
+    SendSound(now, peer, traits);
 }
 
 void crash_monitor::OnMessage(time_point now,
@@ -209,8 +279,7 @@
     if (history_.OnSound(now, trait, now - milliseconds(item.age_ms())))
       hooks_.log(log_event::kQuarantineReleased, "trait=" + Hex(trait));
   }
-  if (note.ordinal() != 0)
-    OnCrash(now, from, message);
+  OnCrash(now, from, message);
   OnQuarantined(now, from, note);
   OnQuestions(now, from, note);
   Decide(now);
@@ -226,8 +295,8 @@
     AddTrait(message.mutable_crash_note()->add_questions(), question.part,
              AgeMs(now, question.first_crash));
   }
-  for (const auto& [agent, forgotten_at] : agents_)
-    hooks_.send(agent, message);
+  for (const auto& [peer, forgotten_at] : peers_)
+    hooks_.send(peer, message);
 }
 
 void crash_monitor::OnQuestions(time_point now,
@@ -246,16 +315,10 @@
                             const std::string& from,
                             const proto::envelope& message) {
   const proto::crash_note& note = message.crash_note();
-  crash_record crash{.id = {.server = message.vm(),
-                            .incarnation = message.incarnation(),
-                            .ordinal = note.ordinal()},
-                     .at = now - milliseconds(note.age_ms())};
-  for (const auto& request : note.requests()) {
-    request_traits& added = crash.requests.emplace_back();
-    added.request = fingerprint(request.fingerprint());
-    for (uint64_t part : request.parts())
-      added.parts.emplace_back(part);
-  }
+  const auto read = ReadCrash(now, message);
+  if (!read || now - read->at > options_.history.retention)
+    return;
+  const crash_record& crash = *read;
   history_.AddCrash(now, crash);
   std::set<uint64_t> known_sound;
   for (const auto& item : note.sound())
@@ -280,9 +343,8 @@
     const auto sound_at = history_.SoundAt(now, received.trait);
     if (sound_at && *sound_at > received.last_crash) {
       objections.push_back(received.trait);
-    } else if (history_.Adopt(
-                   now, received,
-                   received.last_crash + options_.history.retention)) {
+    } else if (history_.Adopt(now, received,
+                              AdoptedUntil(now, received.last_crash))) {
       hooks_.count("quarantines_adopted");
       hooks_.log(log_event::kRequestQuarantined,
                  "trait=" + Hex(received.trait) + " from=" + from);
@@ -291,6 +353,13 @@
   SendSound(now, from, objections);
 }
 
+time_point crash_monitor::AdoptedUntil(time_point now,
+                                       time_point last_crash) const {
+  if (options_.adopted_time.count() > 0)
+    return now + options_.adopted_time;
+  return last_crash + options_.history.retention;
+}
+
 void crash_monitor::Decide(time_point now) {
   const auto decided = history_.Decide(now);
   for (const fingerprint& trait : decided) {
@@ -307,8 +376,11 @@
   std::erase_if(entries_, [&](const auto& item) {
     return now - item.second > options_.entry_retention;
   });
-  std::erase_if(agents_, [&](const auto& item) { return now >= item.second; });
-  const auto quarantined = history_.Quarantined(now);
+  std::erase_if(peers_, [&](const auto& item) { return now >= item.second; });
+  auto quarantined = history_.Quarantined(now);
+  if (options_.adopted_time.count() > 0)
+    std::erase_if(quarantined,
+                  [](const auto& item) { return item.is_adopted; });
   if (quarantined.empty())
     return;
   proto::envelope message =
@@ -321,8 +393,8 @@
              AgeMs(now, item.last_crash));
   }
   std::vector<std::string> peers;
-  for (const auto& [agent, forgotten_at] : agents_)
-    peers.push_back(agent);
+  for (const auto& [peer, forgotten_at] : peers_)
+    peers.push_back(peer);
   for (const auto& [entry, at] : entries_)
     peers.push_back(entry);
   std::vector<std::string> chosen;
--- a/src/crash_monitor_base.h
+++ b/src/crash_monitor_base.h
@@ -1,5 +1,5 @@
 /// @file crash_monitor_base.h Observes the crashes of an agent's own engine,
-/// and exchanges crashes, full answers and quarantines with other agents.
+/// and exchanges crashes, full answers and quarantines with other processes.
 #ifndef CRASH_MONITOR_BASE_H_
 #define CRASH_MONITOR_BASE_H_
 
@@ -35,6 +35,10 @@
   size_t gossip_peers = 3;  ///< That get the quarantines in each interval.
   /// Entries that requested a place within this time get quarantines.
   seconds entry_retention{60};
+  /// Time for which a quarantine told by another process is kept, unless it is
+  /// told again; only own decisions are told then. 0: kept, and told, like own
+  /// ones.
+  seconds adopted_time{0};
   /// Time after which a report shows that the engine had not crashed.
   milliseconds alive_after{200};
   size_t max_ended = 4096;
@@ -56,17 +60,23 @@
   bool is_suspect = false;
 };
 
+/// Reads the crash of which a message tells, if it does.
+std::optional<crash_record> ReadCrash(time_point now,
+                                      const proto::envelope& message);
+
 /// Each agent observes its own engine and tells all other agents of a crash at
 /// once, since one may cause the next within a second. All agents know all
-/// crashes, so that each decides alone which traits to quarantine.
+/// crashes, so that each decides alone which traits to quarantine. Entries do
+/// the same for servers without agents, see server_crash_monitor.
 class crash_monitor {
  public:
   crash_monitor(crash_monitor_options options, crash_monitor_hooks hooks);
 
-  /// Sets the agents whose servers are registered. Those that are gone from the
+  /// Sets the other processes: the agents whose servers are registered, or the
+  /// registered entries. Those that are gone from the
   /// list remain known for a time, since a server that has crashed is not
   /// registered until it is back.
-  void SetAgents(time_point now, const std::vector<std::string>& agents);
+  void SetPeers(time_point now, const std::vector<std::string>& peers);
   /// Judges a request for a place.
   /// @param entry Address of the entry that requests it.
   trait_verdict Judge(time_point now,
@@ -75,6 +85,16 @@
   void OnPlaceReleased(time_point now,
                        const released_place& place,
                        attempt_result result);
+  /// Tells the other processes of a crash that was observed by other means. A
+  /// further report of the same crash adds its requests.
+  void ReportCrash(time_point now, const crash_record& crash);
+  /// Forgets a crash that has turned out to be none.
+  void WithdrawCrash(time_point now, const crash_id& id);
+  /// Records that a request was answered in full, and tells the other processes
+  /// if it was suspected.
+  void OnAnswered(time_point now,
+                  time_point granted_at,
+                  const request_traits& traits);
   /// Handles the result of requesting a report from the engine.
   void OnEngineReport(time_point now, bool is_reachable, bool is_restarted);
   /// @param from Address of the sender.
@@ -101,13 +121,15 @@
   void OnEngineAlive(time_point now);
   void SendCrash(time_point now, const own_crash& crash);
   void Decide(time_point now);
+  /// Returns when a quarantine told by another process expires.
+  time_point AdoptedUntil(time_point now, time_point last_crash) const;
   void OnCrash(time_point now,
                const std::string& from,
                const proto::envelope& message);
   void OnQuarantined(time_point now,
                      const std::string& from,
                      const proto::crash_note& note);
-  /// Asks all agents about parts that would be quarantined.
+  /// Asks all peers about parts that would be quarantined.
   void Ask(time_point now);
   void OnQuestions(time_point now,
                    const std::string& from,
@@ -117,14 +139,14 @@
                  const std::vector<fingerprint>& traits);
   /// Tells all agents that traits are released from quarantine.
   void SendReleased(time_point now, const std::vector<fingerprint>& traits);
-  /// Sends the quarantines to some agents and entries.
+  /// Sends the quarantines to some peers and entries.
   void Gossip(time_point now);
 
   crash_monitor_options options_;
   crash_monitor_hooks hooks_;
   crash_history history_;
   std::mt19937_64 random_;
-  std::map<std::string, time_point> agents_;   ///< When each is forgotten.
+  std::map<std::string, time_point> peers_;    ///< When each is forgotten.
   std::map<std::string, time_point> entries_;  ///< When each last asked.
   struct ended_attempt {
     time_point at{};
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -217,7 +217,7 @@
     if (members == members_)
       return;
     members_ = std::move(members);
-    crash_monitor_.SetAgents(now, OtherAgents());
+    crash_monitor_.SetPeers(now, OtherAgents());
     topology_ = MakeTopology();
     load_slot_ = ComputeLoadSlot();
     // Makes the next plan give the new topology to the transfer.
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -42,6 +42,9 @@
   options.budget = {.ratio = from.retry_ratio / 2,
                     .extra = from.retry_extra * kExtraShare,
                     .window = from.retry_window};
+  options.crashes.exchange.self = vm_id(from.node);
+  options.crashes.exchange.own_incarnation = incarnation(seed);
+  options.crashes.exchange.seed = seed;
   options.seed = seed;
   return options;
 }
@@ -53,7 +56,7 @@
   explicit hosted_entry(const site_settings& settings)
       : process_(
             settings,
-            [this](time_point) { OnView(); },
+            [this](time_point now) { OnView(now); },
             [this](time_point now) { ShutDown(now); }),
         dispatch_(OptionsOf(settings, process_.OwnIncarnation().value),
                   DispatchHooks()),
@@ -61,13 +64,17 @@
         readiness_(&process_.Loop(), {}, ReadinessHooks()),
         servers_(&process_.Loop(),
                  {.connection = {.user_timeout = kUserTimeout},
-                  .limits = {.answer_bytes = kMaxAnswerBytes}}),
-        agents_(
-            &process_.Loop(),
-            [this](time_point now,
-                   const std::string&,
-                   const proto::envelope& message) { OnAgent(now, message); }) {
-  }
+                  .limits = {.answer_bytes = kMaxAnswerBytes},
+                  .on_idle_lost =
+                      [this](time_point now, const std::string& address) {
+                        dispatch_.OnConnectionLost(now, address);
+                      }}),
+        agents_(&process_.Loop(),
+                [this](time_point now,
+                       const std::string& from,
+                       const proto::envelope& message) {
+                  OnMessage(now, from, message);
+                }) {}
 
   exit_code Run() {
     const site_settings& settings = process_.Settings();
@@ -215,6 +222,13 @@
       caller->Abort();
     };
     hooks.event_id = platform::ParseEventId;
+    hooks.send_crash_note = [this](const std::string& address,
+                                   const proto::envelope& message) {
+      agents_.Send(address, message);
+    };
+    hooks.is_connected = [this](const std::string& address) {
+      return servers_.IsConnected(address);
+    };
     hooks.log = [](log_event event, const std::string& detail) {
       LogEvent(event, detail);
     };
@@ -234,9 +248,26 @@
            std::to_string(process_.Settings().first_port);
   }
 
-  void OnView() {
+  /// Returns the addresses of the other entries, which listen on the first
+  /// port as agents do.
+  std::set<std::string> OtherEntries() const {
+    std::set<std::string> entries;
+    const std::string& ip = process_.Settings().ip;
+    for (const std::string& relay : process_.Index()->View().entry_relays) {
+      const std::string entry_ip = relay.substr(0, relay.rfind(':'));
+      if (!entry_ip.empty() && entry_ip != ip) {
+        entries.insert(entry_ip + ":" +
+                       std::to_string(process_.Settings().first_port));
+      }
+    }
+    return entries;
+  }
+
+  void OnView(time_point now) {
     if (process_.Index() != nullptr) {
       dispatch_.SetIndex(process_.Index());
+      entries_ = OtherEntries();
+      dispatch_.SetPeers(now, {entries_.begin(), entries_.end()});
       callers_.SetLimits(process_.Index()->View().configuration.limits);
     }
     dispatch_.SetConfirmedAt(process_.ConfirmedAt());
@@ -320,7 +351,11 @@
                          std::move(hooks));
   }
 
-  void OnAgent(time_point now, const proto::envelope& message) {
+  void OnMessage(time_point now,
+                 const std::string& from,
+                 const proto::envelope& message) {
+    if (entries_.contains(from))
+      return dispatch_.OnCrashNote(now, from, message);
     for (const auto& item : message.crash_note().quarantined())
       dispatch_.OnQuarantined(now, fingerprint(item.trait()));
     if (!message.has_place_answer())
@@ -375,6 +410,7 @@
     callers_.EnforceTimeouts(now);
     readiness_.EnforceTimeouts(now);
     servers_.CloseIdle(now);
+    dispatch_.RunCrashMonitor(now);
     process_.Metrics().SetGauge("connections_opened",
                                 static_cast<int64_t>(servers_.OpenedCount()));
     if (shutdown_ && AdvanceShutdown(now))
@@ -422,7 +458,8 @@
   http_listener callers_;
   http_listener readiness_;
   http_client_pool servers_;
-  datagram_link agents_;
+  datagram_link agents_;           ///< Also to the other entries.
+  std::set<std::string> entries_;  ///< Addresses of the other entries.
   std::map<uint64_t, open_call> calls_;
   std::map<http_server_connection*, uint64_t> by_caller_;
   uint64_t next_call_ = 1;
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -31,13 +31,15 @@
     milliseconds max_idle,
     http_answer_limits limits,
     std::function<void(http_client_connection*)> on_idle,
-    std::function<void(http_client_connection*)> on_closed)
+    std::function<void(http_client_connection*)> on_closed,
+    std::function<void(time_point)> on_idle_lost)
     : id_(id),
       connection_(std::move(connection)),
       max_idle_(max_idle),
       limits_(limits),
       on_idle_(std::move(on_idle)),
-      on_closed_(std::move(on_closed)) {}
+      on_closed_(std::move(on_closed)),
+      on_idle_lost_(std::move(on_idle_lost)) {}
 
 void http_client_connection::RegisterHooks() {
   connection_->SetHooks(
@@ -162,14 +164,21 @@
     const bool is_complete = has_head_ && !is_skipped_ &&
                              body_.Framing() == body_framing::kUntilClose &&
                              cause == close_cause::kPeerClosed;
-    exchange_end end =
-        is_complete ? exchange_end::kComplete : exchange_end::kBroken;
-    if (!connection_->IsConnected())
+    exchange_end end = exchange_end::kBroken;
+    if (is_complete)
+      end = exchange_end::kComplete;
+    else if (cause == close_cause::kRefused)
+      end = exchange_end::kRefused;
+    else if (!connection_->IsConnected())
       end = exchange_end::kNotConnected;
+    else if (cause == close_cause::kBroken)
+      end = exchange_end::kCutOff;
     is_busy_ = false;
     const auto hooks = std::move(hooks_);
     if (hooks->on_end)
       hooks->on_end(now, end);
+  } else if (on_idle_lost_ && cause != close_cause::kBroken) {
+    on_idle_lost_(now);
   }
   if (on_closed_)
     on_closed_(this);
@@ -214,7 +223,7 @@
       continue;
     connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
     if (one->IsQuiet() && now < one->ReusableUntil() - options_.idle_margin) {
-      busy_[one.get()] = one;
+      busy_[one.get()] = {one, address};
       return one;
     }
     one->Abort();
@@ -235,19 +244,35 @@
         auto it = busy_.find(one);
         if (it == busy_.end())
           return;
-        idle_[address].push_back(it->second);
+        idle_[address].push_back(it->second.connection);
         busy_.erase(it);
       },
       [this, address](http_client_connection* one) {
         busy_.erase(one);
         std::erase_if(idle_[address],
                       [one](const auto& item) { return item.get() == one; });
+      },
+      [this, address](time_point now) {
+        if (options_.on_idle_lost)
+          options_.on_idle_lost(now, address);
       });
   made->RegisterHooks();
-  busy_[made.get()] = made;
+  busy_[made.get()] = {made, address};
   return made;
 }
 
+bool http_client_pool::IsConnected(const std::string& address) const {
+  auto idle = idle_.find(address);
+  if (idle != idle_.end() &&
+      std::any_of(idle->second.begin(), idle->second.end(),
+                  [](const auto& item) { return item->IsConnected(); }))
+    return true;
+  return std::any_of(busy_.begin(), busy_.end(), [&](const auto& item) {
+    return item.second.address == address &&
+           item.second.connection->IsConnected();
+  });
+}
+
 void http_client_pool::CloseIdle(time_point now) {
   for (auto& [address, connections] : idle_) {
     auto copies = connections;
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -19,8 +19,10 @@
 enum class exchange_end {
   kComplete,      ///< The whole answer arrived.
   kNotConnected,  ///< No connection was made, so that nothing was sent.
-  kBroken,        ///< The connection closed before the answer was complete.
-  kMalformed,     ///< The bytes received are no valid answer.
+  kRefused,       ///< The same, since nothing listens at the address.
+  kBroken,  ///< The server ended the connection before the answer was complete.
+  kCutOff,  ///< The connection was lost in another way, perhaps on its path.
+  kMalformed,  ///< The bytes received are no valid answer.
 };
 
 struct exchange_hooks {
@@ -50,13 +52,13 @@
   /// @param id Number of the connection, unique in its pool.
   /// @param max_idle Longest time to stay idle; a shorter Keep-Alive timeout of
   /// the server takes precedence.
-  http_client_connection(
-      uint64_t id,
-      std::shared_ptr<tcp_connection> connection,
-      milliseconds max_idle,
-      http_answer_limits limits,
-      std::function<void(http_client_connection*)> on_idle,
-      std::function<void(http_client_connection*)> on_closed);
+  http_client_connection(uint64_t id,
+                         std::shared_ptr<tcp_connection> connection,
+                         milliseconds max_idle,
+                         http_answer_limits limits,
+                         std::function<void(http_client_connection*)> on_idle,
+                         std::function<void(http_client_connection*)> on_closed,
+                         std::function<void(time_point)> on_idle_lost = nullptr);
   /// Registers the hooks of the TCP connection.
   void RegisterHooks();
   /// Sends a serialized request.
@@ -66,6 +68,8 @@
   /// Cancels the exchange and closes the connection.
   void Abort();
   bool IsOpen() const { return connection_->IsOpen(); }
+  /// Whether the connection is open and has been established.
+  bool IsConnected() const { return IsOpen() && connection_->IsConnected(); }
   /// Whether the connection is open and no bytes have arrived outside an
   /// exchange.
   bool IsQuiet() const { return IsOpen() && !connection_->HasInput(); }
@@ -91,6 +95,7 @@
   http_answer_limits limits_;
   std::function<void(http_client_connection*)> on_idle_;
   std::function<void(http_client_connection*)> on_closed_;
+  std::function<void(time_point)> on_idle_lost_;
   std::shared_ptr<exchange_hooks> hooks_;
   body_reader body_;
   uint64_t exchange_count_ = 0;
@@ -106,6 +111,11 @@
   milliseconds idle_timeout_{};
 };
 
+/// Whether the connection of an exchange ended before its answer.
+inline bool IsBroken(exchange_end end) {
+  return end == exchange_end::kBroken || end == exchange_end::kCutOff;
+}
+
 struct http_client_pool_options {
   tcp_connection_options connection;
   http_answer_limits limits;
@@ -115,13 +125,15 @@
   /// Subtracted from the idle timeout, so that a request arrives before the
   /// server closes the connection.
   milliseconds idle_margin{500};
+  /// Called when a server closes or resets an idle connection.
+  std::function<void(time_point, const std::string& address)> on_idle_lost;
 };
 
 /// Connection pool, with idle connections by address.
 class http_client_pool {
  public:
   http_client_pool(event_loop* loop, http_client_pool_options options)
-      : loop_(loop), options_(options) {}
+      : loop_(loop), options_(std::move(options)) {}
   ~http_client_pool();
   http_client_pool(const http_client_pool&) = delete;
   http_client_pool& operator=(const http_client_pool&) = delete;
@@ -135,6 +147,8 @@
   /// Opens a new connection.
   outcome<std::shared_ptr<http_client_connection>> Open(
       const std::string& address);
+  /// Whether an established connection to an address is open.
+  bool IsConnected(const std::string& address) const;
   /// Closes connections that were idle for too long.
   void CloseIdle(time_point now);
   uint64_t OpenedCount() const { return opened_; }
@@ -144,8 +158,11 @@
   http_client_pool_options options_;
   std::map<std::string, std::deque<std::shared_ptr<http_client_connection>>>
       idle_;
-  std::map<http_client_connection*, std::shared_ptr<http_client_connection>>
-      busy_;
+  struct busy_connection {
+    std::shared_ptr<http_client_connection> connection;
+    std::string address;
+  };
+  std::map<http_client_connection*, busy_connection> busy_;
   uint64_t opened_ = 0;
 };
 
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -2,6 +2,7 @@
 #include "network/tcp_connection.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -49,14 +50,22 @@
     const std::string& address,
     tcp_connection_options options) {
   Poco::Net::StreamSocket socket;
+  bool is_refused = false;
   try {
     socket.connectNB(Poco::Net::SocketAddress(address));
+  } catch (const Poco::Net::ConnectionRefusedException&) {
+    is_refused = true;
   } catch (const Poco::Exception& e) {
     return failure{"cannot connect to " + address + ": " + e.displayText()};
   }
   std::shared_ptr<tcp_connection> made(
       new tcp_connection(loop, socket, options, false));
-  made->RegisterWithLoop();
+  if (is_refused) {
+    loop->Post(
+        [made] { made->CloseAndNotify(BootNow(), close_cause::kRefused); });
+  } else {
+    made->RegisterWithLoop();
+  }
   return made;
 }
 
@@ -93,7 +102,9 @@
   if (events.writable && !is_connected_ && !events.failed)
     is_connected_ = true;
   if (events.failed && !is_connected_) {
-    CloseAndNotify(now, close_cause::kBroken);
+    const bool is_refused = socket_.impl()->socketError() == ECONNREFUSED;
+    CloseAndNotify(now,
+                   is_refused ? close_cause::kRefused : close_cause::kBroken);
     return;
   }
   if (events.readable || events.failed) {
@@ -121,6 +132,10 @@
     int count = 0;
     try {
       count = socket_.receiveBytes(buffer.data(), kReadBytes);
+    } catch (const Poco::Net::ConnectionResetException&) {
+      is_at_end = true;
+      cause = close_cause::kReset;
+      break;
     } catch (const Poco::Exception&) {
       is_at_end = true;
       cause = close_cause::kBroken;
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -16,7 +16,12 @@
 namespace fuchsiafall {
 
 /// How a connection ended.
-enum class close_cause { kPeerClosed, kBroken };
+enum class close_cause {
+  kPeerClosed,
+  kReset,    ///< Reset by the peer.
+  kRefused,  ///< Not made, since nothing listens at the address.
+  kBroken,   ///< Another error, which may be of the path to the peer.
+};
 
 struct tcp_connection_hooks {
   /// Receives the input buffer; bytes left in it stay for the next call.
@@ -42,7 +47,7 @@
       event_loop* loop,
       const Poco::Net::StreamSocket& socket,
       tcp_connection_options options);
-  /// Starts to connect; on_closed reports a failure.
+  /// Starts to connect; on_closed reports a failure, also one found at once.
   /// @param address ip:port
   static outcome<std::shared_ptr<tcp_connection>> Connect(
       event_loop* loop,
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -184,7 +184,9 @@
   /// Servers removed lately, by id. A restored store may list them again.
   std::map<std::string, departed_server> departed;
   std::set<std::string> evacuated;  ///< Failure domains being evacuated.
-  size_t entry_count = 0;  ///< Entries registered, over all failure domains.
+  /// Relay addresses (ip:port) of the registered entries, over all failure
+  /// domains; empty for one that could not be read.
+  std::vector<std::string> entry_relays;
   std::map<std::string, wanted_weights> weights;  ///< By model.
   /// Revisions of the items that could not be decoded, by key.
   std::map<std::string, store_revision> unreadable;
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -163,7 +163,7 @@
               std::map<std::string, store_item> items;
               for (const store_item& item : answer.items)
                 items[item.key] = item;
-              if (UpdateRelays(items) > 0)
+              if (!UpdateRelays(items).empty())
                 source_.BeginStartup(at);
               LogEvent(log_event::kRelaysRead,
                        "status=" + std::to_string(status) +
@@ -371,7 +371,7 @@
             " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
   }
   LogAnnouncements(now, *view);
-  view->entry_count = UpdateRelays(mirror_.Items());
+  view->entry_relays = UpdateRelays(mirror_.Items());
   view_ = view;
   options_.on_change(view_, mirror_.ConfirmedAt());
 }
@@ -395,21 +395,22 @@
   }
 }
 
-size_t site_watch::UpdateRelays(
+std::vector<std::string> site_watch::UpdateRelays(
     const std::map<std::string, store_item>& items) {
   std::vector<relay_registration> registrations;
-  size_t registered = 0;
+  std::vector<std::string> registered;
   for (const auto& [key, item] : items) {
     if (!key.starts_with(kRegisteredPrefix))
       continue;
-    ++registered;
     // The value is the failure domain and the relay's address.
     const size_t at = item.value.find(' ');
-    if (at != std::string::npos &&
-        item.value.substr(0, at) == options_.domain &&
-        IsIpPort(item.value.substr(at + 1))) {
-      registrations.push_back(
-          {key.substr(kRegisteredPrefix.size()), item.value.substr(at + 1)});
+    std::string address =
+        at == std::string::npos ? "" : item.value.substr(at + 1);
+    if (!IsIpPort(address))
+      address.clear();
+    registered.push_back(address);
+    if (!address.empty() && item.value.substr(0, at) == options_.domain) {
+      registrations.push_back({key.substr(kRegisteredPrefix.size()), address});
     }
   }
   source_.SetRelays(registrations);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -89,8 +89,10 @@
   /// Logs the versions of the weights that are new in a view.
   void LogAnnouncements(time_point now, const site_view& view) const;
   /// Updates the relays from the registrations among the items.
-  /// @return Number of entries registered, over all failure domains.
-  size_t UpdateRelays(const std::map<std::string, store_item>& items);
+  /// @return Relay addresses of the registered entries, over all failure
+  /// domains; empty where unreadable.
+  std::vector<std::string> UpdateRelays(
+      const std::map<std::string, store_item>& items);
   /// Registers this process as a relay if it is not registered yet.
   void Register(time_point now);
   /// Removes the registration of a relay that has failed for a long time.
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -45,6 +45,7 @@
           Info,
           "fetches from outside in place of another server")
 LOG_EVENT(kEngineCrashed, 309, Warning, "engine crashed")
+LOG_EVENT(kServerCrashed, 310, Warning, "server crashed")
 LOG_EVENT(kLimitLowered, 400, Warning, "admission limit lowered")
 LOG_EVENT(kRequestQuarantined, 401, Warning, "request quarantined")
 LOG_EVENT(kServerEjected, 402, Info, "server ejected from routing")
--- a/src/tests/crash_monitor_test.cc
+++ b/src/tests/crash_monitor_test.cc
@@ -230,7 +230,7 @@
            },
        .log = [](log_event, const std::string&) {},
        .count = [](const std::string&) {}});
-  monitor.SetAgents(now, {"other"});
+  monitor.SetPeers(now, {"other"});
   const time_point granted_at = now;
   now += milliseconds(200);
   monitor.OnPlaceReleased(now, {granted_at, MakeTraits(1, {kFirst})},
@@ -308,7 +308,7 @@
       {.send = [&](const std::string&, const proto::envelope&) { ++notes; },
        .log = [](log_event, const std::string&) {},
        .count = [](const std::string&) {}});
-  monitor.SetAgents(now, {"other"});
+  monitor.SetPeers(now, {"other"});
   monitor.OnPlaceReleased(now, {now, MakeTraits(1, {kFirst})},
                           attempt_result::kBroken);
   monitor.OnEngineReport(now, true, false);
--- a/src/tests/fake_crash_fleet.cc
+++ b/src/tests/fake_crash_fleet.cc
@@ -79,7 +79,7 @@
     if (other != id)
       others.push_back(other);
   }
-  item.monitor->SetAgents(now, others);
+  item.monitor->SetPeers(now, others);
 }
 
 void fake_crash_fleet::RestartAgent(const std::string& id) {
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -3,7 +3,9 @@
 #ifndef TESTS_FAKE_SITE_H_
 #define TESTS_FAKE_SITE_H_
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -150,6 +152,14 @@
     hooks.log = [](log_event, const std::string&) {};
     hooks.count = [](const std::string&) {};
     hooks.record_duration = [](const std::string&, duration) {};
+    hooks.send_crash_note = [this](const std::string& address,
+                                   const proto::envelope& message) {
+      if (on_crash_note)
+        on_crash_note(address, message);
+    };
+    hooks.is_connected = [this](const std::string& address) {
+      return connected.contains(address);
+    };
     return hooks;
   }
 
@@ -226,6 +236,9 @@
   /// What the caller received of servers' answers: <, events and > for a
   /// stream, [body] for a whole answer, | for a broken connection.
   std::string received_text;
+  std::function<void(const std::string& address, const proto::envelope&)>
+      on_crash_note;
+  std::set<std::string> connected;  ///< Addresses of open connections.
   call_dispatch dispatch;
 };
 
--- a/src/tests/silent_server_test.cc
+++ b/src/tests/silent_server_test.cc
@@ -155,7 +155,7 @@
 BOOST_AUTO_TEST_CASE(silent_calls_over_the_retry_budget_are_not_refused) {
   fake_entry entry;
   site_view view = entry.site.index->View();
-  view.entry_count = 1000;  // Leaves a budget of two retries.
+  view.entry_relays.resize(1000);  // Leaves a budget of two retries.
   entry.site.Set(view);
   entry.dispatch.SetIndex(entry.site.index.get());
   for (uint64_t id : {1, 2, 3})
--- a/src/tests/site_watch_test.cc
+++ b/src/tests/site_watch_test.cc
@@ -201,7 +201,7 @@
                     .on_change =
                         [&](const auto& view, time_point) {
                           if (view != nullptr)
-                            entry_count = view->entry_count;
+                            entry_count = view->entry_relays.size();
                         },
                     .count = [](const std::string&) {}});
   BOOST_REQUIRE(watch.Start());
--- a/src/tests/soak/soak_callers.cc
+++ b/src/tests/soak/soak_callers.cc
@@ -165,7 +165,7 @@
   hooks.on_end = [this, item, abort_timer](time_point at, exchange_end end) {
     loop_->CancelTimer(abort_timer);
     EndCall(*item);
-    if (end == exchange_end::kBroken)
+    if (IsBroken(end))
       CheckCut(at, *item);
     CheckAnswer(*item, end);
   };
@@ -180,8 +180,10 @@
 
 void soak_callers::CheckAnswer(const call& item, exchange_end end) {
   if (end != exchange_end::kComplete) {
-    ++record_->counts[end == exchange_end::kNotConnected ? "not connected"
-                                                         : "broken off"];
+    ++record_->counts[end == exchange_end::kNotConnected ||
+                              end == exchange_end::kRefused
+                          ? "not connected"
+                          : "broken off"];
     if (end == exchange_end::kMalformed)
       record_->AddViolation("malformed", item.id);
     return;
