Fix: Bound the memory of all buffers of a hosted process together

Cause: each answer, request and unsent remainder was bounded, but not their sum: 300 callers times 16 MiB, in a process of 182 MB.

One budget a process, a quarter of its memory, covers bodies, connections' buffers and answers to own calls; above it the largest buffer is given up, before the next socket is read. Heads and events in pieces are searched once, and empty lines and trailers have a limit.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -27,6 +27,7 @@
     "quarantined",
     "leaving",
     "no retry left",
+    "no memory",
 };
 
 }  // namespace
@@ -354,6 +355,34 @@
   Erase(&call);
 }
 
+size_t call_dispatch::HeldAnswerBytes(uint64_t id) const {
+  auto it = calls_.find(id);
+  if (it == calls_.end())
+    return 0;
+  return it->second.body.capacity() + it->second.events.Incomplete().size();
+}
+
+void call_dispatch::OnAnswerOverBudget(time_point now,
+                                       uint64_t id,
+                                       uint32_t attempt) {
+  call_state* call = Find(id, attempt);
+  if (call == nullptr)
+    return;
+  hooks_.count("answers_over_budget");
+  std::string().swap(call->body);
+  OnMalformedAnswer(now, call);
+}
+
+void call_dispatch::OnRequestOverBudget(time_point now, uint64_t id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end())
+    return;
+  hooks_.count("requests_over_budget");
+  if (it->second.has_attempt)
+    AbortAttempt(&it->second);
+  Refuse(now, &it->second, call_refusal::kNoMemory);
+}
+
 void call_dispatch::RunDue(time_point now) {
   std::vector<uint64_t> due;
   for (const auto& [id, call] : calls_) {
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -39,6 +39,7 @@
   kQuarantined,   ///< The request crashes servers.
   kLeaving,       ///< This process exits before the answer would be complete.
   kNoRetry,       ///< The retry budget is used up.
+  kNoMemory,      ///< The process has no memory for the request.
 };
 
 /// Returns the text of a reason for logs and counters.
@@ -191,6 +192,12 @@
                      uint64_t id,
                      uint32_t attempt,
                      exchange_end end);
+  /// Returns the bytes that are held of the current answer to a call.
+  size_t HeldAnswerBytes(uint64_t id) const;
+  /// Gives up an answer for which there is no memory.
+  void OnAnswerOverBudget(time_point now, uint64_t id, uint32_t attempt);
+  /// Gives up a request for which there is no memory.
+  void OnRequestOverBudget(time_point now, uint64_t id);
   /// Handles the message of another entry about crashes.
   void OnCrashNote(time_point now,
                    const std::string& from,
--- a/src/hosted_entry.cc
+++ b/src/hosted_entry.cc
@@ -60,10 +60,15 @@
             [this](time_point now) { ShutDown(now); }),
         dispatch_(OptionsOf(settings, process_.OwnIncarnation().value),
                   DispatchHooks()),
-        callers_(&process_.Loop(), {}, CallerHooks()),
-        readiness_(&process_.Loop(), {}, ReadinessHooks()),
+        callers_(&process_.Loop(),
+                 {.budget = process_.Budget()},
+                 CallerHooks()),
+        readiness_(&process_.Loop(),
+                   {.budget = process_.Budget()},
+                   ReadinessHooks()),
         servers_(&process_.Loop(),
-                 {.connection = {.user_timeout = kUserTimeout},
+                 {.connection = {.user_timeout = kUserTimeout,
+                                 .budget = process_.Budget()},
                   .limits = {.answer_bytes = kMaxAnswerBytes},
                   .on_idle_lost =
                       [this](time_point now, const std::string& address) {
@@ -103,6 +108,7 @@
     /// to an earlier attempt has the same request id.
     std::set<uint64_t> used_connections;
     Poco::Net::HTTPResponse answer_head;
+    std::unique_ptr<buffer_share> answer_share;  ///< Of the current attempt.
   };
 
   http_listener_hooks CallerHooks() {
@@ -121,6 +127,14 @@
       RemoveCall(call);
       Schedule();
     };
+    hooks.on_over_budget = [this](time_point now,
+                                  http_server_connection* caller) {
+      auto it = by_caller_.find(caller);
+      if (it == by_caller_.end())
+        return;
+      dispatch_.OnRequestOverBudget(now, it->second);
+      Schedule();
+    };
     hooks.on_refused = [this](time_point, int status,
                               const std::string& reason) {
       process_.Metrics().Count("requests_malformed");
@@ -311,6 +325,7 @@
       return;
     }
     item.exchange = *connection;
+    item.answer_share = MakeAnswerShare(call, attempt);
     item.used_connections.insert(item.exchange->Id());
     auto head = platform::EncodeAttempt(item.request.head, headers);
     const bool is_head = head.getMethod() == "HEAD";
@@ -339,6 +354,8 @@
     hooks.on_body = [this, call, attempt](time_point at,
                                           std::string_view bytes) {
       dispatch_.OnAnswerBody(at, call, attempt, bytes);
+      if (auto it = calls_.find(call); it != calls_.end())
+        it->second.answer_share->Set(dispatch_.HeldAnswerBytes(call));
     };
     hooks.on_end = [this, call, attempt](time_point at, exchange_end end) {
       auto it = calls_.find(call);
@@ -351,6 +368,17 @@
                          std::move(hooks));
   }
 
+  std::unique_ptr<buffer_share> MakeAnswerShare(uint64_t call,
+                                                uint32_t attempt) {
+    return std::make_unique<buffer_share>(
+        process_.Budget(), [this, call, attempt] {
+          process_.Loop().PostBeforeNextSocket([this, call, attempt] {
+            dispatch_.OnAnswerOverBudget(BootNow(), call, attempt);
+            Schedule();
+          });
+        });
+  }
+
   void OnMessage(time_point now,
                  const std::string& from,
                  const proto::envelope& message) {
--- a/src/hosted_process.cc
+++ b/src/hosted_process.cc
@@ -1,6 +1,7 @@
 /// @file hosted_process.cc Common parts of hosted processes.
 #include "hosted_process.h"
 
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -23,6 +24,20 @@
 /// from the store. The rest of that time is left for a call to the relay, a
 /// call to the store and applying the change.
 constexpr double kRelayAgeShare = 0.55;
+/// Share of a process's memory for its buffers. While a buffer grows, its old
+/// and its new copy exist together.
+constexpr size_t kBufferShare = 4;
+/// Memory of a process whose limit is unknown.
+constexpr size_t kDefaultMemoryBytes = 256U << 20;
+
+/// Size of the blocks that are mapped by themselves.
+constexpr int kMappedBytes = 256 * 1024;
+
+size_t BufferBytes(const site_settings& settings) {
+  return (settings.memory_bytes > 0 ? settings.memory_bytes
+                                    : kDefaultMemoryBytes) /
+         kBufferShare;
+}
 
 }  // namespace
 
@@ -33,24 +48,26 @@
       on_view_(std::move(on_view)),
       on_shutdown_(std::move(on_shutdown)),
       incarnation_(NewIncarnation()),
-      watch_({.node = settings_.node,
-              .domain = settings_.domain,
-              .store_address = settings_.store_address,
-              .relay_address = settings_.callers_address.empty()
-                                   ? ""
-                                   : settings_.ip + ":" +
-                                         std::to_string(settings_.first_port +
-                                                        kRelayPortOffset),
-              .mirror = {.trusts_silence = !settings_.callers_address.empty()},
-              .max_relay_age = std::chrono::duration_cast<milliseconds>(
-                  kRelayAgeShare * settings_.config_bound),
-              .on_change =
-                  [this](std::shared_ptr<const site_view> view,
-                         time_point confirmed_at) {
-                    OnSiteChange(std::move(view), confirmed_at);
-                  },
-              .count =
-                  [this](const std::string& name) { metrics_.Count(name); }}) {}
+      budget_(std::make_shared<buffer_budget>(BufferBytes(settings_))),
+      watch_(
+          {.node = settings_.node,
+           .domain = settings_.domain,
+           .store_address = settings_.store_address,
+           .relay_address = settings_.callers_address.empty()
+                                ? ""
+                                : settings_.ip + ":" +
+                                      std::to_string(settings_.first_port +
+                                                     kRelayPortOffset),
+           .mirror = {.trusts_silence = !settings_.callers_address.empty()},
+           .max_relay_age = std::chrono::duration_cast<milliseconds>(
+               kRelayAgeShare * settings_.config_bound),
+           .on_change =
+               [this](std::shared_ptr<const site_view> view,
+                      time_point confirmed_at) {
+                 OnSiteChange(std::move(view), confirmed_at);
+               },
+           .count = [this](const std::string& name) { metrics_.Count(name); },
+           .budget = budget_}) {}
 
 hosted_process::~hosted_process() {
   watch_.Stop();
@@ -103,6 +120,9 @@
 }
 
 exit_code RunHosted(const std::string& role, const std::string& path) {
+  // Large buffers go back to the system when they are freed. By default the
+  // threshold grows with them, and small blocks between them keep the heap.
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
   auto settings = platform::ReadSiteSettings(path);
   if (!settings) {
     std::cerr << "fuchsiafall: " << settings.LastReason() << "\n";
--- a/src/hosted_process.h
+++ b/src/hosted_process.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "metrics_base.h"
+#include "network/buffer_budget.h"
 #include "network/event_loop.h"
 #include "network/node_runtime.h"
 #include "site_index_base.h"
@@ -37,6 +38,8 @@
 
   event_loop& Loop() { return loop_; }
   metrics& Metrics() { return metrics_; }
+  /// Budget of all buffers of the process.
+  const std::shared_ptr<buffer_budget>& Budget() const { return budget_; }
   const site_settings& Settings() const { return settings_; }
   const site_index* Index() const { return index_.get(); }
   time_point ConfirmedAt() const { return confirmed_at_; }
@@ -53,6 +56,7 @@
   metrics metrics_;
   event_loop loop_;
   incarnation incarnation_;
+  std::shared_ptr<buffer_budget> budget_;
   std::unique_ptr<site_index> index_;
   time_point confirmed_at_{};
   int signal_fd_ = -1;
--- a/src/network/async_http_call.cc
+++ b/src/network/async_http_call.cc
@@ -20,6 +20,7 @@
   time_point deadline{};
   bool has_body_begun = false;
   time_point body_begun_at{};
+  std::unique_ptr<buffer_share> share;  ///< Of the body; null without budget.
 };
 
 void OnProgress(time_point now, pending_call* open) {
@@ -44,18 +45,39 @@
       open.deadline, open.body_begun_at + open.call.max_pause + allowed);
 }
 
+/// Ends a call before its answer is complete.
+void GiveUp(time_point now, const std::shared_ptr<pending_call>& open) {
+  auto connection = std::move(open->connection);
+  open->connection.reset();
+  connection->Abort();
+  if (open->call.on_timeout)
+    open->call.on_timeout(now, open->body.size());
+  open->call.on_done(now, 0, "");
+}
+
+/// Makes the body part of the budget of its pool.
+void StartShare(event_loop* loop,
+                const std::shared_ptr<buffer_budget>& budget,
+                const std::shared_ptr<pending_call>& open) {
+  open->share = std::make_unique<buffer_share>(
+      budget, [loop, weak = std::weak_ptr<pending_call>(open)] {
+        loop->PostBeforeNextSocket([loop, weak] {
+          auto call = weak.lock();
+          if (call == nullptr || call->connection == nullptr)
+            return;
+          loop->CancelTimer(call->timeout);
+          GiveUp(BootNow(), call);
+        });
+      });
+}
+
 void StartTimeout(event_loop* loop, const std::shared_ptr<pending_call>& open) {
   open->timeout =
       loop->StartTimer(DeadlineOf(*open), [loop, open](time_point at) {
         // Progress moves the deadline, but not the timer.
         if (at < DeadlineOf(*open))
           return StartTimeout(loop, open);
-        auto timed_out = std::move(open->connection);
-        open->connection.reset();
-        timed_out->Abort();
-        if (open->call.on_timeout)
-          open->call.on_timeout(at, open->body.size());
-        open->call.on_done(at, 0, "");
+        GiveUp(at, open);
       });
 }
 
@@ -75,6 +97,8 @@
   open->call = call;
   open->connection = *acquired;
   open->deadline = now + call.timeout;
+  if (pool->Budget())
+    StartShare(loop, pool->Budget(), open);
   exchange_hooks hooks;
   hooks.on_interim = [open](time_point at) { OnProgress(at, open.get()); };
   hooks.on_head = [open](time_point, const Poco::Net::HTTPResponse& head) {
@@ -88,6 +112,8 @@
       open->body_begun_at = at;
     open->has_body_begun = true;
     open->body += bytes;
+    if (open->share)
+      open->share->Set(open->body.capacity());
     OnProgress(at, open.get());
   };
   hooks.on_end = [loop, open](time_point at, exchange_end end) {
--- a/src/network/event_loop.cc
+++ b/src/network/event_loop.cc
@@ -93,6 +93,15 @@
   eventfd_write(wake_fd_, 1);
 }
 
+void event_loop::PostBeforeNextSocket(std::function<void()> work) {
+  {
+    std::lock_guard lock(mutex_);
+    posted_first_.push_back(std::move(work));
+    has_posted_first_ = true;
+  }
+  eventfd_write(wake_fd_, 1);
+}
+
 void event_loop::Stop() {
   Post([this] { is_stopping_ = true; });
 }
@@ -108,7 +117,8 @@
       count = RunSockets(0);
       polls_again = count == kMaxEvents;
     }
-    RunPosted();
+    RunPosted(&posted_first_);
+    RunPosted(&posted_);
     RunTimers();
   }
 }
@@ -128,15 +138,18 @@
             {.readable = (event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
              .writable = (event.events & EPOLLOUT) != 0,
              .failed = (event.events & (EPOLLERR | EPOLLHUP)) != 0});
+    if (has_posted_first_)
+      RunPosted(&posted_first_);
   }
   return count;
 }
 
-void event_loop::RunPosted() {
+void event_loop::RunPosted(std::vector<std::function<void()>>* queue) {
   std::vector<std::function<void()>> work_items;
   {
     std::lock_guard lock(mutex_);
-    work_items.swap(posted_);
+    work_items.swap(*queue);
+    has_posted_first_ = !posted_first_.empty();
   }
   for (auto& work : work_items)
     work();
--- a/src/network/event_loop.h
+++ b/src/network/event_loop.h
@@ -3,6 +3,7 @@
 #ifndef NETWORK_EVENT_LOOP_H_
 #define NETWORK_EVENT_LOOP_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -59,6 +60,9 @@
 
   /// Queues work from any thread; it runs in the loop's thread.
   void Post(std::function<void()> work);
+  /// The same, but before the next socket of the same round, for work that
+  /// frees memory which further sockets may need.
+  void PostBeforeNextSocket(std::function<void()> work);
   /// Runs until Stop() is called. May be called again.
   void Run();
   void Stop();
@@ -67,7 +71,7 @@
   /// Polls once and runs the hooks of the sockets that are ready.
   /// @return Number of sockets reported.
   int RunSockets(int timeout_ms);
-  void RunPosted();
+  void RunPosted(std::vector<std::function<void()>>* queue);
   void RunTimers();
   /// Whether a timer is so late that the process has paused.
   bool IsLate() const;
@@ -82,6 +86,8 @@
   timer_id next_timer_ = 1;
   std::mutex mutex_;
   std::vector<std::function<void()>> posted_;
+  std::vector<std::function<void()>> posted_first_;
+  std::atomic<bool> has_posted_first_ = false;
   /// Time of the last poll. Only timers that were due by then run, so that a
   /// timeout never expires before bytes that arrived in time are handled.
   time_point polled_at_{};
--- a/src/network/http_exchange.cc
+++ b/src/network/http_exchange.cc
@@ -60,6 +60,7 @@
   has_skipped_ = false;
   received_bytes_ = 0;
   head_count_ = 0;
+  head_search_.Restart();
   connection_->Send(request);
 }
 
@@ -113,7 +114,7 @@
 
 bool http_client_connection::ReadHead(time_point now, std::string* input) {
   while (true) {
-    const size_t end = FindHeadEnd(*input);
+    const size_t end = head_search_.Find(*input);
     if (end == std::string::npos) {
       if (input->size() > limits_.head_bytes)
         Finish(now, exchange_end::kMalformed);
--- a/src/network/http_exchange.h
+++ b/src/network/http_exchange.h
@@ -52,13 +52,14 @@
   /// @param id Number of the connection, unique in its pool.
   /// @param max_idle Longest time to stay idle; a shorter Keep-Alive timeout of
   /// the server takes precedence.
-  http_client_connection(uint64_t id,
-                         std::shared_ptr<tcp_connection> connection,
-                         milliseconds max_idle,
-                         http_answer_limits limits,
-                         std::function<void(http_client_connection*)> on_idle,
-                         std::function<void(http_client_connection*)> on_closed,
-                         std::function<void(time_point)> on_idle_lost = nullptr);
+  http_client_connection(
+      uint64_t id,
+      std::shared_ptr<tcp_connection> connection,
+      milliseconds max_idle,
+      http_answer_limits limits,
+      std::function<void(http_client_connection*)> on_idle,
+      std::function<void(http_client_connection*)> on_closed,
+      std::function<void(time_point)> on_idle_lost = nullptr);
   /// Registers the hooks of the TCP connection.
   void RegisterHooks();
   /// Sends a serialized request.
@@ -97,6 +98,7 @@
   std::function<void(http_client_connection*)> on_closed_;
   std::function<void(time_point)> on_idle_lost_;
   std::shared_ptr<exchange_hooks> hooks_;
+  head_search head_search_;
   body_reader body_;
   uint64_t exchange_count_ = 0;
   uint64_t received_bytes_ = 0;  ///< Of the current exchange.
@@ -152,6 +154,10 @@
   /// Closes connections that were idle for too long.
   void CloseIdle(time_point now);
   uint64_t OpenedCount() const { return opened_; }
+  /// Budget of the connections' buffers; null if there is none.
+  const std::shared_ptr<buffer_budget>& Budget() const {
+    return options_.connection.budget;
+  }
 
  private:
   event_loop* loop_;
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "network/http_status.h"
+
 namespace fuchsiafall {
 
 namespace {
@@ -12,6 +14,8 @@
 /// mobile phone.
 constexpr milliseconds kCloseDelay{300};
 constexpr size_t kMaxLingering = 256;  // Connections, to bound descriptors.
+/// Time after which a request that found no memory may be repeated.
+constexpr char kRetryAfterS[] = "1";
 
 uint64_t NextConnectionId() {
   static uint64_t last = 0;
@@ -85,6 +89,7 @@
     if (stage_ == stage::kHead && !ReadHead(now))
       return;
     const read_progress progress = body_.Read(input, &request_.body);
+    UpdateShare();
     if (progress == read_progress::kMalformed) {
       Refuse(now, 400, "malformed body");
       return;
@@ -102,18 +107,58 @@
   }
 }
 
+void http_server_connection::UpdateShare() {
+  if (request_.body.empty() || connection_->Budget() == nullptr)
+    return;
+  if (request_.share == nullptr) {
+    event_loop* loop = connection_->Loop();
+    request_.share = std::make_shared<buffer_share>(
+        connection_->Budget(),
+        [loop, weak = weak_from_this(), number = request_number_] {
+          loop->PostBeforeNextSocket([weak, number] {
+            if (auto self = weak.lock())
+              self->OnOverBudget(BootNow(), number);
+          });
+        });
+  }
+  request_.share->Set(request_.body.capacity());
+}
+
+void http_server_connection::OnOverBudget(time_point now,
+                                          uint64_t request_number) {
+  if (request_number != request_number_ || !IsOpen())
+    return;
+  if (stage_ == stage::kBody) {
+    // An assignment would keep the memory of the body.
+    const http_request dropped = std::exchange(request_, {});
+    Refuse(now, kHttpUnavailable, "no memory for the body");
+  } else if (is_answer_pending_ && hooks_->on_over_budget) {
+    hooks_->on_over_budget(now, this);
+  }
+}
+
 bool http_server_connection::ReadHead(time_point now) {
   std::string* input = connection_->Input();
   // Empty lines before a request are allowed.
-  while (input->starts_with("\r\n"))
-    input->erase(0, 2);
+  size_t blank = 0;
+  while (input->compare(blank, 2, "\r\n") == 0)
+    blank += 2;
+  if (blank > 0) {
+    input->erase(0, blank);
+    head_search_.Restart();
+    blank_bytes_ += blank;
+  }
+  if (blank_bytes_ > limits_.header_bytes) {
+    Refuse(now, 400, "too many empty lines");
+    return false;
+  }
   if (input->empty())
     return false;
   if (!has_head_bytes_) {
     has_head_bytes_ = true;
     timeout_start_ = now;
   }
-  const size_t end = FindHeadEnd(*input);
+  const size_t end = head_search_.Find(*input);
   if (std::min(end, input->size()) > limits_.header_bytes) {
     Refuse(now, 431, "head over the limit");
     return false;
@@ -141,6 +186,8 @@
   close_after_answer_ = close_after_answer_ || RequestsClose(*head);
   body_.Start(framing->first, framing->second);
   is_head_request_ = head->getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+  ++request_number_;
+  blank_bytes_ = 0;
   request_.head = *head;
   request_.body.clear();
   request_.first_byte_at = timeout_start_;
@@ -164,7 +211,10 @@
   close_after_answer_ = true;
   is_answer_pending_ = true;
   stage_ = stage::kAnswering;
-  Answer(now, MakeAnswerHead(status), why + "\n");
+  auto head = MakeAnswerHead(status);
+  if (status == kHttpUnavailable)
+    head.set("Retry-After", kRetryAfterS);
+  Answer(now, head, why + "\n");
 }
 
 void http_server_connection::SendProcessing() {
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -40,6 +40,7 @@
   Poco::Net::HTTPRequest head;
   std::string body;
   time_point first_byte_at{};
+  std::shared_ptr<buffer_share> share;  ///< Of the body.
 };
 
 struct http_listener_hooks {
@@ -53,6 +54,9 @@
   /// a limit or not complete in time.
   std::function<void(time_point, int status, const std::string& why)>
       on_refused;
+  /// The memory of a request that was passed on and not answered yet is to be
+  /// freed.
+  std::function<void(time_point, http_server_connection*)> on_over_budget;
   /// The listener is about to close a connection.
   /// @param has_input Whether bytes of the caller have not been read yet.
   std::function<void(time_point, listener_close why, bool has_input)> on_close;
@@ -123,6 +127,10 @@
   bool ReadHead(time_point now);
   void Refuse(time_point now, int status, const std::string& why);
   void ReportClose(time_point now, listener_close why);
+  /// Charges the body that has been read to the budget.
+  void UpdateShare();
+  /// Gives up a request whose body exceeds the budget.
+  void OnOverBudget(time_point now, uint64_t request_number);
   void FinishAnswer(time_point now);
 
   std::shared_ptr<tcp_connection> connection_;
@@ -132,6 +140,9 @@
   uint64_t id_;
   stage stage_ = stage::kHead;
   http_request request_;
+  uint64_t request_number_ = 0;  ///< Of the request read last.
+  head_search head_search_;
+  size_t blank_bytes_ = 0;  ///< Of the empty lines before a request.
   body_reader body_;
   bool is_answer_pending_ =
       false;  ///< Whether a request has not been answered yet.
--- a/src/network/http_message.cc
+++ b/src/network/http_message.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr size_t kMaxChunkLineBytes = 1024;  // With the extensions of a chunk.
+constexpr size_t kMaxTrailerBytes = 16384;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 bool IsToken(std::string_view text) {
   constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
@@ -147,6 +149,7 @@
   framing_ = framing;
   remaining_ = length;
   stage_ = chunk_stage::kSize;
+  trailer_bytes_ = 0;
   is_done_ = framing == body_framing::kNone;
 }
 
@@ -213,6 +216,12 @@
     } else if (line.empty()) {
       is_done_ = true;
       progress = read_progress::kDone;
+    } else {
+      trailer_bytes_ += line.size();
+      if (trailer_bytes_ > kMaxTrailerBytes) {
+        progress = read_progress::kMalformed;
+        break;
+      }
     }
   }
   input->erase(0, at);
@@ -220,8 +229,15 @@
 }
 
 size_t FindHeadEnd(std::string_view bytes) {
-  const size_t at = bytes.find("\r\n\r\n");
-  return at == bytes.npos ? at : at + 4;
+  return head_search().Find(bytes);
+}
+
+size_t head_search::Find(std::string_view bytes) {
+  // The end may have begun in the bytes searched before.
+  const size_t from = searched_ - std::min(searched_, kHeadEnd.size() - 1);
+  const size_t at = bytes.find(kHeadEnd, from);
+  searched_ = at == bytes.npos ? bytes.size() : 0;
+  return at == bytes.npos ? at : at + kHeadEnd.size();
 }
 
 bool IsFieldValue(std::string_view text) {
--- a/src/network/http_message.h
+++ b/src/network/http_message.h
@@ -35,9 +35,23 @@
   body_framing framing_ = body_framing::kNone;
   uint64_t remaining_ = 0;  ///< Bytes left of the body, or of the chunk.
   chunk_stage stage_ = chunk_stage::kSize;
+  size_t trailer_bytes_ = 0;
   bool is_done_ = true;
 };
 
+/// Finds the end of a head in bytes that arrive in pieces, and searches each of
+/// them once.
+class head_search {
+ public:
+  /// @param bytes All bytes of the message so far.
+  /// @return As FindHeadEnd(). The next search begins anew once it has found.
+  size_t Find(std::string_view bytes);
+  void Restart() { searched_ = 0; }
+
+ private:
+  size_t searched_ = 0;
+};
+
 /// Finds the end of a head in the bytes read so far.
 /// @return Length of the head with its blank line, or npos.
 size_t FindHeadEnd(std::string_view bytes);
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -17,6 +17,8 @@
 constexpr size_t kReadBytes = 16384;
 constexpr int kMaxReads = 16;  // Of one socket in one round of the loop.
 constexpr int kBacklog = 256;
+/// Empty buffers of a connection that are kept for its next use.
+constexpr size_t kMaxKeptBytes = 65536;
 constexpr milliseconds kLingerTime{1000};
 constexpr size_t kMaxDiscardedBytes = 4U << 20;
 constexpr int kKeepAliveIdleS = 1;      // Before the first probe.
@@ -91,6 +93,15 @@
 }
 
 void tcp_connection::RegisterWithLoop() {
+  if (options_.budget) {
+    share_ = std::make_unique<buffer_share>(
+        options_.budget, [loop = loop_, weak = weak_from_this()] {
+          loop->PostBeforeNextSocket([weak] {
+            if (auto self = weak.lock())
+              self->CloseAndNotify(BootNow(), close_cause::kBroken);
+          });
+        });
+  }
   loop_->Add(socket_.impl()->sockfd(), wants_write_,
              [weak = weak_from_this()](time_point now, socket_events events) {
                if (auto self = weak.lock())
@@ -152,6 +163,7 @@
   }
   if (!input_.empty() && hooks_.on_bytes)
     hooks_.on_bytes(now, &input_);
+  UpdateShare();
   if (is_at_end && is_open_)
     CloseAndNotify(now, cause);
   return has_read;
@@ -169,7 +181,7 @@
 void tcp_connection::Send(std::string_view bytes) {
   if (!is_open_ || is_overflowing_)
     return;
-  if (unsent_.size() > options_.max_unsent_bytes) {
+  if (Unsent().size() > options_.max_unsent_bytes) {
     // The peer reads too slowly; closing the connection bounds the memory used.
     is_overflowing_ = true;
     loop_->Post([weak = weak_from_this()] {
@@ -179,7 +191,7 @@
     return;
   }
   size_t sent = 0;
-  if (unsent_.empty() && is_connected_) {
+  if (!HasUnsent() && is_connected_) {
     try {
       const int count =
           socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
@@ -189,26 +201,49 @@
     }
   }
   unsent_.append(bytes.substr(sent));
-  if (!unsent_.empty() && !wants_write_) {
+  UpdateShare();
+  if (HasUnsent() && !wants_write_) {
     wants_write_ = true;
     UpdateInterest();
   }
 }
 
+void tcp_connection::RemoveSent(size_t count) {
+  unsent_at_ += count;
+  // Moves the rest to the front seldom, as it may be long.
+  if (unsent_at_ < unsent_.size() - unsent_at_)
+    return;
+  unsent_.erase(0, unsent_at_);
+  unsent_at_ = 0;
+}
+
+void tcp_connection::UpdateShare() {
+  for (std::string* buffer : {&input_, &unsent_}) {
+    if (buffer->empty() && buffer->capacity() > kMaxKeptBytes)
+      std::string().swap(*buffer);
+  }
+  const size_t bytes = input_.capacity() + unsent_.capacity();
+  if (share_ == nullptr || bytes == share_bytes_)
+    return;
+  share_bytes_ = bytes;
+  share_->Set(bytes);
+}
+
 void tcp_connection::Flush(time_point now) {
-  while (!unsent_.empty()) {
+  while (HasUnsent()) {
+    const std::string_view rest = Unsent();
     int count = 0;
     try {
-      count =
-          socket_.sendBytes(unsent_.data(), static_cast<int>(unsent_.size()));
+      count = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
     } catch (const Poco::Exception&) {
       CloseAndNotify(now, close_cause::kBroken);
       return;
     }
     if (count <= 0)
       return;
-    unsent_.erase(0, static_cast<size_t>(count));
+    RemoveSent(static_cast<size_t>(count));
   }
+  UpdateShare();
   if (closes_when_sent_) {
     Linger(now);
     return;
@@ -235,7 +270,7 @@
   if (!is_open_)
     return;
   closes_when_sent_ = true;
-  if (unsent_.empty())
+  if (!HasUnsent())
     Linger(now);
 }
 
@@ -291,6 +326,7 @@
     return;
   is_open_ = false;
   is_lingering_ = false;
+  share_.reset();
   loop_->CancelTimer(linger_timer_);
   loop_->Remove(socket_.impl()->sockfd());
   socket_.close();
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "network/buffer_budget.h"
 #include "network/event_loop.h"
 #include "outcome_type.h"
 
@@ -36,6 +37,9 @@
   milliseconds user_timeout{2000};
   /// Bytes that may wait for a slow peer when more are sent.
   size_t max_unsent_bytes = 1U << 20;
+  /// Limit on the buffers of all connections. A connection is closed when its
+  /// buffers are to be given up.
+  std::shared_ptr<buffer_budget> budget;
 };
 
 /// Buffered connection. Hooks run in the loop's thread, and none runs after
@@ -78,7 +82,11 @@
   bool IsLingering() const { return is_lingering_; }
   bool IsConnected() const { return is_connected_; }
   std::string* Input() { return &input_; }
-  bool HasUnsent() const { return !unsent_.empty(); }
+  bool HasUnsent() const { return !Unsent().empty(); }
+  event_loop* Loop() const { return loop_; }
+  const std::shared_ptr<buffer_budget>& Budget() const {
+    return options_.budget;
+  }
   /// Whether there are bytes, or the end of the stream, to be read.
   bool HasInput() const;
 
@@ -93,6 +101,12 @@
   /// @return Whether bytes arrived.
   bool Read(time_point now);
   void Flush(time_point now);
+  std::string_view Unsent() const {
+    return std::string_view(unsent_).substr(unsent_at_);
+  }
+  void RemoveSent(size_t count);
+  /// Frees empty buffers, and tells the budget of the others.
+  void UpdateShare();
   void Discard();
   void UpdateInterest();
   void Linger(time_point now);
@@ -105,6 +119,9 @@
   tcp_connection_hooks hooks_;
   std::string input_;
   std::string unsent_;
+  size_t unsent_at_ = 0;  ///< Bytes of unsent_ that have been sent.
+  std::unique_ptr<buffer_share> share_;
+  size_t share_bytes_ = 0;
   bool is_open_ = true;
   bool is_connected_;
   bool wants_write_;
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -31,6 +31,7 @@
   std::string service;         ///< Service of the engine on this VM.
   std::string store_address;   ///< ip:port
   double link_bytes = 0;       ///< Link rate per direction, bytes/s.
+  size_t memory_bytes = 0;     ///< Limit on the process; 0 if unknown.
   milliseconds drain{2000};  ///< Time for which a leaving server accepts work.
   milliseconds grace{8000};  ///< Time from SIGTERM to SIGKILL.
   milliseconds config_bound{2000};   ///< Deadline to apply a configuration.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -88,7 +88,9 @@
 
 site_watch::site_watch(site_watch_options options)
     : options_(std::move(options)),
-      pool_(&loop_, {.limits = {.heads = kMaxHeads}}),
+      pool_(&loop_,
+            {.connection = {.budget = options_.budget},
+             .limits = {.heads = kMaxHeads}}),
       mirror_(options_.mirror),
       source_({.node = options_.node,
                .store_address = options_.store_address,
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -31,6 +31,7 @@
                      time_point confirmed_at)>
       on_change;
   std::function<void(const std::string& counter)> count;
+  std::shared_ptr<buffer_budget> budget;  ///< Of all buffers; null for none.
 };
 
 /// Maintains a mirror of the store in a separate thread, so that parsing a
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -411,6 +411,28 @@
   BOOST_TEST(is_closed);
 }
 
+// Empty lines before a request were read without a limit, and held up others.
+BOOST_FIXTURE_TEST_CASE(empty_lines_without_end_are_read_on,
+                        blocking_caller_fixture) {
+  std::string lines;
+  while (lines.size() < 20000)
+    lines += "\r\n";
+  Send(lines);
+  Run();
+  BOOST_TEST(refusals == 1);
+  BOOST_TEST(Receive().starts_with("HTTP/1.1 400"));
+}
+
+BOOST_FIXTURE_TEST_CASE(some_empty_lines_before_a_request_are_refused,
+                        blocking_caller_fixture) {
+  Send("\r\n\r\n\r");
+  Run();
+  Send("\nGET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  Run();
+  BOOST_TEST(requests == 1);
+  BOOST_TEST(refusals == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/http_message_test.cc
+++ b/src/tests/http_message_test.cc
@@ -1,5 +1,6 @@
 /// @file http_message_test.cc Tests that a head is written as it was read, and
 /// that what is no valid head is refused.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -115,6 +116,37 @@
   }
 }
 
+// Each piece of a head made all of it be searched again.
+BOOST_AUTO_TEST_CASE(an_end_between_two_pieces_of_a_head_is_missed) {
+  const std::string head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (size_t step = 1; step < head.size(); ++step) {
+    head_search search;
+    size_t found = head.npos;
+    for (size_t length = 0; length < head.size() && found == head.npos;) {
+      length = std::min(length + step, head.size());
+      found = search.Find(std::string_view(head).substr(0, length));
+    }
+    BOOST_TEST(found == head.size());
+  }
+}
+
+// A trailer went on for as long as the body might.
+BOOST_AUTO_TEST_CASE(a_trailer_without_end_is_read_on) {
+  body_reader reader;
+  reader.Start(body_framing::kChunked, 0);
+  std::string body;
+  std::string input = "0\r\n";
+  read_progress progress = reader.Read(&input, &body);
+  size_t lines = 0;
+  while (progress == read_progress::kNeedsMore && lines < 1000) {
+    ++lines;
+    input = "X: " + std::string(100, 'x') + "\r\n";
+    progress = reader.Read(&input, &body);
+  }
+  BOOST_TEST((progress == read_progress::kMalformed));
+  BOOST_TEST(lines < 200u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
