Fix: Count the ids of connections by listener

Cause: listeners in two threads, for callers and for relaying the store, counted the ids of their connections in one plain variable. A thread paused between its read and its write takes the count back; a new connection then replaces an open one of the same id, which is closed without a word.

The count is a member of each listener, which one thread uses.

--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -17,11 +17,6 @@
 /// Time after which a request that found no memory may be repeated.
 constexpr char kRetryAfterS[] = "1";
 
-uint64_t NextConnectionId() {
-  static uint64_t last = 0;
-  return ++last;
-}
-
 }  // namespace
 
 std::string_view TextOf(listener_close why) {
@@ -49,6 +44,7 @@
 }
 
 http_server_connection::http_server_connection(
+    uint64_t id,
     std::shared_ptr<tcp_connection> connection,
     const caller_limits* newest_limits,
     const http_listener_hooks* hooks,
@@ -57,7 +53,7 @@
       newest_limits_(newest_limits),
       limits_(*newest_limits),
       hooks_(hooks),
-      id_(NextConnectionId()),
+      id_(id),
       timeout_start_(now) {}
 
 void http_server_connection::RegisterHooks() {
@@ -342,6 +338,7 @@
       listener_(loop,
                 [this](time_point now, const Poco::Net::StreamSocket& socket) {
                   auto made = std::make_shared<http_server_connection>(
+                      ++last_connection_id_,
                       tcp_connection::Adopt(loop_, socket, options_), &limits_,
                       &hooks_, now);
                   made->RegisterHooks();
--- a/src/network/http_listener.h
+++ b/src/network/http_listener.h
@@ -67,9 +67,11 @@
 class http_server_connection
     : public std::enable_shared_from_this<http_server_connection> {
  public:
+  /// @param id Unique in its listener.
   /// @param newest_limits Limits for waits that begin later; larger ones apply
   /// to the present wait and request as well.
-  http_server_connection(std::shared_ptr<tcp_connection> connection,
+  http_server_connection(uint64_t id,
+                         std::shared_ptr<tcp_connection> connection,
                          const caller_limits* newest_limits,
                          const http_listener_hooks* hooks,
                          time_point now);
@@ -192,6 +194,7 @@
   caller_limits limits_;
   tcp_listener listener_;
   std::map<uint64_t, std::shared_ptr<http_server_connection>> connections_;
+  uint64_t last_connection_id_ = 0;
   bool closes_after_answers_ = false;
   bool is_closing_ = false;
 };
--- a/src/tests/http_listener_test.cc
+++ b/src/tests/http_listener_test.cc
@@ -433,6 +433,33 @@
   BOOST_TEST(refusals == 0);
 }
 
+// Listeners in two threads counted the ids of their connections together
+// without a lock, so that a new connection could replace and close an open one.
+BOOST_AUTO_TEST_CASE(listeners_of_two_threads_count_connections_together) {
+  event_loop loop;
+  std::vector<uint64_t> ids;
+  const http_listener_hooks hooks{
+      .on_request =
+          [&](time_point now, const auto& from, http_request&&) {
+            ids.push_back(from->Id());
+            from->Answer(now, MakeAnswerHead(200), "");
+          },
+      .on_disconnected = [](time_point, http_server_connection*) {}};
+  http_listener first(&loop, {}, hooks);
+  http_listener second(&loop, {}, hooks);
+  std::vector<std::shared_ptr<tcp_connection>> callers;
+  for (http_listener* listener : {&first, &second}) {
+    const std::string address = FreeAddress();
+    BOOST_REQUIRE(listener->Listen(address));
+    callers.push_back(*tcp_connection::Connect(&loop, address, {}));
+    callers.back()->Send(kRequest);
+  }
+  loop.StartTimer(BootNow() + kRound, [&](time_point) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(ids == std::vector<uint64_t>({1, 1}),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
