Codechange: Share the entry process of two tests, and pass options by move

The tests of planned stops and of endless answers each started an entry with a store of their own; entry_process does it for both, with the same checks. Connection options hold a pointer now, so that they are moved. The memory of an answer that is given up is freed before the next attempt.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -217,7 +217,7 @@
   call->forwards_events = false;
   call->has_new_event = false;
   call->is_silent = false;
-  call->body.clear();
+  std::string().swap(call->body);
   call->events.Clear();
   call->tried.insert(server.id);
   selector_.OnAttemptSent(server.id);
--- a/src/network/http_listener.cc
+++ b/src/network/http_listener.cc
@@ -333,7 +333,7 @@
                              tcp_connection_options options,
                              http_listener_hooks hooks)
     : loop_(loop),
-      options_(options),
+      options_(std::move(options)),
       hooks_(std::move(hooks)),
       listener_(loop,
                 [this](time_point now, const Poco::Net::StreamSocket& socket) {
--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -42,7 +42,7 @@
     const Poco::Net::StreamSocket& socket,
     tcp_connection_options options) {
   std::shared_ptr<tcp_connection> made(
-      new tcp_connection(loop, socket, options, true));
+      new tcp_connection(loop, socket, std::move(options), true));
   made->RegisterWithLoop();
   return made;
 }
@@ -61,7 +61,7 @@
     return failure{"cannot connect to " + address + ": " + e.displayText()};
   }
   std::shared_ptr<tcp_connection> made(
-      new tcp_connection(loop, socket, options, false));
+      new tcp_connection(loop, socket, std::move(options), false));
   if (is_refused) {
     loop->Post(
         [made] { made->CloseAndNotify(BootNow(), close_cause::kRefused); });
@@ -77,7 +77,7 @@
                                bool is_connected)
     : loop_(loop),
       socket_(socket),
-      options_(options),
+      options_(std::move(options)),
       is_connected_(is_connected),
       wants_write_(!is_connected) {
   try {
--- a/src/server_crash_monitor.cc
+++ b/src/server_crash_monitor.cc
@@ -13,7 +13,9 @@
 
 void server_crash_monitor::FindEnded(time_point now, const site_index& index) {
   const auto& servers = index.View().servers;
-  for (auto& [id, state] : lifetimes_) {
+  for (auto& item : lifetimes_) {
+    const crash_id& id = item.first;
+    lifetime_state& state = item.second;
     if (state.breaks.empty())
       continue;
     auto listed = servers.find(id.server);
@@ -23,8 +25,8 @@
       state.is_draining = state.is_draining || listed->second.is_draining;
     const std::string& address = state.address;
     const bool is_replaced =
-        std::any_of(servers.begin(), servers.end(), [&](const auto& item) {
-          return item.second.address == address && IdOf(item.second) != id;
+        std::any_of(servers.begin(), servers.end(), [&](const auto& other) {
+          return other.second.address == address && IdOf(other.second) != id;
         });
     // A server that drains ends as planned.
     if ((!is_listed || is_replaced) && !state.is_draining)
--- a/src/tests/endless_answer_test.cc
+++ b/src/tests/endless_answer_test.cc
@@ -1,7 +1,5 @@
 /// @file endless_answer_test.cc Memory of a hosted entry, as a real process,
 /// before a server whose answers do not end and callers that do not read.
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <array>
 #include <atomic>
@@ -10,31 +8,16 @@
 #include <set>
 #include <thread>
 
-#include "harness/fleet.h"
-#include "network/http_call.h"
-#include "tests/soak/store_standin.h"
+#include "tests/entry_process.h"
 
 namespace fuchsiafall::tests {
 
 namespace {
 
-constexpr char kEntryIp[] = "127.37.0.1";
-constexpr char kCallersAddress[] = "127.37.0.1:8005";
-constexpr char kReadinessAddress[] = "127.37.0.1:8002";
-constexpr char kStoreAddress[] = "127.37.0.2:8007";
 constexpr size_t kMemoryMb = 182;  // As in the settings of the platform.
 constexpr size_t kCallers = 300;
 constexpr size_t kBurstBytes = 1U << 18;
 
-constexpr char kConfiguration[] =
-    R"({"Version":1,"Routes":[{"Name":"read","Host":"desk.example",)"
-    R"("Prefix":"/","Kind":"idempotent","TimeoutMs":4000,)"
-    R"("TargetLatencyMs":2000,"Priority":1,"Service":"desk","Attempts":2,)"
-    R"("Anonymous":true,"Resumable":false,"TargetGapMs":300,)"
-    R"("AllowedRegions":[]}],"Services":[{"Name":"desk"}],)"
-    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,)"
-    R"("HeaderTimeoutMs":20000,"IdleTimeoutMs":15000},"Tenants":[]})";
-
 /// Server that sends bytes without end to each request.
 class endless_server {
  public:
@@ -100,10 +83,17 @@
   /// @param start First bytes of the endless server; empty for no such server.
   explicit pressed_entry(const std::string& start,
                          const std::string& burst = "")
-      : directory_(harness::NewDirectory("endless-answer-test")),
-        store_(&loop_, 1),
-        endless_(&loop_, start, burst),
-        sound_(&loop_,
+      : process_({.name = "endless-answer-test",
+                  .network = "127.37.0",
+                  .route_kind = "idempotent",
+                  .route_timeout = milliseconds(4000),
+                  .max_body_bytes = 4U << 20,
+                  .header_timeout = milliseconds(20000),
+                  .settings = "Limits.LinkMbps=700\nLimits.MemoryMb=" +
+                              std::to_string(kMemoryMb) +
+                              "\nBounds.RetryBudgetExtra=20000\n"}),
+        endless_(&process_.Loop(), start, burst),
+        sound_(&process_.Loop(),
                {},
                {.on_request =
                     [this](time_point now,
@@ -115,49 +105,24 @@
                       head.set("Response-Seal", "1.2.3");
                       from->Answer(now, head, std::string(answer_bytes, 'x'));
                     },
-                .on_disconnected = [](time_point, auto*) {}}),
-        entry_({harness::ProgramDirectory() + "/fuchsiafall", "entry"},
-               directory_ + "/entry.log",
-               {"FUCHSIAFALL_CONFIG=" + directory_ + "/entry.conf"}) {
-    BOOST_REQUIRE(store_.Listen(kStoreAddress));
-    BOOST_REQUIRE(endless_.Listen("127.37.0.3:8001"));
-    BOOST_REQUIRE(sound_.Listen("127.37.0.4:8001"));
-    store_.Put("op/config", kConfiguration);
-    for (int i = start.empty() ? 4 : 3; i < 5; ++i) {
-      store_.Put("servers/i-" + std::to_string(i),
-                 R"({"Service":"desk","Address":"127.37.0.)" +
-                     std::to_string(i) +
-                     R"(:8001","Zone":"a","Version":"v1","Slots":200,)"
-                     R"("State":"ready","ColdRemainingMs":0,"born":1})");
-    }
-    std::ofstream(directory_ + "/entry.conf")
-        << "Node=entry\nIp=" << kEntryIp
-        << "\nZone=a\nRegion=r\nZones.a=r\nInternalPorts=7700,7715\n"
-        << "Limits.LinkMbps=700\nLimits.MemoryMb=" << kMemoryMb
-        << "\nPlatform.Address=" << kStoreAddress
-        << "\nBounds.RetryBudgetExtra=20000\nListen.Front=" << kCallersAddress
-        << "\nListen.Ready=" << kReadinessAddress << "\n";
-    thread_ = std::thread([this] { loop_.Run(); });
-    entry_.Start();
-    BOOST_REQUIRE(harness::WaitUntil(
-        [] {
-          return CallHttp({.address = kReadinessAddress, .path = "/"})
-                     .http_status == 200;
-        },
-        seconds(10)));
-  }
-  ~pressed_entry() {
-    entry_.Kill();
-    loop_.Stop();
-    thread_.join();
+                .on_disconnected = [](time_point, auto*) {}}) {
+    BOOST_REQUIRE(endless_.Listen(process_.AddressOfServer(1)));
+    BOOST_REQUIRE(sound_.Listen(process_.AddressOfServer(2)));
+    if (!start.empty())
+      process_.AddServer(1);
+    process_.AddServer(2);
+    process_.Start();
   }
+  ~pressed_entry() { process_.Stop(); }
   pressed_entry(const pressed_entry&) = delete;
   pressed_entry& operator=(const pressed_entry&) = delete;
 
-  bool IsRunning() { return entry_.IsRunning(); }
+  bool IsRunning() { return process_.Process().IsRunning(); }
+  Poco::Net::StreamSocket Connect() const { return process_.Connect(); }
   /// Returns the largest memory that the process had, in MB.
-  size_t PeakMemoryMb() const {
-    std::ifstream status("/proc/" + std::to_string(entry_.Pid()) + "/status");
+  size_t PeakMemoryMb() {
+    std::ifstream status("/proc/" + std::to_string(process_.Process().Pid()) +
+                         "/status");
     std::string word;
     size_t kilobytes = 0;
     while (status >> word) {
@@ -172,25 +137,11 @@
   std::atomic<size_t> answer_bytes = 800;
 
  private:
-  std::string directory_;
-  event_loop loop_;
-  soak::store_standin store_;
+  entry_process process_;
   endless_server endless_;
   http_listener sound_;
-  harness::child_process entry_;
-  std::thread thread_;
 };
 
-Poco::Net::StreamSocket Connect() {
-  Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(kCallersAddress)};
-  caller.setReceiveTimeout(Poco::Timespan(5, 0));
-  return caller;
-}
-
-void SendText(Poco::Net::StreamSocket* to, const std::string& text) {
-  to->sendBytes(text.data(), static_cast<int>(text.size()));
-}
-
 std::string RequestText(size_t id) {
   return "GET /r HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " +
          std::to_string(id) + "\r\nDeadline-Ms: 4000\r\n\r\n";
@@ -198,10 +149,10 @@
 
 /// Sends a request of each caller, and receives the starts of the answers.
 /// @return Number of those with status 200.
-size_t CountServed() {
+size_t CountServed(const pressed_entry& entry) {
   std::vector<Poco::Net::StreamSocket> callers;
   while (callers.size() < kCallers)
-    callers.push_back(Connect());
+    callers.push_back(entry.Connect());
   for (size_t i = 0; i < callers.size(); ++i)
     SendText(&callers[i], RequestText(i));
   size_t served = 0;
@@ -228,7 +179,7 @@
       "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: 1.2.3\r\n\r\n",
       std::string(kBurstBytes, 'x'));
   // The callers of bodies given up get the answer of the other server.
-  BOOST_TEST(CountServed() >= kCallers * 9 / 10);
+  BOOST_TEST(CountServed(entry) >= kCallers * 9 / 10);
   BOOST_TEST(entry.IsRunning());
   BOOST_TEST(entry.PeakMemoryMb() < kMemoryMb);
 }
@@ -236,7 +187,7 @@
 // The same with heads, as many as there are connections.
 BOOST_AUTO_TEST_CASE(heads_without_end_exhaust_the_memory) {
   pressed_entry entry("HTTP/1.1 200 OK\r\nX: ", std::string(kBurstBytes, 'x'));
-  BOOST_TEST(CountServed() >= kCallers * 9 / 10);
+  BOOST_TEST(CountServed(entry) >= kCallers * 9 / 10);
   BOOST_TEST(entry.IsRunning());
   BOOST_TEST(entry.PeakMemoryMb() < kMemoryMb);
 }
@@ -249,7 +200,7 @@
   std::vector<Poco::Net::StreamSocket> callers;
   std::vector<std::thread> senders;
   for (size_t i = 0; i < 100; ++i) {
-    callers.push_back(Connect());
+    callers.push_back(entry.Connect());
     senders.emplace_back([&part, i, caller = callers.back()]() mutable {
       try {
         SendText(&caller,
@@ -266,7 +217,7 @@
   for (auto& sender : senders)
     sender.join();
   std::this_thread::sleep_for(seconds(1));
-  BOOST_TEST(CountServed() >= kCallers * 9 / 10);
+  BOOST_TEST(CountServed(entry) >= kCallers * 9 / 10);
   BOOST_TEST(entry.IsRunning());
   BOOST_TEST(entry.PeakMemoryMb() < kMemoryMb);
 }
@@ -277,13 +228,13 @@
   entry.answer_bytes = 8U << 20;
   std::vector<Poco::Net::StreamSocket> callers;
   for (size_t i = 0; i < 100; ++i) {
-    callers.push_back(Connect());
+    callers.push_back(entry.Connect());
     callers.back().setReceiveBufferSize(4096);
     SendText(&callers.back(), RequestText(i));
   }
   std::this_thread::sleep_for(seconds(4));
   entry.answer_bytes = 800;
-  BOOST_TEST(CountServed() >= kCallers * 9 / 10);
+  BOOST_TEST(CountServed(entry) >= kCallers * 9 / 10);
   BOOST_TEST(entry.IsRunning());
   BOOST_TEST(entry.PeakMemoryMb() < kMemoryMb);
 }
--- /dev/null
+++ b/src/tests/entry_process.h
@@ -0,0 +1,63 @@
+/// @file entry_process.h Hosted entry as a real process, with a store in the
+/// test's own process, on loopback.
+#ifndef TESTS_ENTRY_PROCESS_H_
+#define TESTS_ENTRY_PROCESS_H_
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <string>
+#include <thread>
+
+#include "harness/fleet.h"
+#include "tests/soak/store_standin.h"
+
+namespace fuchsiafall::tests {
+
+struct entry_process_options {
+  std::string name;     ///< Of the test, for its files.
+  std::string network;  ///< First three numbers of its IP addresses.
+  std::string route_kind = "non_idempotent";
+  milliseconds route_timeout{3000};
+  size_t max_body_bytes = 1U << 20;
+  milliseconds header_timeout{3000};
+  std::string settings;  ///< Further lines of the settings file.
+};
+
+/// Entry with one anonymous route of the host desk.example to one service.
+class entry_process {
+ public:
+  explicit entry_process(const entry_process_options& options);
+  ~entry_process() { Stop(); }
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  /// Loop of the store and of the test's servers; runs from Start() to Stop().
+  event_loop& Loop() { return loop_; }
+  std::string AddressOfServer(int number) const;
+  /// Registers a server of the service.
+  void AddServer(int number);
+  /// Starts the entry and waits until it is ready.
+  void Start();
+  /// Ends the entry and the loop. To be called before the servers are
+  /// destroyed.
+  void Stop();
+  harness::child_process& Process() { return entry_; }
+  Poco::Net::StreamSocket Connect() const;
+
+ private:
+  std::string IpOf(int number) const;
+
+  std::string network_;
+  std::string directory_;
+  event_loop loop_;
+  soak::store_standin store_;
+  harness::child_process entry_;
+  std::thread thread_;
+};
+
+/// Sends text on a blocking connection.
+void SendText(Poco::Net::StreamSocket* to, const std::string& text);
+
+}  // namespace fuchsiafall::tests
+
+#endif  // TESTS_ENTRY_PROCESS_H_
