--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -97,7 +97,7 @@
 struct exchange_fixture {
   explicit exchange_fixture(scripted_server::script script,
                             http_client_pool_options options = {})
-      : server(&loop, std::move(script)), pool(&loop, options) {}
+      : server(&loop, std::move(script)), pool(&loop, std::move(options)) {}
 
   /// Makes exchanges one after the other. Each but the first starts in the hook
   /// that ends the one before it.
