Fix: Let a running call go on without its body

Callers would have seen: 502 for a call that its server was working on, when the memory of its body was needed (found on reading the change; no run of ours showed it).

Cause: a request over the budget ended its call, though its server has the body and only a repeat would need it. Such a call goes on now and is not repeated; one that waits is refused with 503.

Evidence: a_running_call_ends_with_the_memory_of_its_body does not compile before, as the function returned nothing; there the call was refused. Both new cases of call_dispatch_suite pass.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -373,14 +373,20 @@
   OnMalformedAnswer(now, call);
 }
 
-void call_dispatch::OnRequestOverBudget(time_point now, uint64_t id) {
+bool call_dispatch::OnRequestOverBudget(time_point now, uint64_t id) {
   auto it = calls_.find(id);
   if (it == calls_.end())
-    return;
+    return false;
+  call_state& call = it->second;
   hooks_.count("requests_over_budget");
-  if (it->second.has_attempt)
-    AbortAttempt(&it->second);
-  Refuse(now, &it->second, call_refusal::kNoMemory);
+  if (!call.has_attempt) {
+    Refuse(now, &call, call_refusal::kNoMemory);
+    return false;
+  }
+  call.has_body = false;
+  CancelPlaceRequest(&call);
+  call.search_at.reset();
+  return true;
 }
 
 void call_dispatch::RunDue(time_point now) {
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -196,8 +196,10 @@
   size_t HeldAnswerBytes(uint64_t id) const;
   /// Gives up an answer for which there is no memory.
   void OnAnswerOverBudget(time_point now, uint64_t id, uint32_t attempt);
-  /// Gives up a request for which there is no memory.
-  void OnRequestOverBudget(time_point now, uint64_t id);
+  /// Handles a request for whose body there is no memory: one that runs goes on
+  /// without it and is not repeated, any other is refused.
+  /// @return Whether the call goes on.
+  bool OnRequestOverBudget(time_point now, uint64_t id);
   /// Handles the message of another entry about crashes.
   void OnCrashNote(time_point now,
                    const std::string& from,
@@ -262,6 +264,7 @@
     bool is_silent = false;   ///< Whether the attempt was silent for too long.
     double yield_rank = 0.5;  ///< Among the recent calls of its route.
     uint32_t place_request_count = 0;  ///< Since the search began.
+    bool has_body = true;              ///< Whether its body is still held.
     uint32_t attempt = 0;              ///< Number of the current attempt.
     uint32_t possible_runs = 0;        ///< Attempts that may have run.
     /// When a server is next looked for, unless the attempt goes on.
--- a/src/call_dispatch_retry.cc
+++ b/src/call_dispatch_retry.cc
@@ -5,6 +5,8 @@
 namespace fuchsiafall {
 
 bool call_dispatch::MayRepeat(const call_state& call, bool may_have_run) {
+  if (!call.has_body)
+    return false;
   const bool is_repeatable =
       !may_have_run || call.kind == call_kind::kIdempotent ||
       (call.kind == call_kind::kStream && call.route.is_resumable);
--- a/src/hosted_entry_hooks.cc
+++ b/src/hosted_entry_hooks.cc
@@ -28,7 +28,10 @@
     auto it = by_caller_.find(caller);
     if (it == by_caller_.end())
       return;
-    dispatch_.OnRequestOverBudget(now, it->second);
+    const uint64_t call = it->second;
+    // Its server has the body; only a repeat would need it again.
+    if (dispatch_.OnRequestOverBudget(now, call))
+      std::string().swap(calls_.at(call).request.body);
     Schedule();
   };
   hooks.on_refused = [this](time_point, int status, const std::string& reason) {
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -75,6 +75,40 @@
   BOOST_TEST(entry.aborted_calls.size() == 1u);
 }
 
+// A call that its server was working on ended when the memory of its body was
+// needed, which only a repeat would have used.
+BOOST_AUTO_TEST_CASE(a_running_call_ends_with_the_memory_of_its_body) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain", "/read/x");
+  BOOST_TEST(entry.dispatch.OnRequestOverBudget(entry.now, 1));
+  entry.Advance(milliseconds(400));
+  BOOST_TEST(entry.attempts.size() == 1u);
+  entry.DeliverHead(200, false);
+  entry.DeliverBody("whole");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "[whole]");
+}
+
+BOOST_AUTO_TEST_CASE(a_call_is_repeated_without_its_body) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain", "/read/x");
+  BOOST_TEST(entry.dispatch.OnRequestOverBudget(entry.now, 1));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.SendRequest(2, "plain");
+  BOOST_TEST(entry.dispatch.OnRequestOverBudget(entry.now, 2));
+  entry.DeliverHead(503, false, true);
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.attempts.size() == 2u);
+  BOOST_REQUIRE(entry.refusals.size() == 2u);
+  BOOST_TEST(entry.refusals[0].status == 502);
+  BOOST_TEST(entry.refusals[1].status == 503);
+  // One that waits for a place has not run.
+  entry.SendRequest(3, "models");
+  BOOST_TEST(!entry.dispatch.OnRequestOverBudget(entry.now, 3));
+  BOOST_REQUIRE(entry.refusals.size() == 3u);
+  BOOST_TEST(entry.refusals[2].status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(a_timed_out_idempotent_call_is_retried_elsewhere) {
   fake_entry entry;
   entry.SendRequest(1, "plain", "/read/x");
