--- a/src/tests/entry_process.cc
+++ b/src/tests/entry_process.cc
@@ -15,19 +15,23 @@
 constexpr int kEntryNumber = 1;
 constexpr int kStoreNumber = 2;
 
-std::string ConfigurationOf(const entry_process_options& options) {
-  return R"({"Version":1,"Routes":[{"Name":"desk","Host":"desk.example",)"
-         R"("Prefix":"/","Kind":")" +
-         options.route_kind + R"(","TimeoutMs":)" +
-         std::to_string(options.route_timeout.count()) +
-         R"(,"TargetLatencyMs":400,"Priority":1,"Service":"desk",)"
-         R"("Attempts":2,"Anonymous":true,"Resumable":false,)"
-         R"("TargetGapMs":300,"AllowedRegions":[]}],)"
-         R"("Services":[{"Name":"desk"}],"Limits":{"MaxHeaderBytes":16384,)"
+std::string ConfigurationOf(const entry_process_options& options, int version) {
+  const std::string route =
+      R"({"Name":"desk","Host":"desk.example","Prefix":"/","Kind":")" +
+      options.route_kind + R"(","TimeoutMs":)" +
+      std::to_string(options.route_timeout.count()) +
+      R"(,"TargetLatencyMs":400,"Priority":1,"Service":"desk",)"
+      R"("Attempts":2,"Anonymous":)" +
+      (options.key.empty() ? "true" : "false") +
+      R"(,"Resumable":false,"TargetGapMs":300,"AllowedRegions":[]})";
+  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
+         (options.has_route ? route : "") +
+         R"(],"Services":[{"Name":"desk"}],"Limits":{"MaxHeaderBytes":16384,)"
          R"("MaxBodyBytes":)" +
          std::to_string(options.max_body_bytes) + R"(,"HeaderTimeoutMs":)" +
          std::to_string(options.header_timeout.count()) +
-         R"(,"IdleTimeoutMs":15000},"Tenants":[]})";
+         R"(,"IdleTimeoutMs":15000},"Tenants":[{"Name":"t","ApiKeys":[)" +
+         (options.key.empty() ? "" : '"' + options.key + '"') + "]}]}";
 }
 
 }  // namespace
@@ -41,7 +45,7 @@
              {"FUCHSIAFALL_CONFIG=" + directory_ + "/entry.conf"}) {
   const std::string store_address = IpOf(kStoreNumber) + ":8007";
   BOOST_REQUIRE(store_.Listen(store_address));
-  store_.Put("op/config", ConfigurationOf(options));
+  store_.Put("op/config", ConfigurationOf(options, version_));
   const std::string ip = IpOf(kEntryNumber);
   std::ofstream(directory_ + "/entry.conf")
       << "Node=entry\nIp=" << ip
@@ -77,6 +81,12 @@
       seconds(10)));
 }
 
+void entry_process::Configure(const entry_process_options& options) {
+  loop_.Post([this, text = ConfigurationOf(options, ++version_)] {
+    store_.Put("op/config", text);
+  });
+}
+
 void entry_process::Stop() {
   if (!thread_.joinable())
     return;
--- a/src/tests/entry_process.h
+++ b/src/tests/entry_process.h
@@ -21,9 +21,11 @@
   size_t max_body_bytes = 1U << 20;
   milliseconds header_timeout{3000};
   std::string settings;  ///< Further lines of the settings file.
+  bool has_route = true;
+  std::string key;  ///< That requests need; empty for none.
 };
 
-/// Entry with one anonymous route of the host desk.example to one service.
+/// Entry with one route of the host desk.example to one service.
 class entry_process {
  public:
   explicit entry_process(const entry_process_options& options);
@@ -38,6 +40,8 @@
   void AddServer(int number);
   /// Starts the entry and waits until it is ready.
   void Start();
+  /// Writes a newer configuration with the options' route and limits.
+  void Configure(const entry_process_options& options);
   /// Ends the entry and the loop. To be called before the servers are
   /// destroyed.
   void Stop();
@@ -49,6 +53,7 @@
 
   std::string network_;
   std::string directory_;
+  int version_ = 1;  ///< Of the configuration.
   event_loop loop_;
   soak::store_standin store_;
   harness::child_process entry_;
