Feature: Log the age of checks, answers to orders and pauses of an agent

The logs could not tell the hypotheses about spoilt pieces apart. E622 now says how old the oldest check of a piece is when a load is ordered, E626 when and how the engine answered an order (status 0: not within the time limit, so that it may accept it later), E104 when an agent stood still. No decision changes.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -27,6 +27,8 @@
 /// Interval between reports of the engine, which is on the same VM.
 constexpr milliseconds kReportInterval{100};
 constexpr milliseconds kTransferInterval{20};  // Of ticks during a transfer.
+/// Time without a tick that is logged as a pause of the process.
+constexpr milliseconds kMinLoggedPause{500};
 constexpr milliseconds kEngineTimeout{1000};
 /// Longer than the interval of the reports and the timeout of one of them.
 constexpr milliseconds kMaxReportAge{1500};
@@ -608,15 +610,25 @@
         order.is_unload ? log_event::kEngineUnloads : log_event::kEngineOrdered,
         "version=" + std::to_string(order.version) +
             " served=" + std::to_string(engine_monitor_.ServedVersion()) +
-            " orders=" + std::to_string(order.reported_orders));
+            " orders=" + std::to_string(order.reported_orders) +
+            (order.is_unload
+                 ? ""
+                 : " checked_ms=" + std::to_string(ToMs(
+                                        stager_.OldestVerificationAge(now)))));
     process_.Metrics().Count("orders");
     places_.SetAccepting(false);
     Call(now,
          {.address = engine,
           .request = platform::EncodeEngineOrder(engine, order),
           .timeout = kEngineTimeout,
-          .on_done = [this](time_point, int status, const std::string&) {
+          .on_done = [this, now, order](time_point at, int status,
+                                        const std::string&) {
             process_.Metrics().Count("order_status_" + std::to_string(status));
+            LogEvent(log_event::kEngineOrderAnswered,
+                     "version=" + std::to_string(order.version) +
+                         " unload=" + std::to_string(order.is_unload) +
+                         " status=" + std::to_string(status) +
+                         " after_ms=" + std::to_string(ToMs(at - now)));
           }});
   }
 
@@ -754,6 +766,11 @@
   void Tick(time_point now) {
     if (tick_timer_ != 0)
       process_.Loop().CancelTimer(tick_timer_);
+    if (ticked_at_ && now - *ticked_at_ > kMinLoggedPause) {
+      LogEvent(log_event::kPauseNoticed,
+               "ms=" + std::to_string(ToMs(now - *ticked_at_)));
+    }
+    ticked_at_ = now;
     output_list out;
     if (has_transfer_)
       transfer_.RunDue(now, &out);
@@ -809,6 +826,7 @@
   std::optional<time_point> first_view_at_;
   bool is_evacuated_ = false;
   timer_id tick_timer_ = 0;
+  std::optional<time_point> ticked_at_;  ///< Last run of Tick().
 };
 
 }  // namespace
--- a/src/piece_stager.cc
+++ b/src/piece_stager.cc
@@ -84,6 +84,13 @@
              });
 }
 
+duration piece_stager::OldestVerificationAge(time_point now) const {
+  duration oldest{};
+  for (const staged_piece& piece : pieces_)
+    oldest = std::max<duration>(oldest, now - piece.verified_at);
+  return oldest;
+}
+
 bool piece_stager::HasReadAll() const {
   return std::none_of(pieces_.begin(), pieces_.end(),
                       [](const staged_piece& piece) {
--- a/src/piece_stager_base.h
+++ b/src/piece_stager_base.h
@@ -53,6 +53,8 @@
 
   /// Whether every piece was recently verified as correct.
   bool IsVerified(time_point now) const;
+  /// Returns how long ago the first of the last verifications was.
+  duration OldestVerificationAge(time_point now) const;
   /// Whether every piece has been read at least once.
   bool HasReadAll() const;
   const digest& ExpectedDigest(uint32_t piece) const {
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -68,3 +68,4 @@
           625,
           Info,
           "engine ordered to unload replaced weights")
+LOG_EVENT(kEngineOrderAnswered, 626, Info, "engine answered an order")
