Soak: Hold orders back and judge the tokens of spoilt layers

Callers got tokens of layers that were taken with spoilt chunks, and the soak could not show it: its servers took each order at once, and it judged loads alone. A second corruption also made an old one young, or healed it.

Servers now act late on a share of the orders (--held), stage calls and reports, also if the agent has given up by then; a crash drops them. Chunks rot beside held orders, now and then a newer version is named or the server crashes. A corrupted chunk keeps the time of its first corruption until it is written again, and a chunk of another version is no longer excused by a corruption. A token is a violation if its layers were taken with a chunk that was missing, of another version or corrupted for over 3 s. A spoilt load is one if its order was taken at once; one of a held order is counted. The new faults have generators of their own.

--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -5,6 +5,7 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
+#include <cstdlib>
 #include <functional>
 #include <optional>
 #include <sstream>
@@ -23,9 +24,15 @@
 constexpr milliseconds kLongCallTime{400};
 constexpr int kMinSilenceMs = 1000;
 constexpr int kMaxSilenceMs = 1600;
+constexpr int kMinPauseMs = 3000;  // Of a server that stands still.
+constexpr int kMaxPauseMs = 4800;
+constexpr double kPauseShare = 0.25;  // Of the orders held back.
+/// Of the share of orders held back, for calls that come more often.
+constexpr double kFrequentCallShare = 0.05;
+constexpr milliseconds kStageTime{10};
 constexpr milliseconds kLoadTime{100};
 constexpr milliseconds kDowntime{1500};
-/// Chunks corrupted longer than this before a load order must not be loaded.
+/// Chunks corrupted longer than this before a load order must not be used.
 constexpr milliseconds kMaxUndetectedCorruption{3000};
 /// Requests sent later than this after the revocation of their key must not
 /// run.
@@ -52,9 +59,9 @@
 
 std::string ChunkOf(uint64_t version, uint32_t chunk) {
   std::mt19937_64 random(version * 1000 + chunk);
-  std::string bytes(kChunkBytes, '\0');
-  for (char& byte : bytes)
-    byte = static_cast<char>(random());
+  std::string bytes = std::to_string(version) + " ";
+  while (bytes.size() < kChunkBytes)
+    bytes += static_cast<char>(random());
   return bytes;
 }
 
@@ -115,10 +122,11 @@
   proxy_address_ = proxy_address;
   id_ = "i-" + proxy_address + "-0";
   random_.seed(Hash64(proxy_address, 1));
+  held_random_.seed(Hash64(proxy_address, 2));
   if (is_model_) {
     loaded_version_ = 1;
     for (uint32_t i = 0; i < kChunks; ++i)
-      staged_chunks_[i] = ChunkOf(1, i);
+      staged_chunks_[i] = {.written = ChunkOf(1, i)};
   }
   auto listening = listener_.Listen(address);
   if (listening) {
@@ -149,6 +157,7 @@
   loaded_version_ = loading_version_ = orders_ = 0;
   is_unloading_ = false;
   is_down_ = true;
+  ++crash_count_;
   is_draining_ = false;
   const std::string before = id_;
   loop_->StartTimer(now + kDowntime, [this, has_new_id, before](time_point) {
@@ -168,10 +177,8 @@
     return;
   auto it = staged_chunks_.begin();
   std::advance(it, static_cast<ptrdiff_t>((*random)() % staged_chunks_.size()));
-  if (!it->second.empty()) {
-    it->second[it->second.size() / 2] ^= 1;
-    corrupted_at_[it->first] = now;
-  }
+  if (it->second.corrupted_at == time_point{})
+    it->second.corrupted_at = now;
 }
 
 void server_standin::Drain() {
@@ -210,19 +217,86 @@
   if (is_down_)
     return from->Abort();
   const std::string path = Poco::URI(request.head.getURI()).getPath();
-  if (path == "/report")
-    return AnswerText(from, now, 200, Report());
-  if (path == "/order")
-    return OnOrder(now, from, request.body);
-  if (path.starts_with("/stage-"))
-    return OnStage(now, from, request);
+  if (path == "/report") {
+    const milliseconds hold =
+        DrawHold(faults_->held_share * kFrequentCallShare);
+    return ActAfter(now, hold, from, [from, report = Report()](time_point at) {
+      AnswerText(from, at, 200, report);
+    });
+  }
+  if (path == "/order") {
+    milliseconds hold = DrawHold(faults_->held_share);
+    const bool is_held = hold.count() > 0;
+    if (is_held) {
+      ++record_->counts["orders held"];
+      if (DrawBool(kPauseShare, &held_random_))
+        hold = DrawSpan(kMinPauseMs, kMaxPauseMs, &held_random_);
+      on_order_held();
+    }
+    return ActAfter(now, hold, from,
+                    [this, from, body = request.body, is_held](time_point at) {
+                      OnOrder(at, from, body, is_held);
+                    });
+  }
+  if (path.starts_with("/stage-")) {
+    const milliseconds hold =
+        DrawHold(faults_->held_share * kFrequentCallShare);
+    return ActAfter(
+        now, kStageTime + hold, from,
+        [this, from, request](time_point at) { OnStage(at, from, request); });
+  }
   OnCall(now, from, request);
 }
 
+milliseconds server_standin::DrawHold(double share) {
+  if (!DrawBool(share, &held_random_))
+    return milliseconds(0);
+  return DrawSpan(kMinSilenceMs, kMaxSilenceMs, &held_random_);
+}
+
+void server_standin::ActAfter(
+    time_point now,
+    milliseconds span,
+    const std::shared_ptr<http_server_connection>& from,
+    const std::function<void(time_point)>& act) {
+  if (span.count() == 0)
+    return act(now);
+  loop_->StartTimer(now + span,
+                    [this, from, act, crashes = crash_count_](time_point at) {
+                      if (crashes != crash_count_)
+                        return from->Abort();
+                      act(at);
+                    });
+}
+
+std::string server_standin::FindSpoiltChunk(time_point now, uint64_t version) {
+  for (uint32_t i = 0; i < kChunks; ++i) {
+    const std::string chunk = "chunk " + std::to_string(i);
+    auto it = staged_chunks_.find(i);
+    if (it == staged_chunks_.end())
+      return chunk + " missing";
+    const auto& [written, corrupted_at] = it->second;
+    if (written != ChunkOf(version, i)) {
+      return chunk + " of version " +
+             std::to_string(std::strtoull(written.c_str(), nullptr, 10));
+    }
+    if (corrupted_at == time_point{})
+      continue;
+    // The agent cannot detect corruption after its last check.
+    if (now - corrupted_at > kMaxUndetectedCorruption) {
+      return chunk + " corrupted for " +
+             std::to_string(ToMs(now - corrupted_at)) + " ms";
+    }
+    ++record_->counts["rotted just before an order"];
+  }
+  return "";
+}
+
 void server_standin::OnOrder(
     time_point now,
     const std::shared_ptr<http_server_connection>& from,
-    const std::string& body) {
+    const std::string& body,
+    bool was_held) {
   auto order =
       Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
   const auto version = order->getValue<uint64_t>("Version");
@@ -237,26 +311,16 @@
   if (loaded_version_ == version)
     return AnswerText(from, now, 200, "");
   // The server loads the staged chunks as they are now, without checking them.
-  for (uint32_t i = 0; i < kChunks; ++i) {
-    if (staged_chunks_[i] == ChunkOf(version, i))
-      continue;
-    // The agent cannot detect corruption after its last check.
-    auto corruption = corrupted_at_.find(i);
-    if (corruption != corrupted_at_.end() &&
-        now - corruption->second <= kMaxUndetectedCorruption) {
-      ++record_->counts["rotted just before an order"];
-      continue;
+  loading_fault_ = FindSpoiltChunk(now, version);
+  if (!loading_fault_.empty()) {
+    // An agent cannot recall an order that is held back.
+    if (was_held) {
+      ++record_->counts["spoilt loads of held orders"];
+    } else {
+      record_->AddViolation("weights", id_ + " was ordered to load version " +
+                                           std::to_string(version) + " with " +
+                                           loading_fault_);
     }
-    record_->AddViolation(
-        "weights",
-        id_ + " was ordered to load version " + std::to_string(version) +
-            " with chunk " + std::to_string(i) + " wrong" +
-            (corruption == corrupted_at_.end()
-                 ? ""
-                 : ", corrupted " +
-                       std::to_string(ToMs(now - corruption->second)) +
-                       " ms earlier"));
-    break;
   }
   loading_version_ = version;
   ++orders_;
@@ -272,14 +336,16 @@
   const std::string path = standins::SplitQuery(request.head.getURI(), &query);
   const auto chunk = ChunkNumber(query);
   if (path.starts_with("/stage-put/")) {
-    staged_chunks_[chunk.value_or(0)] = request.body;
-    corrupted_at_.erase(chunk.value_or(0));
+    staged_chunks_[chunk.value_or(0)] = {.written = request.body};
     return AnswerText(from, now, 200, "");
   }
   auto it = staged_chunks_.find(chunk.value_or(0));
   if (!chunk || it == staged_chunks_.end())
     return AnswerText(from, now, 404, "");
-  AnswerText(from, now, 200, it->second);
+  std::string bytes = it->second.written;
+  if (it->second.corrupted_at != time_point{} && !bytes.empty())
+    bytes[bytes.size() / 2] ^= 1;
+  AnswerText(from, now, 200, bytes);
 }
 
 void server_standin::OnCall(time_point now,
@@ -321,8 +387,7 @@
 }
 
 milliseconds server_standin::DrawSilence() {
-  return milliseconds(std::uniform_int_distribution<int>(
-      kMinSilenceMs, kMaxSilenceMs)(random_));
+  return DrawSpan(kMinSilenceMs, kMaxSilenceMs, &random_);
 }
 
 void server_standin::BeginStream(
@@ -337,6 +402,7 @@
   head.set("Weight-Versions", std::to_string(loaded_version_));
   head.setContentType("text/event-stream");
   from->BeginChunks(head);
+  ++record_->counts["streams begun"];
   streams_[from.get()] = {.to = from,
                           .id = id,
                           .next = static_cast<uint32_t>(std::stoul(after)) + 1,
@@ -377,6 +443,12 @@
         "id: " + std::to_string(item.next) + "\ndata: " + item.id + " " +
         std::to_string(item.version) + " " + std::to_string(item.last) + "\n\n";
     ++item.next;
+    if (!loaded_fault_.empty() && spoilt_requests_.insert(item.id).second) {
+      record_->AddViolation("weights", id_ + " made a token of " + item.id +
+                                           " with version " +
+                                           std::to_string(item.version) +
+                                           ", loaded with " + loaded_fault_);
+    }
     connection->SendChunk(event);
   }
   if (is_unloading_ && streams_.empty()) {
@@ -390,6 +462,8 @@
       if (loading_version_ != version)
         return;
       loaded_version_ = version;
+      loaded_fault_ = loading_fault_;
+      spoilt_requests_.clear();
       loading_version_ = 0;
       WriteServerRecord();
     });
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -4,6 +4,7 @@
 #ifndef TESTS_SOAK_SITE_STANDIN_H_
 #define TESTS_SOAK_SITE_STANDIN_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -22,7 +23,8 @@
 inline constexpr uint32_t kChunks = 16;
 inline constexpr uint32_t kChunkBytes = 4096;
 
-/// Returns the bytes of one chunk, the same in each run.
+/// Returns the bytes of one chunk, the same in each run. They begin with the
+/// version.
 std::string ChunkOf(uint64_t version, uint32_t chunk);
 /// Returns how many events the stream of a path has.
 uint32_t EventCountOf(const std::string& target);
@@ -59,6 +61,9 @@
   double origin_corrupt_share = 0;     ///< Of its answers.
   double lost_plain_answer_share = 0;  ///< Of the plain runs.
   double silent_share = 0;             ///< Of the streams and plain runs.
+  /// Of the orders, which servers take late; of the calls of staged chunks and
+  /// the reports a smaller part is late as well.
+  double held_share = 0;
 };
 
 /// Backend server with an address of its own.
@@ -78,15 +83,22 @@
   /// Breaks all streams, drops the loaded layers, and restarts after a pause.
   /// @param has_new_id Whether it restarts under a new instance id.
   void Crash(time_point now, bool has_new_id);
-  /// Corrupts one staged chunk, as silent corruption would.
+  /// Corrupts one staged chunk, as silent corruption would. A chunk that is
+  /// corrupted stays as it is.
   void CorruptStagedChunk(time_point now, std::mt19937_64* random);
   /// Announces in the store that it takes no new calls.
   void Drain();
   const std::string& Id() const { return id_; }
   /// Returns the version of the loaded layers; 0 for none.
   uint64_t LoadedVersion() const { return loaded_version_; }
+  /// Called when an order is held back.
+  std::function<void()> on_order_held;
 
  private:
+  struct staged_chunk {
+    std::string written;
+    time_point corrupted_at{};  ///< First corruption since; else zero.
+  };
   struct stream {
     std::shared_ptr<http_server_connection> to;
     std::string id;
@@ -102,10 +114,22 @@
                  const http_request& request);
   void OnOrder(time_point now,
                const std::shared_ptr<http_server_connection>& from,
-               const std::string& body);
+               const std::string& body,
+               bool was_held);
   void OnStage(time_point now,
                const std::shared_ptr<http_server_connection>& from,
                const http_request& request);
+  /// Acts on a call later, also if its caller has closed the connection by
+  /// then, unless the server crashes before.
+  void ActAfter(time_point now,
+                milliseconds span,
+                const std::shared_ptr<http_server_connection>& from,
+                const std::function<void(time_point)>& act);
+  /// Draws for how long a call is held back before the server acts on it.
+  milliseconds DrawHold(double share);
+  /// Returns the first staged chunk that must not be loaded as part of a
+  /// version, and what is wrong with it; empty if there is none.
+  std::string FindSpoiltChunk(time_point now, uint64_t version);
   void OnCall(time_point now,
               const std::shared_ptr<http_server_connection>& from,
               const http_request& request);
@@ -134,18 +158,23 @@
   std::string proxy_address_;
   std::string id_;
   uint32_t restart_count_ = 0;
+  uint32_t crash_count_ = 0;
   int64_t start_ms_;
   bool is_down_ = false;
   bool is_draining_ = false;
   uint64_t loaded_version_ = 0;   ///< Version of the loaded layers; 0 for none.
   uint64_t loading_version_ = 0;  ///< Version that is being loaded; 0 for none.
   bool is_unloading_ = false;     ///< Whether the loaded version is unloaded.
+  std::string loaded_fault_;      ///< Chunk spoilt in the loaded layers.
+  std::string loading_fault_;     ///< Of the version that is being loaded.
+  /// Requests with tokens of the spoilt layers.
+  std::set<std::string> spoilt_requests_;
   uint64_t orders_ = 0;
-  std::map<uint32_t, std::string> staged_chunks_;
-  std::map<uint32_t, time_point> corrupted_at_;  ///< By chunk.
+  std::map<uint32_t, staged_chunk> staged_chunks_;
   std::map<http_server_connection*, stream> streams_;
   http_listener listener_;
   std::mt19937_64 random_;
+  std::mt19937_64 held_random_;  ///< Of the calls that are held back.
 };
 
 /// Origin of the weights of all versions.
--- a/src/tests/soak/soak_faults.cc
+++ b/src/tests/soak/soak_faults.cc
@@ -20,11 +20,6 @@
 
 }  // namespace
 
-milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random) {
-  return milliseconds(
-      std::uniform_int_distribution<int>(min_ms, max_ms)(*random));
-}
-
 milliseconds soak_site::RandomSpan(int min_ms, int max_ms) {
   return DrawSpan(min_ms, max_ms, &random_);
 }
@@ -211,14 +206,41 @@
   }
 }
 
+void soak_site::RotInSeries(server_standin* server) {
+  auto act_after = [this](milliseconds span, const std::function<void()>& act) {
+    RunAfter(span, [this, act] {
+      if (BootNow() < faults_end_at_)
+        act();
+    });
+  };
+  for (size_t left = 2 + held_random_() % 3; left > 0; --left) {
+    act_after(DrawSpan(0, 500, &held_random_), [this, server] {
+      LogFault("rot " + server->Id());
+      server->CorruptStagedChunk(BootNow(), &held_random_);
+    });
+  }
+  if (held_random_() % 10 == 0)
+    act_after(DrawSpan(0, 1000, &held_random_), [this] { NameVersion(); });
+  if (held_random_() % 8 == 0) {
+    act_after(DrawSpan(200, 2000, &held_random_), [this, server] {
+      LogFault("crash " + server->Id());
+      server->Crash(BootNow(), false);
+    });
+  }
+}
+
+void soak_site::NameVersion() {
+  ++weights_version_;
+  LogFault("version " + std::to_string(weights_version_));
+  store_.Put(
+      std::string("op/version/") + kModel,
+      R"({"Model":"m0","Version":)" + std::to_string(weights_version_) + "}");
+}
+
 void soak_site::InjectOperatorChange(time_point now) {
   switch (random_() % 4) {
     case 0:
-      LogFault("version " + std::to_string(weights_version_ + 1));
-      ++weights_version_;
-      store_.Put(std::string("op/version/") + kModel,
-                 R"({"Model":"m0","Version":)" +
-                     std::to_string(weights_version_) + "}");
+      NameVersion();
       break;
     case 1:
       if (keys_.size() > kMinKeys) {
--- a/src/tests/soak/soak_main.cc
+++ b/src/tests/soak/soak_main.cc
@@ -30,6 +30,8 @@
       "only planned work: stops, reloads and changes");
   add("silent", po::value(&options.silent_share),
       "share of the streams in which a server falls silent");
+  add("held", po::value(&options.held_share),
+      "share of the orders that servers take late; none with --planned");
   add("rate", po::value(&options.rate), "requests per second");
   po::variables_map values;
   try {
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -60,6 +60,7 @@
       options_(std::move(options)),
       random_(options_.seed),
       planned_random_(options_.seed + 1),
+      held_random_(options_.seed + 2),
       store_(loop, options_.seed),
       origin_(loop, &faults_),
       control_pool_(loop, {}) {}
@@ -96,9 +97,10 @@
     const bool is_model = i < agents;
     servers_.push_back(std::make_unique<server_standin>(
         loop_, &store_, &record_, &faults_, DomainOf(i), is_model));
+    server_standin* server = servers_.back().get();
+    server->on_order_held = [this, server] { RotInSeries(server); };
     const std::string proxy_address = ServerIp(i) + ":8001";
-    auto listening =
-        servers_.back()->Listen(ServerIp(i) + ":8101", proxy_address);
+    auto listening = server->Listen(ServerIp(i) + ":8101", proxy_address);
     if (!listening)
       return listening;
     links_.push_back("server-" + std::to_string(i) + "=" + proxy_address + ">" +
@@ -306,7 +308,10 @@
     loop_->StartTimer(faults_end_at_, [this](time_point at) { EndFaults(at); });
     return;
   }
-  loop_->StartTimer(now + kWarmUp, [this](time_point at) { InjectFault(at); });
+  loop_->StartTimer(now + kWarmUp, [this](time_point at) {
+    faults_.held_share = options_.held_share;
+    InjectFault(at);
+  });
   loop_->StartTimer(now + kWarmUp + kRestoreInterval,
                     [this](time_point at) { RestoreStore(at); });
 }
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -22,6 +22,8 @@
   bool is_planned = false;
   /// Share of the streams in which a sound server falls silent for a while.
   double silent_share = 0.15;
+  /// Share of the orders that a server takes late, beside other faults.
+  double held_share = 0.2;
   uint32_t site = 0;      ///< Number of a run beside others, 0 to 9.
   std::string directory;  ///< For settings and logs.
 
@@ -50,9 +52,6 @@
 /// Time between two returns of the store from an older copy.
 constexpr seconds kRestoreInterval{5};
 
-/// Draws a random time.
-milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random);
-
 /// Starts the site and its processes, keeps them running, and injects faults.
 class soak_site {
  public:
@@ -98,6 +97,10 @@
   void InjectLinkFault(time_point now);
   void InjectServerFault(time_point now);
   void InjectOperatorChange(time_point now);
+  /// Corrupts staged chunks of a server that holds an order back; now and then
+  /// also names a newer version, or crashes the server.
+  void RotInSeries(server_standin* server);
+  void NameVersion();
   // Planned work in series, each of which overlaps the ones before it.
   void BeginPlannedSeries(time_point now);
   void StopInSeries();
@@ -114,6 +117,7 @@
   soak_options options_;
   std::mt19937_64 random_;
   std::mt19937_64 planned_random_;  ///< Of the planned work.
+  std::mt19937_64 held_random_;     ///< Of the faults beside held orders.
   run_record record_;
   site_faults faults_;
   store_standin store_;
--- a/src/tests/soak/store_standin.cc
+++ b/src/tests/soak/store_standin.cc
@@ -41,6 +41,11 @@
   return std::uniform_real_distribution<double>(0, 1)(*random) < share;
 }
 
+milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random) {
+  return milliseconds(
+      std::uniform_int_distribution<int>(min_ms, max_ms)(*random));
+}
+
 store_standin::store_standin(event_loop* loop, uint64_t seed)
     : loop_(loop),
       random_(seed),
--- a/src/tests/soak/store_standin.h
+++ b/src/tests/soak/store_standin.h
@@ -15,6 +15,8 @@
 
 /// Returns true with the given probability.
 bool DrawBool(double share, std::mt19937_64* random);
+/// Draws a random time.
+milliseconds DrawSpan(int min_ms, int max_ms, std::mt19937_64* random);
 
 /// How the store treats calls.
 enum class store_mode {
