--- a/src/tests/entry_process.cc
+++ b/src/tests/entry_process.cc
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr int kEntryNumber = 1;
+constexpr int kProcessNumber = 1;
 constexpr int kStoreNumber = 2;
+constexpr char kStorePort[] = ":8007";
 
 std::string ConfigurationOf(const entry_process_options& options, int version) {
   const std::string route =
@@ -36,44 +37,66 @@
 
 }  // namespace
 
-entry_process::entry_process(const entry_process_options& options)
-    : network_(options.network),
-      directory_(harness::NewDirectory(options.name)),
+process_with_store::process_with_store(const std::string& role,
+                                       const std::string& name,
+                                       std::string network)
+    : role_(role),
+      network_(std::move(network)),
+      directory_(harness::NewDirectory(name)),
       store_(&loop_, 1),
-      entry_({harness::ProgramDirectory() + "/fuchsiafall", "entry"},
-             directory_ + "/entry.log",
-             {"FUCHSIAFALL_CONFIG=" + directory_ + "/entry.conf"}) {
-  const std::string store_address = IpOf(kStoreNumber) + ":8007";
-  BOOST_REQUIRE(store_.Listen(store_address));
-  store_.Put("op/config", ConfigurationOf(options, version_));
-  const std::string ip = IpOf(kEntryNumber);
-  std::ofstream(directory_ + "/entry.conf")
-      << "Node=entry\nIp=" << ip
-      << "\nZone=a\nRegion=r\nZones.a=r\nInternalPorts=7700,7715\n"
-      << "Platform.Address=" << store_address << "\nListen.Front=" << ip
-      << ":8005\nListen.Ready=" << ip << ":8002\n"
-      << options.settings;
+      process_({harness::ProgramDirectory() + "/fuchsiafall", role},
+               directory_ + "/" + role + ".log",
+               {"FUCHSIAFALL_CONFIG=" + directory_ + "/" + role + ".conf"}) {
+  BOOST_REQUIRE(store_.Listen(IpOf(kStoreNumber) + kStorePort));
 }
 
-std::string entry_process::IpOf(int number) const {
+std::string process_with_store::IpOf(int number) const {
   return network_ + "." + std::to_string(number);
 }
 
+void process_with_store::WriteSettings(const std::string& lines) const {
+  std::ofstream(directory_ + "/" + role_ + ".conf")
+      << "Node=" << role_ << "\nIp=" << IpOf(kProcessNumber)
+      << "\nZone=a\nRegion=r\nZones.a=r\nInternalPorts=7700,7715\n"
+      << "Platform.Address=" << IpOf(kStoreNumber) << kStorePort << "\n"
+      << lines;
+}
+
+void process_with_store::Start() {
+  thread_ = std::thread([this] { loop_.Run(); });
+  process_.Start();
+}
+
+void process_with_store::Stop() {
+  if (!thread_.joinable())
+    return;
+  process_.Kill();
+  loop_.Stop();
+  thread_.join();
+}
+
+entry_process::entry_process(const entry_process_options& options)
+    : process_with_store("entry", options.name, options.network) {
+  Store().Put("op/config", ConfigurationOf(options, version_));
+  const std::string ip = IpOf(kProcessNumber);
+  WriteSettings("Listen.Front=" + ip + ":8005\nListen.Ready=" + ip + ":8002\n" +
+                options.settings);
+}
+
 std::string entry_process::AddressOfServer(int number) const {
   return IpOf(kStoreNumber + number) + ":8001";
 }
 
 void entry_process::AddServer(int number) {
-  store_.Put("servers/i-" + std::to_string(number),
-             R"({"Service":"desk","Address":")" + AddressOfServer(number) +
-                 R"(","Zone":"a","Version":"v1","Slots":200,)"
-                 R"("State":"ready","ColdRemainingMs":0,"born":1})");
+  Store().Put("servers/i-" + std::to_string(number),
+              R"({"Service":"desk","Address":")" + AddressOfServer(number) +
+                  R"(","Zone":"a","Version":"v1","Slots":200,)"
+                  R"("State":"ready","ColdRemainingMs":0,"born":1})");
 }
 
 void entry_process::Start() {
-  thread_ = std::thread([this] { loop_.Run(); });
-  entry_.Start();
-  const std::string address = IpOf(kEntryNumber) + ":8002";
+  process_with_store::Start();
+  const std::string address = IpOf(kProcessNumber) + ":8002";
   BOOST_REQUIRE(harness::WaitUntil(
       [&] {
         return CallHttp({.address = address, .path = "/"}).http_status == 200;
@@ -82,22 +105,14 @@
 }
 
 void entry_process::Configure(const entry_process_options& options) {
-  loop_.Post([this, text = ConfigurationOf(options, ++version_)] {
-    store_.Put("op/config", text);
+  Loop().Post([this, text = ConfigurationOf(options, ++version_)] {
+    Store().Put("op/config", text);
   });
 }
 
-void entry_process::Stop() {
-  if (!thread_.joinable())
-    return;
-  entry_.Kill();
-  loop_.Stop();
-  thread_.join();
-}
-
 Poco::Net::StreamSocket entry_process::Connect() const {
   Poco::Net::StreamSocket caller{
-      Poco::Net::SocketAddress(IpOf(kEntryNumber) + ":8005")};
+      Poco::Net::SocketAddress(IpOf(kProcessNumber) + ":8005")};
   caller.setReceiveTimeout(Poco::Timespan(5, 0));
   return caller;
 }
--- a/src/tests/entry_process.h
+++ b/src/tests/entry_process.h
@@ -1,5 +1,5 @@
 /// @file entry_process.h Hosted entry as a real process, with a store in the
-/// test's own process, on loopback.
+/// test's own process, on loopback, and the parts that it shares with an agent.
 #ifndef TESTS_ENTRY_PROCESS_H_
 #define TESTS_ENTRY_PROCESS_H_
 
@@ -13,6 +13,45 @@
 
 namespace fuchsiafall::tests {
 
+/// Hosted process of any role with its store.
+class process_with_store {
+ public:
+  /// @param role Of the process, as on its command line.
+  /// @param name Of the test, for its files.
+  /// @param network First three numbers of its IP addresses.
+  process_with_store(const std::string& role,
+                     const std::string& name,
+                     std::string network);
+  ~process_with_store() { Stop(); }
+  process_with_store(const process_with_store&) = delete;
+  process_with_store& operator=(const process_with_store&) = delete;
+
+  /// Loop of the store and of the test's servers; runs from Start() to Stop().
+  event_loop& Loop() { return loop_; }
+  harness::child_process& Process() { return process_; }
+  /// Ends the process and the loop. To be called before the servers are
+  /// destroyed.
+  void Stop();
+
+ protected:
+  std::string IpOf(int number) const;
+  /// Writes the settings file.
+  /// @param lines Those beside the ones that all roles have.
+  void WriteSettings(const std::string& lines) const;
+  /// Runs the loop and starts the process.
+  void Start();
+  soak::store_standin& Store() { return store_; }
+
+ private:
+  std::string role_;
+  std::string network_;
+  std::string directory_;
+  event_loop loop_;
+  soak::store_standin store_;
+  harness::child_process process_;
+  std::thread thread_;
+};
+
 struct entry_process_options {
   std::string name;     ///< Of the test, for its files.
   std::string network;  ///< First three numbers of its IP addresses.
@@ -26,15 +65,10 @@
 };
 
 /// Entry with one route of the host desk.example to one service.
-class entry_process {
+class entry_process : public process_with_store {
  public:
   explicit entry_process(const entry_process_options& options);
-  ~entry_process() { Stop(); }
-  entry_process(const entry_process&) = delete;
-  entry_process& operator=(const entry_process&) = delete;
 
-  /// Loop of the store and of the test's servers; runs from Start() to Stop().
-  event_loop& Loop() { return loop_; }
   std::string AddressOfServer(int number) const;
   /// Registers a server of the service.
   void AddServer(int number);
@@ -42,22 +76,10 @@
   void Start();
   /// Writes a newer configuration with the options' route and limits.
   void Configure(const entry_process_options& options);
-  /// Ends the entry and the loop. To be called before the servers are
-  /// destroyed.
-  void Stop();
-  harness::child_process& Process() { return entry_; }
   Poco::Net::StreamSocket Connect() const;
 
  private:
-  std::string IpOf(int number) const;
-
-  std::string network_;
-  std::string directory_;
   int version_ = 1;  ///< Of the configuration.
-  event_loop loop_;
-  soak::store_standin store_;
-  harness::child_process entry_;
-  std::thread thread_;
 };
 
 /// Sends text on a blocking connection.
--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr size_t kSlots = 8;
-constexpr int kLayers = 4;
 constexpr milliseconds kTickInterval{20};  // Between events of a stream.
 constexpr milliseconds kCallTime{15};
 constexpr milliseconds kLongCallTime{400};
@@ -65,6 +64,20 @@
   return bytes;
 }
 
+std::string ServicesOf(const std::string& origin_address) {
+  std::ostringstream text;
+  text << R"([{"Name":")" << kModelService
+       << R"(","ColdStartS":0,"ColdPerS":0,"Engine":{"Slots":)" << kSlots
+       << R"(,"Stride":1,"Models":[{"Name":")" << kModel
+       << R"(","WarmS":0.1}],"step_ms":18,)"
+       << R"("per_seq_ms":0.1,"context_per_k":0,"read_per_s":100000,)"
+       << R"("pairs_per_m":0,"usual":{"prompt":900,"answer":15},"layers":)"
+       << kLayers << R"(,"Chunks":)" << kChunks << R"(,"ChunkBytes":)"
+       << kChunkBytes << R"(}},{"Name":")" << kPlainService << R"("},{"Name":")"
+       << kOriginService << R"(","Origin":")" << origin_address << R"("}])";
+  return text.str();
+}
+
 uint32_t EventCountOf(const std::string& target) {
   return 3 + static_cast<uint32_t>(Hash64(target, 0) % 25);
 }
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -20,12 +20,15 @@
 inline constexpr char kModelService[] = "llm";
 inline constexpr char kPlainService[] = "desk";
 inline constexpr char kOriginService[] = "weights";
+inline constexpr int kLayers = 4;
 inline constexpr uint32_t kChunks = 16;
 inline constexpr uint32_t kChunkBytes = 4096;
 
 /// Returns the bytes of one chunk, the same in each run. They begin with the
 /// version.
 std::string ChunkOf(uint64_t version, uint32_t chunk);
+/// Returns the services of a configuration, with their stand-ins' values.
+std::string ServicesOf(const std::string& origin_address);
 /// Returns how many events the stream of a path has.
 uint32_t EventCountOf(const std::string& target);
 
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -231,16 +231,9 @@
           "/v" + std::to_string(i) + "/", "idempotent", kPlainService, plain_ms,
           attempts_);
   }
-  text << R"(],"Services":[{"Name":")" << kModelService
-       << R"(","ColdStartS":0,"ColdPerS":0,"Engine":{"Slots":8,"Stride":1,)"
-       << R"("Models":[{"Name":"m0","WarmS":0.1}],"step_ms":18,)"
-       << R"("per_seq_ms":0.1,"context_per_k":0,"read_per_s":100000,)"
-       << R"("pairs_per_m":0,"usual":{"prompt":900,"answer":15},"layers":4,)"
-       << R"("Chunks":)" << kChunks << R"(,"ChunkBytes":)" << kChunkBytes
-       << R"(}},{"Name":")" << kPlainService << R"("},{"Name":")"
-       << kOriginService << R"(","Origin":")"
-       << options_.Address(kPlatformNet, kOriginProxyAddress)
-       << R"("}],"Limits":{"MaxHeaderBytes":)" << header_bytes_
+  text << R"(],"Services":)"
+       << ServicesOf(options_.Address(kPlatformNet, kOriginProxyAddress))
+       << R"(,"Limits":{"MaxHeaderBytes":)" << header_bytes_
        << R"(,"MaxBodyBytes":)" << body_bytes_
        << R"(,"HeaderTimeoutMs":3000,"IdleTimeoutMs":)" << idle_timeout_.count()
        << R"(},"Tenants":[)";
