Fix: Verify what an engine took after it has accepted a load order

Cause: an engine takes the staged pieces as they are when it accepts an order. The agent compared them, sent the order and granted places once a report showed the version. An engine that is silent or stands still accepts the order later than any check holds; a repeated order could be accepted after its successor; and a newer version could be staged under an order that was still on its way.

Change: what the engine took is compared once more, in reads sent after the acceptance was seen. Rot heals nothing and only the agent writes, so if all pieces match and nothing may have been written since before the acceptance, the engine took them intact. Until then no place is granted and no piece is written; if it fails, the layers are unloaded (E628) and loaded again. Load orders name the count of orders, no load is ordered while a write may take effect, and a check counts from the moment at which its read was sent.

--- a/src/engine_control_type.h
+++ b/src/engine_control_type.h
@@ -40,7 +40,9 @@
   bool aborts_running =
       false;               ///< Aborts running requests instead of draining.
   bool is_unload = false;  ///< Unloads the version instead of loading it.
-  uint64_t reported_orders = 0;  ///< Order count in the engine's last report.
+  /// Order count in the engine's last report. The engine refuses the order if
+  /// it has accepted another one since.
+  uint64_t reported_orders = 0;
 };
 
 }  // namespace fuchsiafall
--- a/src/engine_monitor.cc
+++ b/src/engine_monitor.cc
@@ -12,7 +12,7 @@
   is_reachable_ = true;
   if (is_restarted)
     ordered_version_ = 0;
-  if (is_restarted || report.is_loading || ServedVersion() == 0)
+  if (is_restarted || report.is_loading || HeldVersion() == 0)
     unloading_version_ = 0;
   return is_restarted;
 }
@@ -21,6 +21,14 @@
   return fuchsiafall::ServedVersion(report_.held, model_, layers_);
 }
 
+uint64_t engine_monitor::HeldVersion() const {
+  for (const held_layers& held : report_.held) {
+    if (held.model == model_ && held.to > held.from)
+      return held.version;
+  }
+  return 0;
+}
+
 bool engine_monitor::IsOrderPending(time_point now,
                                     milliseconds timeout) const {
   const bool is_ordered =
@@ -50,15 +58,16 @@
 }
 
 std::optional<engine_order> engine_monitor::MakeUnloadOrder(time_point now) {
-  const uint64_t served = ServedVersion();
+  const uint64_t held = HeldVersion();
   const milliseconds timeout =
       is_reachable_ ? options_.unload_timeout : options_.order_timeout;
-  if (report_.is_loading || served == 0 || IsOrderPending(now, timeout))
+  if (report_.is_loading || held == 0 || IsOrderPending(now, timeout))
     return std::nullopt;
   ordered_at_ = now;
-  unloading_version_ = served;
+  ordered_version_ = 0;
+  unloading_version_ = held;
   return engine_order{.model = model_,
-                      .version = served,
+                      .version = held,
                       .is_unload = true,
                       .reported_orders = report_.orders};
 }
--- a/src/engine_monitor_base.h
+++ b/src/engine_monitor_base.h
@@ -43,7 +43,7 @@
   std::optional<engine_order> MakeOrder(time_point now,
                                         uint64_t version,
                                         bool is_verified);
-  /// Creates the order to unload the served version, unless an order is in
+  /// Creates the order to unload the held version, unless an order is in
   /// progress. The engine then rejects the requests in its queue as not run,
   /// and finishes the running ones. An engine without reports may still run
   /// requests, so it gets the order too.
@@ -51,6 +51,9 @@
   /// Whether the engine accepts requests.
   bool IsServing(time_point now) const;
   uint64_t ServedVersion() const;
+  /// Returns the version of the layers that are held, be they all or not; 0 for
+  /// none.
+  uint64_t HeldVersion() const;
   const staged_engine_report& Report() const { return report_; }
   bool IsReachable() const { return is_reachable_; }
 
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -2,10 +2,10 @@
 /// beside its engine.
 #include <algorithm>
 #include <iostream>
+#include <utility>
 #include <zmq.hpp>
 
 #include "crash_monitor_base.h"
-#include "engine_monitor_base.h"
 #include "envelope_func.h"
 #include "hash_func.h"
 #include "hosted_process.h"
@@ -14,9 +14,9 @@
 #include "network/datagram_link.h"
 #include "network/http_status.h"
 #include "network/message_link.h"
-#include "piece_stager_base.h"
 #include "place_message_func.h"
 #include "platform/documents.h"
+#include "weight_loader_base.h"
 #include "weight_transfer_base.h"
 #include "weights_plan_func.h"
 
@@ -26,10 +26,13 @@
 
 /// Interval between reports of the engine, which is on the same VM.
 constexpr milliseconds kReportInterval{100};
+constexpr milliseconds kDoubtInterval{10};     // While a report is in doubt.
 constexpr milliseconds kTransferInterval{20};  // Of ticks during a transfer.
 /// Time without a tick that is logged as a pause of the process.
 constexpr milliseconds kMinLoggedPause{500};
 constexpr milliseconds kEngineTimeout{1000};
+/// Longer, since a write without an answer delays the next load.
+constexpr milliseconds kWriteTimeout{3000};
 /// Longer than the interval of the reports and the timeout of one of them.
 constexpr milliseconds kMaxReportAge{1500};
 /// A piece takes 30 ms over the origin's link, where a few may be queued.
@@ -99,8 +102,7 @@
                        },
                    .seed = process_.OwnIncarnation().value},
                   blobs_),
-        stager_({}),
-        engine_monitor_({}),
+        loader_({}, LoaderHooks()),
         places_({.max_report_age = kMaxReportAge}),
         crash_monitor_({.self = self_,
                         .own_incarnation = process_.OwnIncarnation(),
@@ -169,7 +171,7 @@
       if (!other.origin_address.empty())
         origin_ = other.origin_address;
     }
-    engine_monitor_.SetModel(model_, profile_.layers);
+    loader_.SetModel(model_, profile_.layers);
     target_since_.emplace(kFirstVersion, now);
     if (auto it = view.weights.find(model_); it != view.weights.end()) {
       for (const auto& [version, announcement] : it->second.announcements) {
@@ -256,7 +258,7 @@
   /// Lists the versions newer than the served one, oldest first.
   std::vector<wanted_version> WantedVersions() const {
     std::vector<wanted_version> wanted;
-    const uint64_t served = engine_monitor_.ServedVersion();
+    const uint64_t served = loader_.ServedVersion();
     for (const auto& [version, at] : target_since_) {
       if (version > served)
         wanted.push_back({version, at, ProgressOf(version)});
@@ -267,7 +269,9 @@
   /// Returns when the served version must be out of use, because a newer one
   /// was set; nullopt while there is none.
   std::optional<time_point> OutdatedAt() const {
-    auto next = target_since_.upper_bound(engine_monitor_.ServedVersion());
+    if (loader_.ServedVersion() == 0)
+      return std::nullopt;
+    auto next = target_since_.upper_bound(loader_.ServedVersion());
     if (next == target_since_.end())
       return std::nullopt;
     return next->second + process_.Settings().weights_bound;
@@ -280,7 +284,7 @@
     if (!outdated_at)
       return std::nullopt;
     return *outdated_at -
-           GrantMargin(now, last_piece_at_, engine_monitor_.Report().waiting);
+           GrantMargin(now, last_piece_at_, loader_.Report().waiting);
   }
 
   /// Unloads the served version right before it is outdated, so that the engine
@@ -289,8 +293,8 @@
     const auto outdated_at = OutdatedAt();
     if (!outdated_at || !IsUnloadDue(now, *outdated_at))
       return;
-    if (auto order = engine_monitor_.MakeUnloadOrder(now))
-      SendOrder(now, *order);
+    if (const auto order = loader_.MakeUnloadOrder(now))
+      PerformStep(now, *order);
   }
 
   double ProgressOf(uint64_t version) const {
@@ -309,14 +313,15 @@
     if (origin_.empty() || topology_ == nullptr)
       return;
     const auto wanted = WantedVersions();
+    const uint64_t served = loader_.ServedVersion();
     plan_ = PlanWeights(now, {.bound = process_.Settings().weights_bound},
-                        engine_monitor_.ServedVersion(), wanted, load_slot_);
-    places_.SetDrainDeadline(
-        engine_monitor_.ServedVersion() > 0 ? plan_.load_at : std::nullopt);
-    // The served version stays available to servers that join.
+                        served, wanted, load_slot_);
+    places_.SetDrainDeadline(served > 0 ? plan_.load_at : std::nullopt);
     std::vector<uint64_t> fetch = plan_.fetch;
-    if (fetch.empty() && engine_monitor_.ServedVersion() > 0)
-      fetch.push_back(engine_monitor_.ServedVersion());
+    // The served version stays available to servers that join, and its manifest
+    // is needed to verify it.
+    if (served > 0 && (fetch.empty() || loader_.NeedsHeldDigests()))
+      fetch.push_back(served);
     transfer_.SetMayImport(
         now, has_been_listed_ || now - *first_view_at_ > kMaxListingDelay);
     SetTransferTarget(now, fetch);
@@ -326,18 +331,16 @@
           manifests_.NeedsRead(now, version))
         ReadManifest(now, version);
     }
-    const uint64_t stage =
-        plan_.stage != 0 ? plan_.stage : engine_monitor_.ServedVersion();
+    const uint64_t wanted_stage = plan_.stage != 0 ? plan_.stage : served;
+    const uint64_t stage = loader_.VersionToStage(now, wanted_stage);
     const transfer_manifest* manifest = manifests_.Find(stage);
-    if (stage != staged_version_ && manifest != nullptr) {
-      staged_version_ = stage;
-      stager_.SetTarget(manifest->pieces);
-    }
+    if (stage != loader_.TargetVersion() && manifest != nullptr)
+      loader_.SetTarget(stage, manifest->pieces);
+    if (manifest == nullptr && manifests_.Find(wanted_stage) != nullptr)
+      loader_.OnHeldDigestsMissing(now);
+    loader_.SetTargetConfirmed(manifests_.IsConfirmed(loader_.TargetVersion()));
     // Pieces staged at the engine already are not fetched.
-    if (staged_version_ != 0 && stager_.HasReadAll())
-      compared_version_ = staged_version_;
-    transfer_.SetMayRequestChunks(
-        now, staged_version_ != 0 && compared_version_ == staged_version_);
+    transfer_.SetMayRequestChunks(now, loader_.HasCompared());
   }
 
   /// Reads a manifest from the origin until enough reads agree on it.
@@ -378,8 +381,8 @@
       OnBlob(now, failed);
       return;
     }
-    if (*is_changed && staged_version_ == version)
-      staged_version_ = 0;
+    if (*is_changed)
+      RefreshTarget(version);
     if (manifests_.IsConfirmed(version)) {
       PassManifestToTransfer(now, version);
       Tick(now);
@@ -405,9 +408,16 @@
   void OnPeerManifest(const artifact_ref& part,
                       const named_manifest& manifest) {
     const uint64_t version = std::stoull(part.name);
-    if (manifests_.Adopt(version, manifest.bytes, manifest.reads) &&
-        staged_version_ == version)
-      staged_version_ = 0;
+    if (manifests_.Adopt(version, manifest.bytes, manifest.reads))
+      RefreshTarget(version);
+  }
+
+  /// Compares the staged pieces with the manifest in use, if it is that of the
+  /// version to be staged.
+  void RefreshTarget(uint64_t version) {
+    const transfer_manifest* manifest = manifests_.Find(version);
+    if (version == loader_.TargetVersion() && manifest != nullptr)
+      loader_.SetTarget(version, manifest->pieces);
   }
 
   void SetTransferTarget(time_point now, const std::vector<uint64_t>& fetch) {
@@ -528,161 +538,183 @@
   // ---- Staging and load orders ----
 
   void Stage(time_point now) {
-    if (is_staging_ || !stager_.HasTarget())
-      return;
-    const std::string& engine = process_.Settings().engine_address;
-    for (uint32_t i = 0; i < stager_.Pieces(); ++i) {
-      if (blobs_->Find(stager_.ExpectedDigest(i)) != nullptr)
-        stager_.OnAvailable(i);
-    }
-    // An order loads whatever is staged, so its version must be the staged one.
-    const bool may_load = plan_.load && *plan_.load == staged_version_;
-    if (may_load) {
-      auto order = engine_monitor_.MakeOrder(now, staged_version_,
-                                             stager_.IsVerified(now));
-      if (order) {
-        SendOrder(now, *order);
-        return;
-      }
-    }
-    auto next = stager_.Next(
-        now, may_load && engine_monitor_.IsOrderDue(now, staged_version_));
-    if (!next)
-      return;
-    is_staging_ = true;
-    const uint64_t version = staged_version_;
-    const uint32_t piece = next->piece;
-    if (next->type == piece_stager::operation_type::kWrite) {
-      const shared_bytes bytes = blobs_->Find(stager_.ExpectedDigest(piece));
-      Call(now, {.address = engine,
-                 .request =
-                     platform::EncodeStageWrite(engine, model_, piece, *bytes),
-                 .timeout = kEngineTimeout,
-                 .on_done = [this, version, piece](time_point at, int status,
-                                                   const std::string&) {
-                   is_staging_ = false;
-                   if (version != staged_version_)
-                     return Stage(at);
-                   if (status / 100 == 2) {
-                     stager_.OnWritten(piece);
-                   } else {
-                     stager_.OnFailed(at);
-                   }
-                   Stage(at);
-                 }});
-      return;
+    loader_.MarkAvailable(
+        [this](const digest& piece) { return blobs_->Find(piece) != nullptr; });
+    if (const auto step = loader_.NextStep(now, plan_.load))
+      PerformStep(now, *step);
+  }
+
+  void PerformStep(time_point now, const engine_step& step) {
+    if (const auto* read = std::get_if<read_piece>(&step)) {
+      ReadPiece(now, *read);
+    } else if (const auto* write = std::get_if<write_piece>(&step)) {
+      WritePiece(now, *write);
+    } else {
+      SendOrder(now, std::get<send_order>(step));
     }
-    Call(now, {.address = engine,
-               .request = platform::EncodeStageRead(engine, model_, piece),
-               .timeout = kEngineTimeout,
-               .on_done = [this, version, piece](time_point at, int status,
-                                                 std::string body) {
-                 is_staging_ = false;
-                 if (version == staged_version_)
-                   OnStagedRead(at, piece, status, std::move(body));
+  }
+
+  /// Sends a request to the engine.
+  void CallEngine(time_point now,
+                  const std::string& request,
+                  milliseconds timeout,
+                  const std::function<void(time_point,
+                                           const engine_call_result&,
+                                           const std::string&)>& on_done) {
+    auto is_given_up = std::make_shared<bool>(false);
+    Call(now, {.address = process_.Settings().engine_address,
+               .request = request,
+               .timeout = timeout,
+               .on_done =
+                   [is_given_up, on_done](time_point at, int status,
+                                          const std::string& body) {
+                     on_done(at,
+                             {.status = status, .is_given_up = *is_given_up},
+                             body);
+                   },
+               .on_timeout = [is_given_up](time_point,
+                                           size_t) { *is_given_up = true; }});
+  }
+
+  void WritePiece(time_point now, const write_piece& write) {
+    const shared_bytes bytes =
+        blobs_->Find(loader_.ExpectedDigest(write.piece));
+    CallEngine(now,
+               platform::EncodeStageWrite(process_.Settings().engine_address,
+                                          model_, write.piece, *bytes),
+               kWriteTimeout,
+               [this, write](time_point at, const engine_call_result& result,
+                             const std::string&) {
+                 loader_.OnWriteEnded(at, write, result);
                  Stage(at);
-               }});
+               });
+  }
+
+  void ReadPiece(time_point now, const read_piece& read) {
+    CallEngine(
+        now,
+        platform::EncodeStageRead(process_.Settings().engine_address, model_,
+                                  read.piece),
+        kEngineTimeout,
+        [this, now, read](time_point at, const engine_call_result& result,
+                          const std::string& body) {
+          OnPieceRead(at, now, read, result, body);
+          Stage(at);
+          UpdateServing(at);
+        });
   }
 
-  void OnStagedRead(time_point now,
-                    uint32_t piece,
-                    int status,
-                    std::string body) {
-    if (status != 200 && status != kHttpNotFound) {
-      stager_.OnFailed(now);
-      return;
-    }
+  void OnPieceRead(time_point now,
+                   time_point sent_at,
+                   const read_piece& read,
+                   const engine_call_result& result,
+                   const std::string& body) {
     std::optional<digest> actual;
-    if (status == 200)
+    if (result.status == kHttpOk)
       actual = DigestOf(body);
-    if (stager_.OnReadBack(now, piece, actual)) {
-      // A piece staged already need not be fetched.
-      if (blobs_->Find(*actual) == nullptr)
-        blobs_->Put(*actual, std::make_shared<std::string>(std::move(body)));
-    } else if (actual) {
-      process_.Metrics().Count("staged_pieces_wrong");
-    }
+    const bool is_match =
+        loader_.OnReadEnded(now, sent_at, read, result, actual);
+    // A piece staged already need not be fetched.
+    if (is_match && blobs_->Find(*actual) == nullptr)
+      blobs_->Put(*actual, std::make_shared<std::string>(body));
   }
 
-  void SendOrder(time_point now, const engine_order& order) {
-    const std::string& engine = process_.Settings().engine_address;
+  void SendOrder(time_point now, const send_order& step) {
+    const engine_order& order = step.order;
     LogEvent(
         order.is_unload ? log_event::kEngineUnloads : log_event::kEngineOrdered,
         "version=" + std::to_string(order.version) +
-            " served=" + std::to_string(engine_monitor_.ServedVersion()) +
+            " served=" + std::to_string(loader_.ServedVersion()) +
             " orders=" + std::to_string(order.reported_orders) +
             (order.is_unload
                  ? ""
                  : " checked_ms=" + std::to_string(ToMs(
-                                        stager_.OldestVerificationAge(now)))));
+                                        loader_.OldestVerificationAge(now)))));
     process_.Metrics().Count("orders");
     places_.SetAccepting(false);
-    Call(now,
-         {.address = engine,
-          .request = platform::EncodeEngineOrder(engine, order),
-          .timeout = kEngineTimeout,
-          .on_done = [this, now, order](time_point at, int status,
-                                        const std::string&) {
-            process_.Metrics().Count("order_status_" + std::to_string(status));
-            LogEvent(log_event::kEngineOrderAnswered,
-                     "version=" + std::to_string(order.version) +
-                         " unload=" + std::to_string(order.is_unload) +
-                         " status=" + std::to_string(status) +
-                         " after_ms=" + std::to_string(ToMs(at - now)));
-          }});
+    CallEngine(
+        now,
+        platform::EncodeEngineOrder(process_.Settings().engine_address, order),
+        kEngineTimeout,
+        [this, now, step](time_point at, const engine_call_result& result,
+                          const std::string&) {
+          loader_.OnOrderEnded(at, step, result);
+          process_.Metrics().Count("order_status_" +
+                                   std::to_string(result.status));
+          LogEvent(log_event::kEngineOrderAnswered,
+                   "version=" + std::to_string(step.order.version) +
+                       " unload=" + std::to_string(step.order.is_unload) +
+                       " status=" + std::to_string(result.status) +
+                       " after_ms=" + std::to_string(ToMs(at - now)));
+        });
   }
 
   void RequestReport(time_point now) {
     const std::string& engine = process_.Settings().engine_address;
-    Call(now, {.address = engine,
-               .request = platform::EncodeReportCall(engine),
-               .timeout = kEngineTimeout,
-               .on_done = [this](time_point at, int status,
+    Call(now,
+         {.address = engine,
+          .request = platform::EncodeReportCall(engine),
+          .timeout = kEngineTimeout,
+          .on_done = [this, now](time_point at, int status,
                                  const std::string& body) {
-                 OnReport(at, status, body);
-                 process_.Loop().StartTimer(
-                     at + kReportInterval,
-                     [this](time_point next) { RequestReport(next); });
-               }});
+            OnReport(at, now, status, body);
+            process_.Loop().StartTimer(
+                at + (loader_.NeedsReport() ? kDoubtInterval : kReportInterval),
+                [this](time_point next) { RequestReport(next); });
+          }});
   }
 
-  void OnReport(time_point now, int status, const std::string& body) {
+  void OnReport(time_point now,
+                time_point requested_at,
+                int status,
+                const std::string& body) {
     auto report = status == 200 ? platform::DecodeEngineReport(body)
                                 : failure{"status " + std::to_string(status)};
-    const bool was_serving = is_serving_;
-    const uint64_t served = engine_monitor_.ServedVersion();
     bool is_restarted = false;
     if (report) {
-      is_restarted = engine_monitor_.OnReport(*report);
+      is_restarted = loader_.OnReport(now, requested_at, *report);
       if (is_restarted) {
         LogEvent(log_event::kEngineRestarted,
                  "born=" + std::to_string(report->started_at_ms));
         places_.OnEngineRestart(now);
-        stager_.Invalidate();
       }
       places_.OnReport(now, *report);
       if (report->cold_remaining > milliseconds(0))
         places_.SetColdUntil(now + report->cold_remaining);
     } else {
-      engine_monitor_.OnUnreachable();
+      loader_.OnUnreachable();
     }
     crash_monitor_.OnEngineReport(now, static_cast<bool>(report), is_restarted);
+    Stage(now);
+    UpdateServing(now);
+  }
+
+  /// Decides whether places are granted.
+  void UpdateServing(time_point now) {
+    const bool was_serving = is_serving_;
+    const uint64_t before = std::exchange(served_, loader_.ServedVersion());
     const auto grants_end = GrantsEnd(now);
-    is_serving_ = engine_monitor_.IsServing(now) && !is_draining_ &&
-                  !is_evacuated_ && !(grants_end && now > *grants_end);
+    is_serving_ = loader_.IsServing(now) && !is_draining_ && !is_evacuated_ &&
+                  !(grants_end && now > *grants_end);
     places_.SetAccepting(is_serving_);
     places_.SetGrantsEnd(grants_end);
-    if (is_serving_ != was_serving ||
-        served != engine_monitor_.ServedVersion()) {
-      LogEvent(
-          log_event::kEngineState,
-          "serving=" + std::to_string(is_serving_) + " version=" +
-              std::to_string(engine_monitor_.ServedVersion()) + " loading=" +
-              std::to_string(engine_monitor_.Report().is_loading) +
-              " reachable=" + std::to_string(engine_monitor_.IsReachable()) +
-              " load=" + std::to_string(places_.Load()));
+    if (is_serving_ != was_serving || served_ != before) {
+      LogEvent(log_event::kEngineState,
+               "serving=" + std::to_string(is_serving_) +
+                   " version=" + std::to_string(served_) +
+                   " loading=" + std::to_string(loader_.Report().is_loading) +
+                   " reachable=" + std::to_string(loader_.IsReachable()) +
+                   " load=" + std::to_string(places_.Load()));
     }
-    Stage(now);
+  }
+
+  weight_loader_hooks LoaderHooks() {
+    return {.log = [](log_event event,
+                      const std::string& detail) { LogEvent(event, detail); },
+            .count =
+                [this](const std::string& name) {
+                  process_.Metrics().Count(name);
+                }};
   }
 
   // ---- Crashes ----
@@ -794,8 +826,7 @@
   vm_id self_;
   std::shared_ptr<blob_store> blobs_;
   weight_transfer transfer_;
-  piece_stager stager_;
-  engine_monitor engine_monitor_;
+  weight_loader loader_;
   place_table places_;
   crash_monitor crash_monitor_;
   http_client_pool pool_;         ///< Connections to the engine.
@@ -812,15 +843,12 @@
   std::map<uint64_t, time_point> target_since_;  ///< When each version was set.
   manifest_cache manifests_{{}};
   weights_plan plan_;
-  uint64_t staged_version_ = 0;
-  /// Version with which everything staged at the engine has been compared.
-  uint64_t compared_version_ = 0;
   std::vector<uint64_t>
       target_versions_;  ///< Versions that the transfer has as its target.
   std::optional<time_point> last_piece_at_;  ///< When a piece last arrived.
   bool has_transfer_ = false;
-  bool is_staging_ = false;
   bool is_serving_ = false;
+  uint64_t served_ = 0;  ///< Version, when this was last decided.
   bool is_draining_ = false;
   bool has_been_listed_ = false;  ///< The own server, in the store.
   std::optional<time_point> first_view_at_;
--- a/src/piece_stager.cc
+++ b/src/piece_stager.cc
@@ -51,14 +51,26 @@
     return std::nullopt;
   for (uint32_t i = 0; i < pieces_.size(); ++i) {
     const staged_piece& piece = pieces_[i];
-    const bool is_expired = now - piece.verified_at > options_.max_verified_age;
+    const bool is_expired = now - piece.read_at > options_.max_verified_age;
     if (piece.state == piece_state::kWritten || is_expired)
       return operation{operation_type::kRead, i};
   }
   return std::nullopt;
 }
 
-bool piece_stager::OnReadBack(time_point now,
+std::optional<piece_stager::operation> piece_stager::NextUnread(
+    time_point now,
+    time_point since) const {
+  if (now < retry_at_)
+    return std::nullopt;
+  for (uint32_t i = 0; i < pieces_.size(); ++i) {
+    if (pieces_[i].read_at < since)
+      return operation{operation_type::kRead, i};
+  }
+  return std::nullopt;
+}
+
+bool piece_stager::OnReadBack(time_point sent_at,
                               uint32_t piece,
                               std::optional<digest> actual) {
   if (piece >= pieces_.size())
@@ -66,7 +78,7 @@
   staged_piece& staged = pieces_[piece];
   const bool is_match = actual && *actual == staged.expected;
   staged.state = is_match ? piece_state::kVerified : piece_state::kMissing;
-  staged.verified_at = is_match ? now : time_point{};
+  staged.read_at = sent_at;
   return is_match;
 }
 
@@ -75,19 +87,37 @@
     pieces_[piece].state = piece_state::kWritten;
 }
 
+void piece_stager::Forget(uint32_t piece) {
+  pieces_[piece].state = piece_state::kUnknown;
+  pieces_[piece].read_at = {};
+}
+
 bool piece_stager::IsVerified(time_point now) const {
+  return IsVerifiedSince(now - options_.max_verified_age);
+}
+
+bool piece_stager::IsVerifiedSince(time_point since) const {
   return !pieces_.empty() &&
-         std::all_of(
-             pieces_.begin(), pieces_.end(), [&](const staged_piece& piece) {
-               return piece.state == piece_state::kVerified &&
-                      now - piece.verified_at <= options_.max_verified_age;
-             });
+         std::all_of(pieces_.begin(), pieces_.end(),
+                     [&](const staged_piece& piece) {
+                       return piece.state == piece_state::kVerified &&
+                              piece.read_at >= since;
+                     });
+}
+
+std::optional<uint32_t> piece_stager::MismatchSince(time_point since) const {
+  for (uint32_t i = 0; i < pieces_.size(); ++i) {
+    if (pieces_[i].state == piece_state::kMissing &&
+        pieces_[i].read_at >= since)
+      return i;
+  }
+  return std::nullopt;
 }
 
 duration piece_stager::OldestVerificationAge(time_point now) const {
   duration oldest{};
   for (const staged_piece& piece : pieces_)
-    oldest = std::max<duration>(oldest, now - piece.verified_at);
+    oldest = std::max<duration>(oldest, now - piece.read_at);
   return oldest;
 }
 
--- a/src/piece_stager_base.h
+++ b/src/piece_stager_base.h
@@ -37,22 +37,35 @@
   bool HasTarget() const { return !pieces_.empty(); }
   /// Discards all verification results, after a restart of the engine.
   void Invalidate();
-  /// Records that a piece is held locally and can be written.
-  void OnAvailable(uint32_t piece) { pieces_[piece].is_available = true; }
+  /// Sets whether a piece is held locally and can be written.
+  void SetAvailable(uint32_t piece, bool is_available) {
+    pieces_[piece].is_available = is_available;
+  }
 
   /// Chooses the next operation.
   /// @param is_order_due Whether a load order is due, for which all pieces must
   /// have been verified recently.
   std::optional<operation> Next(time_point now, bool is_order_due) const;
+  /// Chooses a piece that has not been read back since a time.
+  std::optional<operation> NextUnread(time_point now, time_point since) const;
   /// Processes a read-back.
+  /// @param sent_at When the read was sent. The bytes may be as old as that.
   /// @param actual Digest of the bytes; empty when nothing is staged there.
   /// @return Whether it matches the expected digest.
-  bool OnReadBack(time_point now, uint32_t piece, std::optional<digest> actual);
+  bool OnReadBack(time_point sent_at,
+                  uint32_t piece,
+                  std::optional<digest> actual);
   void OnWritten(uint32_t piece);
+  /// Discards the last verification of a piece.
+  void Forget(uint32_t piece);
   void OnFailed(time_point now) { retry_at_ = now + kRetryDelay; }
 
   /// Whether every piece was recently verified as correct.
   bool IsVerified(time_point now) const;
+  /// Whether every piece was verified as correct since a time.
+  bool IsVerifiedSince(time_point since) const;
+  /// Finds a piece that was read back since a time and did not match.
+  std::optional<uint32_t> MismatchSince(time_point since) const;
   /// Returns how long ago the first of the last verifications was.
   duration OldestVerificationAge(time_point now) const;
   /// Whether every piece has been read at least once.
@@ -69,7 +82,7 @@
     digest expected;
     piece_state state = piece_state::kUnknown;
     bool is_available = false;
-    time_point verified_at{};
+    time_point read_at{};  ///< When its last read was sent.
   };
 
   piece_stager_options options_;
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -127,6 +127,13 @@
   return 0;
 }
 
+/// Weights that a model server is known to have loaded intact.
+struct intact_weights {
+  uint64_t version = 0;       ///< 0 for none.
+  int64_t started_at_ms = 0;  ///< Start of the server, ms since the epoch.
+  bool operator==(const intact_weights&) const = default;
+};
+
 /// Server, as described by its item in the platform's store.
 struct site_server {
   std::string id;  ///< Instance id, named in requests as the one expected.
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -69,3 +69,5 @@
           Info,
           "engine ordered to unload replaced weights")
 LOG_EVENT(kEngineOrderAnswered, 626, Info, "engine answered an order")
+LOG_EVENT(kLoadVerified, 627, Info, "loaded weights are intact")
+LOG_EVENT(kLoadSpoilt, 628, Warning, "loaded weights are given up")
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -169,7 +169,7 @@
   BOOST_TEST(stager.OnReadBack(now, 0, Piece('a')));
   BOOST_TEST(!stager.OnReadBack(now, 1, std::nullopt));
   BOOST_TEST(!stager.Next(now, true).has_value());
-  stager.OnAvailable(1);
+  stager.SetAvailable(1, true);
   next = stager.Next(now, true);
   BOOST_REQUIRE(next.has_value());
   BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
@@ -187,7 +187,7 @@
   BOOST_REQUIRE(next.has_value());
   BOOST_TEST((next->type == read));
   BOOST_TEST(!stager.OnReadBack(now, 0, Piece('x')));
-  stager.OnAvailable(0);
+  stager.SetAvailable(0, true);
   next = stager.Next(now, true);
   BOOST_TEST((next->type == piece_stager::operation_type::kWrite));
 }
@@ -200,7 +200,7 @@
   stager.OnReadBack(now, 0, digest("a1"));
   stager.OnReadBack(now, 1, digest("b"));
   stager.SetTarget({digest("a2"), digest("b"), digest("c2")});
-  stager.OnAvailable(0);
+  stager.SetAvailable(0, true);
   // The second may be the same, and the third has not been read yet.
   auto next = stager.Next(now, false);
   BOOST_REQUIRE(next.has_value());
