Fix: Send requests only to weights that an agent has vouched for

What callers could see: tokens of a load that had not been verified. An entry sends without a place to a server whose agent is silent, and what the server holds then was known to the store alone; a request granted for one version could arrive after its server had loaded another.

Cause: the agent's knowledge that a load is intact did not reach the entries.

Change: replies to place requests carry the version that the agent vouches for, and the lifetime of the server. Without a place an entry sends only to a server that lists exactly these, and forgets them once it lists another version. Each request names the version for which it got its place, so that a server that has loaded another one refuses it as not run; such a refusal does not count as that of another instance. A stream goes on only with a place for its own version.

The test nothing_is_sent_without_a_place_to_replaced_weights now has both agents vouch for their version before they fall silent; without that nothing is sent any more, which nothing_is_sent_without_a_place_to_unverified_weights asks for.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -234,6 +234,12 @@
                           .tenant = call->tenant,
                           .last_event = call->last_event,
                           .weights = call->weights};
+  // The server refuses the request if it has loaded another version meanwhile,
+  // which is not known to be intact.
+  const uint64_t intact = selector_.Health(server.id).weights.version;
+  if (call->is_model && !headers.weights && intact > 0)
+    headers.weights = intact;
+  call->names_version = headers.weights.has_value();
   headers.time_left =
       std::chrono::duration_cast<milliseconds>(call->deadline - now);
   hooks_.log(log_event::kAttemptSent,
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -190,7 +190,7 @@
     if (call->head.status == kHttpMisdirected) {
       // It may also be the expected instance with another version.
       const bool is_replaced = call->head.instance.empty()
-                                   ? !call->weights.has_value()
+                                   ? !call->names_version
                                    : call->head.instance != call->server.id;
       if (is_replaced)
         selector_.OnReplaced(call->server);
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -286,6 +286,7 @@
     /// Largest step between the ids of two events of one answer; 0 if unknown.
     uint64_t max_event_step = 0;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
+    bool names_version = false;  ///< Whether its attempt expects a version.
     event_splitter events;
     std::string body;  ///< Body of an answer that is not streamed.
     /// Time until a slot is expected to be free; the minimum over the denials.
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -155,12 +155,17 @@
   selector_.OnPlaceAnswered(server);
   selector_.OnLoad(now, server, reply.load, reply.slots);
   selector_.SetAnswerLimit(server, reply.max_answer_tokens);
+  selector_.SetIntactWeights(server, reply.weights);
   if (reply.is_granted && now - asked.requested_at > options_.max_grant_age) {
     hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
     hooks_.count("grants_expired");
     return Dispatch(now, &call);
   }
-  if (reply.is_granted && !IsStillEligible(now, call, server)) {
+  const bool is_for_other_version = call.weights &&
+                                    reply.weights.version != 0 &&
+                                    reply.weights.version != *call.weights;
+  if (reply.is_granted &&
+      (is_for_other_version || !IsStillEligible(now, call, server))) {
     hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
     hooks_.count("grants_outdated");
     return Dispatch(now, &call);
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -764,6 +764,12 @@
         reply = places_.RequestPlace(now, request);
         reply.is_suspect = verdict.is_suspect;
       }
+      reply.weights = loader_.IntactWeights();
+      if (reply.is_granted && reply.weights.version == 0) {
+        // A place that was granted before the engine loaded.
+        places_.Release(now, from, request.call);
+        reply.is_granted = false;
+      }
       process_.Metrics().Count(reply.is_granted ? "places_granted"
                                                 : "places_denied");
       proto::envelope envelope = MakeEnvelope(self_, process_.OwnIncarnation());
--- a/src/place_message.cc
+++ b/src/place_message.cc
@@ -47,6 +47,8 @@
   message->set_load(reply.load);
   message->set_slots(reply.slots);
   message->set_most_answer_tokens(reply.max_answer_tokens);
+  message->set_intact_version(reply.weights.version);
+  message->set_server_started_at_ms(reply.weights.started_at_ms);
 }
 
 place_reply ReadPlaceReply(const proto::place_answer& message) {
@@ -57,7 +59,9 @@
           .max_answer_tokens = message.most_answer_tokens(),
           .is_quarantined = message.is_quarantined(),
           .quarantined_trait = fingerprint(message.quarantined_trait()),
-          .is_suspect = message.is_suspect()};
+          .is_suspect = message.is_suspect(),
+          .weights = {.version = message.intact_version(),
+                      .started_at_ms = message.server_started_at_ms()}};
 }
 
 void WritePlaceRelease(uint64_t call,
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -56,6 +56,7 @@
   /// In grants: whether it may crash the server, so that it is not retried
   /// elsewhere if the server aborts it.
   bool is_suspect = false;
+  intact_weights weights;  ///< That the server serves.
 };
 
 /// How an attempt ended.
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -20,6 +20,18 @@
   std::erase_if(health_, [&](const auto& item) {
     return !servers.contains(item.first) && item.second.in_flight == 0;
   });
+  // Weights that a server loads again may not be intact.
+  for (auto& [id, health] : health_) {
+    auto server = servers.find(id);
+    const bool holds_version =
+        server != servers.end() &&
+        std::any_of(server->second.models.begin(), server->second.models.end(),
+                    [&](const held_layers& held) {
+                      return held.version == health.weights.version;
+                    });
+    if (!holds_version)
+      health.weights = {};
+  }
 }
 
 const std::string& server_selector::RegionOf(const std::string& domain) const {
@@ -72,10 +84,21 @@
   const uint64_t served = VersionOf(server, query.model);
   if (query.weights && served != *query.weights)
     return false;
+  if (query.is_without_place && !IsVouchedFor(server, served))
+    return false;
   return served > 0 &&
          !IsOutdated(now, query.model, served, query.is_without_place);
 }
 
+bool server_selector::IsVouchedFor(const site_server& server,
+                                   uint64_t served) const {
+  auto health = health_.find(server.id);
+  return health != health_.end() &&
+         health->second.weights ==
+             intact_weights{.version = served,
+                            .started_at_ms = server.started_at_ms};
+}
+
 uint64_t server_selector::VersionOf(const site_server& server,
                                     const std::string& model) const {
   const site_service* service = index_->FindService(server.service);
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -54,6 +54,8 @@
   /// Revision of its registration when another instance answered at its
   /// address.
   std::optional<store_revision> replaced_revision;
+  /// Weights that its agent last vouched for.
+  intact_weights weights;
   uint32_t unanswered_place_requests = 0;  ///< Consecutive ones.
   time_point unanswered_since{};           ///< Time of the first of them.
 };
@@ -95,6 +97,9 @@
   void SetAnswerLimit(const std::string& id, uint32_t max_tokens) {
     health_[id].max_answer_tokens = max_tokens;
   }
+  void SetIntactWeights(const std::string& id, const intact_weights& weights) {
+    health_[id].weights = weights;
+  }
   /// Records that the server has no free slot for a time.
   void OnFull(time_point now, const std::string& id, milliseconds span);
   void OnSuccess(const std::string& id);
@@ -140,6 +145,8 @@
                   const std::string& model,
                   uint64_t served,
                   bool is_without_place) const;
+  /// Whether the agent of a server has vouched for the version that it holds.
+  bool IsVouchedFor(const site_server& server, uint64_t served) const;
   /// Computes a rank; lower is better.
   double Score(time_point now,
                const site_server& server,
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -23,6 +23,18 @@
   return first;
 }
 
+/// Has the agents of both model servers deny a place, and vouch for weights.
+void VouchForBothServers(fake_entry* entry, const intact_weights& weights) {
+  entry->SendRequest(1, "models");
+  for (int i = 0; i < 2; ++i) {
+    entry->dispatch.OnPlaceReply(entry->now, entry->place_requests.back().call,
+                                 {.expected_free_in = milliseconds(100),
+                                  .slots = 16,
+                                  .weights = weights});
+  }
+  entry->Advance(milliseconds(200));
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(call_dispatch_suite)
@@ -518,6 +530,7 @@
 BOOST_AUTO_TEST_CASE(nothing_is_sent_without_a_place_to_replaced_weights) {
   for (const bool is_replaced : {false, true}) {
     fake_entry entry;
+    VouchForBothServers(&entry, {.version = 1});
     site_view view = entry.site.index->View();
     if (is_replaced) {
       view.weights["model"] = {
@@ -528,7 +541,7 @@
     entry.site.Set(view);
     entry.dispatch.SetIndex(entry.site.index.get());
     // No agent answers.
-    for (uint64_t id = 1; id <= 20; ++id) {
+    for (uint64_t id = 2; id <= 21; ++id) {
       entry.SendRequest(id, "models");
       entry.Advance(milliseconds(150));
     }
@@ -536,6 +549,98 @@
   }
 }
 
+// An agent that is silent may not have seen what its engine has loaded.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_without_a_place_to_unverified_weights) {
+  struct vouched_case {
+    intact_weights vouched;
+    std::vector<held_layers> then_held;
+    bool is_sent;
+  };
+  const std::vector<held_layers> same{{"model", 1, 0, 16}};
+  for (const vouched_case& item : std::vector<vouched_case>{
+           {{.version = 1}, same, true},
+           {{}, same, false},
+           {{.version = 1}, {{"model", 2, 0, 16}}, false},
+           {{.version = 1}, {}, false},
+           {{.version = 1, .started_at_ms = 77}, same, false}}) {
+    fake_entry entry;
+    VouchForBothServers(&entry, item.vouched);
+    site_view view = entry.site.index->View();
+    for (const char* id : {"m1", "m2"})
+      view.servers[id].models = item.then_held;
+    entry.site.Set(view);
+    entry.dispatch.SetIndex(entry.site.index.get());
+    for (uint64_t id = 11; id <= 30; ++id) {
+      entry.SendRequest(id, "models");
+      entry.Advance(milliseconds(150));
+    }
+    BOOST_TEST(entry.attempts.empty() == !item.is_sent);
+    if (item.is_sent)
+      BOOST_TEST((entry.attempts.front().headers.weights == 1u));
+  }
+}
+
+// The server may hold the same version again, but not from the same load.
+BOOST_AUTO_TEST_CASE(a_version_that_was_unloaded_is_not_vouched_for_any_more) {
+  fake_entry entry;
+  VouchForBothServers(&entry, {.version = 1});
+  const site_view before = entry.site.index->View();
+  site_view unloaded = before;
+  for (const char* id : {"m1", "m2"})
+    unloaded.servers[id].models.clear();
+  for (const site_view& view : {unloaded, before}) {
+    entry.site.Set(view);
+    entry.dispatch.SetIndex(entry.site.index.get());
+  }
+  for (uint64_t id = 11; id <= 30; ++id) {
+    entry.SendRequest(id, "models");
+    entry.Advance(milliseconds(150));
+  }
+  BOOST_TEST(entry.attempts.empty());
+}
+
+// A request may arrive after its server has loaded other weights.
+BOOST_AUTO_TEST_CASE(a_request_names_the_version_that_its_place_is_for) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  entry.dispatch.OnPlaceReply(
+      entry.now, entry.place_requests.back().call,
+      {.is_granted = true, .slots = 16, .weights = {.version = 1}});
+  BOOST_REQUIRE(entry.attempts.size() == 1u);
+  BOOST_TEST((entry.attempts.front().headers.weights == 1u));
+}
+
+// A server that has loaded another version answers 421, too.
+BOOST_AUTO_TEST_CASE(a_server_with_another_version_is_not_taken_for_replaced) {
+  fake_entry entry;
+  site_view view = entry.site.index->View();
+  view.servers.erase("m2");
+  entry.site.Set(view);
+  entry.dispatch.SetIndex(entry.site.index.get());
+  for (uint64_t id = 1; id <= 2; ++id) {
+    entry.SendRequest(id, "models");
+    BOOST_REQUIRE(entry.place_requests.size() == id);
+    entry.dispatch.OnPlaceReply(
+        entry.now, entry.place_requests.back().call,
+        {.is_granted = true, .slots = 16, .weights = {.version = 1}});
+    BOOST_REQUIRE(entry.attempts.size() == id);
+    entry.DeliverHead(421, false, true);
+    entry.EndExchange(exchange_end::kComplete);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_does_not_go_on_with_a_place_for_another_version) {
+  fake_entry entry;
+  BeginStreamOfVersion(&entry, 1);
+  entry.EndExchange(exchange_end::kBroken);
+  BOOST_REQUIRE(entry.place_requests.size() == 2u);
+  entry.dispatch.OnPlaceReply(
+      entry.now, entry.place_requests.back().call,
+      {.is_granted = true, .slots = 16, .weights = {.version = 2}});
+  BOOST_TEST(entry.attempts.size() == 1u);
+  BOOST_TEST(entry.released_requests.back() == entry.place_requests[1].call);
+}
+
 // An instance at a reused address answers 421 to requests for the previous
 // instance. A restarted instance registers with a newer revision.
 BOOST_AUTO_TEST_CASE(a_replaced_server_is_used_again_once_it_registers) {
--- a/src/tests/place_message_test.cc
+++ b/src/tests/place_message_test.cc
@@ -39,7 +39,8 @@
                          .max_answer_tokens = 60,
                          .is_quarantined = true,
                          .quarantined_trait = fingerprint(12),
-                         .is_suspect = true};
+                         .is_suspect = true,
+                         .weights = {.version = 3, .started_at_ms = 77}};
   proto::place_answer message;
   WritePlaceReply(7, sent, &message);
   BOOST_TEST(message.call() == 7u);
@@ -52,6 +53,7 @@
   BOOST_TEST(received.is_quarantined);
   BOOST_TEST((received.quarantined_trait == sent.quarantined_trait));
   BOOST_TEST(received.is_suspect);
+  BOOST_TEST((received.weights == sent.weights));
 }
 
 BOOST_AUTO_TEST_CASE(a_release_tells_how_the_attempt_ended) {
