Fix: Date a datagram by its receipt, not by the poll before a pause

What callers could see: a place granted, or used, by a process that had stood still: it judged the age of its reports and of the grant by the time before the pause, for the loop takes one time for all that a poll returns.

--- a/src/network/datagram_link.cc
+++ b/src/network/datagram_link.cc
@@ -34,7 +34,7 @@
   }
   is_bound_ = true;
   loop_->Add(socket_.impl()->sockfd(), false,
-             [this](time_point now, socket_events) { Receive(now); });
+             [this](time_point, socket_events) { Receive(); });
   return done{};
 }
 
@@ -49,7 +49,7 @@
   }
 }
 
-void datagram_link::Receive(time_point now) {
+void datagram_link::Receive() {
   static thread_local std::array<char, kMaxDatagramBytes> buffer;
   for (int i = 0; i < kMaxReceives; ++i) {
     Poco::Net::SocketAddress from;
@@ -66,7 +66,9 @@
       ++malformed_;
       continue;
     }
-    on_message_(now, from.toString(), message);
+    // Not the time of the poll: the process may have stood still since, and
+    // what arrived meanwhile would count as older than it is.
+    on_message_(BootNow(), from.toString(), message);
   }
 }
 
--- a/src/network/datagram_link.h
+++ b/src/network/datagram_link.h
@@ -31,7 +31,7 @@
   uint64_t MalformedCount() const { return malformed_; }
 
  private:
-  void Receive(time_point now);
+  void Receive();
 
   event_loop* loop_;
   message_hook on_message_;
