Fix: Late replies of agents did not count as answers

What callers saw: after two model calls whose place requests were answered after the timeout of 70 ms, the next calls were refused for up to 1 s without any agent being asked, though both agents ran. Cause: a reply to a place request that had been given up was dropped before it was recorded, so the agent still counted as unresponsive. Change: the entry keeps the servers of given-up place requests for agent_timeout. A reply to one makes its agent be asked again; its grant is not used and was released when the request was given up. The time since the last reply in time still counts, so that servers whose agents are always late get calls without a place as before. On the old code agents_that_reply_late_are_asked_again fails (no fifth place request), all others pass; none fails after. The tests of old replies and of agents that are always late pass on both.

--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -232,6 +232,12 @@
     time_point timeout_at{};
   };
 
+  /// Place request that was given up before its reply was received.
+  struct cancelled_inquiry {
+    std::string server;  ///< Id of the server.
+    time_point requested_at{};
+  };
+
   /// Place that an agent has granted to an attempt.
   struct granted_place {
     uint64_t id = 0;          ///< Of its place request.
@@ -363,6 +369,9 @@
   void RecordServerEnd(time_point now,
                        const call_state& call,
                        exchange_end end);
+  /// Handles the reply to a place request that was given up: its grant is not
+  /// used, but it shows that the agent runs.
+  void OnCancelledPlaceReply(time_point now, uint64_t place_request_id);
   /// Gives up the open place request, and releases its place if granted.
   void CancelPlaceRequest(call_state* call);
   void Refuse(time_point now, call_state* call, call_refusal reason);
@@ -397,6 +406,8 @@
   std::map<uint64_t, call_state> calls_;
   /// Call ids by place request id.
   std::map<uint64_t, uint64_t> open_place_requests_;
+  /// Those whose reply would still show that the agent runs, by their ids.
+  std::map<uint64_t, cancelled_inquiry> cancelled_place_requests_;
   /// Ids must differ from those of an earlier process on this VM, whose places
   /// the agents may still hold.
   uint64_t next_place_request_id_ = Hash64("place request", options_.seed) | 1;
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -84,8 +84,8 @@
     const server_health& health = selector_.Health(server->id);
     const bool is_unresponsive = health.unanswered_place_requests > 1;
     const bool is_agent_down =
-        is_unresponsive &&
-        now - health.unanswered_since > options_.agent_timeout;
+        is_unresponsive && health.unanswered_since &&
+        now - *health.unanswered_since > options_.agent_timeout;
     if (is_agent_down && health.in_flight < options_.max_without_place &&
         server->cold_remaining == milliseconds(0) &&
         selector_.IsEligible(now, *server, query_without_place)) {
@@ -102,6 +102,9 @@
 void call_dispatch::RequestPlace(time_point now,
                                  call_state* call,
                                  const site_server& server) {
+  std::erase_if(cancelled_place_requests_, [&](const auto& item) {
+    return now - item.second.requested_at > options_.agent_timeout;
+  });
   if (!call->has_attempt)
     call->server = server;
   call->asked_servers.insert(server.id);
@@ -146,8 +149,11 @@
                                  uint64_t place_request_id,
                                  const place_reply& reply) {
   auto open = open_place_requests_.find(place_request_id);
-  if (open == open_place_requests_.end())
-    return;  // CancelPlaceRequest() has released the place.
+  if (open == open_place_requests_.end()) {
+    // CancelPlaceRequest() has released the place.
+    OnCancelledPlaceReply(now, place_request_id);
+    return;
+  }
   call_state& call = calls_.at(open->second);
   open_place_requests_.erase(open);
   const inquiry asked = *std::exchange(call.place_inquiry, std::nullopt);
@@ -194,11 +200,26 @@
   Dispatch(now, &call);
 }
 
+void call_dispatch::OnCancelledPlaceReply(time_point now,
+                                          uint64_t place_request_id) {
+  auto it = cancelled_place_requests_.find(place_request_id);
+  if (it == cancelled_place_requests_.end())
+    return;
+  const cancelled_inquiry asked = std::move(it->second);
+  cancelled_place_requests_.erase(it);
+  if (now - asked.requested_at > options_.agent_timeout)
+    return;
+  selector_.OnLatePlaceReply(asked.server);
+  hooks_.count("asks_answered_late");
+}
+
 void call_dispatch::CancelPlaceRequest(call_state* call) {
   if (!call->place_inquiry)
     return;
   const inquiry asked = *std::exchange(call->place_inquiry, std::nullopt);
   open_place_requests_.erase(asked.id);
+  cancelled_place_requests_[asked.id] = {.server = asked.server.id,
+                                         .requested_at = asked.requested_at};
   // The place may have been granted and the reply not received yet.
   hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
 }
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -246,7 +246,8 @@
 
 void server_selector::OnPlaceTimeout(time_point now, const std::string& id) {
   server_health& health = health_[id];
-  if (health.unanswered_place_requests++ == 0)
+  ++health.unanswered_place_requests;
+  if (!health.unanswered_since)
     health.unanswered_since = now;
 }
 
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -56,8 +56,10 @@
   std::optional<store_revision> replaced_revision;
   /// Weights that its agent last vouched for.
   intact_weights weights;
-  uint32_t unanswered_place_requests = 0;  ///< Consecutive ones.
-  time_point unanswered_since{};           ///< Time of the first of them.
+  /// Place requests that timed out since its agent last sent any reply.
+  uint32_t unanswered_place_requests = 0;
+  /// First timeout since its agent last replied in time.
+  std::optional<time_point> unanswered_since;
 };
 
 /// Requirements of a request on its server.
@@ -111,6 +113,12 @@
   void OnPlaceTimeout(time_point now, const std::string& id);
   void OnPlaceAnswered(const std::string& id) {
     health_[id].unanswered_place_requests = 0;
+    health_[id].unanswered_since.reset();
+  }
+  /// Records a reply that came after the timeout. Its agent can be asked again,
+  /// but one that is always late counts as down after a while.
+  void OnLatePlaceReply(const std::string& id) {
+    health_[id].unanswered_place_requests = 0;
   }
   server_notices& Notices() { return notices_; }
   /// Returns when the first pause ends among the servers that would be eligible
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -411,6 +411,68 @@
   BOOST_TEST(entry.place_requests.size() == 3u);
 }
 
+// Replies after the timeout did not count as answers, so that the agents were
+// not asked again for a second and calls were refused meanwhile.
+BOOST_AUTO_TEST_CASE(agents_that_reply_late_are_asked_again) {
+  fake_entry entry;
+  for (uint64_t id : {1, 2}) {
+    entry.SendRequest(id, "models");
+    entry.Advance(milliseconds(200));
+  }
+  BOOST_REQUIRE(entry.place_requests.size() == 4u);
+  BOOST_REQUIRE(entry.refusals.size() == 2u);
+  const size_t released = entry.released_requests.size();
+  for (const place_request& request : entry.place_requests) {
+    entry.dispatch.OnPlaceReply(entry.now, request.call,
+                                {.is_granted = true, .slots = 16});
+  }
+  BOOST_TEST(entry.attempts.empty());
+  BOOST_TEST(released == 4u);
+  entry.SendRequest(3, "models");
+  BOOST_REQUIRE(entry.place_requests.size() == 5u);
+  entry.GrantPlace();
+  BOOST_TEST(entry.attempts.size() == 1u);
+  BOOST_TEST(entry.refusals.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_from_long_ago_does_not_show_that_an_agent_runs) {
+  fake_entry entry;
+  for (uint64_t id : {1, 2}) {
+    entry.SendRequest(id, "models");
+    entry.Advance(milliseconds(200));
+  }
+  BOOST_REQUIRE(entry.place_requests.size() == 4u);
+  entry.Advance(milliseconds(1100));
+  for (const place_request& request : entry.place_requests)
+    entry.dispatch.OnPlaceReply(entry.now, request.call, {.slots = 16});
+  entry.SendRequest(3, "models");
+  // As agents that are down, they are not asked.
+  BOOST_TEST(entry.place_requests.size() == 4u);
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(servers_whose_agents_are_always_late_still_get_calls) {
+  fake_entry entry;
+  std::vector<time_point> requested_at;
+  size_t replied = 0;
+  for (uint64_t id = 1; id <= 60; ++id) {
+    entry.dispatch.SetConfirmedAt(entry.now);
+    entry.SendRequest(id, "models");
+    for (int step = 0; step < 5; ++step) {
+      entry.Advance(milliseconds(10));
+      requested_at.resize(entry.place_requests.size(), entry.now);
+      for (; replied < requested_at.size() &&
+             entry.now - requested_at[replied] >= milliseconds(200);
+           ++replied) {
+        entry.dispatch.OnPlaceReply(entry.now,
+                                    entry.place_requests[replied].call,
+                                    {.is_granted = true, .slots = 16});
+      }
+    }
+  }
+  BOOST_TEST(!entry.attempts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(
     without_a_place_the_refusal_is_immediate_with_retry_after) {
   fake_entry entry;
