Codechange: Decide in the transfer when an unlisted agent may import

Change: weight_transfer::SetListed() decides, and the fleet of the tests uses it as the agent does. New tests list 110 agents one by one in each domain over 4 s, and leave one agent unlisted for longer than the wait. With the wait taken out of SetListed() as a trial, three cases fail: 220 reads of the manifest instead of 0 and 2 (agents_that_know_only_themselves_...), 220 instead of at most 10 (agents_that_are_listed_one_by_one_...), 2 instead of 0 (agent_that_is_never_listed_...). With it none fails.

--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -94,6 +94,7 @@
                    .idle_takeover_delay = kIdleTakeover,
                    .max_origin_requests = kMaxOriginRequests,
                    .max_origin_backoff = kMaxOriginBackoff,
+                   .max_listing_delay = kMaxListingDelay,
                    .has_named_manifests = true,
                    .on_manifest =
                        [this](const artifact_ref& part,
@@ -156,8 +157,6 @@
     if (process_.Index() == nullptr)
       return;
     const site_view& view = process_.Index()->View();
-    if (!first_view_at_)
-      first_view_at_ = now;
     const site_service* service =
         process_.Index()->FindService(process_.Settings().service);
     if (service == nullptr || !service->engine ||
@@ -322,8 +321,7 @@
     // is needed to verify it.
     if (served > 0 && (fetch.empty() || loader_.NeedsHeldDigests()))
       fetch.push_back(served);
-    transfer_.SetMayImport(
-        now, has_been_listed_ || now - *first_view_at_ > kMaxListingDelay);
+    transfer_.SetListed(now, has_been_listed_);
     SetTransferTarget(now, fetch);
     for (uint64_t version : fetch) {
       // Bytes from the origin did not match it.
@@ -857,7 +855,6 @@
   uint64_t served_ = 0;  ///< Version, when this was last decided.
   bool is_draining_ = false;
   bool has_been_listed_ = false;  ///< The own server, in the store.
-  std::optional<time_point> first_view_at_;
   bool is_evacuated_ = false;
   timer_id tick_timer_ = 0;
   std::optional<time_point> ticked_at_;  ///< Last run of Tick().
--- a/src/tests/fake_weight_fleet.cc
+++ b/src/tests/fake_weight_fleet.cc
@@ -30,25 +30,47 @@
 
 void fake_weight_fleet::Resize(size_t servers) {
   BuildTopology(servers);
-  for (auto& [id, item] : nodes_)
+  for (auto& [id, item] : nodes_) {
+    item.is_listed = true;
     SetTarget(&item);
+  }
 }
 
 void fake_weight_fleet::StartUnlisted(const std::vector<uint64_t>& versions) {
   versions_ = versions;
+  List(0);
+}
+
+void fake_weight_fleet::List(size_t servers) {
+  for (auto& [id, item] : nodes_)
+    item.is_listed = false;
+  for (size_t d = 0; d < options_.domains; ++d) {
+    for (size_t s = 0; s < servers; ++s)
+      nodes_.at(VmId(d, s)).is_listed = true;
+  }
   const topology_ptr all = topology_;
   for (auto& [id, item] : nodes_) {
-    proto::configuration configuration;
-    proto::inventory* inventory = configuration.mutable_inventory();
-    proto::failure_domain* domain = inventory->add_domains();
-    domain->set_id(item.domain);
-    domain->set_region(item.domain);
-    *inventory->add_vms() = *all->FindVm(item.id);
-    topology_ = std::make_shared<topology>(std::move(configuration));
+    topology_ = MakePartialTopology(item);
     SetTarget(&item);
-    item.transfer->SetMayImport(now, false);
+    topology_ = all;
+  }
+}
+
+topology_ptr fake_weight_fleet::MakePartialTopology(const node& item) const {
+  proto::configuration configuration;
+  proto::inventory* inventory = configuration.mutable_inventory();
+  std::set<std::string> domains;
+  for (const auto& [id, other] : nodes_) {
+    if (!other.is_listed && &other != &item)
+      continue;
+    if (domains.insert(other.domain).second) {
+      proto::failure_domain* domain = inventory->add_domains();
+      domain->set_id(other.domain);
+      domain->set_region(other.domain);
+    }
+    *inventory->add_vms() = *topology_->FindVm(other.id);
   }
-  topology_ = all;
+  return std::make_shared<topology>(std::move(configuration));
 }
 
 void fake_weight_fleet::AddUnknown(size_t servers) {
@@ -109,6 +131,7 @@
       .idle_takeover_delay = milliseconds(200),
       .max_origin_requests = options_.max_origin_requests,
       .max_origin_backoff = milliseconds(600),
+      .max_listing_delay = milliseconds(5000),
       .has_named_manifests = true,
       .seed = Hash64(vm.id(), options_.seed)};
   options.on_manifest = [own](const artifact_ref& part,
@@ -142,7 +165,7 @@
   for (uint64_t version : versions_)
     parts.push_back({std::to_string(version), ManifestName("model", version)});
   output_list out;
-  item->transfer->SetMayImport(now, true);
+  item->transfer->SetListed(now, item->is_listed);
   item->transfer->SetTarget(now, topology_, "model", parts, false, &out);
   for (uint64_t version : versions_) {
     if (!item->manifests.IsConfirmed(version))
@@ -189,6 +212,7 @@
   if (item->is_dead)
     return;
   output_list out;
+  item->transfer->SetListed(now, item->is_listed);
   item->transfer->RunDue(now, &out);
   Perform(item, &out);
   for (uint64_t version : versions_) {
--- a/src/tests/fake_weight_fleet.h
+++ b/src/tests/fake_weight_fleet.h
@@ -40,6 +40,8 @@
   /// Makes the agents want these versions while each knows only itself.
   /// Resize() makes them known to each other.
   void StartUnlisted(const std::vector<uint64_t>& versions);
+  /// Lists the first servers of each domain. Each agent knows these and itself.
+  void List(size_t servers);
   /// Adds servers that the others do not know until Resize() is called.
   void AddUnknown(size_t servers);
   void Run(duration span);
@@ -78,6 +80,7 @@
     manifest_cache manifests{{}};
     std::unique_ptr<rate_pacer> upload;
     std::unique_ptr<rate_pacer> download;
+    bool is_listed = true;
     bool is_dead = false;
     bool has_no_origin = false;
   };
@@ -92,6 +95,8 @@
   void BuildTopology(size_t servers);
   void AddNode(const proto::vm& vm);
   void SetTarget(node* item);
+  /// Makes the topology that an agent knows while only some are listed.
+  topology_ptr MakePartialTopology(const node& item) const;
   void RunNode(node* item);
   void Perform(node* item, output_list* out);
   void Deliver(node* from, const send_message& message);
--- a/src/tests/weight_spread_test.cc
+++ b/src/tests/weight_spread_test.cc
@@ -131,6 +131,27 @@
   BOOST_TEST(fleet.manifest_reads[1] == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(
+    agents_that_are_listed_one_by_one_do_not_all_read_the_manifest) {
+  fake_weight_fleet fleet({});
+  fleet.StartUnlisted({1});
+  for (size_t servers = 1; servers <= 22; ++servers) {
+    fleet.Run(milliseconds(180));
+    fleet.List(servers);
+  }
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(10)));
+  // Each domain may read for itself, until two reads agree.
+  BOOST_TEST(fleet.manifest_reads[1] <= 2 * 5u);
+}
+
+BOOST_AUTO_TEST_CASE(agent_that_is_never_listed_reads_the_manifest_in_the_end) {
+  fake_weight_fleet fleet({.domains = 1, .servers = 1});
+  fleet.StartUnlisted({1});
+  fleet.Run(milliseconds(4900));
+  BOOST_TEST(fleet.manifest_reads[1] == 0u);
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllComplete(); }, seconds(10)));
+}
+
 BOOST_AUTO_TEST_CASE(
     servers_that_join_do_not_make_others_request_chunks_twice) {
   fake_weight_fleet fleet({.servers = 10});
--- a/src/weight_transfer.cc
+++ b/src/weight_transfer.cc
@@ -156,7 +156,11 @@
   may_request_chunks_ = may_request;
 }
 
-void weight_transfer::SetMayImport(time_point now, bool may_import) {
+void weight_transfer::SetListed(time_point now, bool has_been_listed) {
+  if (!unlisted_since_)
+    unlisted_since_ = now;
+  const bool may_import =
+      has_been_listed || now - *unlisted_since_ > options_.max_listing_delay;
   if (may_import && !may_import_) {
     for (artifact& item : artifacts_)
       item.takeover_since = now;
--- a/src/weight_transfer_base.h
+++ b/src/weight_transfer_base.h
@@ -56,6 +56,8 @@
   size_t max_origin_requests = 2;
   /// Maximum back-off after failures of the origin.
   milliseconds max_origin_backoff{60000};
+  /// Time for which a server that is not listed yet does not import.
+  milliseconds max_listing_delay{0};
   bool is_direct = false;  ///< Fetches only from the origin, not from peers.
   /// Whether manifests are known by a name instead of their digest, because the
   /// origin publishes no digest of them.
@@ -200,9 +202,11 @@
   /// Sets whether chunks may be requested. While they may not, because others
   /// are still read from elsewhere, manifests are requested and chunks served.
   void SetMayRequestChunks(time_point now, bool may_request);
-  /// Sets whether this server may import. A server that others do not know yet
-  /// may know no other either, and is then the only importer in its view.
-  void SetMayImport(time_point now, bool may_import);
+  /// Sets whether this server has been listed, so that others know it. Before,
+  /// it may know no other either and be the only importer in its view. So it
+  /// does not import until it is listed, or max_listing_delay after the first
+  /// call. To be called regularly while it is not listed.
+  void SetListed(time_point now, bool has_been_listed);
   /// Expires overdue requests, sends new ones, and sends have-maps that are
   /// due.
   void RunDue(time_point now, output_list* out);
@@ -385,6 +389,7 @@
   milliseconds origin_backoff_{0};
   bool may_request_chunks_ = true;
   bool may_import_ = true;
+  std::optional<time_point> unlisted_since_;  ///< First call of SetListed().
 };
 
 }  // namespace fuchsiafall
