Fix: Give up answers whose event ids are out of order

Cause: OnAnswerBody() passed over each event whose id was not above the last one, as one that the caller already has, also in first answers and in the middle of an answer.

Such an answer is now malformed. If the new id is certainly the wrong one, the stream is resumed after the last event. If the last event may have had an id that is too high, it has been passed on, and the stream is cut or, where its step was no larger than others, resumed after the event before it if the next answer confirms it. An answer that ends early right after a jump is resumed with the same check. A jump alone breaks no stream, as ids need not step evenly.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -190,11 +190,10 @@
   }
   if (is_repeat) {
     hooks_.count("retries");
-    hooks_.log(
-        log_event::kAttemptRepeated,
-        Describe(now, *call) +
-            " may_have_run=" + (call->possible_runs > 0 ? "1" : "0") +
-            " last_event=" + std::to_string(call->last_event.value_or(0)));
+    hooks_.log(log_event::kAttemptRepeated,
+               Describe(now, *call) + " may_have_run=" +
+                   (call->possible_runs > 0 ? "1" : "0") + " last_event=" +
+                   std::to_string(LastCertainEvent(*call).value_or(0)));
   }
   if (call->has_attempt) {
     AbortAttempt(call);
@@ -216,6 +215,7 @@
   call->has_event = false;
   call->forwards_events = false;
   call->has_new_event = false;
+  call->answer_event.reset();
   call->is_silent = false;
   std::string().swap(call->body);
   call->events.Clear();
@@ -232,7 +232,7 @@
   }
   attempt_headers headers{.instance = server.id,
                           .tenant = call->tenant,
-                          .last_event = call->last_event,
+                          .last_event = LastCertainEvent(*call),
                           .weights = call->weights};
   // The server refuses the request if it has loaded another version meanwhile,
   // which is not known to be intact.
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -121,16 +121,18 @@
     call->has_event = true;
     const auto event_id = hooks_.event_id(event);
     if (event_id) {
-      if (call->last_event && *event_id <= *call->last_event)
-        continue;  // The caller already has it.
-      if (HasGapBefore(*call, *event_id))
-        return OnMalformedAnswer(now, call);
-      if (call->has_new_event && call->last_event)
-        call->max_event_step =
-            std::max(call->max_event_step, *event_id - *call->last_event);
+      if (IsOutOfOrder(*call, *event_id)) {
+        // They count as forwarded.
+        if (!out.empty())
+          hooks_.send_events(id, out);
+        return OnEventOutOfOrder(now, call, *event_id);
+      }
+      call->answer_event = event_id;
+      if (IsRepeated(*call, *event_id))
+        continue;
       if (!call->last_event)
         hooks_.record_duration("first_event", now - call->arrived_at);
-      call->last_event = event_id;
+      RecordEvent(call, *event_id);
     } else if (call->is_resumed && !call->has_new_event) {
       continue;  // Its place in the stream is unknown.
     }
@@ -151,10 +153,73 @@
          event_id - *call.last_event > call.max_event_step;
 }
 
-void call_dispatch::OnMalformedAnswer(time_point now, call_state* call) {
+bool call_dispatch::IsRepeated(const call_state& call, uint64_t event_id) {
+  return call.is_resumed && call.last_event && event_id <= *call.last_event;
+}
+
+bool call_dispatch::IsOutOfOrder(const call_state& call, uint64_t event_id) {
+  if (call.answer_event && event_id <= *call.answer_event)
+    return true;
+  if (!call.last_event)
+    return false;
+  const std::optional<uint64_t> resumed_after = LastCertainEvent(call);
+  const bool is_last_expected = resumed_after != call.last_event;
+  if (IsRepeated(call, event_id)) {
+    // An event between the two would mean that the last one is not the next.
+    return is_last_expected && event_id > *resumed_after &&
+           event_id < *call.last_event;
+  }
+  if (event_id <= *call.last_event)
+    return true;  // The first answer goes on after what the caller has.
+  if (!call.is_resumed || call.has_new_event)
+    return false;
+  // Events that come again lead up to the last one.
+  const bool has_repeated = is_last_expected || call.answer_event.has_value();
+  return (has_repeated && call.answer_event != call.last_event) ||
+         HasGapBefore(call, event_id);
+}
+
+std::optional<uint64_t> call_dispatch::LastCertainEvent(
+    const call_state& call) {
+  return call.is_last_uncertain && call.previous_event ? call.previous_event
+                                                       : call.last_event;
+}
+
+void call_dispatch::RecordEvent(call_state* call, uint64_t event_id) {
+  const uint64_t step = call->last_event ? event_id - *call->last_event : 0;
+  // Ids need not step evenly, but a wrong id that is too high shows as a step
+  // larger than those before. There is no room for one in a step of 1.
+  call->is_last_uncertain =
+      !call->last_event || step > std::max<uint64_t>(1, call->max_event_step);
+  if (call->has_new_event && call->last_event)
+    call->max_event_step = std::max(call->max_event_step, step);
+  call->previous_event = call->last_event;
+  call->last_event = event_id;
+}
+
+void call_dispatch::OnEventOutOfOrder(time_point now,
+                                      call_state* call,
+                                      uint64_t event_id) {
+  if (call->is_last_uncertain) {
+    // The caller may have an event at a wrong place. Any that follows it could
+    // skip some or come twice.
+    AbortMalformed(now, call);
+    return Refuse(now, call, call_refusal::kServerFailed);
+  }
+  // If there is room for this event before the last one, either may be wrong.
+  call->is_last_uncertain = call->has_new_event && call->previous_event &&
+                            event_id > *call->previous_event + 1;
+  OnMalformedAnswer(now, call);
+}
+
+void call_dispatch::AbortMalformed(time_point now, call_state* call) {
   AbortAttempt(call);
   selector_.OnFailure(now, call->server.id);
   hooks_.count("attempts_malformed");
+}
+
+void call_dispatch::OnMalformedAnswer(time_point now, call_state* call) {
+  AbortMalformed(now, call);
   Retry(now, call, true);
 }
 
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -288,7 +288,12 @@
     bool is_resumed = false;  ///< Whether an earlier answer began the stream.
     /// Whether it had one that the caller did not have yet.
     bool has_new_event = false;
-    std::optional<uint64_t> last_event;
+    std::optional<uint64_t> last_event;      ///< Last one that the caller has.
+    std::optional<uint64_t> previous_event;  ///< The one before it.
+    /// Whether the place of the last event in the stream is uncertain: its id
+    /// may be wrong.
+    bool is_last_uncertain = false;
+    std::optional<uint64_t> answer_event;  ///< Last one of the current answer.
     /// Largest step between the ids of two events of one answer; 0 if unknown.
     uint64_t max_event_step = 0;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
@@ -350,7 +355,21 @@
   void FinishStream(time_point now, call_state* call);
   /// Whether events are missing between those forwarded and a resumed answer.
   static bool HasGapBefore(const call_state& call, uint64_t event_id);
-  /// Aborts an attempt whose answer is malformed, and repeats the request.
+  /// Whether the caller has an event by an earlier answer.
+  static bool IsRepeated(const call_state& call, uint64_t event_id);
+  /// Whether the next event of the current answer cannot have this id, unless
+  /// it or the one before it is wrong.
+  static bool IsOutOfOrder(const call_state& call, uint64_t event_id);
+  /// Finds the event after which a stream is resumed.
+  static std::optional<uint64_t> LastCertainEvent(const call_state& call);
+  /// Records an event that is forwarded to the caller.
+  static void RecordEvent(call_state* call, uint64_t event_id);
+  /// Aborts an attempt whose events are out of order. The stream goes on
+  /// elsewhere if it is certain which events the caller has.
+  void OnEventOutOfOrder(time_point now, call_state* call, uint64_t event_id);
+  /// Aborts an attempt whose answer is malformed.
+  void AbortMalformed(time_point now, call_state* call);
+  /// The same, and repeats the request.
   void OnMalformedAnswer(time_point now, call_state* call);
   /// Records what the server announced in the head of its answer.
   void RecordNotices(time_point now, const call_state& call);
--- /dev/null
+++ b/src/tests/event_order_test.cc
@@ -0,0 +1,247 @@
+/// @file event_order_test.cc Streams whose event ids are out of order: events
+/// are neither dropped nor passed on twice, and what is passed on looks
+/// complete only if it is.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fake_site.h"
+
+namespace fuchsiafall::tests {
+
+namespace {
+
+/// Returns events with these ids.
+std::string Events(std::initializer_list<int> ids) {
+  std::string text;
+  for (int id : ids)
+    text += "id:" + std::to_string(id) + "\n\n";
+  return text;
+}
+
+/// Entry with a stream of a caller, and an answer to it that has begun.
+struct ordered_stream : fake_entry {
+  explicit ordered_stream(std::optional<uint64_t> last_event = std::nullopt,
+                          bool is_resumable = true) {
+    site_view view = site.index->View();
+    view.configuration.routes[0].is_resumable = is_resumable;
+    view.configuration.routes[0].attempts = 3;
+    view.servers["m3"] = view.servers["m2"];
+    view.servers["m3"].id = "m3";
+    view.servers["m3"].address = "m3:80";
+    site.Set(view);
+    dispatch.SetIndex(site.index.get());
+    caller_call call{.id = "r1", .host = "models", .key = "key"};
+    call.time_left = milliseconds(6000);
+    call.last_event = last_event;
+    call.model = "model";
+    call.prompt_tokens = 900;
+    dispatch.OnRequest(now, 1, call, "/x", now);
+    BeginAnswer();
+  }
+
+  void BeginAnswer() {
+    GrantPlace();
+    BOOST_REQUIRE(DeliverHead(200, true));
+  }
+
+  /// Delivers a whole answer, each event by itself.
+  void DeliverAnswer(std::initializer_list<int> ids) {
+    for (int id : ids)
+      DeliverBody(Events({id}));
+    EndExchange(exchange_end::kComplete);
+  }
+
+  /// Number of the event after which the last attempt goes on.
+  uint64_t ResumedAfter() const {
+    return attempts.back().headers.last_event.value_or(0);
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(event_order_suite)
+
+BOOST_AUTO_TEST_CASE(an_event_whose_id_is_too_low_is_not_dropped) {
+  for (int id : {0, 1, 2, 3}) {
+    ordered_stream entry;
+    entry.DeliverAnswer({1, 2, 3, id, 5});
+    BOOST_TEST(entry.aborted_calls.size() == 1u);
+    entry.BeginAnswer();
+    BOOST_REQUIRE(entry.attempts.size() == 2u);
+    BOOST_TEST(entry.ResumedAfter() == 3u);
+    entry.DeliverAnswer({4, 5});
+    BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5}) + ">");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(events_before_a_low_id_in_the_same_read_are_passed_on) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3, 1, 5}));
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3}));
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 3u);
+  entry.DeliverAnswer({4, 5});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5}) + ">");
+}
+
+// The event has been passed on when the next one shows that its id is wrong,
+// so that its place, and what follows it, is unknown.
+BOOST_AUTO_TEST_CASE(a_stream_with_an_id_that_is_too_high_looks_cut_off) {
+  for (int id : {5, 7, 9}) {
+    for (bool is_one_read : {false, true}) {
+      ordered_stream entry;
+      if (is_one_read) {
+        entry.DeliverBody(Events({1, 2, id, 4, 5, 6, 7, 8, 9, 10}));
+      } else {
+        entry.DeliverAnswer({1, 2, id, 4, 5, 6, 7, 8, 9, 10});
+      }
+      BOOST_TEST(entry.received_text == "<" + Events({1, 2, id}) + "|");
+      BOOST_TEST(entry.attempts.size() == 1u);
+      BOOST_TEST(entry.aborted_calls.size() == 1u);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_first_or_second_id_that_is_too_high_is_noticed) {
+  ordered_stream first;
+  first.DeliverAnswer({4, 2, 3, 4, 5});
+  BOOST_TEST(first.received_text == "<" + Events({4}) + "|");
+  ordered_stream second;
+  second.DeliverAnswer({1, 4, 3, 4, 5});
+  BOOST_TEST(second.received_text == "<" + Events({1, 4}) + "|");
+}
+
+BOOST_AUTO_TEST_CASE(two_wrong_ids_in_a_row_join_no_other_answer) {
+  ordered_stream entry;
+  entry.DeliverAnswer({1, 2, 5, 1, 5, 6});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 5}) + "|");
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_may_not_be_resumed_looks_cut_off) {
+  ordered_stream entry(std::nullopt, false);
+  entry.DeliverAnswer({1, 2, 3, 1, 5});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3}) + "|");
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_last_id_does_not_end_the_stream) {
+  ordered_stream entry;
+  entry.DeliverAnswer({1, 2, 3, 2});
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 3u);
+  entry.DeliverAnswer({4});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4}) + ">");
+}
+
+// The caller has the events up to its own Last-Event-Id, and the server of the
+// first answer knows it.
+BOOST_AUTO_TEST_CASE(a_first_answer_does_not_repeat_what_the_caller_has) {
+  for (int id : {1, 11, 12}) {
+    ordered_stream entry(12);
+    BOOST_TEST(entry.ResumedAfter() == 12u);
+    entry.DeliverAnswer({id, 14, 15});
+    BOOST_TEST(entry.received_text == "<");
+    entry.BeginAnswer();
+    BOOST_TEST(entry.ResumedAfter() == 12u);
+    entry.DeliverAnswer({13, 14, 15});
+    BOOST_TEST(entry.received_text == "<" + Events({13, 14, 15}) + ">");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_answer_repeats_events_only_at_its_start) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  entry.DeliverAnswer({2, 3, 4, 5, 3, 7});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5}));
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 5u);
+  entry.DeliverAnswer({6, 7});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5, 6, 7}) + ">");
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_event_that_is_out_of_order_is_noticed) {
+  for (int id : {1, 2}) {
+    ordered_stream entry;
+    entry.DeliverBody(Events({1, 2, 3}));
+    entry.EndExchange(exchange_end::kBroken);
+    entry.BeginAnswer();
+    entry.DeliverAnswer({2, id, 3, 4});
+    entry.BeginAnswer();
+    BOOST_TEST(entry.ResumedAfter() == 3u);
+    entry.DeliverAnswer({4});
+    BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4}) + ">");
+  }
+}
+
+// The step between ids is unknown after one event.
+BOOST_AUTO_TEST_CASE(events_that_come_again_lead_up_to_the_last_one) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({5}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  entry.DeliverAnswer({1, 7, 8});
+  BOOST_TEST(entry.received_text == "<" + Events({5}) + "|");
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_answer_with_an_id_too_high_looks_cut_off) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  entry.DeliverAnswer({4, 9, 6, 7, 8, 9, 10});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 9}) + "|");
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
+// The connection breaks before the next event shows that the id is wrong.
+BOOST_AUTO_TEST_CASE(a_break_after_an_id_that_is_too_high_loses_no_event) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 5}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 2u);
+  entry.DeliverAnswer({3, 4, 5, 6});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 5}) + "|");
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_sound_stream_with_uneven_ids_is_passed_on_as_it_is) {
+  ordered_stream entry;
+  entry.DeliverAnswer({1, 2, 9, 10, 30, 31});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 9, 10, 30, 31}) + ">");
+  BOOST_TEST(entry.attempts.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_sound_stream_with_uneven_ids_is_resumed) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 9}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 2u);
+  entry.DeliverAnswer({9, 12, 13});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 9, 12, 13}) + ">");
+}
+
+// One of the last two ids is wrong; another server's answer tells which.
+BOOST_AUTO_TEST_CASE(an_answer_with_even_steps_goes_on_after_a_low_id) {
+  for (bool is_last_wrong : {false, true}) {
+    ordered_stream entry;
+    entry.DeliverAnswer({6, 12, 18, 14, 30});
+    entry.BeginAnswer();
+    BOOST_TEST(entry.ResumedAfter() == 12u);
+    if (is_last_wrong) {
+      entry.DeliverAnswer({14, 18, 24, 30});
+      BOOST_TEST(entry.received_text == "<" + Events({6, 12, 18}) + "|");
+    } else {
+      entry.DeliverAnswer({18, 24, 30});
+      BOOST_TEST(entry.received_text ==
+                 "<" + Events({6, 12, 18, 24, 30}) + ">");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace fuchsiafall::tests
