--- a/src/tests/soak/soak_main.cc
+++ b/src/tests/soak/soak_main.cc
@@ -54,9 +54,11 @@
   }
   options.span = std::chrono::duration_cast<seconds>(
       std::chrono::duration<double>(minutes * 60));
-  options.directory =
-      harness::NewDirectory((options.is_planned ? "soak-planned-" : "soak-") +
-                            std::to_string(options.seed));
+  // Runs at the same time must not write over each other's settings and logs.
+  options.directory = harness::NewDirectory(
+      (options.is_planned ? "soak-planned-" : "soak-") +
+      std::to_string(options.seed) +
+      (options.site > 0 ? "-site-" + std::to_string(options.site) : ""));
   std::signal(SIGPIPE, SIG_IGN);
   event_loop loop;
   // Signals stop the loop, so that the started processes are ended as well.
