--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -390,7 +390,9 @@
                        exchange_end end);
   /// Handles the reply to a place request that was given up: its grant is not
   /// used, but it shows that the agent runs.
-  void OnCancelledPlaceReply(time_point now, uint64_t place_request_id);
+  void OnCancelledPlaceReply(time_point now,
+                             uint64_t place_request_id,
+                             const place_reply& reply);
   /// Gives up the open place request, and releases its place if granted.
   void CancelPlaceRequest(call_state* call);
   void Refuse(time_point now, call_state* call, call_refusal reason);
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -151,7 +151,7 @@
   auto open = open_place_requests_.find(place_request_id);
   if (open == open_place_requests_.end()) {
     // CancelPlaceRequest() has released the place.
-    OnCancelledPlaceReply(now, place_request_id);
+    OnCancelledPlaceReply(now, place_request_id, reply);
     return;
   }
   call_state& call = calls_.at(open->second);
@@ -161,7 +161,7 @@
   selector_.OnPlaceAnswered(server);
   selector_.OnLoad(now, server, reply.load, reply.slots);
   selector_.SetAnswerLimit(server, reply.max_answer_tokens);
-  selector_.SetIntactWeights(server, reply.weights);
+  selector_.SetIntactWeights(asked.requested_at, server, reply.weights);
   if (reply.is_granted && now - asked.requested_at > options_.max_grant_age) {
     hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
     hooks_.count("grants_expired");
@@ -201,7 +201,8 @@
 }
 
 void call_dispatch::OnCancelledPlaceReply(time_point now,
-                                          uint64_t place_request_id) {
+                                          uint64_t place_request_id,
+                                          const place_reply& reply) {
   auto it = cancelled_place_requests_.find(place_request_id);
   if (it == cancelled_place_requests_.end())
     return;
@@ -210,6 +211,7 @@
   if (now - asked.requested_at > options_.agent_timeout)
     return;
   selector_.OnLatePlaceReply(asked.server);
+  selector_.SetIntactWeights(asked.requested_at, asked.server, reply.weights);
   hooks_.count("asks_answered_late");
 }
 
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -220,6 +220,16 @@
   health.load_at = now;
 }
 
+void server_selector::SetIntactWeights(time_point asked_at,
+                                       const std::string& id,
+                                       const intact_weights& weights) {
+  server_health& health = health_[id];
+  if (asked_at < health.weights_asked_at)
+    return;
+  health.weights_asked_at = asked_at;
+  health.weights = weights;
+}
+
 void server_selector::OnFull(time_point now,
                              const std::string& id,
                              milliseconds span) {
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -56,6 +56,7 @@
   std::optional<store_revision> replaced_revision;
   /// Weights that its agent last vouched for.
   intact_weights weights;
+  time_point weights_asked_at{};  ///< Request of the reply with them.
   /// Place requests that timed out since its agent last sent any reply.
   uint32_t unanswered_place_requests = 0;
   /// First timeout since its agent last replied in time.
@@ -99,9 +100,11 @@
   void SetAnswerLimit(const std::string& id, uint32_t max_tokens) {
     health_[id].max_answer_tokens = max_tokens;
   }
-  void SetIntactWeights(const std::string& id, const intact_weights& weights) {
-    health_[id].weights = weights;
-  }
+  /// Records for which weights an agent vouches.
+  /// @param asked_at When it was asked; replies may overtake each other.
+  void SetIntactWeights(time_point asked_at,
+                        const std::string& id,
+                        const intact_weights& weights);
   /// Records that the server has no free slot for a time.
   void OnFull(time_point now, const std::string& id, milliseconds span);
   void OnSuccess(const std::string& id);
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -437,7 +437,9 @@
 
 BOOST_AUTO_TEST_CASE(a_reply_from_long_ago_does_not_show_that_an_agent_runs) {
   fake_entry entry;
-  for (uint64_t id : {1, 2}) {
+  VouchForBothServers(&entry, {.version = 1});
+  entry.place_requests.clear();
+  for (uint64_t id : {2, 3}) {
     entry.SendRequest(id, "models");
     entry.Advance(milliseconds(200));
   }
@@ -445,7 +447,7 @@
   entry.Advance(milliseconds(1100));
   for (const place_request& request : entry.place_requests)
     entry.dispatch.OnPlaceReply(entry.now, request.call, {.slots = 16});
-  entry.SendRequest(3, "models");
+  entry.SendRequest(4, "models");
   // As agents that are down, they are not asked.
   BOOST_TEST(entry.place_requests.size() == 4u);
   BOOST_TEST(entry.attempts.size() == 1u);
@@ -464,9 +466,9 @@
       for (; replied < requested_at.size() &&
              entry.now - requested_at[replied] >= milliseconds(200);
            ++replied) {
-        entry.dispatch.OnPlaceReply(entry.now,
-                                    entry.place_requests[replied].call,
-                                    {.is_granted = true, .slots = 16});
+        entry.dispatch.OnPlaceReply(
+            entry.now, entry.place_requests[replied].call,
+            {.is_granted = true, .slots = 16, .weights = {.version = 1}});
       }
     }
   }
--- a/src/tests/weight_loader_test.cc
+++ b/src/tests/weight_loader_test.cc
@@ -184,8 +184,8 @@
   fake_staged_engine engine(1);
   engine.Advance(milliseconds(300));
   engine.wanted = 2;
-  BOOST_REQUIRE(engine.AdvanceUntil([&] { return engine.Orders() == 1; },
-                                    kLoadLimit));
+  BOOST_REQUIRE(
+      engine.AdvanceUntil([&] { return engine.Orders() == 1; }, kLoadLimit));
   engine.Rot(2);
   engine.Restart();
   BOOST_TEST(engine.AdvanceUntil([&] { return ServesVersion(engine, 2); },
