Codechange: Names and comments of the load verification, as the linter and readers ask

A structured binding was captured by a lambda, which the linter's compiler refuses. ChooseTarget() is what VersionToStage() was: it also chooses what is compared. The result of a call to the engine stands with the other types of its API.

--- a/src/engine_control_type.h
+++ b/src/engine_control_type.h
@@ -45,6 +45,12 @@
   uint64_t reported_orders = 0;
 };
 
+/// How a call to the engine ended.
+struct engine_call_result {
+  int status = 0;            ///< HTTP status of the answer; 0 for none.
+  bool is_given_up = false;  ///< The agent closed the connection.
+};
+
 }  // namespace fuchsiafall
 
 #endif  // ENGINE_CONTROL_TYPE_H_
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -330,7 +330,7 @@
         ReadManifest(now, version);
     }
     const uint64_t wanted_stage = plan_.stage != 0 ? plan_.stage : served;
-    const uint64_t stage = loader_.VersionToStage(now, wanted_stage);
+    const uint64_t stage = loader_.ChooseTarget(now, wanted_stage);
     const transfer_manifest* manifest = manifests_.Find(stage);
     if (stage != loader_.TargetVersion() && manifest != nullptr)
       loader_.SetTarget(stage, manifest->pieces);
--- a/src/load_verifier_base.h
+++ b/src/load_verifier_base.h
@@ -21,12 +21,6 @@
   milliseconds max_digest_wait{3000};
 };
 
-/// How a call to the engine ended.
-struct engine_call_result {
-  int status = 0;            ///< HTTP status of the answer; 0 for none.
-  bool is_given_up = false;  ///< The agent closed the connection.
-};
-
 /// Verifies the layers that an engine holds.
 ///
 /// An engine takes the staged pieces as they are when it accepts an order, and
@@ -128,8 +122,9 @@
   bool is_loading_ = false;
   bool has_layers_ = false;
   bool is_unloading_ = false;  ///< Whether the last accepted order unloads.
-  time_point shown_at_{};      ///< Request of the last report.
-  /// Bounds of the time at which the last order was accepted.
+  time_point shown_at_{};      ///< Request of the last report of `load_`.
+  /// The last order was accepted between these: it was not yet at the request
+  /// of the last report without it, and it was at the first report with it.
   time_point accepted_after_ = time_point::min();
   time_point accepted_before_{};
   std::optional<time_point> digests_missing_since_;
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -12,6 +12,12 @@
 /// load has finished.
 constexpr milliseconds kAnswerLimitTimeout{1500};
 
+bool HoldsVersion(const site_server& server, uint64_t version) {
+  return std::any_of(
+      server.models.begin(), server.models.end(),
+      [version](const held_layers& held) { return held.version == version; });
+}
+
 }  // namespace
 
 void server_selector::SetIndex(const site_index* index) {
@@ -23,13 +29,8 @@
   // Weights that a server loads again may not be intact.
   for (auto& [id, health] : health_) {
     auto server = servers.find(id);
-    const bool holds_version =
-        server != servers.end() &&
-        std::any_of(server->second.models.begin(), server->second.models.end(),
-                    [&](const held_layers& held) {
-                      return held.version == health.weights.version;
-                    });
-    if (!holds_version)
+    if (server == servers.end() ||
+        !HoldsVersion(server->second, health.weights.version))
       health.weights = {};
   }
 }
--- a/src/tests/fake_staged_engine.cc
+++ b/src/tests/fake_staged_engine.cc
@@ -189,7 +189,7 @@
       });
     });
   }
-  const uint64_t target = loader_->VersionToStage(now, wanted);
+  const uint64_t target = loader_->ChooseTarget(now, wanted);
   std::vector<digest> pieces = PiecesOf(target);
   if (has_digests_in_doubt)
     pieces[1] = digest("corrupted");
--- a/src/weight_loader.cc
+++ b/src/weight_loader.cc
@@ -34,7 +34,7 @@
   return is_restarted;
 }
 
-uint64_t weight_loader::VersionToStage(time_point now, uint64_t wanted) const {
+uint64_t weight_loader::ChooseTarget(time_point now, uint64_t wanted) const {
   if (verifier_.MayWrite(now))
     return wanted;
   if (verifier_.HoldsUnverified() && ServedVersion() > 0)
--- a/src/weight_loader_base.h
+++ b/src/weight_loader_base.h
@@ -71,7 +71,7 @@
   /// Chooses the version whose pieces are compared with the staged ones.
   /// @param wanted Version to be staged. Another one takes precedence while
   ///     the staged pieces must not change.
-  uint64_t VersionToStage(time_point now, uint64_t wanted) const;
+  uint64_t ChooseTarget(time_point now, uint64_t wanted) const;
   /// Whether the digests of the held version are needed to verify it.
   bool NeedsHeldDigests() const { return verifier_.HoldsUnverified(); }
   void SetTarget(uint64_t version, std::vector<digest> pieces);
