Fix: Have the agents of the crash fleet vouch for their weights

a_quarantine_holds_while_agents_do_not_answer failed in the whole test run: its fleet's agents never said for which weights they vouch, so nothing was sent without a place once they fell silent. As real agents do, they now vouch for the version that their servers list. The check is as it was.

--- a/src/tests/fake_crash_fleet.cc
+++ b/src/tests/fake_crash_fleet.cc
@@ -13,6 +13,7 @@
 constexpr milliseconds kFirstEvent{100};
 constexpr milliseconds kWholeAnswer{1000};
 constexpr seconds kDownTime{4};
+constexpr uint64_t kVersion = 1;  // Of the weights of all servers.
 
 }  // namespace
 
@@ -29,7 +30,7 @@
                         .domain = "a",
                         .slots = 16,
                         .is_model_server = true,
-                        .models = {{"model", 1, 0, 16}}};
+                        .models = {{"model", kVersion, 0, 16}}};
     servers_[id].places.SetProfile(MakeEngineProfile(), 0);
   }
   site_.Set(view);
@@ -168,6 +169,7 @@
     reply = item.places.RequestPlace(now, asked);
     reply.is_suspect = verdict.is_suspect;
   }
+  reply.weights.version = kVersion;
   Post([this, index, call = request.call, reply] {
     entries_[index].dispatch->OnPlaceReply(now, call, reply);
   });
