Feature: Ranks and organisations in place requests, waits and slowdown in replies

Agents could not tell requests of different ranks and organisations apart, nor tell entries that a request waits or how slow a server is. The messages carry these now, within their ranges, and the site's index knows the rank of a request and which services have requests of several ranks. Nothing uses them yet. docs/design/contention.md describes the parts that will.

--- a/src/place_message_func.h
+++ b/src/place_message_func.h
@@ -16,6 +16,10 @@
 place_request ReadPlaceRequest(const std::string& entry,
                                const proto::place_question& message);
 
+/// Whether rank and organisation of a place request are within their ranges.
+/// ReadPlaceRequest() limits them to these.
+bool IsInRange(const proto::place_question& message);
+
 /// @param call Id of the place request that it answers.
 void WritePlaceReply(uint64_t call,
                      const place_reply& reply,
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -39,14 +39,27 @@
   milliseconds first_token_budget{0};
   milliseconds time_left{0};  ///< Until the caller's timeout.
   bool is_resumed = false;    ///< Whether it resumes a stream.
+  uint32_t rank = 0;          ///< 0 is the highest, kMaxRank the lowest.
+  std::string organisation;   ///< Empty on anonymous routes.
+  bool is_first = false;      ///< Whether it is the first of its call.
+  bool may_wait = false;      ///< Whether the agent may queue it.
   request_traits traits;      ///< Of the caller's request.
 };
 
 /// Answer of an agent to a request for a place.
 struct place_reply {
   bool is_granted = false;
-  /// In denials: time until a slot is expected to be free.
+  /// Whether the request waits at the agent. A second reply grants or denies
+  /// it.
+  bool is_queued = false;
+  /// In denials: time until a slot is expected to be free. In replies to queued
+  /// requests: the expected wait.
   milliseconds expected_free_in{0};
+  /// In denials: time until a request of this rank is expected to find a place.
+  milliseconds rank_free_in{0};
+  /// Time of work at this server as a multiple of the usual; nullopt if
+  /// unknown.
+  std::optional<double> slowdown;
   uint32_t load = 0;
   uint32_t slots = 0;  ///< 0 while the server accepts no requests.
   /// Longest answer accepted before the engine loads new weights; 0 for any.
--- a/src/site_index.cc
+++ b/src/site_index.cc
@@ -2,9 +2,31 @@
 #include "site_index_base.h"
 
 #include <algorithm>
+#include <map>
 
 namespace fuchsiafall {
 
+namespace {
+
+std::map<std::string, std::set<uint32_t>> RanksByService(
+    const site_configuration& configuration) {
+  std::map<std::string, std::set<uint32_t>> ranks;
+  for (const site_route& route : configuration.routes) {
+    std::set<uint32_t> of_route;
+    if (route.is_anonymous || configuration.tenants.empty()) {
+      of_route.insert(RankOf(route, nullptr));
+    } else {
+      for (const site_tenant& tenant : configuration.tenants)
+        of_route.insert(RankOf(route, &tenant));
+    }
+    for (const route_target& target : route.targets)
+      ranks[target.service].insert(of_route.begin(), of_route.end());
+  }
+  return ranks;
+}
+
+}  // namespace
+
 site_index::site_index(std::shared_ptr<const site_view> view)
     : view_(std::move(view)) {
   for (const site_route& route : view_->configuration.routes)
@@ -21,6 +43,10 @@
   }
   for (const auto& [id, server] : view_->servers)
     servers_[server.service].push_back(&server);
+  for (const auto& [service, ranks] : RanksByService(view_->configuration)) {
+    if (ranks.size() > 1)
+      ranked_services_.insert(service);
+  }
 }
 
 const site_route* site_index::FindRoute(const std::string& host,
@@ -54,6 +80,13 @@
   return it == servers_.end() ? none : it->second;
 }
 
+uint32_t RankOf(const site_route& route, const site_tenant* tenant) {
+  const bool has_own = tenant != nullptr && tenant->priority;
+  const int priority = has_own ? *tenant->priority : route.priority;
+  return static_cast<uint32_t>(
+      std::clamp(priority, 0, static_cast<int>(kMaxRank)));
+}
+
 const std::string& ChooseService(const site_route& route, double random) {
   static const std::string none;
   double total = 0;
--- a/src/site_index_base.h
+++ b/src/site_index_base.h
@@ -3,6 +3,7 @@
 #define SITE_INDEX_BASE_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,11 @@
   /// Servers of a service, including draining ones.
   const std::vector<const site_server*>& Servers(
       const std::string& service) const;
+  /// Whether the configuration allows requests of different ranks for a
+  /// service.
+  bool IsRanked(const std::string& service) const {
+    return ranked_services_.contains(service);
+  }
   const site_view& View() const { return *view_; }
   const std::shared_ptr<const site_view>& Shared() const { return view_; }
 
@@ -33,8 +39,14 @@
   std::unordered_map<std::string, std::vector<const site_route*>> hosts_;
   std::unordered_map<std::string, const site_tenant*> keys_;
   std::unordered_map<std::string, std::vector<const site_server*>> servers_;
+  std::set<std::string> ranked_services_;
 };
 
+/// Returns the rank of a request: the priority of its organisation if that has
+/// one, else that of its route, limited to [0, kMaxRank].
+/// @param tenant Null on anonymous routes.
+uint32_t RankOf(const site_route& route, const site_tenant* tenant);
+
 /// Chooses a service of a route according to the weights of its traffic split.
 /// @param random Uniform in [0, 1).
 const std::string& ChooseService(const site_route& route, double random);
--- a/src/site_type.h
+++ b/src/site_type.h
@@ -42,6 +42,9 @@
   milliseconds retry_window{10000};
 };
 
+/// Lowest rank of a request; 0 is the highest.
+inline constexpr uint32_t kMaxRank = 9;
+
 /// Whether and how calls of a route may be repeated.
 enum class call_kind { kIdempotent, kNonIdempotent, kStream };
 
@@ -58,7 +61,7 @@
   milliseconds timeout{0};         ///< Maximum time that a caller waits.
   milliseconds target_latency{0};  ///< Slower answers count less.
   milliseconds target_gap{0};      ///< Maximum pause between events.
-  int priority = 0;                ///< 0 is the highest.
+  int priority = 0;                ///< Rank of its requests; 0 is the highest.
   uint32_t attempts = 1;           ///< Maximum servers tried per request.
   bool is_anonymous = false;       ///< Whether no API key is needed.
   bool is_resumable = false;
@@ -95,7 +98,7 @@
 struct site_tenant {
   std::string name;
   std::vector<std::string> keys;
-  std::optional<int> priority;
+  std::optional<int> priority;       ///< Replaces the priority of the route.
   std::vector<std::string> regions;  ///< Allowed ones; empty for all.
 };
 
--- a/src/tests/place_message_test.cc
+++ b/src/tests/place_message_test.cc
@@ -16,6 +16,10 @@
       .first_token_budget = milliseconds(350),
       .time_left = milliseconds(5900),
       .is_resumed = true,
+      .rank = 2,
+      .organisation = "branch",
+      .is_first = true,
+      .may_wait = true,
       .traits = {.request = fingerprint(11),
                  .parts = {fingerprint(12), fingerprint(13)}}};
   proto::place_question message;
@@ -28,9 +32,40 @@
   BOOST_TEST((received.first_token_budget == sent.first_token_budget));
   BOOST_TEST((received.time_left == sent.time_left));
   BOOST_TEST(received.is_resumed);
+  BOOST_TEST(received.rank == 2u);
+  BOOST_TEST(received.organisation == "branch");
+  BOOST_TEST(received.is_first);
+  BOOST_TEST(received.may_wait);
+  BOOST_TEST(IsInRange(message));
   BOOST_TEST((received.traits == sent.traits));
 }
 
+BOOST_AUTO_TEST_CASE(ranks_and_organisations_out_of_range_are_limited) {
+  proto::place_question message;
+  message.set_priority(77);
+  message.set_organisation(std::string(1000, 'x'));
+  BOOST_TEST(!IsInRange(message));
+  const place_request received = ReadPlaceRequest("10.0.0.1:7700", message);
+  BOOST_TEST(received.rank == kMaxRank);
+  BOOST_TEST(received.organisation.size() == 64u);
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_to_a_queued_request_has_its_expected_wait) {
+  proto::place_answer message;
+  WritePlaceReply(7,
+                  {.is_queued = true,
+                   .expected_free_in = milliseconds(90),
+                   .rank_free_in = milliseconds(1200),
+                   .slowdown = 2.5},
+                  &message);
+  const place_reply received = ReadPlaceReply(message);
+  BOOST_TEST(received.is_queued);
+  BOOST_TEST((received.expected_free_in == milliseconds(90)));
+  BOOST_TEST((received.rank_free_in == milliseconds(1200)));
+  BOOST_TEST(received.slowdown.value() == 2.5);
+  BOOST_TEST(!ReadPlaceReply({}).slowdown.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_place_reply_arrives_with_all_its_fields) {
   const place_reply sent{.is_granted = true,
                          .expected_free_in = milliseconds(120),
