Feature: Predictions of an agent by the slowdown of its engine

Some engines work 2.5 times as slowly as usual for some tenths of a second. Agents predicted with the profile of the usual speed, so that they accepted requests that were answered late.

The agent keeps the slowdown of its engine's last report. All times of the profile that place_table predicts with are scaled by it: passes and prefill, and so the first token, the run time, the answer limit and the interval at which slots become free. Place replies carry the slowdown, and the gauge engine_slowdown_percent shows it.

--- a/src/engine_model.cc
+++ b/src/engine_model.cc
@@ -18,6 +18,16 @@
 
 }  // namespace
 
+engine_profile SlowedProfile(const engine_profile& engine, double slowdown) {
+  engine_profile slowed = engine;
+  slowed.step_ms *= slowdown;
+  slowed.per_sequence_ms *= slowdown;
+  slowed.context_ms_per_k *= slowdown;
+  slowed.prefill_per_s /= slowdown;
+  slowed.pairs_ms_per_m *= slowdown;
+  return slowed;
+}
+
 duration PrefillTime(const engine_profile& engine, uint32_t prompt_tokens) {
   if (engine.prefill_per_s <= 0)
     return duration(0);
--- a/src/engine_model_func.h
+++ b/src/engine_model_func.h
@@ -8,6 +8,11 @@
 
 namespace fuchsiafall {
 
+/// Returns the profile of an engine all of whose work takes longer than usual:
+/// passes and prefill, and so the time until slots become free.
+/// @param slowdown Time of work as a multiple of the usual.
+engine_profile SlowedProfile(const engine_profile& engine, double slowdown);
+
 /// Computes the prefill time of a prompt.
 duration PrefillTime(const engine_profile& engine, uint32_t prompt_tokens);
 
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -1,6 +1,7 @@
 /// @file hosted_agent.cc Process of an agent that runs on a hosting platform
 /// beside its engine.
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <utility>
 #include <zmq.hpp>
@@ -682,6 +683,8 @@
     } else {
       loader_.OnUnreachable();
     }
+    process_.Metrics().SetGauge("engine_slowdown_percent",
+                                std::lround(places_.Slowdown(now) * 100));
     crash_monitor_.OnEngineReport(now, static_cast<bool>(report), is_restarted);
     Stage(now);
     UpdateServing(now);
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Prompts granted within this time count as not prefilled yet. It is about the
-/// time of one pass including prefill.
+/// time of one pass including prefill, at the usual speed of the engine.
 constexpr milliseconds kPrefillPendingTime{100};
 /// Time for the release message after the caller's time limit. A place expires
 /// after both.
@@ -21,6 +21,7 @@
 void place_table::OnReport(time_point now, const staged_engine_report& report) {
   report_ = report;
   reported_at_ = now;
+  slowdown_.Set(now, report.slowdown);
   std::erase_if(
       places_, [&](const auto& item) { return now >= item.second.expires_at; });
   const size_t requests = report.running + report.waiting;
@@ -46,6 +47,7 @@
 void place_table::OnEngineRestart(time_point now) {
   places_.clear();
   report_ = {};
+  slowdown_.Reset();
   surplus_since_ = now;
 }
 
@@ -55,9 +57,11 @@
 }
 
 uint64_t place_table::PendingPromptTokens(time_point now) const {
+  const auto pending_time =
+      std::chrono::duration_cast<duration>(kPrefillPendingTime * Slowdown(now));
   uint64_t tokens = 0;
   for (const auto& [key, item] : places_) {
-    if (now - item.granted_at < kPrefillPendingTime)
+    if (now - item.granted_at < pending_time)
       tokens += item.prompt_tokens;
   }
   return tokens;
@@ -82,6 +86,8 @@
                                       const place_request& request) {
   const std::pair key(request.entry, request.call);
   place_reply reply{.load = Load(), .slots = profile_.slots};
+  if (reported_at_)
+    reply.slowdown = Slowdown(now);
   if (places_.contains(key)) {
     reply.is_granted = true;  // The reply to an earlier request was lost.
     return reply;
@@ -93,10 +99,10 @@
   const uint32_t load = Load();
   const uint32_t running = std::min(load, profile_.slots);
   const uint32_t ahead = load - running;
-  const duration slot_interval = SlotInterval(profile_);
-  const duration first_token =
-      FirstTokenTime(profile_, running, ahead, PendingPromptTokens(now),
-                     request.prompt_tokens);
+  const engine_profile engine = SlowedProfile(profile_, Slowdown(now));
+  const duration slot_interval = SlotInterval(engine);
+  const duration first_token = FirstTokenTime(
+      engine, running, ahead, PendingPromptTokens(now), request.prompt_tokens);
   bool is_admitted = false;
   if (request.is_resumed) {
     // Its caller already has part of the answer, which a denial would waste.
@@ -110,11 +116,11 @@
   }
   if (drain_deadline_) {
     reply.max_answer_tokens = AnswerTokensWithin(
-        profile_, running + 1, *drain_deadline_ - now - first_token);
+        engine, running + 1, *drain_deadline_ - now - first_token);
   }
   if (drain_deadline_ && !request.is_resumed) {
     const duration run_time =
-        RunTime(profile_, running + 1, request.answer_tokens);
+        RunTime(engine, running + 1, request.answer_tokens);
     is_admitted =
         is_admitted && now + first_token + run_time <= *drain_deadline_;
   } else if (drain_deadline_) {
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "engine_control_type.h"
+#include "load/server_slowdown_base.h"
 #include "request_traits_type.h"
 #include "site_type.h"
 #include "time_type.h"
@@ -129,6 +130,8 @@
   /// Requests at the engine, reported or granted, whichever is more.
   uint32_t Load() const;
   size_t GrantedCount() const { return places_.size(); }
+  /// Returns the slowdown of the engine, by the age of its last report.
+  double Slowdown(time_point now) const { return slowdown_.At(now); }
 
  private:
   struct place {
@@ -147,6 +150,7 @@
   engine_profile profile_;
   double cold_rate_ = 0;
   staged_engine_report report_;
+  server_slowdown slowdown_;  ///< Of the engine.
   std::optional<time_point> reported_at_;
   bool is_accepting_ = false;
   std::optional<time_point> grants_end_;
