Feature: Choice of servers by their reported slowdown

Entries chose servers by load alone, and sent slow ones as much as the others. The fourth figure of Server-Load, the slowdown of a server without an agent, made the whole header unreadable.

Server-Load is read strictly: three or four whole numbers, the fourth from 10 to 10000. Anything else is no load report and is counted as load_reports_malformed; the answer is used all the same. An entry keeps the slowdown of each server by its place replies and load reports, and adds the extra time of a slow server to its score. A random part of it is left out, and one of F squared choices ignores it for a server that is slow by F, so that entries with the same figures do not all choose the same server. The ranking of servers that are not slow is unchanged.

--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -80,6 +80,10 @@
   if (head.has_load)
     selector_.OnLoad(now, call->server.id, head.running + head.waiting,
                      head.slots);
+  if (head.slowdown)
+    selector_.OnSlowdown(now, call->server.id, *head.slowdown);
+  if (head.has_malformed_load)
+    hooks_.count("load_reports_malformed");
   RecordNotices(now, *call);
   const bool is_same_version =
       !call->weights || !head.weights || *call->weights == *head.weights;
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -160,6 +160,8 @@
   const std::string& server = asked.server.id;
   selector_.OnPlaceAnswered(server);
   selector_.OnLoad(now, server, reply.load, reply.slots);
+  if (reply.slowdown)
+    selector_.OnSlowdown(now, server, *reply.slowdown);
   selector_.SetAnswerLimit(server, reply.max_answer_tokens);
   selector_.SetIntactWeights(asked.requested_at, server, reply.weights);
   if (reply.is_granted && now - asked.requested_at > options_.max_grant_age) {
@@ -211,6 +213,8 @@
   if (now - asked.requested_at > options_.agent_timeout)
     return;
   selector_.OnLatePlaceReply(asked.server);
+  if (reply.slowdown)
+    selector_.OnSlowdown(now, asked.server, *reply.slowdown);
   selector_.SetIntactWeights(asked.requested_at, asked.server, reply.weights);
   hooks_.count("asks_answered_late");
 }
--- a/src/caller_call_type.h
+++ b/src/caller_call_type.h
@@ -51,9 +51,12 @@
   /// answer from one that a crash has cut off.
   bool ends_by_close = false;
   bool has_load = false;
+  bool has_malformed_load = false;  ///< Whether its load report is unreadable.
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  /// Time of work as a multiple of the usual; nullopt if not reported.
+  std::optional<double> slowdown;
   std::string instance;
   std::optional<uint64_t> weights;  ///< Version that serves a stream.
   bool is_leaving = false;          ///< Whether the server leaves.
--- a/src/server_board.cc
+++ b/src/server_board.cc
@@ -32,6 +32,12 @@
     if (server == servers.end() ||
         !HoldsVersion(server->second, health.weights.version))
       health.weights = {};
+    if (server == servers.end())
+      continue;
+    if (health.started_at_ms != 0 &&
+        health.started_at_ms != server->second.started_at_ms)
+      health.slowdown.Reset();
+    health.started_at_ms = server->second.started_at_ms;
   }
 }
 
@@ -145,6 +151,22 @@
          options_.weights_bound - options_.weights_margin;
 }
 
+double server_selector::SlownessPenalty(time_point now,
+                                        const server_health& health,
+                                        double load_share) {
+  const double slowdown = health.slowdown.At(now);
+  if (slowdown == 1)
+    return 0;
+  // Work takes as long as usual and as long again for each filling of the slots
+  // that is before it.
+  const double excess = (slowdown - 1) * (1 + load_share);
+  const double drawn = std::uniform_real_distribution<>(0, 1)(random_);
+  if (slowdown < 1)
+    return excess * drawn;
+  const double equal_share = std::pow(slowdown, -options_.slow_share_exponent);
+  return excess * std::max(0.0, drawn - equal_share) / (1 - equal_share);
+}
+
 double server_selector::Score(time_point now,
                               const site_server& server,
                               const server_query& query) {
@@ -153,7 +175,9 @@
   const double age = ToSeconds(now - health.load_at);
   const double half_life = ToSeconds(options_.load_half_life);
   const double decayed_load = health.load * std::exp2(-age / half_life);
-  double score = std::max<double>(decayed_load, health.in_flight) / slots;
+  const double load_share =
+      std::max<double>(decayed_load, health.in_flight) / slots;
+  double score = load_share + SlownessPenalty(now, health, load_share);
   if (server.domain != options_.domain)
     score += options_.own_domain_bonus;
   if (now < health.full_until)
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "load/server_slowdown_base.h"
 #include "server_notices_base.h"
 #include "site_index_base.h"
 #include "time_type.h"
@@ -26,6 +27,10 @@
   double own_domain_bonus = 0.1;
   /// Age at which a known load counts half.
   milliseconds load_half_life{300};
+  /// A server that is slow by a factor is ranked as if it were not slow in one
+  /// of FACTOR^EXPONENT choices: entries know the speed of servers, but not
+  /// what the other entries choose at the same moment.
+  double slow_share_exponent = 2;
   uint32_t failures_to_eject = 3;     ///< Consecutive failures.
   milliseconds first_ejection{1000};  ///< Doubles with each ejection.
   milliseconds max_ejection{8000};
@@ -44,6 +49,9 @@
   double load = 0;         ///< Requests at the server, as last reported.
   uint32_t slots = 0;
   time_point load_at{};
+  server_slowdown slowdown;  ///< As last reported.
+  /// Start of the instance that reported its slowdown.
+  int64_t started_at_ms = 0;
   /// Longest answer accepted before it loads weights, as last reported; 0 for
   /// any.
   uint32_t max_answer_tokens = 0;
@@ -97,6 +105,10 @@
               const std::string& id,
               uint32_t load,
               uint32_t slots);
+  /// Records how long work takes at a server, as a multiple of the usual.
+  void OnSlowdown(time_point now, const std::string& id, double slowdown) {
+    health_[id].slowdown.Set(now, slowdown);
+  }
   void SetAnswerLimit(const std::string& id, uint32_t max_tokens) {
     health_[id].max_answer_tokens = max_tokens;
   }
@@ -158,6 +170,14 @@
                   bool is_without_place) const;
   /// Whether the agent of a server has vouched for the version that it holds.
   bool IsVouchedFor(const site_server& server, uint64_t served) const;
+  /// Computes how much longer work is expected to take at a server than at one
+  /// of the same load that is not slow, in units of Score(); 0 if it is not
+  /// slow. Part of it is random, so that slow servers get a smaller share and
+  /// entries that know the same do not all choose the same server.
+  /// @param load_share Load of the server as a share of its slots.
+  double SlownessPenalty(time_point now,
+                         const server_health& health,
+                         double load_share);
   /// Computes a rank; lower is better.
   double Score(time_point now,
                const site_server& server,
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -53,6 +53,23 @@
   BOOST_TEST(entry.dispatch.OpenCallCount() == 0u);
 }
 
+// Guards against an answer that is lost because its load report is malformed.
+BOOST_AUTO_TEST_CASE(a_malformed_load_report_is_counted) {
+  fake_entry entry;
+  entry.SendRequest(1, "plain");
+  const started_attempt& attempt = entry.attempts.back();
+  entry.dispatch.OnAnswerHead(entry.now, attempt.call, attempt.number,
+                              {.status = 200,
+                               .call_id = "r1",
+                               .is_sealed = true,
+                               .has_malformed_load = true},
+                              false);
+  entry.DeliverBody("whole");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text == "[whole]");
+  BOOST_TEST(entry.counters["load_reports_malformed"] == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_is_not_retried) {
   fake_entry entry;
   entry.SendRequest(1, "plain");
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -4,6 +4,7 @@
 #define TESTS_FAKE_SITE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -150,7 +151,7 @@
       return std::stoull(std::string(event.substr(3)));
     };
     hooks.log = [](log_event, const std::string&) {};
-    hooks.count = [](const std::string&) {};
+    hooks.count = [this](const std::string& name) { ++counters[name]; };
     hooks.record_duration = [](const std::string&, duration) {};
     hooks.send_crash_note = [this](const std::string& address,
                                    const proto::envelope& message) {
@@ -233,6 +234,7 @@
   std::vector<started_attempt> attempts;
   std::vector<uint64_t> aborted_calls;
   std::vector<refusal_answer> refusals;
+  std::map<std::string, uint64_t> counters;
   /// What the caller received of servers' answers: <, events and > for a
   /// stream, [body] for a whole answer, | for a broken connection.
   std::string received_text;
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -694,6 +694,52 @@
   BOOST_TEST(platform::DecodeAnswer(*answer).slots == UINT32_MAX);
 }
 
+// Guards against a load report that is read in part, or an answer that is lost
+// with it.
+BOOST_AUTO_TEST_CASE(a_load_report_has_three_or_four_whole_numbers) {
+  struct load_case {
+    const char* value;
+    bool is_report;
+    double slowdown;  ///< 0 for none.
+  };
+  for (const load_case& item :
+       std::vector<load_case>{{"1,2,6", true, 0},
+                              {" 1, 2, 6 ", true, 0},
+                              {"1,2,6,250", true, 2.5},
+                              {"1,2,6,10", true, 0.1},
+                              {"1,2,6,10000", true, 100},
+                              {"1,2,6,9", false, 0},
+                              {"1,2,6,10001", false, 0},
+                              {"1,2,6,0", false, 0},
+                              {"1,2,6,-250", false, 0},
+                              {"1,2,6,2.5", false, 0},
+                              {"1,2,6,250%", false, 0},
+                              {"1,2,6,", false, 0},
+                              {"1,2,6,250,1", false, 0},
+                              {"1,2", false, 0},
+                              {"1,,6", false, 0},
+                              {"1,2,6x", false, 0},
+                              {"+1,2,6", false, 0},
+                              {"99999999999999999999,2,6", false, 0},
+                              {"1,2,6,99999999999999999999", false, 0},
+                              {"1;2;6", false, 0},
+                              {"", false, 0},
+                              {",,,,,,,,,,,,,,", false, 0},
+                              {"load", false, 0}}) {
+    Poco::Net::HTTPResponse head;
+    BOOST_TEST(!platform::DecodeAnswer(head).has_malformed_load);
+    head.set("Server-Load", item.value);
+    head.set("Request-Id", "r");
+    const server_answer answer = platform::DecodeAnswer(head);
+    BOOST_TEST(answer.has_load == item.is_report, item.value);
+    BOOST_TEST(answer.has_malformed_load == !item.is_report, item.value);
+    BOOST_TEST(answer.slowdown.value_or(0) == item.slowdown, item.value);
+    BOOST_TEST(answer.slots == (item.is_report ? 6U : 0U), item.value);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.call_id == "r");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_unload_order_names_an_empty_range_of_layers) {
   const engine_order unload{
       .model = "m", .version = 3, .is_unload = true, .reported_orders = 5};
