Feature: Grant places by rank and let requests wait at the agent

Under overload the lowest rank was served most, because its first token may come later than that of others and so it was admitted into longer queues of the engine. place_table now grants the places of ranked services by precedence: ranks below their floor, rank, the organisation with the fewest recent grants, time left. Few requests wait in the engine; others wait at the agent while they can be on time, and DecideWaiting() returns the second replies. Services without ranks are decided as before.

--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -78,25 +78,50 @@
   return static_cast<double>(recent_grants_.size()) + 1 <= cold_rate_;
 }
 
+bool place_table::EndsBeforeLoad(time_point now,
+                                 const engine_profile& profile,
+                                 duration first_token,
+                                 uint32_t answer_tokens,
+                                 bool is_resumed) const {
+  if (!drain_deadline_)
+    return true;
+  // The remaining length of a resumed answer is unknown, so it may not finish
+  // in time; another server resumes it.
+  if (is_resumed)
+    return false;
+  const uint32_t running = std::min(Load(), profile.slots);
+  return now + first_token + RunTime(profile, running + 1, answer_tokens) <=
+         *drain_deadline_;
+}
+
+void place_table::AddPlace(time_point now, const waiting_place& request) {
+  recent_grants_.push_back(now);
+  places_[{request.entry, request.call}] = {
+      .granted_at = now,
+      .expires_at = request.ends_at + kExpiryMargin,
+      .prompt_tokens = request.prompt_tokens,
+      .traits = request.traits};
+}
+
 place_reply place_table::RequestPlace(time_point now,
                                       const place_request& request) {
-  const std::pair key(request.entry, request.call);
   place_reply reply{.load = Load(), .slots = profile_.slots};
-  if (places_.contains(key)) {
+  if (places_.contains({request.entry, request.call})) {
     reply.is_granted = true;  // The reply to an earlier request was lost.
     return reply;
   }
+  if (is_ranked_)
+    return RequestRankedPlace(now, request);
   if (!MayGrant(now)) {
     reply.slots = 0;
     return reply;
   }
+  const engine_profile profile = PredictionProfile(now);
   const uint32_t load = Load();
-  const uint32_t running = std::min(load, profile_.slots);
+  const uint32_t running = std::min(load, profile.slots);
   const uint32_t ahead = load - running;
-  const duration slot_interval = SlotInterval(profile_);
-  const duration first_token =
-      FirstTokenTime(profile_, running, ahead, PendingPromptTokens(now),
-                     request.prompt_tokens);
+  const duration first_token = FirstTokenTime(
+      profile, running, ahead, PendingPromptTokens(now), request.prompt_tokens);
   bool is_admitted = false;
   if (request.is_resumed) {
     // Its caller already has part of the answer, which a denial would waste.
@@ -106,32 +131,25 @@
         ahead < options_.max_ahead && first_token <= request.first_token_budget;
   } else {
     // Late answers are worth less than timely ones: they only get free slots.
-    is_admitted = load < profile_.slots;
+    is_admitted = load < profile.slots;
   }
   if (drain_deadline_) {
     reply.max_answer_tokens = AnswerTokensWithin(
-        profile_, running + 1, *drain_deadline_ - now - first_token);
-  }
-  if (drain_deadline_ && !request.is_resumed) {
-    const duration run_time =
-        RunTime(profile_, running + 1, request.answer_tokens);
-    is_admitted =
-        is_admitted && now + first_token + run_time <= *drain_deadline_;
-  } else if (drain_deadline_) {
-    // The remaining length of its answer is unknown, so it may not finish in
-    // time; another server resumes it.
-    is_admitted = false;
+        profile, running + 1, *drain_deadline_ - now - first_token);
   }
+  is_admitted =
+      is_admitted && EndsBeforeLoad(now, profile, first_token,
+                                    request.answer_tokens, request.is_resumed);
   if (!is_admitted || !IsWithinColdRate(now)) {
     reply.expected_free_in = std::chrono::duration_cast<milliseconds>(
-        slot_interval * static_cast<int>(ahead + 1));
+        SlotInterval(profile) * static_cast<int>(ahead + 1));
     return reply;
   }
-  recent_grants_.push_back(now);
-  places_[key] = {.granted_at = now,
-                  .expires_at = now + request.time_left + kExpiryMargin,
-                  .prompt_tokens = request.prompt_tokens,
-                  .traits = request.traits};
+  AddPlace(now, {.entry = request.entry,
+                 .call = request.call,
+                 .prompt_tokens = request.prompt_tokens,
+                 .traits = request.traits,
+                 .ends_at = now + request.time_left});
   reply.is_granted = true;
   reply.load = Load();
   return reply;
@@ -141,8 +159,13 @@
                                                    const std::string& entry,
                                                    uint64_t call) {
   auto it = places_.find({entry, call});
-  if (it == places_.end())
+  if (it == places_.end()) {
+    if (auto waiting = queue_.Remove(entry, call)) {
+      decisions_.push_back({.request = std::move(*waiting),
+                            .reply = {.cause = place_cause::kReleased}});
+    }
     return std::nullopt;
+  }
   released_place released{.granted_at = it->second.granted_at,
                           .traits = std::move(it->second.traits)};
   places_.erase(it);
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -7,8 +7,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "engine_control_type.h"
+#include "load/place_queue_base.h"
 #include "request_traits_type.h"
 #include "site_type.h"
 #include "time_type.h"
@@ -26,6 +28,11 @@
   /// a pause of this process the engine may have restarted cold, begun to drain
   /// or become full.
   milliseconds max_report_age{0};
+  /// For ranked services: maximum number of requests that wait at the agent,
+  /// and in the engine's queue; if nullopt, those that start in one pass.
+  size_t max_waiting = 16;
+  std::optional<uint32_t> ranked_max_ahead;
+  grant_shares_options shares;  ///< For ranked services.
 };
 
 /// Request of an entry for a place, which is an admission slot for one attempt
@@ -70,6 +77,15 @@
   /// elsewhere if the server aborts it.
   bool is_suspect = false;
   intact_weights weights;  ///< That the server serves.
+  /// Why the agent decided so; not sent.
+  place_cause cause = place_cause::kNone;
+};
+
+/// Decision on a place request that has waited at the agent.
+struct place_decision {
+  waiting_place request;
+  /// Second reply, without weights. None is sent if the entry released it.
+  place_reply reply;
 };
 
 /// How an attempt ended.
@@ -92,7 +108,8 @@
 /// rate of a cold server, entries need no coordination to keep it.
 class place_table {
  public:
-  explicit place_table(place_table_options options) : options_(options) {}
+  explicit place_table(place_table_options options)
+      : options_(options), shares_(options.shares) {}
 
   /// @param cold_rate Requests per second while the engine is cold; 0 for no
   ///     limit.
@@ -117,10 +134,23 @@
   void OnEngineRestart(time_point now);
   /// Applies the cold rate until a time.
   void SetColdUntil(time_point until) { cold_until_ = until; }
+  /// Sets whether requests have ranks. If so, they are granted in order of
+  /// precedence, and some wait.
+  void SetRanked(bool is_ranked) { is_ranked_ = is_ranked; }
 
-  /// Grants or denies a place. A repeated request gets the same place.
+  /// Grants or denies a place, or queues the request. A repeated request gets
+  /// the same place.
   place_reply RequestPlace(time_point now, const place_request& request);
-  /// Releases a place.
+  /// Grants and denies the requests that wait. Called after each of the other
+  /// calls, and at NextDue().
+  /// @return Decisions since the last call, to be sent to the entries.
+  std::vector<place_decision> DecideWaiting(time_point now);
+  /// When DecideWaiting() is due without another event; nullopt if nothing
+  /// waits.
+  std::optional<time_point> NextDue() const;
+  /// Requests that wait, of any rank.
+  const place_queue& Waiting() const { return queue_; }
+  /// Releases a place, or removes a request that waits.
   /// @param call Id of the place request.
   /// @return The place; nullopt if there was no such place.
   std::optional<released_place> Release(time_point now,
@@ -142,6 +172,54 @@
   bool MayGrant(time_point now) const;
   /// Whether a cold engine may get one more request within its rate.
   bool IsWithinColdRate(time_point now);
+  /// Returns the profile from which times are predicted.
+  engine_profile PredictionProfile(time_point) const { return profile_; }
+  /// Whether a request is expected to end before the next load of weights.
+  bool EndsBeforeLoad(time_point now,
+                      const engine_profile& profile,
+                      duration first_token,
+                      uint32_t answer_tokens,
+                      bool is_resumed) const;
+  void AddPlace(time_point now, const waiting_place& request);
+
+  // ---- Ranked services, in place_table_ranked.cc ----
+
+  /// What to do with a request in the queue: a cause to grant or to deny it, or
+  /// none while it waits.
+  struct ruling {
+    bool is_granted = false;
+    place_cause cause = place_cause::kNone;
+  };
+  place_reply RequestRankedPlace(time_point now, const place_request& request);
+  /// Requests that may be at the engine when one more is granted, plus one.
+  uint32_t LoadLimit(time_point now,
+                     const engine_profile& profile,
+                     const waiting_place& item) const;
+  ruling Judge(time_point now,
+               const engine_profile& profile,
+               const waiting_place& item);
+  /// Grants free places in order of precedence, and denies late requests.
+  void DecideInOrder(time_point now, const engine_profile& profile);
+  /// Expected time until the request at an index of the queue gets a place.
+  duration ExpectedWait(time_point now,
+                        const engine_profile& profile,
+                        size_t index) const;
+  /// Whether the request at an index of the queue is expected to be late.
+  bool IsExpectedLate(time_point now,
+                      const engine_profile& profile,
+                      size_t index) const;
+  /// Denies what the request at an index of the queue makes late or displaces.
+  void DenyOvertaken(time_point now,
+                     const engine_profile& profile,
+                     size_t index);
+  /// Removes the request at an index of the queue and records the decision.
+  void Deny(time_point now,
+            const engine_profile& profile,
+            size_t index,
+            place_cause cause);
+  void DenyAll(time_point now, place_cause cause);
+  /// Takes the decision on a request that has just asked, if there is one.
+  std::optional<place_reply> TakeDecision(const place_request& request);
 
   place_table_options options_;
   engine_profile profile_;
@@ -158,6 +236,11 @@
   std::map<std::pair<std::string, uint64_t>, place> places_;
   std::deque<time_point> recent_grants_;  ///< Grants within the last second.
   time_point surplus_since_{};  ///< Since when places exceed requests.
+  bool is_ranked_ = false;
+  grant_shares shares_;
+  place_queue queue_;
+  std::vector<place_decision> decisions_;  ///< Not taken yet.
+  time_point decided_at_{};                ///< When the queue was last decided.
 };
 
 }  // namespace fuchsiafall
