Feature: Second replies, counters and log events of waiting place requests

The agent performs the decisions of its place table: it sends second replies with weights and crash verdict as of the grant, at events and when one is due. Places have a module of their own, hosted_places, so that hosted_agent.cc is smaller. Outcomes are counted by rank, organisation and cause, and requests that waited are logged (E640, E641). Requests out of range are counted and logged at most once a second (E642). A bench gives the cost of one decision.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -65,6 +65,7 @@
 void RunConfigBench(const bench_arguments& arguments, report* result);
 void RunControlBench(const bench_arguments& arguments, report* result);
 void RunRecoveryBench(const bench_arguments& arguments, report* result);
+void RunPlaceBench(const bench_arguments& arguments, report* result);
 
 }  // namespace fuchsiafall::bench
 
--- a/src/bench/bench_main.cc
+++ b/src/bench/bench_main.cc
@@ -38,6 +38,8 @@
      RunConfigBench},
     {"control", "processor, memory and traffic of control", RunControlBench},
     {"recovery", "a third of all processes replaced at once", RunRecoveryBench},
+    {"places", "cost of an agent's decision while place requests wait",
+     RunPlaceBench},
 };
 
 std::string Verdict(const figure& item) {
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -8,13 +8,13 @@
 #include "crash_monitor_base.h"
 #include "envelope_func.h"
 #include "hash_func.h"
+#include "hosted_places_base.h"
 #include "hosted_process.h"
 #include "manifest_book_base.h"
 #include "network/async_http_call.h"
 #include "network/datagram_link.h"
 #include "network/http_status.h"
 #include "network/message_link.h"
-#include "place_message_func.h"
 #include "platform/documents.h"
 #include "weight_loader_base.h"
 #include "weight_transfer_base.h"
@@ -104,7 +104,7 @@
                    .seed = process_.OwnIncarnation().value},
                   blobs_),
         loader_({}, LoaderHooks()),
-        places_({.max_report_age = kMaxReportAge}),
+        places_({.max_report_age = kMaxReportAge}, PlaceHooks()),
         crash_monitor_({.self = self_,
                         .own_incarnation = process_.OwnIncarnation(),
                         .seed = process_.OwnIncarnation().value},
@@ -164,7 +164,8 @@
       return;
     }
     profile_ = *service->engine;
-    places_.SetProfile(profile_, service->cold_rate);
+    places_.Table().SetProfile(profile_, service->cold_rate);
+    places_.Table().SetRanked(process_.Index()->IsRanked(service->name));
     model_ = profile_.models.front();
     for (const auto& [name, other] : view.configuration.services) {
       if (!other.origin_address.empty())
@@ -315,7 +316,7 @@
     const uint64_t served = loader_.ServedVersion();
     plan_ = PlanWeights(now, {.bound = process_.Settings().weights_bound},
                         served, wanted, load_slot_);
-    places_.SetDrainDeadline(served > 0 ? plan_.load_at : std::nullopt);
+    places_.Table().SetDrainDeadline(served > 0 ? plan_.load_at : std::nullopt);
     std::vector<uint64_t> fetch = plan_.fetch;
     // The served version stays available to servers that join, and its manifest
     // is needed to verify it.
@@ -629,7 +630,7 @@
                  : " checked_ms=" + std::to_string(ToMs(
                                         loader_.OldestVerificationAge(now)))));
     process_.Metrics().Count("orders");
-    places_.SetAccepting(false);
+    places_.SetAccepting(now, false, std::nullopt);
     CallEngine(
         now,
         platform::EncodeEngineOrder(process_.Settings().engine_address, order),
@@ -674,11 +675,8 @@
       if (is_restarted) {
         LogEvent(log_event::kEngineRestarted,
                  "born=" + std::to_string(report->started_at_ms));
-        places_.OnEngineRestart(now);
       }
-      places_.OnReport(now, *report);
-      if (report->cold_remaining > milliseconds(0))
-        places_.SetColdUntil(now + report->cold_remaining);
+      places_.OnEngineReport(now, *report, is_restarted);
     } else {
       loader_.OnUnreachable();
     }
@@ -694,15 +692,14 @@
     const auto grants_end = GrantsEnd(now);
     is_serving_ = loader_.IsServing(now) && !is_draining_ && !is_evacuated_ &&
                   !(grants_end && now > *grants_end);
-    places_.SetAccepting(is_serving_);
-    places_.SetGrantsEnd(grants_end);
+    places_.SetAccepting(now, is_serving_, grants_end);
     if (is_serving_ != was_serving || served_ != before) {
       LogEvent(log_event::kEngineState,
                "serving=" + std::to_string(is_serving_) +
                    " version=" + std::to_string(served_) +
                    " loading=" + std::to_string(loader_.Report().is_loading) +
                    " reachable=" + std::to_string(loader_.IsReachable()) +
-                   " load=" + std::to_string(places_.Load()));
+                   " load=" + std::to_string(places_.Table().Load()));
     }
   }
 
@@ -743,42 +740,36 @@
     return agents;
   }
 
-  // ---- Places ----
+  // ---- Places and messages ----
+
+  hosted_places_hooks PlaceHooks() {
+    return {.send =
+                [this](const std::string& entry,
+                       const std::function<void(proto::place_answer*)>& write) {
+                  proto::envelope envelope =
+                      MakeEnvelope(self_, process_.OwnIncarnation());
+                  write(envelope.mutable_place_answer());
+                  control_.Send(entry, envelope);
+                },
+            .weights = [this] { return loader_.IntactWeights(); },
+            .crashes = &crash_monitor_,
+            .start_timer =
+                [this](time_point at, std::function<void(time_point)> hook) {
+                  return process_.Loop().StartTimer(at, std::move(hook));
+                },
+            .cancel_timer =
+                [this](timer_id id) { process_.Loop().CancelTimer(id); },
+            .log = LogEvent,
+            .counters = &process_.Metrics()};
+  }
 
   void OnMessage(time_point now,
                  const std::string& from,
                  const proto::envelope& message) {
     if (message.has_place_question()) {
-      const place_request request =
-          ReadPlaceRequest(from, message.place_question());
-      const trait_verdict verdict =
-          crash_monitor_.Judge(now, from, request.traits);
-      place_reply reply;
-      if (verdict.quarantined) {
-        reply.is_quarantined = true;
-        reply.quarantined_trait = *verdict.quarantined;
-        process_.Metrics().Count("places_quarantined");
-      } else {
-        reply = places_.RequestPlace(now, request);
-        reply.is_suspect = verdict.is_suspect;
-      }
-      reply.weights = loader_.IntactWeights();
-      if (reply.is_granted && reply.weights.version == 0) {
-        // A place that was granted before the engine loaded.
-        places_.Release(now, from, request.call);
-        reply.is_granted = false;
-      }
-      process_.Metrics().Count(reply.is_granted ? "places_granted"
-                                                : "places_denied");
-      proto::envelope envelope = MakeEnvelope(self_, process_.OwnIncarnation());
-      WritePlaceReply(request.call, reply, envelope.mutable_place_answer());
-      control_.Send(from, envelope);
+      places_.OnPlaceQuestion(now, from, message.place_question());
     } else if (message.has_place_return()) {
-      const proto::place_return& release = message.place_return();
-      if (const auto released = places_.Release(now, from, release.call())) {
-        crash_monitor_.OnPlaceReleased(now, *released,
-                                       ReadAttemptResult(release));
-      }
+      places_.OnPlaceReturn(now, from, message.place_return());
     } else if (message.has_crash_note()) {
       crash_monitor_.OnMessage(now, from, message);
     } else if (message.has_have()) {
@@ -831,7 +822,7 @@
   std::shared_ptr<blob_store> blobs_;
   weight_transfer transfer_;
   weight_loader loader_;
-  place_table places_;
+  hosted_places places_;
   crash_monitor crash_monitor_;
   http_client_pool pool_;         ///< Connections to the engine.
   http_client_pool origin_pool_;  ///< Connections to the origin of weights.
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -71,3 +71,9 @@
 LOG_EVENT(kEngineOrderAnswered, 626, Info, "engine answered an order")
 LOG_EVENT(kLoadVerified, 627, Info, "loaded weights are intact")
 LOG_EVENT(kLoadSpoilt, 628, Warning, "loaded weights are given up")
+LOG_EVENT(kPlaceQueued, 640, Info, "place request waits")
+LOG_EVENT(kPlaceDecided, 641, Info, "waiting place request decided")
+LOG_EVENT(kPlaceRequestLimited,
+          642,
+          Warning,
+          "place request out of range limited")
