Feature: Calls wait at agents, and ranks limit how many servers they ask

An entry knew neither ranks nor queues: a call that was denied by all servers that it asked was refused, and every kind of request asked as many of them.

On services whose requests differ in rank, place requests carry rank, organisation and, from the third server or the last one on, the permission to wait; attempts carry Request-Urgency. A call waits for the announced time plus that of a reply, and no longer than its first token can be on time. The agent is told whenever a wait ends. While calls wait, a check each 100 ms shows whether this process was paused; a grant counts as sent at the earliest 70 ms before the last check that was on time, so that one that was read after a pause is still not used. The number of servers asked and the time for it follow the rank, then the yield, and depend on the replies to the own and to higher ranks only. Retry-After follows the wait that agents tell for the rank. Counters by rank and organisation, E607 and E608 and the details of E602 and E603 show why a request was refused while another was served.

Services without ranks are served as before.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "engine_model_func.h"
 #include "network/http_status.h"
 
 namespace fuchsiafall {
@@ -43,6 +44,7 @@
       random_(options_.seed),
       selector_(options_.selector),
       place_search_(options_.place_search),
+      rank_counts_({.count = hooks_.count, .set_gauge = hooks_.set_gauge}),
       budget_(options_.budget),
       server_crashes_(options_.crashes,
                       {.exchange = {.send = hooks_.send_crash_note,
@@ -88,7 +90,8 @@
          " left_ms=" + std::to_string(ToMs(call.deadline - now)) + " config=" +
          std::to_string(
              index_ == nullptr ? 0 : index_->View().configuration.version) +
-         " sound_ms=" + std::to_string(ToMs(now - confirmed_at_));
+         " sound_ms=" + std::to_string(ToMs(now - confirmed_at_)) +
+         (call.is_ranked ? DescribeRank(now, call) : "");
 }
 
 void call_dispatch::OnRequest(time_point now,
@@ -113,12 +116,13 @@
   }
   call.route = *route;
   call.kind = route->kind;
+  const site_tenant* tenant = nullptr;
   if (route->timeout > milliseconds(0))
     call.deadline = std::min(call.deadline, arrived_at + route->timeout);
   if (!EndsBeforeExit(now, call))
     return Refuse(now, &call, call_refusal::kLeaving);
   if (!route->is_anonymous && !index_->View().configuration.tenants.empty()) {
-    const site_tenant* tenant = index_->FindTenant(request.key);
+    tenant = index_->FindTenant(request.key);
     if (tenant == nullptr) {
       return Refuse(now, &call,
                     IsCurrent(now) ? call_refusal::kUnknownKey
@@ -132,16 +136,21 @@
   }
   // A caller that retries after a refusal has less time than the route's
   // timeout, and the target latency is already exceeded.
-  const bool is_retry =
-      request.time_left &&
-      *request.time_left < kFirstRequestTimeShare * route->timeout;
+  call.is_retry = request.time_left &&
+                  *request.time_left < kFirstRequestTimeShare * route->timeout;
   call.target_deadline =
-      is_retry ? arrived_at : arrived_at + route->target_latency;
+      call.is_retry ? arrived_at : arrived_at + route->target_latency;
   call.service = ChooseService(*route, Random());
+  // A later configuration changes neither for a call in progress.
+  call.is_ranked = index_->IsRanked(call.service);
+  call.rank = RankOf(*route, tenant);
+  CountByRank(call, "requests");
   const site_service* service = index_->FindService(call.service);
   call.is_model = service != nullptr && service->engine.has_value() &&
                   !request.model.empty();
   if (call.is_model) {
+    call.first_token_time =
+        FreeSlotFirstTokenTime(*service->engine, request.prompt_tokens);
     call.yield_rank = place_search_.Rank(
         route->name, EstimateCost(*service->engine, request.prompt_tokens,
                                   request.hinted_tokens));
@@ -168,7 +177,7 @@
     if (it == calls_.end())
       continue;
     if (it->second.has_attempt)
-      AbortAttempt(&it->second);
+      AbortAttempt(now, &it->second);
     Refuse(now, &it->second, call_refusal::kLeaving);
   }
 }
@@ -196,7 +205,7 @@
                    std::to_string(LastCertainEvent(*call).value_or(0)));
   }
   if (call->has_attempt) {
-    AbortAttempt(call);
+    AbortAttempt(now, call);
     hooks_.count("attempts_replaced");
   }
   StartAttempt(now, call, server, place);
@@ -240,6 +249,8 @@
   if (call->is_model && !headers.weights && intact > 0)
     headers.weights = intact;
   call->names_version = headers.weights.has_value();
+  if (call->is_ranked)
+    headers.urgency = static_cast<int>(call->rank);
   headers.time_left =
       std::chrono::duration_cast<milliseconds>(call->deadline - now);
   hooks_.log(log_event::kAttemptSent,
@@ -264,8 +275,10 @@
   return &it->second;
 }
 
-void call_dispatch::EndAttempt(call_state* call, attempt_result result) {
-  CancelPlaceRequest(call);
+void call_dispatch::EndAttempt(time_point now,
+                               call_state* call,
+                               attempt_result result) {
+  CancelPlaceRequest(now, call);
   call->search_at.reset();
   call->has_attempt = false;
   selector_.OnAttemptEnded(call->server.id);
@@ -274,21 +287,23 @@
   call->place.reset();
 }
 
-void call_dispatch::AbortAttempt(call_state* call) {
-  EndAttempt(call);
+void call_dispatch::AbortAttempt(time_point now, call_state* call) {
+  EndAttempt(now, call);
   hooks_.abort_attempt(call->id);
 }
 
-void call_dispatch::Erase(call_state* call) {
-  CancelPlaceRequest(call);
+void call_dispatch::Erase(time_point now, call_state* call) {
+  CancelPlaceRequest(now, call);
   calls_.erase(call->id);
 }
 
 milliseconds call_dispatch::RetryAfter(const call_state& call) {
-  // Random spread, so that refused callers do not retry all at once.
+  // Random spread, so that refused callers do not retry all at once. Lower
+  // ranks find a place later, so that they return later.
+  const auto free_in =
+      call.rank_free_in ? call.rank_free_in : call.expected_free_in;
   const milliseconds minimum =
-      std::max(options_.min_retry_after,
-               call.expected_free_in.value_or(milliseconds(0)));
+      std::max(options_.min_retry_after, free_in.value_or(milliseconds(0)));
   const auto spread = static_cast<int64_t>(
       Random() * static_cast<double>(options_.retry_after_spread.count()));
   return minimum + milliseconds(spread);
@@ -329,8 +344,9 @@
              Describe(now, *call) + " status=" + std::to_string(answer.status) +
                  " why=\"" + std::string(TextOf(reason)) + "\"");
   hooks_.count("refused " + std::string(TextOf(reason)));
+  CountByRank(*call, "refused", TextOf(reason));
   const uint64_t id = call->id;
-  Erase(call);
+  Erase(now, call);
   hooks_.send_refusal(id, answer);
 }
 
@@ -344,8 +360,9 @@
                  " silent_ms=" + std::to_string(ToMs(now - call->progress_at)) +
                  " why=\"" + text + "\"");
   hooks_.count("streams_aborted " + text);
+  CountByRank(*call, "streams_aborted", text);
   const uint64_t id = call->id;
-  Erase(call);
+  Erase(now, call);
   hooks_.abort_stream(id);
 }
 
@@ -357,8 +374,8 @@
   hooks_.log(log_event::kCallerGone, Describe(now, call));
   hooks_.count("callers_gone");
   if (call.has_attempt)
-    AbortAttempt(&call);
-  Erase(&call);
+    AbortAttempt(now, &call);
+  Erase(now, &call);
 }
 
 size_t call_dispatch::HeldAnswerBytes(uint64_t id) const {
@@ -390,12 +407,13 @@
     return false;
   }
   call.has_body = false;
-  CancelPlaceRequest(&call);
+  CancelPlaceRequest(now, &call);
   call.search_at.reset();
   return true;
 }
 
 void call_dispatch::RunDue(time_point now) {
+  pause_watch_.RunDue(now);
   std::vector<uint64_t> due;
   for (const auto& [id, call] : calls_) {
     if (now >= DueAt(call))
@@ -414,22 +432,18 @@
     if (call->has_attempt) {
       if (!is_recalled && !call->is_silent)
         selector_.OnFailure(now, call->server.id);
-      AbortAttempt(call);
+      AbortAttempt(now, call);
     }
     return Refuse(now, call, call_refusal::kTimedOut);
   }
   if (is_recalled) {
-    AbortAttempt(call);
+    AbortAttempt(now, call);
     hooks_.count("attempts_recalled");
     return Retry(now, call, true);
   }
   if (call->place_inquiry) {
-    if (now >= call->place_inquiry->timeout_at) {
-      selector_.OnPlaceTimeout(now, call->place_inquiry->server.id);
-      CancelPlaceRequest(call);
-      hooks_.count("asks_silent");
-      Dispatch(now, call);
-    }
+    if (now >= call->place_inquiry->timeout_at)
+      OnPlaceTimeout(now, call);
     return;
   }
   if (call->search_at && now >= *call->search_at)
@@ -446,7 +460,7 @@
 }
 
 std::optional<time_point> call_dispatch::NextDue() const {
-  std::optional<time_point> next;
+  std::optional<time_point> next = pause_watch_.NextDue();
   for (const auto& [id, call] : calls_) {
     const time_point at = DueAt(call);
     if (!next || at < *next)
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -213,7 +213,7 @@
 }
 
 void call_dispatch::AbortMalformed(time_point now, call_state* call) {
-  AbortAttempt(call);
+  AbortAttempt(now, call);
   selector_.OnFailure(now, call->server.id);
   hooks_.count("attempts_malformed");
 }
@@ -233,7 +233,7 @@
   const bool is_suspect =
       call->is_model ? call->place && call->place->is_suspect
                      : server_crashes_.IsSuspect(now, call->request.traits);
-  EndAttempt(call, ResultOf(*call, end));
+  EndAttempt(now, call, ResultOf(*call, end));
   RecordServerEnd(now, *call, end);
   if (end == exchange_end::kNotConnected || end == exchange_end::kRefused) {
     selector_.OnFailure(now, call->server.id);
@@ -306,8 +306,9 @@
              Describe(now, *call) + " status=200 events=" +
                  std::to_string(call->last_event.value_or(0)));
   hooks_.record_duration("call", now - call->arrived_at);
+  CountByRank(*call, "answered");
   const uint64_t id = call->id;
-  Erase(call);
+  Erase(now, call);
   hooks_.end_stream(id);
 }
 
@@ -315,9 +316,10 @@
   hooks_.log(log_event::kCallAnswered, Describe(now, *call) + " status=" +
                                            std::to_string(call->head.status));
   hooks_.record_duration("call", now - call->arrived_at);
+  CountByRank(*call, "answered");
   const uint64_t id = call->id;
   const std::string body = std::move(call->body);
-  Erase(call);
+  Erase(now, call);
   hooks_.answer(id, body);
 }
 
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -17,6 +17,8 @@
 #include "event_splitter_base.h"
 #include "hash_func.h"
 #include "load/place_search_base.h"
+#include "load/place_wait_base.h"
+#include "load/rank_counts_base.h"
 #include "log_event_func.h"
 #include "network/http_exchange.h"
 #include "place_table_base.h"
@@ -63,7 +65,9 @@
   milliseconds place_timeout{70};
   /// Age of a place request after which a grant is not used. Its agent may have
   /// given the place to another request, and the state that the call was
-  /// checked against may be outdated, after a pause of this process.
+  /// checked against may be outdated, after a pause of this process. Requests
+  /// that wait at an agent count from the earliest time at which the grant may
+  /// have been sent.
   milliseconds max_grant_age{400};
   /// Time without an answer of an agent, after which its server gets requests
   /// without a place.
@@ -73,6 +77,10 @@
   /// process exits are refused.
   milliseconds usual_stream_time{4000};
   place_search_options place_search;  ///< Sequential place requests.
+  /// Place requests of a search on ranked services that may not wait at the
+  /// agent, unless no other server is left: a free place elsewhere is better
+  /// than a queue.
+  uint32_t requests_without_wait = 2;
   /// Time without an event, after which a substitute is looked for. A server
   /// may be silent for longer and go on.
   milliseconds event_timeout{1200};
@@ -134,6 +142,7 @@
   /// Logs a decision on a request.
   std::function<void(log_event, const std::string& detail)> log;
   std::function<void(const std::string& counter)> count;
+  std::function<void(const std::string& gauge, int64_t)> set_gauge;
   std::function<void(const std::string& histogram, duration)> record_duration;
 };
 
@@ -224,14 +233,6 @@
   bool IsCurrent(time_point now) const;
 
  private:
-  /// Place request whose reply has not been received.
-  struct inquiry {
-    uint64_t id = 0;
-    site_server server;
-    time_point requested_at{};
-    time_point timeout_at{};
-  };
-
   /// Place request that was given up before its reply was received.
   struct cancelled_inquiry {
     std::string server;  ///< Id of the server.
@@ -255,6 +256,13 @@
     std::vector<std::string> tenant_regions;
     bool has_key = false;
     bool is_model = false;
+    /// Whether its service has requests of several ranks.
+    bool is_ranked = false;
+    uint32_t rank = 0;
+    bool is_retry = false;  ///< Whether its caller was refused before.
+    /// Time to the first token at a server with a free slot.
+    duration first_token_time{};
+    duration waited{};  ///< Sum of its waits at agents that have ended.
     time_point arrived_at{};
     time_point deadline{};
     time_point target_deadline{};
@@ -262,7 +270,8 @@
     /// Servers that received a place request since the search began.
     std::set<std::string> asked_servers;
     /// The only place request, or one for a substitute of the attempt.
-    std::optional<inquiry> place_inquiry;
+    std::optional<pending_inquiry> place_inquiry;
+    bool has_asked = false;    ///< Whether it has ever requested a place.
     bool has_attempt = false;  ///< Whether an attempt runs.
     /// Of the attempt, or of the last place request if there is none.
     site_server server;
@@ -302,15 +311,47 @@
     std::string body;  ///< Body of an answer that is not streamed.
     /// Time until a slot is expected to be free; the minimum over the denials.
     std::optional<milliseconds> expected_free_in;
+    /// The same for a request of its rank; nullopt if no agent told it.
+    std::optional<milliseconds> rank_free_in;
   };
 
   void DispatchModelCall(time_point now, call_state* call);
   void DispatchPlainCall(time_point now, call_state* call);
   /// Whether a call may ask another server for a place.
   bool MayRequestPlace(time_point now, const call_state& call) const;
+  /// @param may_wait Whether the agent may queue the request.
   void RequestPlace(time_point now,
                     call_state* call,
-                    const site_server& server);
+                    const site_server& server,
+                    bool may_wait);
+  /// Records what the reply to a place request tells about its server.
+  void RecordPlaceReply(time_point now,
+                        const pending_inquiry& asked,
+                        const place_reply& reply);
+  /// Records the outcome of a place request for the limits of later searches.
+  void RecordSearch(time_point now, const call_state& call, bool is_granted);
+  /// Handles a denial.
+  void OnPlaceDenied(time_point now,
+                     call_state* call,
+                     const std::string& server,
+                     const place_reply& reply);
+  /// Handles the reply that a call waits at an agent: it goes on waiting, or
+  /// asks elsewhere if it would be late.
+  void OnPlaceQueued(time_point now,
+                     call_state* call,
+                     const place_reply& reply);
+  /// Ends the wait of a call at an agent, if it waits.
+  /// @param outcome For the log.
+  void EndWait(time_point now,
+               call_state* call,
+               const pending_inquiry& asked,
+               std::string_view outcome);
+  /// Handles a place request whose reply did not come in time.
+  void OnPlaceTimeout(time_point now, call_state* call);
+  /// Counts a call of a ranked service by rank and organisation.
+  void CountByRank(const call_state& call,
+                   const std::string& event,
+                   std::string_view detail = "");
   /// Whether a server that was asked for a place may still run the call.
   bool IsStillEligible(time_point now,
                        const call_state& call,
@@ -379,10 +420,11 @@
   static attempt_result ResultOf(const call_state& call, exchange_end end);
   /// Ends the current attempt and the search for a substitute, and releases
   /// their places.
-  void EndAttempt(call_state* call,
+  void EndAttempt(time_point now,
+                  call_state* call,
                   attempt_result result = attempt_result::kOther);
   /// Ends the current attempt before its answer is complete.
-  void AbortAttempt(call_state* call);
+  void AbortAttempt(time_point now, call_state* call);
   /// Records what the end of an exchange with a server without an agent says
   /// about a crash of it.
   void RecordServerEnd(time_point now,
@@ -394,12 +436,15 @@
                              uint64_t place_request_id,
                              const place_reply& reply);
   /// Gives up the open place request, and releases its place if granted.
-  void CancelPlaceRequest(call_state* call);
+  /// @param outcome Of a wait at the agent, for the log.
+  void CancelPlaceRequest(time_point now,
+                          call_state* call,
+                          std::string_view outcome = "cancelled");
   void Refuse(time_point now, call_state* call, call_refusal reason);
   /// Ends a stream that has begun, so that it does not look complete.
   void CutStream(time_point now, call_state* call, call_refusal reason);
   /// Forgets a call that has been answered or refused.
-  void Erase(call_state* call);
+  void Erase(time_point now, call_state* call);
   /// Handles the timeouts of one call that have expired.
   void RunDueCall(time_point now, call_state* call);
   /// Returns the time of the next timeout of a call.
@@ -409,6 +454,8 @@
   call_state* Find(uint64_t id, uint32_t attempt);
   /// Formats the log details of a call.
   std::string Describe(time_point now, const call_state& call) const;
+  /// Formats rank, organisation and wait of a call of a ranked service.
+  static std::string DescribeRank(time_point now, const call_state& call);
   milliseconds RetryAfter(const call_state& call);
   double Random() { return std::uniform_real_distribution<>(0, 1)(random_); }
 
@@ -417,6 +464,9 @@
   std::mt19937_64 random_;
   server_selector selector_;
   place_search place_search_;
+  rank_counts rank_counts_;
+  pause_watch pause_watch_;
+  size_t waiting_calls_ = 0;  ///< Calls that wait at agents.
   retry_budget budget_;
   const site_index* index_ = nullptr;
   time_point confirmed_at_{};
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -1,4 +1,4 @@
-/// @file call_dispatch_place.cc Choice of the server of a hosted call, and the
+/// @file call_dispatch_place.cc Choice of the server of a hosted call, and its
 /// requests for places.
 #include <algorithm>
 
@@ -11,24 +11,24 @@
 /// An attempt with less time left than this cannot be answered in time.
 constexpr milliseconds kMinTimeLeft{20};
 
-/// Place requests beyond the usual number may take the target latency divided
-/// by this. The rest is needed to wait for and to compute the first token.
-constexpr int kTargetToSearchRatio = 4;
-
 }  // namespace
 
 bool call_dispatch::MayRequestPlace(time_point now,
                                     const call_state& call) const {
-  const uint32_t usual = options_.place_search.usual_requests;
+  const search_limits limits =
+      call.is_ranked
+          ? place_search_.RankedLimits(now, call.rank, call.yield_rank,
+                                       call.route.target_latency)
+          : place_search_.Limits(now, call.yield_rank,
+                                 call.route.target_latency);
   // The caller already has part of the answer of a resumed stream.
-  const uint32_t limit = call.is_streaming
-                             ? usual
-                             : place_search_.MaxRequests(now, call.yield_rank);
+  const uint32_t usual = options_.place_search.usual_requests;
+  const uint32_t limit = call.is_streaming ? usual : limits.requests;
+  const uint32_t untimed = call.is_streaming ? usual : limits.untimed_requests;
   if (call.place_request_count >= limit)
     return false;
-  return call.place_request_count < usual ||
-         now - call.arrived_at <
-             call.route.target_latency / kTargetToSearchRatio;
+  return call.place_request_count < untimed ||
+         now - call.arrived_at < limits.search_time;
 }
 
 std::optional<call_refusal> call_dispatch::FindObstacle(
@@ -94,14 +94,20 @@
     }
     if (is_unresponsive && !is_agent_down)
       continue;
-    return RequestPlace(now, call, *server);
+    const bool is_last_server = call->place_request_count + 1 >= ranked.size();
+    const bool may_wait =
+        call->is_ranked &&
+        (is_last_server ||
+         call->place_request_count >= options_.requests_without_wait);
+    return RequestPlace(now, call, *server, may_wait);
   }
   OnNoServer(now, call, call_refusal::kNoPlace);
 }
 
 void call_dispatch::RequestPlace(time_point now,
                                  call_state* call,
-                                 const site_server& server) {
+                                 const site_server& server,
+                                 bool may_wait) {
   std::erase_if(cancelled_place_requests_, [&](const auto& item) {
     return now - item.second.requested_at > options_.agent_timeout;
   });
@@ -113,13 +119,22 @@
   call->place_inquiry = {.id = id,
                          .server = server,
                          .requested_at = now,
-                         .timeout_at = now + options_.place_timeout};
+                         .timeout_at = now + options_.place_timeout,
+                         .may_wait = may_wait};
   open_place_requests_[id] = call->id;
   place_request request{.call = id,
                         .prompt_tokens = call->request.prompt_tokens,
                         .answer_tokens = call->request.hinted_tokens,
                         .is_resumed = call->is_streaming,
                         .traits = call->request.traits};
+  if (call->is_ranked) {
+    request.rank = call->rank;
+    request.organisation = call->tenant;
+    // Repeats are no further demand: a caller that asks again gains nothing.
+    request.is_first = !call->has_asked && !call->is_retry;
+    request.may_wait = may_wait;
+  }
+  call->has_asked = true;
   request.first_token_budget = std::chrono::duration_cast<milliseconds>(
       std::max<duration>(duration(0), call->target_deadline - now));
   request.time_left =
@@ -145,85 +160,4 @@
                      });
 }
 
-void call_dispatch::OnPlaceReply(time_point now,
-                                 uint64_t place_request_id,
-                                 const place_reply& reply) {
-  auto open = open_place_requests_.find(place_request_id);
-  if (open == open_place_requests_.end()) {
-    // CancelPlaceRequest() has released the place.
-    OnCancelledPlaceReply(now, place_request_id, reply);
-    return;
-  }
-  call_state& call = calls_.at(open->second);
-  open_place_requests_.erase(open);
-  const inquiry asked = *std::exchange(call.place_inquiry, std::nullopt);
-  const std::string& server = asked.server.id;
-  selector_.OnPlaceAnswered(server);
-  selector_.OnLoad(now, server, reply.load, reply.slots);
-  selector_.SetAnswerLimit(server, reply.max_answer_tokens);
-  selector_.SetIntactWeights(asked.requested_at, server, reply.weights);
-  if (reply.is_granted && now - asked.requested_at > options_.max_grant_age) {
-    hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
-    hooks_.count("grants_expired");
-    return Dispatch(now, &call);
-  }
-  const bool is_for_other_version = call.weights &&
-                                    reply.weights.version != 0 &&
-                                    reply.weights.version != *call.weights;
-  if (reply.is_granted &&
-      (is_for_other_version || !IsStillEligible(now, call, server))) {
-    hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
-    hooks_.count("grants_outdated");
-    return Dispatch(now, &call);
-  }
-  // Repeated searches beside silent attempts would outweigh the calls whose
-  // number of requests they limit.
-  const bool is_sample = !call.has_attempt;
-  if (reply.is_granted) {
-    if (is_sample)
-      place_search_.OnReply(now, true);
-    return Send(now, &call, asked.server,
-                granted_place{.id = asked.id, .is_suspect = reply.is_suspect});
-  }
-  if (reply.is_quarantined) {
-    OnQuarantined(now, reply.quarantined_trait);
-    return OnNoServer(now, &call, call_refusal::kQuarantined);
-  }
-  if (is_sample && reply.slots > 0)
-    place_search_.OnReply(now, false);
-  selector_.OnFull(now, server, reply.expected_free_in);
-  if (reply.slots > 0 && (!call.expected_free_in ||
-                          reply.expected_free_in < *call.expected_free_in)) {
-    call.expected_free_in = reply.expected_free_in;
-  }
-  hooks_.count("place_denied");
-  Dispatch(now, &call);
-}
-
-void call_dispatch::OnCancelledPlaceReply(time_point now,
-                                          uint64_t place_request_id,
-                                          const place_reply& reply) {
-  auto it = cancelled_place_requests_.find(place_request_id);
-  if (it == cancelled_place_requests_.end())
-    return;
-  const cancelled_inquiry asked = std::move(it->second);
-  cancelled_place_requests_.erase(it);
-  if (now - asked.requested_at > options_.agent_timeout)
-    return;
-  selector_.OnLatePlaceReply(asked.server);
-  selector_.SetIntactWeights(asked.requested_at, asked.server, reply.weights);
-  hooks_.count("asks_answered_late");
-}
-
-void call_dispatch::CancelPlaceRequest(call_state* call) {
-  if (!call->place_inquiry)
-    return;
-  const inquiry asked = *std::exchange(call->place_inquiry, std::nullopt);
-  open_place_requests_.erase(asked.id);
-  cancelled_place_requests_[asked.id] = {.server = asked.server.id,
-                                         .requested_at = asked.requested_at};
-  // The place may have been granted and the reply not received yet.
-  hooks_.release_place(asked.server, asked.id, attempt_result::kOther);
-}
-
 }  // namespace fuchsiafall
--- a/src/call_dispatch_retry.cc
+++ b/src/call_dispatch_retry.cc
@@ -31,7 +31,7 @@
 }
 
 void call_dispatch::OnProgress(time_point now, call_state* call) {
-  CancelPlaceRequest(call);
+  CancelPlaceRequest(now, call);
   call->progress_at = now;
   call->search_at.reset();
   if (call->kind == call_kind::kStream) {
--- a/src/engine_model.cc
+++ b/src/engine_model.cc
@@ -98,4 +98,10 @@
          std::chrono::duration_cast<duration>(slot_wait * kP90WaitRatio);
 }
 
+duration FreeSlotFirstTokenTime(const engine_profile& engine,
+                                uint32_t prompt_tokens) {
+  return FirstTokenTime(engine, std::max(1U, engine.slots) - 1, 0, 0,
+                        prompt_tokens);
+}
+
 }  // namespace fuchsiafall
--- a/src/engine_model_func.h
+++ b/src/engine_model_func.h
@@ -41,6 +41,10 @@
                         uint64_t pending_prompt_tokens,
                         uint32_t prompt_tokens);
 
+/// Estimates that time for a request that gets the last free slot.
+duration FreeSlotFirstTokenTime(const engine_profile& engine,
+                                uint32_t prompt_tokens);
+
 }  // namespace fuchsiafall
 
 #endif  // ENGINE_MODEL_FUNC_H_
--- a/src/hosted_entry_hooks.cc
+++ b/src/hosted_entry_hooks.cc
@@ -145,6 +145,9 @@
   hooks.count = [this](const std::string& name) {
     process_.Metrics().Count(name);
   };
+  hooks.set_gauge = [this](const std::string& name, int64_t value) {
+    process_.Metrics().SetGauge(name, value);
+  };
   hooks.record_duration = [this](const std::string& name, duration span) {
     process_.Metrics().RecordDuration(name, span);
   };
--- a/src/load/place_search.cc
+++ b/src/load/place_search.cc
@@ -18,6 +18,13 @@
 constexpr double kMaxWorth = 4;
 /// Weight of one sample in the running means.
 constexpr double kSampleWeight = 1.0 / 64;
+/// Place requests beyond the usual number may take the target latency divided
+/// by this. The rest is needed to wait for and to compute the first token.
+constexpr int kTargetToSearchRatio = 4;
+/// The same for the lowest of many ranks under overload, as a share of that
+/// time. A refusal within an eighth of the target latency costs its caller
+/// nothing.
+constexpr double kLowRankTimeShare = 0.5;
 
 }  // namespace
 
@@ -34,11 +41,30 @@
           .size = prompt_tokens + kAnswerTokenWeight * answer};
 }
 
+void place_search::Record(time_point now,
+                          bool is_granted,
+                          reply_history* history) const {
+  if (!IsRecent(now, *history))
+    history->granted_share = 1;
+  history->last_reply_at = now;
+  history->granted_share +=
+      ((is_granted ? 1 : 0) - history->granted_share) * kSampleWeight;
+}
+
 void place_search::OnReply(time_point now, bool is_granted) {
-  if (now - last_reply_at_ > options_.memory)
-    granted_share_ = 1;
-  last_reply_at_ = now;
-  granted_share_ += ((is_granted ? 1 : 0) - granted_share_) * kSampleWeight;
+  Record(now, is_granted, &unranked_);
+}
+
+void place_search::OnRankedReply(time_point now,
+                                 uint32_t rank,
+                                 bool is_granted) {
+  Record(now, is_granted, &ranks_.at(std::min(rank, kMaxRank)));
+}
+
+double place_search::CalmAt(double granted_share) const {
+  return std::clamp((granted_share - options_.overload_share) /
+                        (options_.calm_share - options_.overload_share),
+                    0.0, 1.0);
 }
 
 double place_search::Rank(const std::string& route, const call_cost& cost) {
@@ -65,12 +91,9 @@
 }
 
 uint32_t place_search::MaxRequests(time_point now, double rank) const {
-  if (now - last_reply_at_ > options_.memory)
+  if (!IsRecent(now, unranked_))
     return options_.usual_requests;
-  const double calm =
-      std::clamp((granted_share_ - options_.overload_share) /
-                     (options_.calm_share - options_.overload_share),
-                 0.0, 1.0);
+  const double calm = CalmAt(unranked_.granted_share);
   // The limit of the lowest rank changes with the load without steps, since a
   // lower limit itself makes places easier to get.
   const double usual = options_.usual_requests;
@@ -80,4 +103,48 @@
       std::lround(lowest + rank * (options_.max_requests - lowest)));
 }
 
+search_limits place_search::Limits(time_point now,
+                                   double yield_rank,
+                                   milliseconds target_latency) const {
+  return {.requests = MaxRequests(now, yield_rank),
+          .untimed_requests = options_.usual_requests,
+          .search_time = target_latency / kTargetToSearchRatio};
+}
+
+search_limits place_search::RankedLimits(time_point now,
+                                         uint32_t rank,
+                                         double yield_rank,
+                                         milliseconds target_latency) const {
+  const reply_history& own = ranks_.at(std::min(rank, kMaxRank));
+  double granted_share = IsRecent(now, own) ? own.granted_share : 1;
+  int higher_ranks = 0;
+  for (const reply_history* other = ranks_.data(); other != &own; ++other) {
+    if (!IsRecent(now, *other))
+      continue;
+    ++higher_ranks;
+    granted_share = std::min(granted_share, other->granted_share);
+  }
+  const double calm = CalmAt(granted_share);
+  // Under overload each rank has its own range of the number of requests. The
+  // ranges of lower ranks halve, so that they do not depend on how many there
+  // are.
+  const double part = std::ldexp(1.0, -higher_ranks);
+  const double usual = options_.usual_requests;
+  const double least = options_.min_ranked_requests;
+  const double most = options_.max_requests;
+  const auto blend = [calm](double overloaded, double calm_value) {
+    return overloaded + calm * (calm_value - overloaded);
+  };
+  const double highest = blend(least + (most - least) * part, most);
+  const double lowest = blend(least + (most - least) * part / 2, usual);
+  const double time_share =
+      blend(kLowRankTimeShare + (1 - kLowRankTimeShare) * part, 1);
+  return {.requests = static_cast<uint32_t>(
+              std::lround(lowest + yield_rank * (highest - lowest))),
+          .untimed_requests =
+              static_cast<uint32_t>(std::lround(std::min(usual, lowest))),
+          .search_time = std::chrono::duration_cast<duration>(
+              target_latency / kTargetToSearchRatio * time_share)};
+}
+
 }  // namespace fuchsiafall
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -149,8 +149,13 @@
         return std::nullopt;
       return std::stoull(std::string(event.substr(3)));
     };
-    hooks.log = [](log_event, const std::string&) {};
-    hooks.count = [](const std::string&) {};
+    hooks.log = [this](log_event event, const std::string& detail) {
+      log_lines.emplace_back(event, detail);
+    };
+    hooks.count = [this](const std::string& counter) { ++counts[counter]; };
+    hooks.set_gauge = [this](const std::string& gauge, int64_t value) {
+      gauges[gauge] = value;
+    };
     hooks.record_duration = [](const std::string&, duration) {};
     hooks.send_crash_note = [this](const std::string& address,
                                    const proto::envelope& message) {
@@ -238,7 +243,10 @@
   std::string received_text;
   std::function<void(const std::string& address, const proto::envelope&)>
       on_crash_note;
-  std::set<std::string> connected;  ///< Addresses of open connections.
+  std::set<std::string> connected;    ///< Addresses of open connections.
+  std::map<std::string, int> counts;  ///< By counter.
+  std::map<std::string, int64_t> gauges;
+  std::vector<std::pair<log_event, std::string>> log_lines;
   call_dispatch dispatch;
 };
 
--- a/src/tests/place_search_test.cc
+++ b/src/tests/place_search_test.cc
@@ -206,6 +206,48 @@
   BOOST_TEST(search.MaxRequests(kStart + seconds(3), 0) == 6u);
 }
 
+BOOST_AUTO_TEST_CASE(limits_follow_the_rank_and_then_the_yield) {
+  place_search search({});
+  const auto requests = [&](uint32_t rank, double yield) {
+    return search.RankedLimits(kStart, rank, yield, milliseconds(400)).requests;
+  };
+  BOOST_TEST(requests(2, 0) == 6u);
+  for (int i = 0; i < 400; ++i) {
+    for (const uint32_t rank : {0U, 1U, 2U})
+      search.OnRankedReply(kStart, rank, i % 5 == 0);
+  }
+  BOOST_TEST(requests(0, 1) == 10u);
+  BOOST_TEST(requests(0, 0) >= requests(1, 1));
+  BOOST_TEST(requests(1, 0) >= requests(2, 1));
+  // The first two requests of a call may not wait.
+  BOOST_TEST(requests(2, 0) >= 3u);
+  const search_limits high =
+      search.RankedLimits(kStart, 0, 0.5, milliseconds(400));
+  const search_limits low =
+      search.RankedLimits(kStart, 2, 0.5, milliseconds(400));
+  BOOST_TEST(ToMs(high.search_time) == 100);
+  BOOST_TEST(ToMs(low.search_time) < ToMs(high.search_time));
+  BOOST_TEST(low.untimed_requests < high.untimed_requests);
+}
+
+// Denials of a rank that only gets what others leave would shorten the search
+// of the others, which are granted most of what they ask for.
+BOOST_AUTO_TEST_CASE(denials_of_a_lower_rank_do_not_limit_higher_ones) {
+  place_search search({});
+  place_search one_history({});
+  for (int i = 0; i < 400; ++i) {
+    for (const uint32_t rank : {0U, 2U, 2U, 2U}) {
+      const bool is_granted = rank == 0;
+      search.OnRankedReply(kStart, rank, is_granted);
+      one_history.OnReply(kStart, is_granted);
+    }
+  }
+  const milliseconds target(400);
+  BOOST_TEST(search.RankedLimits(kStart, 0, 0, target).requests == 6u);
+  BOOST_TEST(search.RankedLimits(kStart, 2, 0, target).requests < 6u);
+  BOOST_TEST(one_history.Limits(kStart, 0, target).requests == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(calls_are_compared_within_their_route) {
   place_search search({});
   const call_cost small = EstimateCost(MakeProfile(), 100, 12);
