--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -67,7 +67,7 @@
   entry.DeliverBody("whole");
   entry.EndExchange(exchange_end::kComplete);
   BOOST_TEST(entry.received_text == "[whole]");
-  BOOST_TEST(entry.counters["load_reports_malformed"] == 1u);
+  BOOST_TEST(entry.counts["load_reports_malformed"] == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_is_not_retried) {
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -150,8 +150,13 @@
         return std::nullopt;
       return std::stoull(std::string(event.substr(3)));
     };
-    hooks.log = [](log_event, const std::string&) {};
-    hooks.count = [this](const std::string& name) { ++counters[name]; };
+    hooks.log = [this](log_event event, const std::string& detail) {
+      log_lines.emplace_back(event, detail);
+    };
+    hooks.count = [this](const std::string& counter) { ++counts[counter]; };
+    hooks.set_gauge = [this](const std::string& gauge, int64_t value) {
+      gauges[gauge] = value;
+    };
     hooks.record_duration = [](const std::string&, duration) {};
     hooks.send_crash_note = [this](const std::string& address,
                                    const proto::envelope& message) {
@@ -234,13 +239,15 @@
   std::vector<started_attempt> attempts;
   std::vector<uint64_t> aborted_calls;
   std::vector<refusal_answer> refusals;
-  std::map<std::string, uint64_t> counters;
   /// What the caller received of servers' answers: <, events and > for a
   /// stream, [body] for a whole answer, | for a broken connection.
   std::string received_text;
   std::function<void(const std::string& address, const proto::envelope&)>
       on_crash_note;
-  std::set<std::string> connected;  ///< Addresses of open connections.
+  std::set<std::string> connected;    ///< Addresses of open connections.
+  std::map<std::string, int> counts;  ///< By counter.
+  std::map<std::string, int64_t> gauges;
+  std::vector<std::pair<log_event, std::string>> log_lines;
   call_dispatch dispatch;
 };
 
