Fix: Answer a repeated request that waits without deciding on it

The first reply to a repeated request could carry the decision on the request that waited, so that its outcome was not logged. The reply now says that it still waits, and the decision follows as a second reply, as for all others.

--- a/src/hosted_places.cc
+++ b/src/hosted_places.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <utility>
 
 #include "place_message_func.h"
 
@@ -181,7 +182,7 @@
   for (uint32_t rank = 0; rank <= kMaxRank; ++rank) {
     if (waiting[rank] != std::exchange(shown_waiting_[rank], waiting[rank])) {
       hooks_.counters->SetGauge("places_waiting_rank_" + std::to_string(rank),
-                               waiting[rank]);
+                                waiting[rank]);
     }
   }
 }
--- a/src/place_table_ranked.cc
+++ b/src/place_table_ranked.cc
@@ -2,6 +2,7 @@
 /// order of precedence.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "engine_model_func.h"
 #include "place_table_base.h"
@@ -196,47 +197,47 @@
 place_reply place_table::RequestRankedPlace(time_point now,
                                             const place_request& request) {
   const engine_profile profile = PredictionProfile(now);
-  const bool is_repeated = queue_.Find(request.entry, request.call) != nullptr;
-  if (request.is_first && !is_repeated)
+  const auto find_index = [&] {
+    const waiting_place* item = queue_.Find(request.entry, request.call);
+    return static_cast<size_t>(item - queue_.Items().data());
+  };
+  const auto make_queued_reply = [&](size_t index) {
+    return place_reply{
+        .is_queued = true,
+        .expected_free_in = std::chrono::duration_cast<milliseconds>(
+            ExpectedWait(now, profile, index)),
+        .load = Load(),
+        .slots = profile.slots};
+  };
+  if (queue_.Find(request.entry, request.call) != nullptr) {
+    // The first reply was lost. A decision follows as a second reply.
+    queue_.Sort(now, &shares_);
+    return make_queued_reply(find_index());
+  }
+  if (request.is_first) {
     shares_.OnFirstRequest(now, std::min(request.rank, kMaxRank),
                            request.organisation);
-  if (!MayGrant(now)) {
-    queue_.Remove(request.entry, request.call);
-    return {.load = Load(), .cause = place_cause::kNotAccepting};
   }
-  if (!is_repeated)
-    queue_.Add(MakeWaiting(now, request));
+  if (!MayGrant(now))
+    return {.load = Load(), .cause = place_cause::kNotAccepting};
+  queue_.Add(MakeWaiting(now, request));
   DecideInOrder(now, profile);
   if (auto reply = TakeDecision(request))
     return *reply;
-  const auto& items = queue_.Items();
-  auto index =
-      static_cast<size_t>(std::find_if(items.begin(), items.end(),
-                                       [&](const waiting_place& item) {
-                                         return item.call == request.call &&
-                                                item.entry == request.entry;
-                                       }) -
-                          items.begin());
-  if (!is_repeated) {
-    const bool may_wait =
-        request.may_wait && !request.is_resumed && !items[index].is_late;
-    if (!may_wait) {
-      Deny(now, profile, index, place_cause::kNoPlace);
-    } else if (IsExpectedLate(now, profile, index)) {
-      Deny(now, profile, index, place_cause::kLate);
-    } else {
-      DenyOvertaken(now, profile, index);
-      if (queue_.size() > options_.max_waiting)
-        Deny(now, profile, queue_.size() - 1, place_cause::kQueueFull);
-    }
-    if (auto reply = TakeDecision(request))
-      return *reply;
+  const size_t index = find_index();
+  if (!request.may_wait || request.is_resumed ||
+      queue_.Items()[index].is_late) {
+    Deny(now, profile, index, place_cause::kNoPlace);
+  } else if (IsExpectedLate(now, profile, index)) {
+    Deny(now, profile, index, place_cause::kLate);
+  } else {
+    DenyOvertaken(now, profile, index);
+    if (queue_.size() > options_.max_waiting)
+      Deny(now, profile, queue_.size() - 1, place_cause::kQueueFull);
   }
-  return {.is_queued = true,
-          .expected_free_in = std::chrono::duration_cast<milliseconds>(
-              ExpectedWait(now, profile, index)),
-          .load = Load(),
-          .slots = profile.slots};
+  if (auto reply = TakeDecision(request))
+    return *reply;
+  return make_queued_reply(index);
 }
 
 std::vector<place_decision> place_table::DecideWaiting(time_point now) {
