--- a/src/hosted_places_base.h
+++ b/src/hosted_places_base.h
@@ -38,7 +38,7 @@
 class hosted_places {
  public:
   hosted_places(place_table_options options, hosted_places_hooks hooks)
-      : table_(std::move(options)), hooks_(std::move(hooks)) {}
+      : table_(options), hooks_(std::move(hooks)) {}
 
   void OnPlaceQuestion(time_point now,
                        const std::string& entry,
