--- a/src/hosted_places.cc
+++ b/src/hosted_places.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <utility>
 
 #include "place_message_func.h"
 
