Feature: Expect the answer lengths that earlier answers had

Callers' estimates are right only at the median of heavy-tailed answers, so that place requests and the yield of a call understated the time for which a server is in use. The entry keeps the lengths of complete streams by route and organisation in bounded histograms, beside the relation of the logarithms of estimate and length. From 32 answers on, the mean that this predicts replaces the estimate, at most the caller's limit.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -73,7 +73,7 @@
           .tenant_regions = &call.tenant_regions,
           .model = call.is_model ? call.request.model : std::string(),
           .tried = &call.tried,
-          .answer_tokens = call.request.hinted_tokens,
+          .answer_tokens = call.expected_tokens,
           .weights = call.weights};
 }
 
@@ -148,12 +148,15 @@
   const site_service* service = index_->FindService(call.service);
   call.is_model = service != nullptr && service->engine.has_value() &&
                   !request.model.empty();
+  call.expected_tokens = request.hinted_tokens;
   if (call.is_model) {
+    call.expected_tokens = answer_lengths_.Expect(
+        route->name, call.tenant, request.hinted_tokens, request.answer_tokens);
     call.first_token_time =
         FreeSlotFirstTokenTime(*service->engine, request.prompt_tokens);
     call.yield_rank = place_search_.Rank(
         route->name, EstimateCost(*service->engine, request.prompt_tokens,
-                                  request.hinted_tokens));
+                                  call.expected_tokens));
   }
   budget_.OnRequest(now);
   Dispatch(now, &call);
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -137,6 +137,7 @@
       continue;  // Its place in the stream is unknown.
     }
     call->has_new_event = true;
+    ++call->event_count;
     out += event;
   }
   if (!out.empty()) {
@@ -307,11 +308,25 @@
                  std::to_string(call->last_event.value_or(0)));
   hooks_.record_duration("call", now - call->arrived_at);
   CountByRank(*call, "answered");
+  RecordLength(*call);
   const uint64_t id = call->id;
   Erase(now, call);
   hooks_.end_stream(id);
 }
 
+void call_dispatch::RecordLength(const call_state& call) {
+  const site_service* service = index_->FindService(call.service);
+  // The caller of a stream that it resumed has events that this entry has not
+  // counted.
+  if (!call.is_model || call.request.last_event || service == nullptr ||
+      !service->engine) {
+    return;
+  }
+  answer_lengths_.Record(
+      call.route.name, call.tenant, call.request.hinted_tokens,
+      call.event_count * std::max(1U, service->engine->stride));
+}
+
 void call_dispatch::FinishBuffered(time_point now, call_state* call) {
   hooks_.log(log_event::kCallAnswered, Describe(now, *call) + " status=" +
                                            std::to_string(call->head.status));
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -16,6 +16,7 @@
 #include "crash_ledger_base.h"
 #include "event_splitter_base.h"
 #include "hash_func.h"
+#include "load/answer_length_base.h"
 #include "load/place_search_base.h"
 #include "load/place_wait_base.h"
 #include "load/rank_counts_base.h"
@@ -305,6 +306,9 @@
     std::optional<uint64_t> answer_event;  ///< Last one of the current answer.
     /// Largest step between the ids of two events of one answer; 0 if unknown.
     uint64_t max_event_step = 0;
+    uint32_t event_count = 0;  ///< Events that were forwarded.
+    /// Expected answer length, in tokens; 0 if unknown.
+    uint32_t expected_tokens = 0;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
     bool names_version = false;  ///< Whether its attempt expects a version.
     event_splitter events;
@@ -394,6 +398,8 @@
   static bool IsRecalled(time_point now, const call_state& call);
   void FinishBuffered(time_point now, call_state* call);
   void FinishStream(time_point now, call_state* call);
+  /// Records the length of the answer of a complete stream.
+  void RecordLength(const call_state& call);
   /// Whether events are missing between those forwarded and a resumed answer.
   static bool HasGapBefore(const call_state& call, uint64_t event_id);
   /// Whether the caller has an event by an earlier answer.
@@ -465,6 +471,7 @@
   server_selector selector_;
   place_search place_search_;
   rank_counts rank_counts_;
+  answer_lengths answer_lengths_{{}};
   pause_watch pause_watch_;
   size_t waiting_calls_ = 0;  ///< Calls that wait at agents.
   retry_budget budget_;
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -124,7 +124,7 @@
   open_place_requests_[id] = call->id;
   place_request request{.call = id,
                         .prompt_tokens = call->request.prompt_tokens,
-                        .answer_tokens = call->request.hinted_tokens,
+                        .answer_tokens = call->expected_tokens,
                         .is_resumed = call->is_streaming,
                         .traits = call->request.traits};
   if (call->is_ranked) {
