Change: Rank requests by organisation first, then by route

All organisations of the deployments at hand have a priority, mostly the same one, so that the rank of the organisation alone would put all kinds of request on one level, and every service would count as ranked. A request now ranks by the priority of its organisation first and by that of its route second, densely from 0, and a service is ranked if its routes differ in priority. The number of servers that a call asks follows the rank of its route.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -143,7 +143,9 @@
   call.service = ChooseService(*route, Random());
   // A later configuration changes neither for a call in progress.
   call.is_ranked = index_->IsRanked(call.service);
-  call.rank = RankOf(*route, tenant);
+  const request_rank rank = index_->RankOf(call.service, *route, tenant);
+  call.rank = rank.rank;
+  call.route_rank = rank.route_rank;
   CountByRank(call, "requests");
   const site_service* service = index_->FindService(call.service);
   call.is_model = service != nullptr && service->engine.has_value() &&
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -260,7 +260,8 @@
     /// Whether its service has requests of several ranks.
     bool is_ranked = false;
     uint32_t rank = 0;
-    bool is_retry = false;  ///< Whether its caller was refused before.
+    uint32_t route_rank = 0;  ///< By the priority of its route alone.
+    bool is_retry = false;    ///< Whether its caller was refused before.
     /// Time to the first token at a server with a free slot.
     duration first_token_time{};
     duration waited{};  ///< Sum of its waits at agents that have ended.
--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -17,7 +17,7 @@
                                     const call_state& call) const {
   const search_limits limits =
       call.is_ranked
-          ? place_search_.RankedLimits(now, call.rank, call.yield_rank,
+          ? place_search_.RankedLimits(now, call.route_rank, call.yield_rank,
                                        call.route.target_latency)
           : place_search_.Limits(now, call.yield_rank,
                                  call.route.target_latency);
--- a/src/call_dispatch_reply.cc
+++ b/src/call_dispatch_reply.cc
@@ -75,7 +75,7 @@
   if (call.has_attempt)
     return;
   if (call.is_ranked) {
-    place_search_.OnRankedReply(now, call.rank, is_granted);
+    place_search_.OnRankedReply(now, call.route_rank, is_granted);
   } else {
     place_search_.OnReply(now, is_granted);
   }
--- a/src/site_index.cc
+++ b/src/site_index.cc
@@ -2,27 +2,51 @@
 #include "site_index_base.h"
 
 #include <algorithm>
-#include <map>
+#include <iterator>
+#include <optional>
 
 namespace fuchsiafall {
 
 namespace {
 
-std::map<std::string, std::set<uint32_t>> RanksByService(
+service_ranks::key KeyOf(const site_route& route, const site_tenant* tenant) {
+  const bool has_own = tenant != nullptr && tenant->priority;
+  return {has_own ? *tenant->priority : route.priority, route.priority};
+}
+
+/// Finds the ranks of the services for whose places routes of different
+/// priorities compete. Anonymous routes do not count, unless there are no
+/// organisations at all.
+std::map<std::string, service_ranks> FindRanks(
     const site_configuration& configuration) {
-  std::map<std::string, std::set<uint32_t>> ranks;
+  // Organisations with the same priority give the same ranks.
+  std::map<std::optional<int>, const site_tenant*> tenants;
+  for (const site_tenant& tenant : configuration.tenants)
+    tenants.emplace(tenant.priority, &tenant);
+  std::map<std::string, service_ranks> all;
   for (const site_route& route : configuration.routes) {
-    std::set<uint32_t> of_route;
-    if (route.is_anonymous || configuration.tenants.empty()) {
-      of_route.insert(RankOf(route, nullptr));
-    } else {
-      for (const site_tenant& tenant : configuration.tenants)
-        of_route.insert(RankOf(route, &tenant));
+    if (route.is_anonymous && !tenants.empty())
+      continue;
+    for (const route_target& target : route.targets) {
+      service_ranks& ranks = all[target.service];
+      ranks.routes.insert(route.priority);
+      if (tenants.empty())
+        ranks.keys.insert(KeyOf(route, nullptr));
+      for (const auto& [priority, tenant] : tenants)
+        ranks.keys.insert(KeyOf(route, tenant));
     }
-    for (const route_target& target : route.targets)
-      ranks[target.service].insert(of_route.begin(), of_route.end());
   }
-  return ranks;
+  std::erase_if(all,
+                [](const auto& item) { return item.second.routes.size() < 2; });
+  return all;
+}
+
+/// Returns the position of a value among ordered ones, at most kMaxRank.
+template <typename T>
+uint32_t PositionOf(const T& value, const std::set<T>& ordered) {
+  const auto position =
+      std::distance(ordered.begin(), ordered.lower_bound(value));
+  return std::min(static_cast<uint32_t>(position), kMaxRank);
 }
 
 }  // namespace
@@ -43,10 +67,7 @@
   }
   for (const auto& [id, server] : view_->servers)
     servers_[server.service].push_back(&server);
-  for (const auto& [service, ranks] : RanksByService(view_->configuration)) {
-    if (ranks.size() > 1)
-      ranked_services_.insert(service);
-  }
+  ranks_ = FindRanks(view_->configuration);
 }
 
 const site_route* site_index::FindRoute(const std::string& host,
@@ -80,11 +101,14 @@
   return it == servers_.end() ? none : it->second;
 }
 
-uint32_t RankOf(const site_route& route, const site_tenant* tenant) {
-  const bool has_own = tenant != nullptr && tenant->priority;
-  const int priority = has_own ? *tenant->priority : route.priority;
-  return static_cast<uint32_t>(
-      std::clamp(priority, 0, static_cast<int>(kMaxRank)));
+request_rank site_index::RankOf(const std::string& service,
+                                const site_route& route,
+                                const site_tenant* tenant) const {
+  auto it = ranks_.find(service);
+  if (it == ranks_.end())
+    return {};
+  return {.rank = PositionOf(KeyOf(route, tenant), it->second.keys),
+          .route_rank = PositionOf(route.priority, it->second.routes)};
 }
 
 const std::string& ChooseService(const site_route& route, double random) {
