Feature: Grants of free slots nearly until the bound, and when weights come

Grants on replaced weights ended 0.8 s before their bound, and 1.5 s before it while requests waited or pieces arrived, also for requests that begin within a pass because a slot is free and nothing waits. They are now granted until 0.5 s before the bound (1.2 s on a link that pieces saturate); the unload 0.3 s before the bound rejects what has not begun. Requests that would wait keep their margins. Entries take a version as outdated 0.45 s before its bound instead of 0.8 s, to match.

Callers that were refused while no server had usable weights came back after 0.3 s to 2.3 s, whenever there would be any. An agent without usable weights now estimates from the progress of its transfer when it serves again, and denials with slots = 0 carry that. The entry uses the soonest one for Retry-After, up to a third of the time that the caller has left.

--- a/src/call_dispatch_place.cc
+++ b/src/call_dispatch_place.cc
@@ -15,6 +15,9 @@
 /// by this. The rest is needed to wait for and to compute the first token.
 constexpr int kTargetToSearchRatio = 4;
 
+/// Callers honour a Retry-After of at most this fraction of their time left.
+constexpr int kTimeLeftToRetryRatio = 3;
+
 }  // namespace
 
 bool call_dispatch::MayRequestPlace(time_point now,
@@ -191,10 +194,20 @@
   }
   if (is_sample && reply.slots > 0)
     place_search_.OnReply(now, false);
-  selector_.OnFull(now, server, reply.expected_free_in);
-  if (reply.slots > 0 && (!call.expected_free_in ||
-                          reply.expected_free_in < *call.expected_free_in)) {
-    call.expected_free_in = reply.expected_free_in;
+  const bool is_serving = reply.slots > 0;
+  selector_.OnFull(now, server,
+                   is_serving ? reply.expected_free_in : milliseconds(0));
+  // A server without usable weights tells when it expects to serve.
+  const milliseconds free_in =
+      is_serving
+          ? reply.expected_free_in
+          : std::min(
+                reply.expected_free_in,
+                std::chrono::duration_cast<milliseconds>(call.deadline - now) /
+                    kTimeLeftToRetryRatio);
+  if ((is_serving || free_in > milliseconds(0)) &&
+      (!call.expected_free_in || free_in < *call.expected_free_in)) {
+    call.expected_free_in = free_in;
   }
   hooks_.count("place_denied");
   Dispatch(now, &call);
--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -276,14 +276,29 @@
     return next->second + process_.Settings().weights_bound;
   }
 
-  /// Returns when the last request may be granted on the served version;
-  /// nullopt while there is no newer one.
-  std::optional<time_point> GrantsEnd(time_point now) const {
+  /// Tells the places when grants on the served version end and when this
+  /// server is expected to serve again.
+  /// @return When the last request may be granted; nullopt while there is no
+  /// newer version.
+  std::optional<time_point> UpdateGrantsEnd(time_point now) {
+    const bool is_loading = loader_.Report().is_loading;
+    const milliseconds back_in =
+        ServesAgainIn(now, plan_, WantedVersions(), is_loading);
+    places_.SetServesAgainAt(back_in > milliseconds(0) && !is_draining_ &&
+                                     !is_evacuated_
+                                 ? std::optional(now + back_in)
+                                 : std::nullopt);
     const auto outdated_at = OutdatedAt();
-    if (!outdated_at)
+    if (!outdated_at) {
+      places_.SetGrantsEnd(std::nullopt, std::nullopt);
       return std::nullopt;
-    return *outdated_at -
-           GrantMargin(now, last_piece_at_, loader_.Report().waiting);
+    }
+    const time_point last_grant =
+        *outdated_at - FreeSlotGrantMargin(now, last_piece_at_);
+    places_.SetGrantsEnd(*outdated_at - GrantMargin(now, last_piece_at_,
+                                                    loader_.Report().waiting),
+                         last_grant);
+    return last_grant;
   }
 
   /// Unloads the served version right before it is outdated, so that the engine
@@ -691,11 +706,10 @@
   void UpdateServing(time_point now) {
     const bool was_serving = is_serving_;
     const uint64_t before = std::exchange(served_, loader_.ServedVersion());
-    const auto grants_end = GrantsEnd(now);
+    const auto grants_end = UpdateGrantsEnd(now);
     is_serving_ = loader_.IsServing(now) && !is_draining_ && !is_evacuated_ &&
                   !(grants_end && now > *grants_end);
     places_.SetAccepting(is_serving_);
-    places_.SetGrantsEnd(grants_end);
     if (is_serving_ != was_serving || served_ != before) {
       LogEvent(log_event::kEngineState,
                "serving=" + std::to_string(is_serving_) +
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -64,7 +64,9 @@
 }
 
 bool place_table::MayGrant(time_point now) const {
-  if (!is_accepting_ || (grants_end_ && now > *grants_end_))
+  const bool has_free_slot = Load() < profile_.slots && report_.waiting == 0;
+  const auto& end = has_free_slot ? free_slot_grants_end_ : grants_end_;
+  if (!is_accepting_ || (end && now > *end))
     return false;
   return options_.max_report_age.count() == 0 ||
          (reported_at_ && now - *reported_at_ <= options_.max_report_age);
@@ -88,6 +90,10 @@
   }
   if (!MayGrant(now)) {
     reply.slots = 0;
+    if (serves_again_at_ && *serves_again_at_ > now) {
+      reply.expected_free_in =
+          std::chrono::duration_cast<milliseconds>(*serves_again_at_ - now);
+    }
     return reply;
   }
   const uint32_t load = Load();
--- a/src/place_table_base.h
+++ b/src/place_table_base.h
@@ -52,7 +52,8 @@
   /// Whether the request waits at the agent. A second reply grants or denies
   /// it.
   bool is_queued = false;
-  /// In denials: time until a slot is expected to be free. In replies to queued
+  /// In denials: time until a slot is expected to be free, or with slots = 0
+  /// until the server is expected to serve, 0 if unknown. In replies to queued
   /// requests: the expected wait.
   milliseconds expected_free_in{0};
   /// In denials: time until a request of this rank is expected to find a place.
@@ -106,7 +107,16 @@
   void SetAccepting(bool is_accepting) { is_accepting_ = is_accepting; }
   /// Ends granting at a time: requests granted later might begin on replaced
   /// weights.
-  void SetGrantsEnd(std::optional<time_point> end) { grants_end_ = end; }
+  /// @param free_slot_end The same for requests that find a free slot and an
+  ///     empty queue, not before `end`.
+  void SetGrantsEnd(std::optional<time_point> end,
+                    std::optional<time_point> free_slot_end) {
+    grants_end_ = end;
+    free_slot_grants_end_ = free_slot_end;
+  }
+  /// Sets when a server that does not serve is expected to do so; nullopt if
+  /// unknown.
+  void SetServesAgainAt(std::optional<time_point> at) { serves_again_at_ = at; }
   /// Limits granting to requests that are expected to finish by a time. The
   /// engine is ordered to load weights then, and running requests delay the
   /// load.
@@ -150,6 +160,8 @@
   std::optional<time_point> reported_at_;
   bool is_accepting_ = false;
   std::optional<time_point> grants_end_;
+  std::optional<time_point> free_slot_grants_end_;
+  std::optional<time_point> serves_again_at_;
   time_point cold_until_{};
   /// Time by which newly granted requests must finish, because the engine
   /// loads weights then.
--- a/src/server_board_base.h
+++ b/src/server_board_base.h
@@ -31,7 +31,7 @@
   milliseconds max_ejection{8000};
   milliseconds weights_bound{8000};  ///< For new weights to replace old ones.
   /// Subtracted from weights_bound, for the wait of a request at its server.
-  milliseconds weights_margin{800};
+  milliseconds weights_margin{450};
   /// Minimum share of a service's servers in use, in spite of ejections.
   double min_in_use_share = 0.5;
   server_notices_options notices;
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -160,7 +160,7 @@
   place_request request = before.place_requests.back();
   request.entry = "e:1";
   BOOST_TEST(agent.RequestPlace(before.now, request).is_granted);
-  agent.SetGrantsEnd(before.now);
+  agent.SetGrantsEnd(before.now, before.now);
   request = restarted.place_requests.back();
   request.entry = "e:1";
   const time_point later = before.now + milliseconds(500);
@@ -491,6 +491,34 @@
   BOOST_TEST(entry.attempts.empty());
 }
 
+// Two agents without usable weights. The soonest counts, up to a third of the
+// time that the caller has left.
+BOOST_AUTO_TEST_CASE(without_weights_retry_after_is_when_agents_serve_again) {
+  struct denial {
+    milliseconds first;
+    milliseconds second;
+    milliseconds retry_after;
+  };
+  const denial table[] = {
+      {seconds(0), seconds(0), milliseconds(300)},
+      {milliseconds(900), seconds(0), milliseconds(900)},
+      {milliseconds(900), milliseconds(700), milliseconds(700)},
+      {seconds(9), seconds(0), milliseconds(2000)}};
+  for (const denial& each : table) {
+    fake_entry entry({.retry_after_spread = milliseconds(0)});
+    entry.SendRequest(1, "models");
+    for (const milliseconds span : {each.first, each.second}) {
+      if (!entry.refusals.empty())
+        break;
+      entry.dispatch.OnPlaceReply(entry.now, entry.place_requests.back().call,
+                                  {.expected_free_in = span});
+    }
+    BOOST_REQUIRE(entry.refusals.size() == 1u);
+    BOOST_TEST(entry.refusals[0].retry_after->count() ==
+               each.retry_after.count());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(keys_are_refused_when_the_known_state_is_stale) {
   fake_entry entry;
   entry.now += milliseconds(4800);
--- a/src/tests/place_table_test.cc
+++ b/src/tests/place_table_test.cc
@@ -203,18 +203,54 @@
 // report of its engine.
 BOOST_AUTO_TEST_CASE(no_place_is_granted_past_the_end_without_a_report) {
   place_table table = MakeTable();
-  table.SetGrantsEnd(kStart + seconds(1));
+  table.SetGrantsEnd(kStart + seconds(1), kStart + seconds(1));
   table.OnReport(kStart, {});
   BOOST_TEST(table.RequestPlace(kStart, MakeRequest(1)).is_granted);
   const place_reply late =
       table.RequestPlace(kStart + seconds(4), MakeRequest(2));
   BOOST_TEST(!late.is_granted);
   BOOST_TEST(late.slots == 0u);
-  table.SetGrantsEnd(std::nullopt);
+  table.SetGrantsEnd(std::nullopt, std::nullopt);
   BOOST_TEST(
       table.RequestPlace(kStart + seconds(4), MakeRequest(3)).is_granted);
 }
 
+// All grants ended 0.8 s or 1.5 s before the bound of replaced weights,
+// although requests with a free slot begin within a pass.
+BOOST_AUTO_TEST_CASE(near_the_bound_only_requests_with_a_free_slot_get_places) {
+  const auto granted = [](milliseconds free_slot_span, uint32_t waiting) {
+    place_table table = MakeTable();
+    table.SetGrantsEnd(kStart, kStart + free_slot_span);
+    size_t count = 0;
+    for (uint32_t i = 0; i < 10; ++i) {
+      const time_point now = kStart + milliseconds(100 * i + 50);
+      table.OnReport(now, {.waiting = waiting, .running = i});
+      count += table.RequestPlace(now, MakeRequest(i)).is_granted ? 1 : 0;
+    }
+    return count;
+  };
+  BOOST_TEST(granted(milliseconds(0), 0) == 0u);
+  BOOST_TEST(granted(milliseconds(500), 0) == 5u);
+  BOOST_TEST(granted(milliseconds(500), 1) == 0u);
+}
+
+// Callers that were refused while no weights were usable came back within
+// 0.3 s to 2.3 s, whenever there would be any.
+BOOST_AUTO_TEST_CASE(
+    a_denial_without_usable_weights_tells_when_there_are_some) {
+  place_table table = MakeTable();
+  table.SetAccepting(false);
+  BOOST_TEST(
+      table.RequestPlace(kStart, MakeRequest(1)).expected_free_in.count() == 0);
+  table.SetServesAgainAt(kStart + seconds(3));
+  const place_reply reply =
+      table.RequestPlace(kStart + seconds(1), MakeRequest(2));
+  BOOST_TEST(reply.slots == 0u);
+  BOOST_TEST(reply.expected_free_in.count() == 2000);
+  BOOST_TEST(table.RequestPlace(kStart + seconds(4), MakeRequest(3))
+                 .expected_free_in.count() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/weights_plan_test.cc
+++ b/src/tests/weights_plan_test.cc
@@ -67,6 +67,32 @@
               milliseconds(1000)));
 }
 
+// Calls that find a free slot are granted nearly until the unload, 0.3 s before
+// the bound; on a link that pieces saturate, a request may take 0.7 s longer.
+BOOST_AUTO_TEST_CASE(grants_of_free_slots_end_shortly_before_the_unload) {
+  const milliseconds usual = FreeSlotGrantMargin(kTargetSince, std::nullopt);
+  const milliseconds saturated =
+      FreeSlotGrantMargin(kTargetSince, kTargetSince);
+  BOOST_TEST((usual > milliseconds(300) && usual <= milliseconds(500)));
+  BOOST_TEST((saturated - usual >= milliseconds(700)));
+  BOOST_TEST((saturated < GrantMargin(kTargetSince, kTargetSince, 0)));
+  BOOST_TEST(IsUnloadDue(kTargetSince, kTargetSince + milliseconds(300)));
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_an_outage_of_weights_is_estimated) {
+  const time_point now = kTargetSince + seconds(3);
+  const auto estimate = [&](double progress) {
+    const std::vector<wanted_version> wanted{{2, kTargetSince, progress}};
+    return ServesAgainIn(now, PlanWeights(now, kOptions, 0, wanted, 0), wanted,
+                         false)
+        .count();
+  };
+  BOOST_TEST(estimate(0) == 0);
+  BOOST_TEST(estimate(0.5) == 3500);
+  BOOST_TEST(estimate(1) == 500);
+  BOOST_TEST(estimate(0.1) == 10000);
+}
+
 BOOST_AUTO_TEST_CASE(
     an_empty_engine_loads_as_soon_as_the_weights_are_complete) {
   auto plan =
--- a/src/weights_plan.cc
+++ b/src/weights_plan.cc
@@ -55,6 +55,14 @@
 /// Time before the end of the bound at which replaced weights are unloaded:
 /// several intervals of the check, plus the call to the engine on the same VM.
 constexpr milliseconds kUnloadMargin{300};
+/// The reply that grants a place, the request, and one pass of the engine.
+constexpr milliseconds kTravelAndPass{200};
+/// Load of the staged weights and the comparison of all pieces after it.
+constexpr milliseconds kLoadTime{500};
+/// Progress below which the rate of a transfer is too uncertain.
+constexpr double kMinProgressOfEstimate = 0.1;
+/// Longest estimate. During an outage of the origin it grows with the outage.
+constexpr milliseconds kMaxEstimate{10000};
 
 }  // namespace
 
@@ -136,6 +144,36 @@
                                           : kEngineWait;
 }
 
+milliseconds FreeSlotGrantMargin(time_point now,
+                                 std::optional<time_point> last_piece) {
+  const bool is_link_saturated =
+      last_piece && now - *last_piece < kLinkSaturation;
+  return kUnloadMargin + kTravelAndPass +
+         (is_link_saturated ? kQueueWait : milliseconds(0));
+}
+
+milliseconds ServesAgainIn(time_point now,
+                           const weights_plan& plan,
+                           const std::vector<wanted_version>& wanted,
+                           bool is_loading) {
+  if (is_loading || plan.load)
+    return kLoadTime;
+  if (plan.fetch.empty())
+    return milliseconds(0);
+  const auto first = std::find_if(wanted.begin(), wanted.end(),
+                                  [&](const wanted_version& each) {
+                                    return each.version == plan.fetch.front();
+                                  });
+  if (first == wanted.end())
+    return milliseconds(0);
+  if (first->progress < kMinProgressOfEstimate)
+    return milliseconds(0);
+  const duration left = FractionOf(now - first->target_since,
+                                   (1 - first->progress) / first->progress);
+  return std::min(std::chrono::duration_cast<milliseconds>(left) + kLoadTime,
+                  kMaxEstimate);
+}
+
 bool IsUnloadDue(time_point now, time_point outdated_at) {
   return now >= outdated_at - kUnloadMargin;
 }
--- a/src/weights_plan_func.h
+++ b/src/weights_plan_func.h
@@ -71,6 +71,25 @@
                          std::optional<time_point> last_piece,
                          uint32_t waiting);
 
+/// Computes the same for requests that find a free slot and an empty queue,
+/// which begin within a pass of the engine. Load pattern: most calls of the
+/// last second before the bound, when no newer weights have arrived. A request
+/// that comes too late all the same is rejected by the unloaded engine as not
+/// run.
+milliseconds FreeSlotGrantMargin(time_point now,
+                                 std::optional<time_point> last_piece);
+
+/// Estimates when an agent without usable weights serves again, from the
+/// transfer's progress so far. Load pattern: callers refused while no server
+/// has usable weights, who would otherwise return before there are any.
+/// @param plan Made from `wanted`.
+/// @param is_loading Whether the engine loads weights now.
+/// @return 0 if unknown.
+milliseconds ServesAgainIn(time_point now,
+                           const weights_plan& plan,
+                           const std::vector<wanted_version>& wanted,
+                           bool is_loading);
+
 /// Whether the served version must be unloaded now, so that the engine itself
 /// begins no request on it when it is outdated.
 bool IsUnloadDue(time_point now, time_point outdated_at);
