--- a/src/call_dispatch_reply.cc
+++ b/src/call_dispatch_reply.cc
@@ -9,6 +9,9 @@
 /// A wait ends at the latest this long before the caller's timeout.
 constexpr milliseconds kMinTimeLeft{20};
 
+/// Callers honour a Retry-After of at most this fraction of their time left.
+constexpr int kTimeLeftToRetryRatio = 3;
+
 }  // namespace
 
 void call_dispatch::RecordPlaceReply(time_point now,
@@ -89,12 +92,22 @@
     OnQuarantined(now, reply.quarantined_trait);
     return OnNoServer(now, call, call_refusal::kQuarantined);
   }
-  if (reply.slots > 0)
+  const bool is_serving = reply.slots > 0;
+  if (is_serving)
     RecordSearch(now, *call, false);
-  selector_.OnFull(now, server, reply.expected_free_in);
-  if (reply.slots > 0 && (!call->expected_free_in ||
-                          reply.expected_free_in < *call->expected_free_in)) {
-    call->expected_free_in = reply.expected_free_in;
+  selector_.OnFull(now, server,
+                   is_serving ? reply.expected_free_in : milliseconds(0));
+  // A server without usable weights tells when it expects to serve.
+  const milliseconds free_in =
+      is_serving
+          ? reply.expected_free_in
+          : std::min(
+                reply.expected_free_in,
+                std::chrono::duration_cast<milliseconds>(call->deadline - now) /
+                    kTimeLeftToRetryRatio);
+  if ((is_serving || free_in > milliseconds(0)) &&
+      (!call->expected_free_in || free_in < *call->expected_free_in)) {
+    call->expected_free_in = free_in;
   }
   if (call->is_ranked && reply.rank_free_in > milliseconds(0) &&
       (!call->rank_free_in || reply.rank_free_in < *call->rank_free_in)) {
--- a/src/hosted_places.cc
+++ b/src/hosted_places.cc
@@ -81,11 +81,8 @@
     table_.SetColdUntil(now + report.cold_remaining);
 }
 
-void hosted_places::SetAccepting(time_point now,
-                                 bool is_accepting,
-                                 std::optional<time_point> grants_end) {
+void hosted_places::SetAccepting(time_point now, bool is_accepting) {
   table_.SetAccepting(is_accepting);
-  table_.SetGrantsEnd(grants_end);
   Decide(now);
 }
 
--- a/src/hosted_places_base.h
+++ b/src/hosted_places_base.h
@@ -52,11 +52,8 @@
   void OnEngineReport(time_point now,
                       const staged_engine_report& report,
                       bool is_restarted);
-  /// Sets whether places are granted.
-  /// @param grants_end When granting ends; see place_table.
-  void SetAccepting(time_point now,
-                    bool is_accepting,
-                    std::optional<time_point> grants_end);
+  /// Sets whether places are granted, and decides on requests that wait.
+  void SetAccepting(time_point now, bool is_accepting);
   /// Sends the decisions on requests that wait.
   void Decide(time_point now);
   place_table& Table() { return table_; }
--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -68,12 +68,20 @@
 }
 
 bool place_table::MayGrant(time_point now) const {
-  if (!is_accepting_ || (grants_end_ && now > *grants_end_))
+  const bool has_free_slot = Load() < profile_.slots && report_.waiting == 0;
+  const auto& end = has_free_slot ? free_slot_grants_end_ : grants_end_;
+  if (!is_accepting_ || (end && now > *end))
     return false;
   return options_.max_report_age.count() == 0 ||
          (reported_at_ && now - *reported_at_ <= options_.max_report_age);
 }
 
+milliseconds place_table::ServesAgainIn(time_point now) const {
+  if (!serves_again_at_ || *serves_again_at_ <= now)
+    return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(*serves_again_at_ - now);
+}
+
 bool place_table::IsWithinColdRate(time_point now) {
   while (!recent_grants_.empty() && now - recent_grants_.front() > seconds(1))
     recent_grants_.pop_front();
@@ -133,6 +141,7 @@
   }
   if (!MayGrant(now)) {
     reply.slots = 0;
+    reply.expected_free_in = ServesAgainIn(now);
     return reply;
   }
   const engine_profile profile = PredictionProfile(now);
--- a/src/place_table_ranked.cc
+++ b/src/place_table_ranked.cc
@@ -167,7 +167,10 @@
   const engine_profile profile = PredictionProfile(now);
   while (!queue_.empty()) {
     Deny(now, profile, queue_.size() - 1, cause);
-    decisions_.back().reply.slots = 0;
+    place_reply& reply = decisions_.back().reply;
+    reply.slots = 0;
+    reply.expected_free_in = ServesAgainIn(now);
+    reply.rank_free_in = milliseconds(0);
   }
 }
 
@@ -219,7 +222,9 @@
                            request.organisation);
   }
   if (!MayGrant(now))
-    return {.load = Load(), .cause = place_cause::kNotAccepting};
+    return {.expected_free_in = ServesAgainIn(now),
+            .load = Load(),
+            .cause = place_cause::kNotAccepting};
   queue_.Add(MakeWaiting(now, request));
   DecideInOrder(now, profile);
   if (auto reply = TakeDecision(request))
--- a/src/tests/place_queue_test.cc
+++ b/src/tests/place_queue_test.cc
@@ -152,7 +152,7 @@
     table.RequestPlace(now, MakeRequest(1, 0));
     table.RequestPlace(now, MakeRequest(2, 2));
     if (is_end) {
-      table.SetGrantsEnd(now - milliseconds(1));
+      table.SetGrantsEnd(now - milliseconds(1), now - milliseconds(1));
     } else {
       table.SetAccepting(false);
     }
