--- a/src/call_dispatch_reply.cc
+++ b/src/call_dispatch_reply.cc
@@ -1,5 +1,7 @@
 /// @file call_dispatch_reply.cc Replies of agents to the place requests of a
 /// hosted call, and its waits in their queues.
+#include <algorithm>
+
 #include "call_dispatch_base.h"
 
 namespace fuchsiafall {
