Test: Plans and loads of a fleet of which the origin is away

The fleet in virtual time spread weights only. Now its agents also follow PlanWeights, stage, load and unload, and it measures when each version is complete and served, and the time without grants.

--- a/src/tests/fake_weight_fleet.cc
+++ b/src/tests/fake_weight_fleet.cc
@@ -159,15 +159,17 @@
 }
 
 void fake_weight_fleet::SetTarget(node* item) {
-  if (versions_.empty())
+  if (!options_.plan)
+    item->versions = versions_;
+  if (item->versions.empty())
     return;
   std::vector<artifact_ref> parts;
-  for (uint64_t version : versions_)
+  for (uint64_t version : item->versions)
     parts.push_back({std::to_string(version), ManifestName("model", version)});
   output_list out;
   item->transfer->SetListed(now, item->is_listed);
   item->transfer->SetTarget(now, topology_, "model", parts, false, &out);
-  for (uint64_t version : versions_) {
+  for (uint64_t version : item->versions) {
     if (!item->manifests.IsConfirmed(version))
       continue;
     item->transfer->ReplaceManifest(
@@ -211,11 +213,13 @@
 void fake_weight_fleet::RunNode(node* item) {
   if (item->is_dead)
     return;
+  if (options_.plan)
+    RunLoader(item);
   output_list out;
   item->transfer->SetListed(now, item->is_listed);
   item->transfer->RunDue(now, &out);
   Perform(item, &out);
-  for (uint64_t version : versions_) {
+  for (uint64_t version : item->versions) {
     if (item->manifests.Find(version) != nullptr &&
         item->manifests.NeedsRead(now, version))
       ReadManifest(item, version);
@@ -321,7 +325,7 @@
 }
 
 void fake_weight_fleet::FetchFromOrigin(node* item, const digest& wanted) {
-  for (uint64_t version : versions_) {
+  for (uint64_t version : item->versions) {
     if (ManifestName("model", version) == wanted)
       return ReadManifest(item, version);
   }
--- a/src/tests/fake_weight_fleet.h
+++ b/src/tests/fake_weight_fleet.h
@@ -6,11 +6,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "manifest_book_base.h"
+#include "tests/fake_load_agent.h"
 #include "weight_transfer_base.h"
 
 namespace fuchsiafall::tests {
@@ -26,6 +28,16 @@
   size_t max_origin_requests = 1;       ///< Of each agent.
   size_t corrupt_reads = 0;  ///< First reads of each manifest to corrupt.
   uint64_t seed = 1;
+  /// If set, each agent serves version 1 and follows this plan when versions
+  /// are named.
+  std::optional<weights_plan_options> plan;
+  bool has_free_slots = true;  ///< Whether calls find a free slot.
+};
+
+/// Progress of one version, from the first naming on.
+struct fake_rollout {
+  std::vector<double> complete_at;  ///< Seconds, one for each agent that is.
+  std::vector<double> served_at;
 };
 
 /// Simulates the origin, the links and the agents' use of weight_transfer.
@@ -35,6 +47,10 @@
 
   /// Makes the agents want these versions, newest last.
   void SetVersions(const std::vector<uint64_t>& versions);
+  /// Names a version, as operators do.
+  void Name(uint64_t version);
+  /// Reports when agents held and served a version.
+  fake_rollout Rollout(uint64_t version) const;
   /// Changes the number of servers in each domain. New ones join empty.
   void Resize(size_t servers);
   /// Makes the agents want these versions while each knows only itself.
@@ -70,6 +86,7 @@
   size_t max_open_reads = 0;    ///< Maximum open at the origin at once.
   uint64_t origin_bytes = 0;    ///< Sent by the origin.
   size_t chunks_delivered = 0;  ///< By agents to agents.
+  double unusable = 0;  ///< Seconds without grants, of all agents.
 
  private:
   struct node {
@@ -83,6 +100,9 @@
     bool is_listed = true;
     bool is_dead = false;
     bool has_no_origin = false;
+    std::vector<uint64_t> versions;  ///< Wanted, newest last.
+    std::optional<fake_load_agent> loader;
+    std::map<uint64_t, time_point> complete_at;
   };
   /// Answer that the origin is sending.
   struct origin_read {
@@ -98,6 +118,9 @@
   /// Makes the topology that an agent knows while only some are listed.
   topology_ptr MakePartialTopology(const node& item) const;
   void RunNode(node* item);
+  /// Follows the plan of an agent.
+  void RunLoader(node* item);
+  double ProgressOf(const node& item, uint64_t version);
   void Perform(node* item, output_list* out);
   void Deliver(node* from, const send_message& message);
   void FetchFromOrigin(node* item, const digest& wanted);
@@ -113,6 +136,7 @@
   fake_weight_fleet_options options_;
   topology_ptr topology_;
   std::vector<uint64_t> versions_;
+  std::map<uint64_t, time_point> named_;  ///< When each version was.
   std::map<std::string, node> nodes_;
   std::map<std::string, node*> by_address_;
   std::map<std::pair<std::string, std::string>, rate_pacer> region_links_;
