--- a/src/place_table.cc
+++ b/src/place_table.cc
@@ -127,9 +127,9 @@
 
 place_reply place_table::RequestPlace(time_point now,
                                       const place_request& request) {
-  place_reply reply{.load = Load(),
-                    .slots = profile_.slots,
-                    .slowdown = ReportedSlowdown(now)};
+  place_reply reply{.slowdown = ReportedSlowdown(now),
+                    .load = Load(),
+                    .slots = profile_.slots};
   if (places_.contains({request.entry, request.call})) {
     reply.is_granted = true;  // The reply to an earlier request was lost.
     return reply;
