--- a/src/hosted_agent.cc
+++ b/src/hosted_agent.cc
@@ -17,6 +17,7 @@
 #include "network/http_status.h"
 #include "network/message_link.h"
 #include "platform/documents.h"
+#include "transfer_topology_func.h"
 #include "weight_loader_base.h"
 #include "weight_transfer_base.h"
 #include "weights_plan_func.h"
@@ -196,22 +197,6 @@
     is_evacuated_ = view.evacuated.contains(process_.Settings().domain);
   }
 
-  /// Computes the share of servers that load before this one. The order is by
-  /// the hash of their addresses, so that neighbours do not load together.
-  double ComputeLoadSlot() const {
-    if (members_.empty())
-      return 0;
-    std::vector<std::string> ids;
-    for (const auto& [id, domain] : members_)
-      ids.push_back(id);
-    const auto order = RendezvousRank("turn", ids, ids.size());
-    for (size_t i = 0; i < order.size(); ++i) {
-      if (ids[order[i]] == self_.value)
-        return static_cast<double>(i) / static_cast<double>(order.size());
-    }
-    return 0;
-  }
-
   /// Rebuilds the topology for the weight transfer when the servers change.
   void UpdateTopology(time_point now, const site_view& view) {
     std::map<std::string, std::string> members;
@@ -225,35 +210,12 @@
       return;
     members_ = std::move(members);
     crash_monitor_.SetPeers(now, OtherAgents());
-    topology_ = MakeTopology();
-    load_slot_ = ComputeLoadSlot();
+    topology_ = MakeTransferTopology(process_.Settings(), members_);
+    load_slot_ = ComputeLoadSlot(members_, self_.value);
     // Makes the next plan give the new topology to the transfer.
     target_versions_.clear();
   }
 
-  topology_ptr MakeTopology() const {
-    proto::configuration configuration;
-    proto::inventory* inventory = configuration.mutable_inventory();
-    std::set<std::string> domains;
-    for (const auto& [ip, domain] : members_) {
-      if (domains.insert(domain).second) {
-        proto::failure_domain* added = inventory->add_domains();
-        added->set_id(domain);
-        auto region = process_.Settings().regions.find(domain);
-        if (region != process_.Settings().regions.end())
-          added->set_region(region->second);
-      }
-      proto::vm* vm = inventory->add_vms();
-      vm->set_id(ip);
-      vm->set_ip(ip);
-      vm->set_domain(domain);
-      vm->set_role(proto::vm::AGENT);
-      vm->set_port(process_.Settings().first_port);
-      vm->set_service(process_.Settings().service);
-    }
-    return std::make_shared<topology>(std::move(configuration));
-  }
-
   // ---- Weights ----
 
   /// Lists the versions newer than the served one, oldest first.
