Fix: Take an answer without a valid status from an agent for no answer

Servers in trouble sent answers whose status was 000. Every status line is read by ParseResponseHead(), which takes only 100 to 599, and tests now show this for exchanges, interim heads, blocking and asynchronous calls. An entry of the own interface, however, took the status from the first part of an agent's answer as it was: one without a status would have reached the caller as "HTTP/1.1 0". The attempt fails now, as one that ends early.

--- a/src/network/http_status.h
+++ b/src/network/http_status.h
@@ -16,6 +16,7 @@
 inline constexpr int kHttpBadGateway = 502;
 inline constexpr int kHttpUnavailable = 503;
 inline constexpr int kHttpGatewayTimeout = 504;
+inline constexpr int kMaxHttpStatus = 599;
 
 }  // namespace fuchsiafall
 
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -5,6 +5,7 @@
 
 #include "envelope_func.h"
 #include "hash_func.h"
+#include "network/http_status.h"
 
 namespace fuchsiafall {
 
@@ -353,7 +354,9 @@
     item->http_status = static_cast<int>(part.http_status());
     item->content_type = part.content_type();
   }
-  if (part.last() && part.total_bytes() != item->bytes) {
+  const bool is_status_valid =
+      item->http_status >= kHttpOk && item->http_status <= kMaxHttpStatus;
+  if (!is_status_valid || (part.last() && part.total_bytes() != item->bytes)) {
     OnFailedAttempt(now, item, reason::kAnswerIncomplete, true, out);
     return;
   }
--- a/src/tests/http_exchange_test.cc
+++ b/src/tests/http_exchange_test.cc
@@ -449,6 +449,48 @@
   }
 }
 
+// Servers in trouble sent answers whose status was 000.
+BOOST_AUTO_TEST_CASE(an_answer_with_status_000_is_no_answer_on_any_path) {
+  const std::string zero = "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string& answer :
+       {zero, interim + zero, zero + WholeAnswer("b")}) {
+    auto send = [&](size_t, scripted_server* to) { to->Send(answer); };
+    exchange_fixture fixture(send);
+    fixture.Run();
+    BOOST_TEST((fixture.exchanges.at(0).end == exchange_end::kMalformed),
+               answer);
+    BOOST_TEST(fixture.exchanges.at(0).body.empty());
+
+    event_loop loop;
+    scripted_server server(&loop, send);
+    http_client_pool pool(&loop, {});
+    int status = -1;
+    StartAsyncHttpCall(
+        BootNow(), &loop, &pool,
+        {.address = server.address,
+         .request = kRequest,
+         .timeout = kTestTimeout,
+         .on_done = [&](time_point, int given, const std::string&) {
+           status = given;
+           loop.Stop();
+         }});
+    loop.Run();
+    BOOST_TEST(status == 0, answer);  // None.
+
+    event_loop blocking_loop;
+    scripted_server blocking(&blocking_loop, send);
+    std::thread serving([&] { blocking_loop.Run(); });
+    const http_result result = CallHttp({.address = blocking.address,
+                                         .path = "/",
+                                         .timeout = milliseconds(300)});
+    blocking_loop.Stop();
+    serving.join();
+    BOOST_TEST((result.status == http_result::status_type::kIncomplete),
+               answer);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(chunks_that_end_with_their_connection_are_broken) {
   exchange_fixture fixture([](size_t, scripted_server* server) {
     server->Send(std::string(kChunkedHead) + "4\r\npart\r\n");
--- a/src/tests/http_message_test.cc
+++ b/src/tests/http_message_test.cc
@@ -90,8 +90,9 @@
 // "HTTP/1.1 20 OK" of a faulty server was passed on to the caller.
 BOOST_AUTO_TEST_CASE(a_line_without_a_valid_status_begins_no_answer) {
   for (const char* line :
-       {"HTTP/1.1 20 OK", "HTTP/1.1 0 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 099 X",
-        "HTTP/1.1 600 X", "HTTP/1.1 +20 X", "HTTP/1.1 -20 X", "HTTP/1.1 2x0 X",
+       {"HTTP/1.1 20 OK", "HTTP/1.1 000 OK", "HTTP/1.0 000", "HTTP/1.1 0 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 099 X", "HTTP/1.1 600 X",
+        "HTTP/1.1 +20 X", "HTTP/1.1 -20 X", "HTTP/1.1 2x0 X",
         "HTTP/1.1  200 OK", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.2 200 OK",
         "HTTP/2 200 OK", "HTP/1.1 200 OK", " HTTP/1.1 200 OK", "200 OK", ""}) {
     BOOST_TEST(!ParseResponseHead(std::string(line) + "\r\n\r\n"), line);
--- a/src/tests/request_test.cc
+++ b/src/tests/request_test.cc
@@ -289,42 +289,69 @@
   BOOST_TEST(members.CrashesOf(now, late) == 2u);
 }
 
-BOOST_AUTO_TEST_CASE(
-    truncated_and_crossed_answers_never_reach_a_caller_as_whole) {
-  request_table_options options{.self = vm_id("western-1"),
-                                .own_incarnation = incarnation(5)};
-  gossip members({.self = vm_id("western-1"), .domain = domain_id("western")});
-  router routes({.self = vm_id("western-1"), .domain = domain_id("western")});
+namespace {
+
+/// Entry with one request that it has sent to the server western-2.
+struct sent_request {
+  sent_request() {
+    proto::configuration configuration;
+    configuration.set_revision(1);
+    *configuration.mutable_inventory() = MakeInventory({});
+    configuration.mutable_inventory()->add_versions()->set_id("v1");
+    configuration.mutable_inventory()->mutable_versions(0)->set_manifest_digest(
+        std::string(64, 'a'));
+    configuration.mutable_inventory()->mutable_services(0)->set_version("v1");
+    output_list out;
+    members.OnStoreChanges(now, &configuration, {}, &out);
+    routes.SetTopology(now, members.Topology());
+    proto::server_state state;
+    state.set_service("assistant");
+    state.set_version("v1");
+    state.set_accepting(true);
+    state.set_limit(4);
+    routes.OnServerState(now, vm_id("western-2"), state);
+    caller_request request = fake_network::MakeCompletion("mine");
+    request.id = 1;
+    table.OnRequest(now, request, &out);
+    auto sent = std::get_if<send_message>(&out.Items().back());
+    BOOST_TEST_REQUIRE(sent != nullptr);
+    part.set_attempt_id(sent->message.call().attempt_id());
+    part.set_data("half");
+    part.set_http_status(200);
+  }
+
   time_point now{std::chrono::hours(1)};
-  output_list ignored;
-  proto::configuration configuration;
-  configuration.set_revision(1);
-  *configuration.mutable_inventory() = MakeInventory({});
-  configuration.mutable_inventory()->add_versions()->set_id("v1");
-  configuration.mutable_inventory()->mutable_versions(0)->set_manifest_digest(
-      std::string(64, 'a'));
-  configuration.mutable_inventory()->mutable_services(0)->set_version("v1");
-  members.OnStoreChanges(now, &configuration, {}, &ignored);
-  routes.SetTopology(now, members.Topology());
-  proto::server_state state;
-  state.set_service("assistant");
-  state.set_version("v1");
-  state.set_accepting(true);
-  state.set_limit(4);
-  routes.OnServerState(now, vm_id("western-2"), state);
-  request_table table(options, &routes, &members);
-
-  output_list out;
-  caller_request request = fake_network::MakeCompletion("mine");
-  request.id = 1;
-  table.OnRequest(now, request, &out);
-  auto sent = std::get_if<send_message>(&out.Items().back());
-  BOOST_TEST_REQUIRE(sent != nullptr);
-  proto::call_part part;
-  part.set_attempt_id(sent->message.call().attempt_id());
-  part.set_data("half");
-  part.set_http_status(200);
+  gossip members{{.self = vm_id("western-1"), .domain = domain_id("western")}};
+  router routes{{.self = vm_id("western-1"), .domain = domain_id("western")}};
+  request_table table{
+      {.self = vm_id("western-1"), .own_incarnation = incarnation(5)},
+      &routes,
+      &members};
+  proto::call_part part;  ///< First part of an answer to it.
+};
 
+}  // namespace
+
+// An answer with status 0 would reach the caller as "HTTP/1.1 0".
+BOOST_AUTO_TEST_CASE(a_part_without_a_valid_status_is_no_answer) {
+  for (const uint32_t status : {0U, 99U, 100U, 199U, 600U, 4294967295U}) {
+    sent_request sent;
+    sent.part.set_http_status(status);
+    sent.part.set_last(true);
+    sent.part.set_total_bytes(sent.part.data().size());
+    output_list out;
+    sent.table.OnPart(sent.now, vm_id("western-2"), sent.part, &out);
+    for (const output& item : out.Items())
+      BOOST_TEST(!std::holds_alternative<answer_part>(item), status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    truncated_and_crossed_answers_never_reach_a_caller_as_whole) {
+  sent_request sent;
+  const time_point now = sent.now;
+  request_table& table = sent.table;
+  const proto::call_part& part = sent.part;
   output_list crossed;
   proto::call_part other = part;
   other.set_attempt_id(part.attempt_id() + 1);
