Test: Follow the signature of SetAccepting

The end of grants is set apart from accepting since the margins differ for free slots, so that a test of the agent's places no longer compiled. Its checks stay.

--- a/src/tests/hosted_places_test.cc
+++ b/src/tests/hosted_places_test.cc
@@ -20,7 +20,7 @@
       : crashes({.self = vm_id("a")}, CrashHooks()), places({}, Hooks()) {
     places.Table().SetProfile(MakeRankedProfile(), 0);
     places.Table().SetRanked(true);
-    places.SetAccepting(kStart, true, std::nullopt);
+    places.SetAccepting(kStart, true);
   }
 
   static crash_monitor_hooks CrashHooks() {
