Test: Expect the position of a priority as rank in a test of urgency

Ranks are positions among the priorities that a configuration has. Of the two priorities 0 and 3 of this test the lower one is rank 1; the check was written when the priority itself was the rank.

--- a/src/tests/ranked_entry_test.cc
+++ b/src/tests/ranked_entry_test.cc
@@ -69,7 +69,8 @@
   entry.site.Set(view);
   entry.dispatch.SetIndex(entry.site.index.get());
   entry.SendRequest(1, "plain", "/read/x");
-  BOOST_TEST(entry.attempts.back().headers.urgency.value_or(-1) == 3);
+  // Its rank is the position among the priorities that occur.
+  BOOST_TEST(entry.attempts.back().headers.urgency.value_or(-1) == 1);
   entry.SendRequest(2, "plain");
   BOOST_TEST(entry.attempts.back().headers.urgency.value_or(-1) == 0);
 }
