--- a/src/tests/fake_weight_fleet.h
+++ b/src/tests/fake_weight_fleet.h
@@ -86,7 +86,7 @@
   size_t max_open_reads = 0;    ///< Maximum open at the origin at once.
   uint64_t origin_bytes = 0;    ///< Sent by the origin.
   size_t chunks_delivered = 0;  ///< By agents to agents.
-  double unusable = 0;  ///< Seconds without grants, of all agents.
+  double unusable = 0;          ///< Seconds without grants, of all agents.
 
  private:
   struct node {
