--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -380,6 +380,10 @@
   double bytes_per_ms = 20e6 / 8 / 1000;
   std::atomic<int> watches{0};  ///< Watch calls so far.
   std::atomic<int> lists{0};    ///< Pages of the whole store so far.
+  std::atomic<int64_t> watch_at{0};     ///< When the last watch came.
+  std::atomic<bool> is_silent{false};  ///< Whether calls get no answer.
+  /// When it was first told that an item was removed; 0 if it was not.
+  std::atomic<int64_t> told_removal_at{0};
 };
 
 /// Store as in PROTOCOL.md: revisions, pages, watches, conditional writes.
@@ -548,9 +552,12 @@
 
   bool OnRequest(int fd, const http_message& request, store_link* link) {
     SleepUs(link->latency_us);
+    if (link->is_silent)
+      return true;
     const std::string target = request.Target();
     std::string body;
     int status = 200;
+    bool tells_removal = false;
     if (target.starts_with("/kv-range")) {
       std::lock_guard lock(mutex_);
       const std::string prefix = Query(target, "Prefix");
@@ -565,6 +572,7 @@
       const uint64_t after = std::stoull(Query(target, "After"));
       const int64_t until = NowMs() + std::stoll(Query(target, "WaitMs"));
       ++link->watches;
+      link->watch_at = NowMs();
       std::unique_lock lock(mutex_);
       while (revision_ <= after && NowMs() < until) {
         changed_.wait_for(lock, std::chrono::milliseconds(
@@ -573,6 +581,7 @@
       std::string rows;
       for (auto it = history_.upper_bound(after); it != history_.end(); ++it) {
         rows += rows.empty() ? "" : ",";
+        tells_removal = tells_removal || it->second.is_deleted;
         rows += it->second.is_deleted
                     ? R"({"Key":")" + it->second.key + R"(","Revision":)" +
                           std::to_string(it->first) + R"(,"Deleted":true})"
@@ -593,12 +602,17 @@
       body = "{}";
     }
     SleepMs(link->answer_ms);
+    if (link->is_silent)
+      return true;  // The channel on which an answer is lost stays silent.
     SleepUs(link->latency_us +
             static_cast<int64_t>(static_cast<double>(body.size()) /
                                  link->bytes_per_ms * 1000));
-    return SendAll(fd, Answer(status, body,
-                              "Content-Type: application/json\r\n"
-                              "Store-Era: 1\r\n"));
+    const bool is_sent = SendAll(fd, Answer(status, body,
+                                            "Content-Type: application/json\r\n"
+                                            "Store-Era: 1\r\n"));
+    if (is_sent && tells_removal && link->told_removal_at == 0)
+      link->told_removal_at = NowMs();
+    return is_sent;
   }
   static void SleepUs(int64_t us) {
     std::this_thread::sleep_for(std::chrono::microseconds(us));
