--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -405,6 +405,27 @@
     Apply(key, "", true);
     changed_.notify_all();
   }
+  /// Makes the copy that Restore() comes back from.
+  void Copy() {
+    std::lock_guard lock(mutex_);
+    copy_ = items_;
+    copy_revision_ = revision_;
+  }
+  /// The store is away: it resets the channels of all calls.
+  void GoAway() {
+    std::lock_guard lock(mutex_);
+    is_away_ = true;
+    changed_.notify_all();
+  }
+  /// Comes back from the copy, with the next era and without a history.
+  void Restore() {
+    std::lock_guard lock(mutex_);
+    items_ = copy_;
+    revision_ = history_start_ = copy_revision_;
+    history_.clear();
+    ++era_;
+    is_away_ = false;
+  }
   size_t Size() {
     std::lock_guard lock(mutex_);
     return items_.size();
@@ -574,10 +595,12 @@
       ++link->watches;
       link->watch_at = NowMs();
       std::unique_lock lock(mutex_);
-      while (revision_ <= after && NowMs() < until) {
+      while (revision_ == after && !is_away_ && NowMs() < until) {
         changed_.wait_for(lock, std::chrono::milliseconds(
                                     std::max<int64_t>(1, until - NowMs())));
       }
+      if (after < history_start_ || after > revision_)
+        status = 410;
       std::string rows;
       for (auto it = history_.upper_bound(after); it != history_.end(); ++it) {
         rows += rows.empty() ? "" : ",";
@@ -607,9 +630,19 @@
     SleepUs(link->latency_us +
             static_cast<int64_t>(static_cast<double>(body.size()) /
                                  link->bytes_per_ms * 1000));
-    const bool is_sent = SendAll(fd, Answer(status, body,
-                                            "Content-Type: application/json\r\n"
-                                            "Store-Era: 1\r\n"));
+    uint64_t era = 0;
+    {
+      std::lock_guard lock(mutex_);
+      if (is_away_) {
+        Reset(fd);
+        return false;
+      }
+      era = era_;
+    }
+    const bool is_sent =
+        SendAll(fd, Answer(status, body,
+                           "Content-Type: application/json\r\nStore-Era: " +
+                               std::to_string(era) + "\r\n"));
     if (is_sent && tells_removal && link->told_removal_at == 0)
       link->told_removal_at = NowMs();
     return is_sent;
@@ -624,6 +657,11 @@
   std::map<std::string, item> items_;
   std::map<uint64_t, change> history_;
   uint64_t revision_ = 1;
+  uint64_t history_start_ = 0;
+  uint64_t era_ = 1;
+  bool is_away_ = false;
+  std::map<std::string, item> copy_;
+  uint64_t copy_revision_ = 0;
   std::vector<std::unique_ptr<http_server>> servers_;
 };
 
