--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -83,7 +83,7 @@
 // ---- HTTP ----
 
 struct http_message {
-  std::string first;  ///< Request or status line.
+  std::string first;                               ///< Request or status line.
   std::multimap<std::string, std::string> fields;  ///< Names in lower case.
   std::string body;
 
@@ -378,9 +378,9 @@
   /// One way, and the rate of the link to the machine's region.
   std::atomic<int64_t> latency_us{1800};
   double bytes_per_ms = 20e6 / 8 / 1000;
-  std::atomic<int> watches{0};  ///< Watch calls so far.
-  std::atomic<int> lists{0};    ///< Pages of the whole store so far.
-  std::atomic<int64_t> watch_at{0};     ///< When the last watch came.
+  std::atomic<int> watches{0};         ///< Watch calls so far.
+  std::atomic<int> lists{0};           ///< Pages of the whole store so far.
+  std::atomic<int64_t> watch_at{0};    ///< When the last watch came.
   std::atomic<bool> is_silent{false};  ///< Whether calls get no answer.
   /// When it was first told that an item was removed; 0 if it was not.
   std::atomic<int64_t> told_removal_at{0};
@@ -474,8 +474,7 @@
     std::string out;
     for (size_t i = 0; i < text.size(); ++i) {
       if (text[i] == '%' && i + 2 < text.size()) {
-        out += static_cast<char>(
-            std::stoi(text.substr(i + 1, 2), nullptr, 16));
+        out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
         i += 2;
       } else {
         out += text[i];
@@ -783,7 +782,8 @@
     char path[] = "/tmp/review-2-XXXXXX";
     path_ = mkdtemp(path);
   }
-  ~scratch() {
+  ~scratch() { Remove(); }
+  void Remove() {
     if (std::getenv("KEEP") == nullptr)
       (void)!system(("rm -rf " + path_).c_str());
   }
@@ -793,6 +793,19 @@
   std::string path_;
 };
 
+/// Ends the started processes and this one. The threads of the stand-ins still
+/// run, so that nothing that they use is destroyed.
+[[noreturn]] inline void Finish(
+    int status,
+    const std::vector<std::unique_ptr<process>>& processes,
+    scratch* folder) {
+  for (const auto& each : processes)
+    each->Kill();
+  folder->Remove();
+  std::cout.flush();
+  _exit(status);
+}
+
 /// A network of loopback addresses, apart from those of other runs.
 inline std::string Network() {
   const int id = static_cast<int>(getpid());
--- a/review/common-2/removed_case.cc
+++ b/review/common-2/removed_case.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr int kServers = 3;             // Of the service; the last one leaves.
-constexpr int64_t kSilentMs = 4500;     // The store turns the machine away.
-constexpr int64_t kDrainMs = 2000;      // DrainMs
+constexpr int kServers = 3;          // Of the service; the last one leaves.
+constexpr int64_t kSilentMs = 4500;  // The store turns the machine away.
+constexpr int64_t kDrainMs = 2000;   // DrainMs
 constexpr int64_t kAskForMs = 5000;  // After the store answers all again.
 constexpr char kLeaving[] = "i-1002";
 
@@ -21,10 +21,11 @@
                      R"("Priority":2,"Anonymous":false})";
   for (int i = 0; i < 110; ++i) {
     const std::string n = std::to_string(i);
-    text += R"(,{"Name":"idle)" + n + R"(","Host":"idle.example","Prefix":"/r)" +
-            n + R"(/","Service":"seats","Kind":"idempotent","Attempts":2,)"
-                R"("TimeoutMs":1000,"TargetLatencyMs":150,"Priority":2,)"
-                R"("Anonymous":false,"AllowedRegions":[]})";
+    text += R"(,{"Name":"idle)" + n +
+            R"(","Host":"idle.example","Prefix":"/r)" + n +
+            R"(/","Service":"seats","Kind":"idempotent","Attempts":2,)"
+            R"("TimeoutMs":1000,"TargetLatencyMs":150,"Priority":2,)"
+            R"("Anonymous":false,"AllowedRegions":[]})";
   }
   return text + R"(],"Services":[{"Name":"seats","ColdPerS":0}],"Limits":)"
                 R"({"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,)"
@@ -99,13 +100,14 @@
       return kCouldNotRun;
     entries.push_back(
         std::make_unique<process>(links[i].name, "entry", folder.Path()));
-    entries.back()->Start(SettingsOf({{"Node", links[i].name},
-                                      {"Role", "entry"},
-                                      {"Serves", "front"},
-                                      {"Ip", ips[i]},
-                                      {"Listen.Front", ips[i] + ":8005"},
-                                      {"Listen.Ready", ips[i] + ":8002"},
-                                      {"Platform.Address", store_ip + ":8007"}}));
+    entries.back()->Start(
+        SettingsOf({{"Node", links[i].name},
+                    {"Role", "entry"},
+                    {"Serves", "front"},
+                    {"Ip", ips[i]},
+                    {"Listen.Front", ips[i] + ":8005"},
+                    {"Listen.Ready", ips[i] + ":8002"},
+                    {"Platform.Address", store_ip + ":8007"}}));
   }
   for (const std::string& ip : ips) {
     if (!WaitReady(ip, 8002, 10000))
@@ -133,8 +135,8 @@
             "\r\nDeadline-Ms: 1000\r\nAuthorization: Bearer keystays"
             "\r\nContent-Length: 4\r\n\r\nbody",
         1500);
-    events.Write("client: " + id + " to " + links[entry].name +
-                 ", sent at " + std::to_string(at) + ": status " +
+    events.Write("client: " + id + " to " + links[entry].name + ", sent at " +
+                 std::to_string(at) + ": status " +
                  std::to_string(got.head.Status()));
     return got.head.Status();
   };
@@ -179,9 +181,13 @@
     served += ask(second) == 200 ? 1 : 0;
     SleepMs(50);
   }
-  events.Write(std::to_string(late) + " requests reached the server that left, " +
+  events.Write(std::to_string(late) +
+               " requests reached the server that left, " +
                std::to_string(served) + " were served");
   std::cout << late << " requests reached the server that left, " << served
             << " were served\n";
-  return late > 0 ? kBroken : served > 0 ? kHeld : kCouldNotRun;
+  Finish(late > 0     ? kBroken
+         : served > 0 ? kHeld
+                      : kCouldNotRun,
+         entries, &folder);
 }
--- a/review/common-2/restored_case.cc
+++ b/review/common-2/restored_case.cc
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr int kServers = 2;
-constexpr int64_t kCopyAgeMs = 9000;      // Of the copy, when it comes back.
+constexpr int64_t kCopyAgeMs = 9000;  // Of the copy, when it comes back.
 constexpr int64_t kAwayMs = 1000;
 constexpr int64_t kWrittenAgainMs = 1000;  // After the return, by the operator.
 constexpr int64_t kRestartMs = 400;        // After the return.
-constexpr int64_t kRevokeBoundMs = 5000;  // RevokeMs
+constexpr int64_t kRevokeBoundMs = 5000;   // RevokeMs
 
 struct request_record {
   int64_t sent_at = 0;
@@ -27,10 +27,11 @@
                      R"("Priority":2,"Anonymous":false})";
   for (int i = 0; i < 8; ++i) {
     const std::string n = std::to_string(i);
-    text += R"(,{"Name":"idle)" + n + R"(","Host":"idle.example","Prefix":"/r)" +
-            n + R"(/","Service":"seats","Kind":"idempotent","Attempts":2,)"
-                R"("TimeoutMs":1000,"TargetLatencyMs":150,"Priority":2,)"
-                R"("Anonymous":false,"AllowedRegions":[]})";
+    text += R"(,{"Name":"idle)" + n +
+            R"(","Host":"idle.example","Prefix":"/r)" + n +
+            R"(/","Service":"seats","Kind":"idempotent","Attempts":2,)"
+            R"("TimeoutMs":1000,"TargetLatencyMs":150,"Priority":2,)"
+            R"("Anonymous":false,"AllowedRegions":[]})";
   }
   text += R"(],"Services":[{"Name":"seats","ColdPerS":0}],"Limits":)"
           R"({"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,)"
@@ -80,11 +81,13 @@
         });
     if (!listens)
       return kCouldNotRun;
-    platform.Put("servers/" + id,
-                 R"({"Service":")" + std::string(i < 2 ? "seats" : "other") +
-                     R"(","Address":")" + ip + R"(:8001","Zone":"zone-a",)"
-                     R"("Version":"v1","Slots":6,"State":"ready",)"
-                     R"("ColdRemainingMs":0,"Sequence":1,"born":1790000000000})");
+    platform.Put(
+        "servers/" + id,
+        R"({"Service":")" + std::string(i < 2 ? "seats" : "other") +
+            R"(","Address":")" + ip +
+            R"(:8001","Zone":"zone-a",)"
+            R"("Version":"v1","Slots":6,"State":"ready",)"
+            R"("ColdRemainingMs":0,"Sequence":1,"born":1790000000000})");
   }
   platform.Put("op/config", ConfigurationOf(1, true));
 
@@ -119,8 +122,8 @@
   const int first =
       links[0].watches - before[0] > links[1].watches - before[1] ? 0 : 1;
   const int second = 1 - first;
-  events.Write("first relay: " + links[first].name + ", items in the store: " +
-               std::to_string(platform.Size()));
+  events.Write("first relay: " + links[first].name +
+               ", items in the store: " + std::to_string(platform.Size()));
 
   int next = 0;
   const auto ask = [&](int entry, const std::string& key) {
@@ -133,9 +136,9 @@
             "\r\nDeadline-Ms: 1000\r\nAuthorization: Bearer " + key +
             "\r\nContent-Length: 4\r\n\r\nbody",
         1500);
-    events.Write("client: " + id + " with " + key + " to " +
-                 links[entry].name + ", sent at " + std::to_string(at) +
-                 ": status " + std::to_string(got.head.Status()));
+    events.Write("client: " + id + " with " + key + " to " + links[entry].name +
+                 ", sent at " + std::to_string(at) + ": status " +
+                 std::to_string(got.head.Status()));
     return got.head.Status();
   };
   for (int i = 0; i < 2; ++i) {
@@ -183,10 +186,9 @@
       const int64_t at = NowMs();
       if (at > confirmed_at + kRevokeBoundMs && ask(i, "keyleaves") == 200) {
         ++late;
-        events.Write("BROKEN: a request sent " +
-                     std::to_string(at - confirmed_at) +
-                     " ms after the confirmation ran with the key at " +
-                     links[i].name);
+        events.Write(
+            "BROKEN: a request sent " + std::to_string(at - confirmed_at) +
+            " ms after the confirmation ran with the key at " + links[i].name);
       }
       served += ask(i, "keystays") == 200 ? 1 : 0;
     }
@@ -196,5 +198,8 @@
                std::to_string(served) + " of the other key were served");
   std::cout << late << " requests ran with the key, " << served
             << " of the other key were served\n";
-  return late > 0 ? kBroken : served > 0 ? kHeld : kCouldNotRun;
+  Finish(late > 0     ? kBroken
+         : served > 0 ? kHeld
+                      : kCouldNotRun,
+         entries, &folder);
 }
--- a/review/common-2/sha256.h
+++ b/review/common-2/sha256.h
@@ -49,7 +49,8 @@
     auto s = state;
     for (size_t i = 0; i < 64; ++i) {
       const uint32_t one =
-          s[7] + (std::rotr(s[4], 6) ^ std::rotr(s[4], 11) ^ std::rotr(s[4], 25)) +
+          s[7] +
+          (std::rotr(s[4], 6) ^ std::rotr(s[4], 11) ^ std::rotr(s[4], 25)) +
           ((s[4] & s[5]) ^ (~s[4] & s[6])) + kRound[i] + w[i];
       const uint32_t two =
           (std::rotr(s[0], 2) ^ std::rotr(s[0], 13) ^ std::rotr(s[0], 22)) +
--- a/review/common-2/whole_case.cc
+++ b/review/common-2/whole_case.cc
@@ -1,5 +1,6 @@
-/// @file whole_case.cc A model server takes a load order late, one of its staged
-/// pieces has rotted by then, and its agent is killed once and restarted once.
+/// @file whole_case.cc A model server takes a load order late, one of its
+/// staged pieces has rotted by then, and its agent is killed once and restarted
+/// once.
 #include "fleet.h"
 #include "sha256.h"
 
@@ -128,8 +129,8 @@
       staged_[index] = {request.body, 0};
       ++writes_;
       if (is_busy_ || writes_ % 32 == 0 || late_until > 0)
-        events_->Write(id_ + ": piece " + std::to_string(index) +
-                       " is staged" + (is_busy_ ? " while it loads" : ""));
+        events_->Write(id_ + ": piece " + std::to_string(index) + " is staged" +
+                       (is_busy_ ? " while it loads" : ""));
       return SendAll(fd, Answer(200, ""));
     }
     if (target == "/order")
@@ -150,8 +151,8 @@
                              (is_unload ? "unload" : "load") + " version " +
                              std::to_string(version) + " of " +
                              std::to_string(NowMs() - arrived_at) + " ms ago ";
-    if (is_busy_ || NumberIn(body, "Precondition") !=
-                        static_cast<int64_t>(sequence_)) {
+    if (is_busy_ ||
+        NumberIn(body, "Precondition") != static_cast<int64_t>(sequence_)) {
       events_->Write(what + "is refused");
       return 409;
     }
@@ -277,8 +278,9 @@
         if (target.starts_with("/manifest/"))
           return SendAll(fd, Answer(200, manifests[version]));
         return SendAll(
-            fd, Answer(200, PieceOf(version, static_cast<uint32_t>(std::stoul(
-                                                 Query(target, "SampleCount"))))));
+            fd,
+            Answer(200, PieceOf(version, static_cast<uint32_t>(std::stoul(
+                                             Query(target, "SampleCount"))))));
       }))
     return kCouldNotRun;
 
@@ -286,9 +288,9 @@
   std::atomic<int> victim{-1};
   std::atomic<int64_t> ordered_at{0};
   for (int i = 0; i < kServers; ++i) {
-    engines.push_back(std::make_unique<engine>(
-        &platform, &events, "i-" + std::to_string(1000 + i),
-        net + std::to_string(100 + i)));
+    engines.push_back(std::make_unique<engine>(&platform, &events,
+                                               "i-" + std::to_string(1000 + i),
+                                               net + std::to_string(100 + i)));
     engines.back()->on_load_order = [&, i](engine* at, uint64_t version) {
       int none = -1;
       if (version != 3 || !victim.compare_exchange_strong(none, i))
@@ -414,5 +416,8 @@
        << " were served";
   events.Write(text.str());
   std::cout << text.str() << "\n";
-  return end(spoilt > 0 ? kBroken : served > 0 ? kHeld : kCouldNotRun);
+  Finish(end(spoilt > 0   ? kBroken
+             : served > 0 ? kHeld
+                          : kCouldNotRun),
+         processes, &folder);
 }
