Feature: Log the source, revision and extent of each listing that is read

A process that goes by content that no revision of the store had could not be told from one whose source is behind: the log names changes of the source, but not what a listing was put together from.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -5,6 +5,8 @@
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
 
+#include <sstream>
+
 #include "ip_port_func.h"
 #include "log_event_func.h"
 #include "network/compression.h"
@@ -182,6 +184,7 @@
   options_.count(call.kind == store_call::kind_type::kList ? "store_listings"
                                                            : "store_watches");
   CallStore(now, call, [this, call](time_point at, int, store_answer answer) {
+    LogListing(options_.store_address, call, answer);
     // Without changes, the store answers a watch only after its whole wait.
     if (answer.items.empty())
       answer.held = call.wait;
@@ -203,8 +206,10 @@
        {.address = address,
         .request = RelayRequest(call, address),
         .timeout = call.wait + kRelayTimeout},
-       [this, address](time_point at, int status, const std::string& body) {
+       [this, address, call](time_point at, int status,
+                             const std::string& body) {
          store_answer answer = ReadRelayAnswer(status, body);
+         LogListing(address, call, answer);
          const bool has_no_answer =
              answer.status == store_answer::status_type::kNoAnswer;
          const bool is_cut_off =
@@ -337,6 +342,20 @@
   loop_.Post([this] { RunDue(BootNow()); });
 }
 
+void site_watch::LogListing(const std::string& address,
+                            const store_call& call,
+                            const store_answer& answer) const {
+  if (call.kind != store_call::kind_type::kList ||
+      answer.status != store_answer::status_type::kOk) {
+    return;
+  }
+  std::ostringstream text;
+  text << "from=" << address << " first=" << call.after_key.empty()
+       << " revision=" << answer.revision << " held=" << mirror_.Revision()
+       << " items=" << answer.items.size() << " more=" << answer.has_more;
+  LogEvent(log_event::kListingRead, text.str());
+}
+
 void site_watch::ReportEra(uint64_t before) {
   if (before == 0 || mirror_.Era() == before)
     return;
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -81,6 +81,10 @@
   /// @param call Without the hooks that this sets.
   void Read(time_point now, async_http_call call, const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
+  /// Logs what the answer to a listing tells.
+  void LogListing(const std::string& address,
+                  const store_call& call,
+                  const store_answer& answer) const;
   /// Notices that the process was paused.
   void CheckPause(time_point now);
   /// Logs and counts that the store came back from an older copy.
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -32,6 +32,7 @@
           211,
           Warning,
           "platform store restored from an older copy")
+LOG_EVENT(kListingRead, 212, Info, "listing of the store's items read")
 LOG_EVENT(kTargetChanged, 300, Info, "target version changed")
 LOG_EVENT(kManifestVerified, 301, Info, "manifest verified")
 LOG_EVENT(kChunkCorrupt, 302, Warning, "chunk does not match its digest")
