Fix: A page of the store is joined with a relay's older content

Cause: the source is chosen anew for each call, also between two pages of a listing. A relay answers a listing with everything that it has, as of its own revision. The mirror let this replace the page of the store and kept the page's revision, so it watched from there and never heard of what had changed between the two revisions.

Why this works: a listing has one source. The mirror remembers for each call whether a relay was asked; the answer of a relay is a listing by itself with a revision of its own, and pages of the store only join pages of the store. These are kept while relays are asked, so that a listing goes on after them instead of beginning anew. Its revision is the lowest of its pages.

--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -21,17 +21,22 @@
     return std::nullopt;
   has_call_in_flight_ = true;
   sent_at_ = now;
-  if (is_listing_)
-    return store_call{.kind = store_call::kind_type::kList,
-                      .after_key = after_key_,
-                      .after_revision = {era_, 0}};
+  if (is_listing_) {
+    last_call_ = {.kind = store_call::kind_type::kList,
+                  .after_key = is_relayed ? "" : pages_.after_key,
+                  .after_revision = {era_, 0},
+                  .is_relayed = is_relayed};
+    return last_call_;
+  }
   // After a failure or a change of the source the first watch does not wait, to
   // learn at once whether the store is reachable.
-  return store_call{.kind = store_call::kind_type::kWatch,
-                    .after_revision = revision_,
-                    .wait = failures_ > 0 || is_new_source ? milliseconds(0)
-                            : is_relayed ? options_.relayed_watch_wait
-                                         : options_.watch_wait};
+  last_call_ = {.kind = store_call::kind_type::kWatch,
+                .after_revision = revision_,
+                .wait = failures_ > 0 || is_new_source ? milliseconds(0)
+                        : is_relayed ? options_.relayed_watch_wait
+                                     : options_.watch_wait,
+                .is_relayed = is_relayed};
+  return last_call_;
 }
 
 bool store_mirror::OnEra(time_point now, uint64_t era) {
@@ -54,10 +59,10 @@
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
   has_call_in_flight_ = false;
   bool is_void = std::exchange(is_call_void_, false);
-  const bool is_first_page = is_listing_ && after_key_.empty();
+  const bool is_listing = last_call_.kind == store_call::kind_type::kList;
   if (EnterEra(answer.revision.era)) {
     // Only a listing from its first page on tells the content of the new era.
-    is_void = is_void || !is_first_page;
+    is_void = is_void || !is_listing || !last_call_.after_key.empty();
   } else if (answer.revision.era != 0 && answer.revision.era < era_) {
     next_at_ = std::max(now, sent_at_ + options_.spacing);
     return false;
@@ -70,7 +75,7 @@
   if (answer.status != store_answer::status_type::kOk) {
     // A watch may have too many changes to send within its timeout, and more of
     // them with each retry; the size of a listing is bounded.
-    if (answer.status == store_answer::status_type::kNoAnswer && !is_listing_)
+    if (answer.status == store_answer::status_type::kNoAnswer && !is_listing)
       BeginListing();
     CheckOutage(answer);
     const auto doubled = options_.backoff * (1 << std::min(failures_, 6U));
@@ -88,49 +93,60 @@
   }
   next_at_ = std::max(now, sent_at_ + options_.spacing);
   previous_confirmed_at_ = confirmed_at_;
-  const store_revision answered{era_, answer.revision.number};
-  if (!is_listing_) {
-    const time_point answered_at = std::min(now, sent_at_ + answer.held);
-    const time_point confirmed_at = answered_at - answer.confirmed_age;
-    std::vector<store_item> removed_items;
-    for (const store_item& item : answer.items) {
-      if (item.is_deleted) {
-        removed_items.push_back(item);
-        removed_items.back().revision.era = era_;
-      } else {
-        Apply(item, confirmed_at);
-      }
+  if (is_listing)
+    return ReadListing(now, answer);
+  const time_point answered_at = std::min(now, sent_at_ + answer.held);
+  const time_point confirmed_at = answered_at - answer.confirmed_age;
+  std::vector<store_item> removed_items;
+  for (const store_item& item : answer.items) {
+    if (item.is_deleted) {
+      removed_items.push_back(item);
+      removed_items.back().revision.era = era_;
+    } else {
+      Apply(item, confirmed_at);
     }
-    Remove(now, removed_items);
-    revision_ = std::max(revision_, answered);
-    confirmed_at_ = std::max(confirmed_at_, confirmed_at);
-    if (IsBurst(answer.items))
-      BeginBurst(now);
-    return !answer.items.empty();
   }
-  if (after_key_.empty()) {
-    listing_revision_ = answered;
-    listing_sent_at_ = sent_at_ - answer.confirmed_age;
+  Remove(now, removed_items);
+  revision_ = std::max(revision_, OfEra(answer.revision));
+  confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+  EndListing();
+  if (IsBurst(answer.items))
+    BeginBurst(now);
+  return !answer.items.empty();
+}
+
+bool store_mirror::ReadListing(time_point now, const store_answer& answer) {
+  store_listing whole;
+  store_listing& listing = last_call_.is_relayed ? whole : pages_;
+  const store_revision answered = OfEra(answer.revision);
+  if (last_call_.after_key.empty()) {
+    listing = {.revision = answered,
+               .sent_at = sent_at_ - answer.confirmed_age};
   }
+  listing.revision = std::min(listing.revision, answered);
   for (const store_item& item : answer.items) {
     auto known = items_.find(item.key);
-    has_large_changes_ =
-        has_large_changes_ ||
+    listing.has_large_changes =
+        listing.has_large_changes ||
         (item.value.size() >= options_.burst_item_bytes &&
-         known != items_.end() && known->second.revision < RevisionOf(item));
-    listed_[item.key] = item;
-    after_key_ = item.key;
+         known != items_.end() &&
+         known->second.revision < OfEra(item.revision));
+    listing.items[item.key] = item;
+    listing.after_key = item.key;
   }
-  if (answer.has_more && !answer.items.empty()) {
-    next_at_ = now;
+  if (answer.has_more) {
+    // A page without items has no key to go on from.
+    if (answer.items.empty())
+      BeginListing();
+    else
+      next_at_ = now;
     return false;
   }
-  FinishListing(now);
-  if (is_burst_ && has_large_changes_) {
+  const bool goes_on = is_burst_ && listing.has_large_changes;
+  FinishListing(now, listing);
+  EndListing();
+  if (goes_on)
     BeginBurst(now);
-  } else {
-    is_burst_ = false;
-  }
   return true;
 }
 
@@ -156,9 +172,13 @@
 
 void store_mirror::BeginListing() {
   is_listing_ = true;
-  has_large_changes_ = false;
-  after_key_.clear();
-  listed_.clear();
+  pages_ = {};
+}
+
+void store_mirror::EndListing() {
+  is_listing_ = false;
+  is_burst_ = false;
+  pages_ = {};
 }
 
 void store_mirror::BeginBurst(time_point now) {
@@ -193,13 +213,13 @@
 
 void store_mirror::Apply(const store_item& item, time_point confirmed_at) {
   auto it = items_.find(item.key);
-  if (it != items_.end() && it->second.revision >= RevisionOf(item))
+  if (it != items_.end() && it->second.revision >= OfEra(item.revision))
     return;
   maybe_expired_.erase(item.key);
   const store_item known = it == items_.end() ? store_item{} : it->second;
   store_item& applied = items_[item.key];
   applied = item;
-  applied.revision = RevisionOf(item);
+  applied.revision = OfEra(item.revision);
   if (known.revision.number > 0 && known.value == item.value) {
     // It was only written again, as after the store's return from a copy.
     applied.changed_after = known.changed_after;
@@ -241,21 +261,19 @@
   }
 }
 
-void store_mirror::FinishListing(time_point now) {
-  if (is_loaded_ && revision_.era < listing_revision_.era) {
+void store_mirror::FinishListing(time_point now, const store_listing& listing) {
+  if (is_loaded_ && revision_.era < listing.revision.era) {
     outage_ended_at_ = now;
     restored_at_ = now;
-    restored_revision_ = listing_revision_;
+    restored_revision_ = listing.revision;
   }
-  for (const auto& [key, item] : listed_)
-    Apply(item, listing_sent_at_);
+  for (const auto& [key, item] : listing.items)
+    Apply(item, listing.sent_at);
   std::vector<store_item> removed_items;
   for (const auto& [key, item] : items_) {
-    // The pages are not a consistent snapshot: the watch reports what changed
-    // after the first page.
-    if (listed_.contains(key) || item.revision > listing_revision_)
+    if (listing.items.contains(key) || item.revision > listing.revision)
       continue;
-    if (item.revision.era < listing_revision_.era && IsInExpiryGrace(now)) {
+    if (item.revision.era < listing.revision.era && IsInExpiryGrace(now)) {
       // Lost with the older era, and not written again yet.
       maybe_expired_.insert(key);
     } else {
@@ -266,12 +284,9 @@
     }
   }
   Remove(now, removed_items);
-  listed_.clear();
-  after_key_.clear();
-  is_listing_ = false;
   is_loaded_ = true;
-  revision_ = std::max(revision_, listing_revision_);
-  confirmed_at_ = std::max(confirmed_at_, listing_sent_at_);
+  revision_ = std::max(revision_, listing.revision);
+  confirmed_at_ = std::max(confirmed_at_, listing.sent_at);
 }
 
 }  // namespace fuchsiafall
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -64,6 +64,20 @@
   /// Watches: report changes after this. Listings: number 0 in the known era.
   store_revision after_revision;
   milliseconds wait{0};  ///< Watches: maximum wait for a change.
+  /// Whether a relay is asked, which answers a listing with all items at once.
+  bool is_relayed = false;
+};
+
+/// Listing of all items as far as it has been read: pages of the store, or the
+/// one answer of a relay. The content of different sources is never joined.
+struct store_listing {
+  /// Lowest revision of the pages. They are not a consistent snapshot: a watch
+  /// after this revision reports what changed meanwhile.
+  store_revision revision;
+  time_point sent_at{};   ///< When the first page was requested.
+  std::string after_key;  ///< Last key of the pages; empty before the first.
+  std::map<std::string, store_item> items;
+  bool has_large_changes = false;
 };
 
 struct store_mirror_options {
@@ -173,33 +187,37 @@
   void CheckOutage(const store_answer& answer);
   /// @return Whether the era is newer than the known one.
   bool EnterEra(uint64_t era);
-  /// Revision of an item of an answer, which is of the present era.
-  store_revision RevisionOf(const store_item& item) const {
-    return {era_, item.revision.number};
-  }
+  /// Revision of the present era.
+  store_revision OfEra(store_revision of) const { return {era_, of.number}; }
   /// @param confirmed_at Time of the confirmed read that the item comes from.
   void Apply(const store_item& item, time_point confirmed_at);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
-  void FinishListing(time_point now);
+  /// Adds the answer to the call in flight to the listing that it belongs to.
+  /// @return Whether the listing is complete, so that the content has changed.
+  bool ReadListing(time_point now, const store_answer& answer);
+  /// Replaces the content by a whole listing.
+  void FinishListing(time_point now, const store_listing& listing);
   bool IsInExpiryGrace(time_point now) const;
   bool IsBurst(const std::vector<store_item>& changes) const;
+  /// Begins a listing of the store from its first page.
   void BeginListing();
+  /// Watches again, as the content is whole.
+  void EndListing();
   /// Replaces the watch by listings, paced by the size of all items.
   void BeginBurst(time_point now);
 
   store_mirror_options options_;
   std::map<std::string, store_item> items_;
-  std::map<std::string, store_item> listed_;  ///< From the pages read so far.
-  std::set<std::string> maybe_expired_;       ///< Keys that may have expired.
+  /// Pages of the store read so far. A relay's whole answer replaces them, and
+  /// they are continued after relays that have failed.
+  store_listing pages_;
+  std::set<std::string> maybe_expired_;  ///< Keys that may have expired.
   uint64_t era_ = 0;
   store_revision revision_;
-  store_revision listing_revision_;  ///< Revision of the first page.
-  time_point listing_sent_at_{};     ///< When the first page was requested.
-  std::string after_key_;
   bool is_loaded_ = false;
-  bool is_listing_ = true;
-  bool is_burst_ = false;           ///< Whether listings replace the watch.
-  bool has_large_changes_ = false;  ///< Whether the current listing has any.
+  bool is_listing_ = true;  ///< Whether the store is to be asked for a listing.
+  bool is_burst_ = false;   ///< Whether listings replace the watch.
+  store_call last_call_;
   bool has_call_in_flight_ = false;
   bool is_call_void_ = false;  ///< Whether the one in flight is of an old era.
   uint32_t failures_ = 0;      ///< Consecutive failed calls.
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -81,6 +81,79 @@
   BOOST_TEST((mirror.ConfirmedAt() == now));
 }
 
+// Regression: an entry that started beside a slow store joined the first page
+// of the store with the older content of a relay, went on from the revision of
+// the page, and never learned what had changed between the two.
+BOOST_AUTO_TEST_CASE(a_page_of_the_store_is_not_joined_with_a_relays_content) {
+  store_mirror mirror{{}};
+  time_point now = kStart;
+  mirror.NextCall(now);
+  store_answer page = Ok({Configuration("new", 9)}, 10);
+  page.has_more = true;
+  mirror.OnAnswer(now, page);
+  const auto call = mirror.NextCall(now, true, true);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST(call->after_key.empty());
+  mirror.OnAnswer(now, Ok({Configuration("old", 4),
+                           {.key = "servers/s0", .value = "x", .revision = 2}},
+                          7));
+  BOOST_TEST(mirror.IsLoaded());
+  now = mirror.NextCallAt();
+  const auto next = mirror.NextCall(now, true);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->kind == store_call::kind_type::kWatch));
+  BOOST_TEST(next->after_revision == 7u);
+}
+
+// A listing that began anew with each relay that fails would not end while the
+// store is slow and relays come and go.
+BOOST_AUTO_TEST_CASE(a_listing_of_the_store_goes_on_after_a_relay_failed) {
+  store_mirror mirror{{}};
+  time_point now = kStart;
+  for (const char* key : {"a", "b", "c"}) {
+    BOOST_REQUIRE(mirror.NextCall(now, true, true).has_value());
+    mirror.CancelCall(now);
+    const auto call = mirror.NextCall(now, false, true);
+    BOOST_REQUIRE(call.has_value());
+    BOOST_TEST(call->after_key < key);
+    store_answer page = Ok({{.key = key, .value = "1", .revision = 3}}, 10);
+    page.has_more = key[0] < 'c';
+    mirror.OnAnswer(now, page);
+  }
+  BOOST_TEST(mirror.IsLoaded());
+  BOOST_TEST(mirror.Items().size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_counts_as_of_its_oldest_page) {
+  store_mirror mirror{{}};
+  time_point now = kStart;
+  mirror.NextCall(now);
+  store_answer page = Ok({{.key = "a", .value = "1", .revision = 3}}, 10);
+  page.has_more = true;
+  mirror.OnAnswer(now, page);
+  mirror.NextCall(now);
+  mirror.OnAnswer(now, Ok({{.key = "b", .value = "2", .revision = 4}}, 8));
+  BOOST_TEST(mirror.IsLoaded());
+  now = mirror.NextCallAt();
+  const auto call = mirror.NextCall(now);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST(call->after_revision == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(a_page_without_items_does_not_end_a_listing) {
+  listed_mirror it(Servers(2), 5);
+  it.Next();
+  it.Answer({.status = status_type::kHistoryCompacted});
+  it.Next();
+  store_answer page = Ok({}, 9);
+  page.has_more = true;
+  it.Answer(page);
+  BOOST_TEST(it.mirror.Items().size() == 2u);
+  const store_call call = it.Next();
+  BOOST_TEST((call.kind == store_call::kind_type::kList));
+  BOOST_TEST(call.after_key.empty());
+}
+
 BOOST_AUTO_TEST_CASE(one_call_is_in_flight_at_a_time) {
   listed_mirror it({}, 1);
   it.Next();
