Fix: A removed server comes back with the listing of a relay that is behind

Cause: a listing of a relay states revision 0, so the relay cannot tell that the reader knows more. The mirror compared each listed item with the one that it had; a removed item has none, so the older one was taken, and as the mirror's revision stayed ahead, no watch reported the removal again.

The tests an_older_listing_does_not_bring_back_what_was_removed and a_relay_is_watched_during_a_burst_of_large_changes failed on the code before (9 checks).

Why this works: IsBehind() of the mirror says which answers must not be taken, an older era or an older listing, and OnAnswer() refuses them, so that no owner of the mirror can forget it. The watch leaves a relay for the same reason. A relay has one version of each item, so in a burst it is watched, not listed: an answer of a watch only adds what is newer.

--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -218,8 +218,7 @@
          // again right after it.
          const bool is_too_old = source_.IsTooOld(answer.confirmed_age) &&
                                  body.size() < kLargeAnswerBytes;
-         const bool is_behind =
-             answer.revision.era != 0 && answer.revision.era < mirror_.Era();
+         const bool is_behind = mirror_.IsBehind(answer);
          const bool has_failed =
              has_no_answer || is_cut_off || is_behind || is_too_old;
          if (has_failed) {
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -21,7 +21,10 @@
     return std::nullopt;
   has_call_in_flight_ = true;
   sent_at_ = now;
-  if (is_listing_) {
+  // A relay reports only the last version of a changed item, so a listing from
+  // it saves nothing.
+  const bool is_listing = is_relayed ? is_history_gone_ : is_listing_;
+  if (is_listing) {
     last_call_ = {.kind = store_call::kind_type::kList,
                   .after_key = is_relayed ? "" : pages_.after_key,
                   .after_revision = {era_, 0},
@@ -52,22 +55,35 @@
     return false;
   era_ = era;
   is_burst_ = false;
+  is_history_gone_ = true;
   BeginListing();
   return true;
 }
 
+bool store_mirror::IsBehind(const store_answer& answer) const {
+  if (answer.revision.era != 0 && answer.revision.era < era_)
+    return true;
+  return answer.status == store_answer::status_type::kOk &&
+         last_call_.kind == store_call::kind_type::kList &&
+         answer.revision.era <= era_ && OfEra(answer.revision) < revision_;
+}
+
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
   has_call_in_flight_ = false;
   bool is_void = std::exchange(is_call_void_, false);
   const bool is_listing = last_call_.kind == store_call::kind_type::kList;
-  if (EnterEra(answer.revision.era)) {
-    // Only a listing from its first page on tells the content of the new era.
-    is_void = is_void || !is_listing || !last_call_.after_key.empty();
-  } else if (answer.revision.era != 0 && answer.revision.era < era_) {
+  if (IsBehind(answer)) {
+    // Pages of a listing that this one was to continue may be as old.
+    if (is_listing && !last_call_.is_relayed)
+      BeginListing();
     next_at_ = std::max(now, sent_at_ + options_.spacing);
     return false;
   }
+  // Only a listing from its first page on tells the content of a new era.
+  if (EnterEra(answer.revision.era))
+    is_void = is_void || !is_listing || !last_call_.after_key.empty();
   if (answer.status == store_answer::status_type::kHistoryCompacted) {
+    is_history_gone_ = true;
     BeginListing();
     next_at_ = now;
     return false;
@@ -285,6 +301,7 @@
   }
   Remove(now, removed_items);
   is_loaded_ = true;
+  is_history_gone_ = false;
   revision_ = std::max(revision_, listing.revision);
   confirmed_at_ = std::max(confirmed_at_, listing.sent_at);
 }
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -139,6 +139,10 @@
     has_call_in_flight_ = false;
     next_at_ = now;
   }
+  /// Whether an answer to the call in flight tells less than is known here: it
+  /// is of an older era, or a listing of an older revision. Such an answer is
+  /// not taken, since a listing replaces the whole content.
+  bool IsBehind(const store_answer& answer) const;
   /// Removes expired items that were not written again in time, and ends the
   /// time in which items may come from a copy.
   /// @return Whether the known state has changed.
@@ -215,6 +219,9 @@
   uint64_t era_ = 0;
   store_revision revision_;
   bool is_loaded_ = false;
+  /// Whether the history after the content's revision is known to be lost, so
+  /// that only a listing tells what has changed.
+  bool is_history_gone_ = true;
   bool is_listing_ = true;  ///< Whether the store is to be asked for a listing.
   bool is_burst_ = false;   ///< Whether listings replace the watch.
   store_call last_call_;
--- a/src/tests/store_mirror_test.cc
+++ b/src/tests/store_mirror_test.cc
@@ -343,6 +343,49 @@
   BOOST_TEST((it.mirror.ConfirmedAt() == sent));
 }
 
+// Regression: a server whose removal an entry had read from the store came back
+// with the listing of a relay that was behind, and no watch told of the removal
+// again.
+BOOST_AUTO_TEST_CASE(an_older_listing_does_not_bring_back_what_was_removed) {
+  for (const bool is_relayed : {true, false}) {
+    listed_mirror it(Servers(6), 6);
+    it.Next();
+    it.Answer(
+        Ok({{.key = "servers/s2", .revision = 9, .is_deleted = true}}, 9));
+    it.Next();
+    it.Answer({.status = status_type::kHistoryCompacted});
+    it.now = it.mirror.NextCallAt();
+    const auto call = it.mirror.NextCall(it.now, is_relayed, is_relayed);
+    BOOST_REQUIRE(call.has_value());
+    BOOST_TEST((call->kind == store_call::kind_type::kList));
+    it.Answer(Ok(Servers(6), 7));
+    BOOST_TEST(!it.mirror.Items().contains("servers/s2"));
+    // Another source is to be listed.
+    BOOST_TEST((it.Next().kind == store_call::kind_type::kList));
+    std::vector<store_item> rest = Servers(6);
+    rest.erase(rest.begin() + 2);
+    it.Answer(Ok(rest, 9));
+    BOOST_TEST((it.Next().kind == store_call::kind_type::kWatch));
+    BOOST_TEST(it.mirror.Items().size() == 5u);
+  }
+}
+
+// A relay has one version of each item, so that listings from it during a burst
+// would be no smaller than a watch, and could be of an older revision.
+BOOST_AUTO_TEST_CASE(a_relay_is_watched_during_a_burst_of_large_changes) {
+  const std::string large(10000, 'x');
+  listed_mirror it({Configuration(large, 1)}, 1);
+  it.Next();
+  it.Answer(Ok({Configuration(large, 2), Configuration(large, 3)}, 3));
+  it.now = it.mirror.NextCallAt();
+  const auto call = it.mirror.NextCall(it.now, true, true);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->kind == store_call::kind_type::kWatch));
+  BOOST_TEST(call->after_revision == 3u);
+  it.Answer(Ok({Configuration(large, 4)}, 4));
+  BOOST_TEST((it.Next().kind == store_call::kind_type::kWatch));
+}
+
 BOOST_AUTO_TEST_CASE(what_a_restored_store_takes_wins_with_a_lower_revision) {
   listed_mirror it({Configuration("lost", 37)}, {1, 37});
   it.Next();
