Fix: Removals that a relay does not report to its readers

What callers saw: nothing that has been traced to it; a reader kept a server, an evacuation or a draining mark that the store had removed until its next whole listing.

Cause: a relay reported a removal only of an item that it had held, dated by its own revision. Not reported were the end of the time for which items that expired together are kept (it has no revision; told to all readers for 3 s only), items written and removed between two answers of the store, and what a listing during a burst has skipped.

Why this works: the mirror records by which revision each item was removed, held or not, and between which revisions a listing has left a gap; the relay answers from this record, and tells a reader inside a gap to list. Items that are kept are handed on with the revision of their removal and the time that is left, and each reader drops them by itself. Content that is ahead of its revision in part is not continued by a watch of a relay.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -6,37 +6,22 @@
 
 namespace fuchsiafall {
 
-namespace {
-
-/// Time for which a removal is reported: several polls of each process.
-constexpr seconds kRemovalRetention{3};
-
-}  // namespace
-
-void mirror_relay::Update(time_point now, const store_mirror& mirror) {
-  if (revision_.era != mirror.Revision().era) {
-    // Readers of the older era take the whole content.
-    items_.clear();
-    removed_at_.clear();
-    history_start_ = {};
-  }
-  if (history_start_.number == 0)
-    history_start_ = mirror.Revision();
+void mirror_relay::Update(const store_mirror& mirror) {
   revision_ = mirror.Revision();
-  for (auto& [key, item] : items_) {
-    if (item.is_deleted || mirror.Items().contains(key))
-      continue;
-    item.is_deleted = true;
-    item.value.clear();
-    // The mirror does not record the revision of the removal; it is at most
-    // this one.
-    item.revision = revision_;
-    removed_at_[key] = now;
-  }
+  history_ = mirror.History();
+  items_.clear();
+  for (const auto& [key, removed] : history_.removed)
+    items_[key] = {.key = key, .revision = removed, .is_deleted = true};
+  kept_.clear();
   for (const auto& [key, item] : mirror.Items()) {
     // What a restored store lacks is no content of it, even while it is kept.
-    if (item.revision.era == revision_.era)
-      items_[key] = item;
+    if (item.revision.era != revision_.era)
+      continue;
+    items_[key] = item;
+    auto kept = mirror.Kept().find(key);
+    if (kept != mirror.Kept().end())
+      kept_[key] = {.removed = kept->second.removed,
+                    .until = mirror.KeptUntil(kept->second)};
   }
 }
 
@@ -45,17 +30,16 @@
   proto::mirror_answer answer;
   answer.set_revision(revision_.number);
   answer.set_era(revision_.era);
-  if (after.number != 0 && after < history_start_) {
+  if (after.number != 0 && !history_.Covers(after)) {
     answer.set_history_gone(true);
     return answer;
   }
+  answer.set_has_gap(after.number != 0 && history_.HasGapAfter(after));
   for (const auto& [key, item] : items_) {
-    auto removed = removed_at_.find(key);
-    const bool is_recent_removal = item.is_deleted && after.number != 0 &&
-                                   removed != removed_at_.end() &&
-                                   now - removed->second < kRemovalRetention;
-    if (!is_recent_removal &&
-        (item.revision <= after || (item.is_deleted && after.number == 0)))
+    auto kept = kept_.find(key);
+    const store_revision changed =
+        kept == kept_.end() ? item.revision : kept->second.removed;
+    if (changed <= after || (item.is_deleted && after.number == 0))
       continue;
     proto::mirror_item* to = answer.add_items();
     to->set_key(key);
@@ -66,6 +50,37 @@
         std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
             .count());
     to->set_replaced_revision(item.replaced_revision);
+    if (kept == kept_.end())
+      continue;
+    to->set_removed_revision(kept->second.removed.number);
+    to->set_kept_for_ms(static_cast<uint32_t>(
+        std::max<int64_t>(0, ToMs(kept->second.until - now))));
+  }
+  return answer;
+}
+
+store_answer DecodeRelayAnswer(const proto::mirror_answer& message) {
+  store_answer answer;
+  answer.status = message.history_gone()
+                      ? store_answer::status_type::kHistoryCompacted
+                      : store_answer::status_type::kOk;
+  answer.revision = {message.era(), message.revision()};
+  answer.has_gap = message.has_gap();
+  answer.confirmed_age = milliseconds(message.sound_age_ms());
+  answer.held = milliseconds(message.held_ms());
+  for (const proto::mirror_item& item : message.items()) {
+    std::optional<milliseconds> max_age;
+    if (item.changed_after_ms() > 0)
+      max_age =
+          milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
+    answer.items.push_back({.key = item.key(),
+                            .value = item.value(),
+                            .revision = item.revision(),
+                            .is_deleted = item.is_deleted(),
+                            .max_age = max_age,
+                            .replaced_revision = item.replaced_revision(),
+                            .removed_revision = item.removed_revision(),
+                            .kept_for = milliseconds(item.kept_for_ms())});
   }
   return answer;
 }
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -18,7 +18,7 @@
 class mirror_relay {
  public:
   /// Updates the items from the mirror.
-  void Update(time_point now, const store_mirror& mirror);
+  void Update(const store_mirror& mirror);
   /// Whether there are changes after a revision.
   /// @param after Revision that the reader has; 0 for a whole listing.
   bool HasChanges(store_revision after) const {
@@ -35,15 +35,17 @@
 
  private:
   std::map<std::string, store_item> items_;  ///< Includes deleted ones.
-  /// When deleted items were removed. Expired items leave the mirror without a
-  /// new revision of the store, so removals are reported to all readers for a
-  /// while.
-  std::map<std::string, time_point> removed_at_;
+  /// Those that the store has removed. Readers keep them for as long as this
+  /// process, and drop them by themselves: the end of that time has no revision
+  /// after which a reader could ask for it.
+  std::map<std::string, kept_item> kept_;
   store_revision revision_;
-  store_revision
-      history_start_;  ///< First revision from which deletions are known.
+  mirror_history history_;
 };
 
+/// Reads the answer of a relay.
+store_answer DecodeRelayAnswer(const proto::mirror_answer& message);
+
 /// Process of this failure domain that is registered as a relay.
 struct relay_registration {
   std::string node;
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -56,34 +56,15 @@
 }
 
 store_answer ReadRelayAnswer(int status, const std::string& body) {
-  store_answer answer;
   if (status == kNoStoreAccess)
-    answer.status = store_answer::status_type::kRefused;
+    return {.status = store_answer::status_type::kRefused};
   if (status != 200)
-    return answer;
+    return {};
   auto bytes = Inflate(body, kMaxMirrorBytes);
   proto::mirror_answer message;
   if (!bytes || !message.ParseFromString(*bytes))
-    return answer;
-  answer.status = message.history_gone()
-                      ? store_answer::status_type::kHistoryCompacted
-                      : store_answer::status_type::kOk;
-  answer.revision = {message.era(), message.revision()};
-  answer.confirmed_age = milliseconds(message.sound_age_ms());
-  answer.held = milliseconds(message.held_ms());
-  for (const proto::mirror_item& item : message.items()) {
-    std::optional<milliseconds> max_age;
-    if (item.changed_after_ms() > 0)
-      max_age =
-          milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
-    answer.items.push_back({.key = item.key(),
-                            .value = item.value(),
-                            .revision = item.revision(),
-                            .is_deleted = item.is_deleted(),
-                            .max_age = max_age,
-                            .replaced_revision = item.replaced_revision()});
-  }
-  return answer;
+    return {};
+  return DecodeRelayAnswer(message);
 }
 
 }  // namespace
@@ -367,7 +348,7 @@
 
 void site_watch::Publish(time_point now) {
   // The readers go first: reading a large configuration takes a while.
-  relay_.Update(now, mirror_);
+  relay_.Update(mirror_);
   std::vector<waiter> waiting;
   waiting.swap(waiters_);
   for (const waiter& item : waiting) {
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -1,5 +1,6 @@
 /// @file store_mirror.cc Local copy of the platform's store.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "store_mirror_base.h"
@@ -8,6 +9,10 @@
 
 namespace {
 
+/// Bounds of the history that is kept.
+constexpr size_t kMaxRemoved = 2000;
+constexpr size_t kMaxGaps = 32;
+
 std::string DirectoryOf(const std::string& key) {
   return key.substr(0, key.rfind('/') + 1);
 }
@@ -21,9 +26,11 @@
     return std::nullopt;
   has_call_in_flight_ = true;
   sent_at_ = now;
-  // A relay reports only the last version of a changed item, so a listing from
-  // it saves nothing.
-  const bool is_listing = is_relayed ? is_history_gone_ : is_listing_;
+  // A relay reports only the last version of a changed item, so that a listing
+  // from it saves nothing. It tells the difference to the content of its own
+  // earlier revisions, which is none that has newer items.
+  const bool is_listing =
+      is_relayed ? is_listing_relays_ || newest_ > revision_ : is_listing_;
   if (is_listing) {
     last_call_ = {.kind = store_call::kind_type::kList,
                   .after_key = is_relayed ? "" : pages_.after_key,
@@ -55,7 +62,7 @@
     return false;
   era_ = era;
   is_burst_ = false;
-  is_history_gone_ = true;
+  is_listing_relays_ = true;
   BeginListing();
   return true;
 }
@@ -65,7 +72,7 @@
     return true;
   return answer.status == store_answer::status_type::kOk &&
          last_call_.kind == store_call::kind_type::kList &&
-         answer.revision.era <= era_ && OfEra(answer.revision) < revision_;
+         answer.revision.era <= era_ && OfEra(answer.revision) < newest_;
 }
 
 bool store_mirror::OnAnswer(time_point now, const store_answer& answer) {
@@ -83,8 +90,9 @@
   if (EnterEra(answer.revision.era))
     is_void = is_void || !is_listing || !last_call_.after_key.empty();
   if (answer.status == store_answer::status_type::kHistoryCompacted) {
-    is_history_gone_ = true;
-    BeginListing();
+    is_listing_relays_ = true;
+    if (!last_call_.is_relayed)
+      BeginListing();
     next_at_ = now;
     return false;
   }
@@ -118,12 +126,15 @@
     if (item.is_deleted) {
       removed_items.push_back(item);
       removed_items.back().revision.era = era_;
+    } else if (item.removed_revision > 0) {
+      ApplyKept(now, item, confirmed_at);
     } else {
       Apply(item, confirmed_at);
     }
   }
   Remove(now, removed_items);
-  revision_ = std::max(revision_, OfEra(answer.revision));
+  SetRevision(OfEra(answer.revision),
+              answer.has_gap ? std::optional(revision_) : std::nullopt);
   confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   EndListing();
   if (IsBurst(answer.items))
@@ -150,6 +161,9 @@
     listing.items[item.key] = item;
     listing.after_key = item.key;
   }
+  if (!answer.items.empty())
+    listing.pages[listing.after_key] = answered;
+  listing.newest_revision = std::max(listing.newest_revision, answered);
   if (answer.has_more) {
     // A page without items has no key to go on from.
     if (answer.items.empty())
@@ -193,6 +207,7 @@
 
 void store_mirror::EndListing() {
   is_listing_ = false;
+  is_listing_relays_ = false;
   is_burst_ = false;
   pages_ = {};
 }
@@ -215,12 +230,53 @@
       restored_at_ && now - *restored_at_ >= options_.copy_grace;
   if (is_copy_settled)
     restored_at_.reset();
-  if (maybe_expired_.empty() || IsInExpiryGrace(now))
+  if (IsInExpiryGrace(now))
     return is_copy_settled;
-  for (const std::string& key : maybe_expired_)
-    items_.erase(key);
-  maybe_expired_.clear();
-  return true;
+  bool has_changed = is_copy_settled;
+  for (auto it = kept_.begin(); it != kept_.end();) {
+    const auto entry = it++;
+    if (now < entry->second.until)
+      continue;
+    Drop(entry->first, entry->second.removed);
+    kept_.erase(entry);
+    has_changed = true;
+  }
+  return has_changed;
+}
+
+void store_mirror::Drop(const std::string& key, store_revision removed) {
+  items_.erase(key);
+  store_revision& known = history_.removed[key];
+  known = std::max(known, removed);
+  newest_ = std::max(newest_, removed);
+}
+
+void store_mirror::SetRevision(store_revision revision,
+                               std::optional<store_revision> gap_begin) {
+  if (revision <= revision_)
+    return;
+  if (revision.era != revision_.era || history_.start.number == 0) {
+    history_ = {.start = revision};
+  } else if (gap_begin) {
+    history_.gaps.emplace_back(*gap_begin, revision);
+  }
+  revision_ = revision;
+  newest_ = std::max(newest_, revision);
+  if (history_.gaps.size() > kMaxGaps) {
+    history_.start = history_.gaps.front().second;
+    history_.gaps.erase(history_.gaps.begin());
+  }
+  if (history_.removed.size() <= kMaxRemoved)
+    return;
+  std::vector<store_revision> revisions;
+  for (const auto& [key, removed] : history_.removed)
+    revisions.push_back(removed);
+  auto middle = revisions.begin() + kMaxRemoved / 2;
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  history_.start = std::max(history_.start, std::min(*middle, revision_));
+  std::erase_if(history_.removed, [this](const auto& entry) {
+    return entry.second <= history_.start;
+  });
 }
 
 bool store_mirror::IsInExpiryGrace(time_point now) const {
@@ -231,7 +287,14 @@
   auto it = items_.find(item.key);
   if (it != items_.end() && it->second.revision >= OfEra(item.revision))
     return;
-  maybe_expired_.erase(item.key);
+  auto removed = history_.removed.find(item.key);
+  if (removed != history_.removed.end()) {
+    if (removed->second >= OfEra(item.revision))
+      return;
+    history_.removed.erase(removed);
+  }
+  newest_ = std::max(newest_, OfEra(item.revision));
+  kept_.erase(item.key);
   const store_item known = it == items_.end() ? store_item{} : it->second;
   store_item& applied = items_[item.key];
   applied = item;
@@ -253,6 +316,19 @@
         std::max(applied.changed_after, confirmed_at - *item.max_age);
 }
 
+void store_mirror::ApplyKept(time_point now,
+                             const store_item& item,
+                             time_point confirmed_at) {
+  const store_revision removed = OfEra(item.removed_revision);
+  // What this process has dropped does not come back.
+  if (!items_.contains(item.key) && removed <= revision_)
+    return;
+  Apply(item, confirmed_at);
+  auto it = items_.find(item.key);
+  if (it != items_.end() && it->second.revision < removed)
+    kept_[item.key] = {.removed = removed, .until = now + item.kept_for};
+}
+
 void store_mirror::Remove(time_point now,
                           const std::vector<store_item>& removed_items) {
   std::map<std::string, size_t> removed;
@@ -263,16 +339,24 @@
     ++removed[DirectoryOf(item.key)];
   for (const store_item& item : removed_items) {
     auto it = items_.find(item.key);
-    if (it == items_.end() || it->second.revision >= item.revision)
+    if (it != items_.end() && it->second.revision >= item.revision)
+      continue;
+    if (it == items_.end()) {
+      Drop(item.key, item.revision);
       continue;
+    }
     const std::string directory = DirectoryOf(item.key);
     const bool is_mass_expiry =
-        static_cast<double>(removed[directory] + maybe_expired_.size()) >
+        static_cast<double>(removed[directory] + kept_.size()) >
         options_.mass_expiry_share * static_cast<double>(held[directory]);
-    if (is_mass_expiry && IsInExpiryGrace(now)) {
-      maybe_expired_.insert(item.key);
+    auto kept = kept_.find(item.key);
+    if (kept != kept_.end() && now < kept->second.until) {
+      kept->second.removed = std::max(kept->second.removed, item.revision);
+    } else if (is_mass_expiry && IsInExpiryGrace(now)) {
+      kept_[item.key].removed = item.revision;
     } else {
-      items_.erase(it);
+      kept_.erase(item.key);
+      Drop(item.key, item.revision);
     }
   }
 }
@@ -283,26 +367,34 @@
     restored_at_ = now;
     restored_revision_ = listing.revision;
   }
-  for (const auto& [key, item] : listing.items)
-    Apply(item, listing.sent_at);
+  // Content that is ahead lacks items that readers at its revision may have.
+  const store_revision gap_begin =
+      newest_ > revision_ && revision_.number > 0
+          ? store_revision(revision_.era, revision_.number - 1)
+          : revision_;
   std::vector<store_item> removed_items;
+  for (const auto& [key, item] : listing.items) {
+    if (item.removed_revision > 0)
+      ApplyKept(now, item, listing.sent_at);
+    else
+      Apply(item, listing.sent_at);
+  }
   for (const auto& [key, item] : items_) {
     if (listing.items.contains(key) || item.revision > listing.revision)
       continue;
+    const store_revision removed = listing.RevisionOf(key);
     if (item.revision.era < listing.revision.era && IsInExpiryGrace(now)) {
       // Lost with the older era, and not written again yet.
-      maybe_expired_.insert(key);
+      kept_[key] = {.removed = removed};
     } else {
       removed_items.push_back(
-          {.key = key,
-           .revision = {item.revision.era, item.revision.number + 1},
-           .is_deleted = true});
+          {.key = key, .revision = removed, .is_deleted = true});
     }
   }
   Remove(now, removed_items);
   is_loaded_ = true;
-  is_history_gone_ = false;
-  revision_ = std::max(revision_, listing.revision);
+  SetRevision(listing.revision, gap_begin);
+  newest_ = std::max(newest_, listing.newest_revision);
   confirmed_at_ = std::max(confirmed_at_, listing.sent_at);
 }
 
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,11 +27,22 @@
   /// Revision of the item that the change replaced, in the same era; 0 if there
   /// was none.
   uint64_t replaced_revision = 0;
+  /// Answers of relays: revision by which the store has removed the item, which
+  /// the relay keeps for the time below; 0 if it was not removed.
+  uint64_t removed_revision = 0;
+  milliseconds kept_for{0};
   /// Mirror: earliest time from which the change counts; time_point{} if
   /// unknown.
   time_point changed_after{};
 };
 
+/// Item that the store has removed, but that is kept for a while, since its
+/// live writer may write it again.
+struct kept_item {
+  store_revision removed;  ///< Revision by which it was removed.
+  time_point until{};      ///< An outage of the store seen here extends it.
+};
+
 /// Answer of the store to a listing or a watch.
 struct store_answer {
   enum class status_type {
@@ -47,6 +57,9 @@
   bool has_more = false;    ///< Whether a listing has another page.
   /// Revision of the store. Refusals state only its era.
   store_revision revision;
+  /// Answers of relays to a watch: whether changes may be left out that were
+  /// undone before this revision.
+  bool has_gap = false;
   /// Answers of relays: age of the relay's last confirmed read of the store.
   milliseconds confirmed_age{0};
   /// Time for which the call was held before it was answered: the answer is at
@@ -71,15 +84,47 @@
 /// Listing of all items as far as it has been read: pages of the store, or the
 /// one answer of a relay. The content of different sources is never joined.
 struct store_listing {
+  /// Revision of the page that had the item, or would have had it.
+  store_revision RevisionOf(const std::string& key) const {
+    auto page = pages.lower_bound(key);
+    return page == pages.end() ? newest_revision : page->second;
+  }
+
   /// Lowest revision of the pages. They are not a consistent snapshot: a watch
   /// after this revision reports what changed meanwhile.
   store_revision revision;
   time_point sent_at{};   ///< When the first page was requested.
   std::string after_key;  ///< Last key of the pages; empty before the first.
   std::map<std::string, store_item> items;
+  std::map<std::string, store_revision> pages;  ///< By last key.
+  store_revision newest_revision;               ///< Newest of the pages.
   bool has_large_changes = false;
 };
 
+/// Which changes of the store a mirror has seen one by one. A reader with the
+/// content of an older revision needs them all: an item that it has may be gone
+/// without the mirror ever having had it.
+struct mirror_history {
+  /// Whether the changes after a revision are known.
+  bool Covers(store_revision after) const {
+    return after >= start &&
+           std::none_of(gaps.begin(), gaps.end(), [&](const auto& gap) {
+             return gap.first < after && after < gap.second;
+           });
+  }
+  /// Whether a gap follows a revision.
+  bool HasGapAfter(store_revision after) const {
+    return !gaps.empty() && gaps.back().first >= after;
+  }
+
+  store_revision start;  ///< Changes up to it are not known.
+  /// Pairs of revisions between which only the difference is known, as a
+  /// listing has replaced the content. Oldest first.
+  std::vector<std::pair<store_revision, store_revision>> gaps;
+  /// Revision by which an item that is not held was removed, by key.
+  std::map<std::string, store_revision> removed;
+};
+
 struct store_mirror_options {
   /// Maximum wait of a watch. In the worst case the confirmed age reaches two
   /// waits in a row.
@@ -151,6 +196,13 @@
   /// Whether the first whole listing has been read.
   bool IsLoaded() const { return is_loaded_; }
   const std::map<std::string, store_item>& Items() const { return items_; }
+  /// Those of the items that the store has removed, by key.
+  const std::map<std::string, kept_item>& Kept() const { return kept_; }
+  time_point KeptUntil(const kept_item& kept) const {
+    return std::max<time_point>(kept.until,
+                                outage_ended_at_ + options_.expiry_grace);
+  }
+  const mirror_history& History() const { return history_; }
   /// Revision of the content.
   store_revision Revision() const { return revision_; }
   /// Newest known era of the store; the content may still be of an older one.
@@ -195,12 +247,24 @@
   store_revision OfEra(store_revision of) const { return {era_, of.number}; }
   /// @param confirmed_at Time of the confirmed read that the item comes from.
   void Apply(const store_item& item, time_point confirmed_at);
+  /// Takes an item that a relay keeps although the store has removed it.
+  void ApplyKept(time_point now,
+                 const store_item& item,
+                 time_point confirmed_at);
   void Remove(time_point now, const std::vector<store_item>& removed_items);
   /// Adds the answer to the call in flight to the listing that it belongs to.
   /// @return Whether the listing is complete, so that the content has changed.
   bool ReadListing(time_point now, const store_answer& answer);
   /// Replaces the content by a whole listing.
   void FinishListing(time_point now, const store_listing& listing);
+  /// Drops an item.
+  /// @param removed Revision by which it was removed.
+  void Drop(const std::string& key, store_revision removed);
+  /// Moves the content's revision on.
+  /// @param gap_begin First revision to which only the difference is known;
+  /// nullopt if all changes are.
+  void SetRevision(store_revision revision,
+                   std::optional<store_revision> gap_begin);
   bool IsInExpiryGrace(time_point now) const;
   bool IsBurst(const std::vector<store_item>& changes) const;
   /// Begins a listing of the store from its first page.
@@ -215,15 +279,18 @@
   /// Pages of the store read so far. A relay's whole answer replaces them, and
   /// they are continued after relays that have failed.
   store_listing pages_;
-  std::set<std::string> maybe_expired_;  ///< Keys that may have expired.
+  std::map<std::string, kept_item> kept_;  ///< By key.
+  mirror_history history_;
+  /// Newest revision that a part of the content is of. It is after the
+  /// content's revision if pages of a listing have shown changes that the watch
+  /// has yet to report.
+  store_revision newest_;
   uint64_t era_ = 0;
   store_revision revision_;
   bool is_loaded_ = false;
-  /// Whether the history after the content's revision is known to be lost, so
-  /// that only a listing tells what has changed.
-  bool is_history_gone_ = true;
   bool is_listing_ = true;  ///< Whether the store is to be asked for a listing.
-  bool is_burst_ = false;   ///< Whether listings replace the watch.
+  bool is_listing_relays_ = true;  ///< The same for relays.
+  bool is_burst_ = false;          ///< Whether listings replace the watch.
   store_call last_call_;
   bool has_call_in_flight_ = false;
   bool is_call_void_ = false;  ///< Whether the one in flight is of an old era.
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -43,7 +43,7 @@
     mirror.OnAnswer(now, {.status = store_answer::status_type::kOk,
                           .items = std::move(items),
                           .revision = revision});
-    relay.Update(now, mirror);
+    relay.Update(mirror);
   }
 
   time_point now = kStart;
@@ -268,7 +268,7 @@
                  {.key = "servers/good", .value = "v", .revision = 2}},
        .revision = 9});
   mirror_relay relay;
-  relay.Update(now, mirror);
+  relay.Update(mirror);
   proto::mirror_answer read;
   BOOST_REQUIRE(read.ParseFromString(relay.Answer(now, 0).SerializeAsString()));
   BOOST_TEST(read.items_size() == 2);
@@ -313,7 +313,7 @@
       it.now, {.status = store_answer::status_type::kOk,
                .items = {{.key = "a", .revision = 38, .is_deleted = true}},
                .revision = {1, 38}});
-  it.relay.Update(it.now, it.mirror);
+  it.relay.Update(it.mirror);
   it.List({{.key = "a", .value = "copy", .revision = 30},
            {.key = "b", .revision = 31}},
           {2, 31});
@@ -323,6 +323,98 @@
   BOOST_TEST(it.relay.Answer(it.now, {2, 0}).items_size() == 2);
 }
 
+// Regression: a removal that a relay made without a new revision, as an expired
+// item was not written again in time, was reported for 3 s only. A reader that
+// was cut off for longer kept the item for good.
+BOOST_AUTO_TEST_CASE(expired_items_end_at_a_reader_that_was_away) {
+  std::vector<store_item> servers;
+  for (uint64_t i = 1; i <= 4; ++i)
+    servers.push_back({.key = "servers/s" + std::to_string(i), .revision = i});
+  store_mirror mirror{{}};
+  mirror_relay relay;
+  time_point now = kStart;
+  auto answer = [&](const store_answer& it) {
+    now = std::max(now, mirror.NextCallAt());
+    mirror.NextCall(now);
+    mirror.OnAnswer(now, it);
+    relay.Update(mirror);
+  };
+  answer({.status = store_answer::status_type::kOk,
+          .items = servers,
+          .revision = {1, 10}});
+  store_mirror reader{{}};
+  auto read = [&] {
+    now = std::max(now, reader.NextCallAt());
+    const auto call = reader.NextCall(now, true);
+    BOOST_REQUIRE(call.has_value());
+    reader.OnAnswer(now,
+                    DecodeRelayAnswer(relay.Answer(now, call->after_revision)));
+  };
+  read();
+  answer({.status = store_answer::status_type::kRefused});
+  std::vector<store_item> expired;
+  for (uint64_t i = 2; i <= 4; ++i)
+    expired.push_back({.key = "servers/s" + std::to_string(i),
+                       .revision = 16 + i,
+                       .is_deleted = true});
+  answer({.status = store_answer::status_type::kOk,
+          .items = expired,
+          .revision = {1, 20}});
+  read();
+  BOOST_TEST(mirror.Items().size() == 4u);
+  BOOST_TEST(reader.Items().size() == 4u);
+  now += seconds(2);
+  BOOST_TEST(mirror.RunDue(now));
+  relay.Update(mirror);
+  BOOST_TEST(mirror.Items().size() == 1u);
+  now += milliseconds(4500);
+  reader.RunDue(now);
+  read();
+  BOOST_TEST(reader.Items().size() == 1u);
+}
+
+// Regression: an item that was written and removed between two answers of the
+// store never was in the relay, which did not report its removal to a reader
+// that had read it from the store.
+BOOST_AUTO_TEST_CASE(
+    a_removal_is_reported_of_an_item_that_the_relay_never_had) {
+  store_mirror mirror{{}};
+  mirror_relay relay;
+  mirror.NextCall(kStart);
+  mirror.OnAnswer(
+      kStart, {.status = store_answer::status_type::kOk, .revision = {1, 10}});
+  relay.Update(mirror);
+  const time_point now = mirror.NextCallAt();
+  mirror.NextCall(now);
+  mirror.OnAnswer(now,
+                  {.status = store_answer::status_type::kOk,
+                   .items = {{.key = "a", .revision = 11},
+                             {.key = "a", .revision = 12, .is_deleted = true}},
+                   .revision = {1, 12}});
+  relay.Update(mirror);
+  const auto answer = relay.Answer(now, {1, 11});
+  BOOST_REQUIRE(answer.items_size() == 1);
+  BOOST_TEST(answer.items(0).is_deleted());
+}
+
+// Regression: a relay that listed the store during a burst did not know what
+// had been removed since the content that its reader had read from the store.
+BOOST_AUTO_TEST_CASE(a_reader_within_the_gap_of_a_listing_lists_the_relay) {
+  restored_relay it;
+  it.List({{.key = "a", .revision = 5}}, {1, 10});
+  it.now = it.mirror.NextCallAt();
+  it.mirror.NextCall(it.now);
+  it.mirror.OnAnswer(it.now,
+                     {.status = store_answer::status_type::kHistoryCompacted});
+  it.List({{.key = "a", .revision = 5}}, {1, 20});
+  BOOST_TEST(!it.relay.Answer(it.now, {1, 10}).history_gone());
+  BOOST_TEST(it.relay.Answer(it.now, {1, 15}).history_gone());
+  BOOST_TEST(!it.relay.Answer(it.now, {1, 20}).history_gone());
+  // A relay that reads from this one has the same gap.
+  BOOST_TEST(it.relay.Answer(it.now, {1, 10}).has_gap());
+  BOOST_TEST(!it.relay.Answer(it.now, {1, 20}).has_gap());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/platform_test.cc
+++ b/src/tests/platform_test.cc
@@ -485,13 +485,13 @@
   read(&reader, {}, 9);
   const time_point last_read = reader.ConfirmedAt();
   mirror_relay relay;
-  relay.Update(now, relayed);
+  relay.Update(relayed);
   now += seconds(1);
   read(&relayed, {version(2, 10)}, 10);
   now += seconds(2);
   read(&relayed, {}, 10);
   read(&relayed, {version(3, 11)}, 11);
-  relay.Update(now, relayed);
+  relay.Update(relayed);
   const auto relay_reads = [&](store_mirror* mirror, uint64_t after) {
     const auto answer = relay.Answer(now, after);
     BOOST_REQUIRE(answer.items_size() == 1);
@@ -518,7 +518,7 @@
   const time_point listed = mirror.ConfirmedAt();
   read({{.key = "b", .value = "1", .revision = 4}}, 4);
   mirror_relay relay;
-  relay.Update(now, mirror);
+  relay.Update(mirror);
   const auto answer = relay.Answer(now, 0);
   BOOST_REQUIRE(answer.items_size() == 2);
   BOOST_TEST(answer.items(0).changed_after_ms() == 0);
