Fix: An entry that starts after a drill takes the copy's older configuration

Cause: a relay hands on the items of the restored store as they are, while the process itself goes by the newer configuration that it knew before. An entry that starts then took the older one from it.

Why this works: the mirror keeps the items that the copy has replaced, until they are written again or the time of the copy is over. A relay adds them to a whole listing, with the items that the copy lacks, and a process without content takes them first, as if it had been there before. It then decides by the same rules as all others.

--- a/src/mirror_relay.cc
+++ b/src/mirror_relay.cc
@@ -6,6 +6,36 @@
 
 namespace fuchsiafall {
 
+namespace {
+
+void EncodeItem(const store_item& item, proto::mirror_item* to) {
+  to->set_key(item.key);
+  to->set_value(item.value);
+  to->set_revision(item.revision.number);
+  to->set_is_deleted(item.is_deleted);
+  to->set_changed_after_ms(
+      std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
+          .count());
+  to->set_replaced_revision(item.replaced_revision);
+}
+
+store_item DecodeItem(const proto::mirror_answer& message,
+                      const proto::mirror_item& item) {
+  std::optional<milliseconds> max_age;
+  if (item.changed_after_ms() > 0)
+    max_age = milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
+  return {.key = item.key(),
+          .value = item.value(),
+          .revision = item.revision(),
+          .is_deleted = item.is_deleted(),
+          .max_age = max_age,
+          .replaced_revision = item.replaced_revision(),
+          .removed_revision = item.removed_revision(),
+          .kept_for = milliseconds(item.kept_for_ms())};
+}
+
+}  // namespace
+
 void mirror_relay::Update(const store_mirror& mirror) {
   revision_ = mirror.Revision();
   history_ = mirror.History();
@@ -13,10 +43,14 @@
   for (const auto& [key, removed] : history_.removed)
     items_[key] = {.key = key, .revision = removed, .is_deleted = true};
   kept_.clear();
+  earlier_ = mirror.Superseded();
+  earlier_revision_ = mirror.EarlierRevision();
   for (const auto& [key, item] : mirror.Items()) {
     // What a restored store lacks is no content of it, even while it is kept.
-    if (item.revision.era != revision_.era)
+    if (item.revision.era != revision_.era) {
+      earlier_[key] = item;
       continue;
+    }
     items_[key] = item;
     auto kept = mirror.Kept().find(key);
     if (kept != mirror.Kept().end())
@@ -42,20 +76,19 @@
     if (changed <= after || (item.is_deleted && after.number == 0))
       continue;
     proto::mirror_item* to = answer.add_items();
-    to->set_key(key);
-    to->set_value(item.value);
-    to->set_revision(item.revision.number);
-    to->set_is_deleted(item.is_deleted);
-    to->set_changed_after_ms(
-        std::chrono::floor<milliseconds>(item.changed_after.time_since_epoch())
-            .count());
-    to->set_replaced_revision(item.replaced_revision);
+    EncodeItem(item, to);
     if (kept == kept_.end())
       continue;
     to->set_removed_revision(kept->second.removed.number);
     to->set_kept_for_ms(static_cast<uint32_t>(
         std::max<int64_t>(0, ToMs(kept->second.until - now))));
   }
+  if (after.number == 0 && !earlier_.empty()) {
+    answer.set_earlier_era(earlier_revision_.era);
+    answer.set_earlier_revision(earlier_revision_.number);
+    for (const auto& [key, item] : earlier_)
+      EncodeItem(item, answer.add_earlier_items());
+  }
   return answer;
 }
 
@@ -68,20 +101,11 @@
   answer.has_gap = message.has_gap();
   answer.confirmed_age = milliseconds(message.sound_age_ms());
   answer.held = milliseconds(message.held_ms());
-  for (const proto::mirror_item& item : message.items()) {
-    std::optional<milliseconds> max_age;
-    if (item.changed_after_ms() > 0)
-      max_age =
-          milliseconds(message.confirmed_at_ms() - item.changed_after_ms());
-    answer.items.push_back({.key = item.key(),
-                            .value = item.value(),
-                            .revision = item.revision(),
-                            .is_deleted = item.is_deleted(),
-                            .max_age = max_age,
-                            .replaced_revision = item.replaced_revision(),
-                            .removed_revision = item.removed_revision(),
-                            .kept_for = milliseconds(item.kept_for_ms())});
-  }
+  for (const proto::mirror_item& item : message.items())
+    answer.items.push_back(DecodeItem(message, item));
+  for (const proto::mirror_item& item : message.earlier_items())
+    answer.earlier_items.push_back(DecodeItem(message, item));
+  answer.earlier_revision = {message.earlier_era(), message.earlier_revision()};
   return answer;
 }
 
--- a/src/mirror_relay_base.h
+++ b/src/mirror_relay_base.h
@@ -41,6 +41,9 @@
   std::map<std::string, kept_item> kept_;
   store_revision revision_;
   mirror_history history_;
+  /// What the process knows of an older era of the store and still goes by.
+  std::map<std::string, store_item> earlier_;
+  store_revision earlier_revision_;
 };
 
 /// Reads the answer of a relay.
--- a/src/site_watch.cc
+++ b/src/site_watch.cc
@@ -295,6 +295,8 @@
 void site_watch::OnAnswer(time_point now, const store_answer& answer) {
   CheckPause(now);
   const uint64_t era_before = mirror_.Era();
+  if (!mirror_.IsLoaded() && !answer.earlier_items.empty())
+    TakeEarlier(now, answer);
   const bool has_changes = mirror_.OnAnswer(now, answer);
   ReportEra(era_before);
   if (mirror_.IsReachable() != was_reachable_) {
@@ -322,6 +324,13 @@
   loop_.Post([this] { RunDue(BootNow()); });
 }
 
+void site_watch::TakeEarlier(time_point now, const store_answer& answer) {
+  mirror_.TakeEarlier(answer);
+  auto view = std::make_shared<site_view>(BuildView(now));
+  LogConfiguration(now, *view);
+  view_ = view;
+}
+
 void site_watch::LogListing(const std::string& address,
                             const store_call& call,
                             const store_answer& answer) const {
@@ -358,25 +367,33 @@
       waiters_.push_back(item);
     }
   }
-  std::vector<std::string> problems;
-  auto view = std::make_shared<site_view>(
-      platform::BuildView(now, mirror_, *view_, &problems));
-  for (const std::string& problem : problems)
-    LogEvent(log_event::kStoreItemUnreadable, problem);
-  if (view->configuration.version != view_->configuration.version) {
-    LogEvent(
-        log_event::kConfigurationAdopted,
-        "version=" + std::to_string(view->configuration.version) +
-            " revision=" + std::to_string(view->revision.number) +
-            " routes=" + std::to_string(view->configuration.routes.size()) +
-            " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
-  }
+  auto view = std::make_shared<site_view>(BuildView(now));
+  LogConfiguration(now, *view);
   LogAnnouncements(now, *view);
   view->entry_relays = UpdateRelays(mirror_.Items());
   view_ = view;
   options_.on_change(view_, mirror_.ConfirmedAt());
 }
 
+site_view site_watch::BuildView(time_point now) const {
+  std::vector<std::string> problems;
+  site_view view = platform::BuildView(now, mirror_, *view_, &problems);
+  for (const std::string& problem : problems)
+    LogEvent(log_event::kStoreItemUnreadable, problem);
+  return view;
+}
+
+void site_watch::LogConfiguration(time_point now, const site_view& view) const {
+  if (view.configuration.version == view_->configuration.version)
+    return;
+  LogEvent(
+      log_event::kConfigurationAdopted,
+      "version=" + std::to_string(view.configuration.version) +
+          " revision=" + std::to_string(view.revision.number) +
+          " routes=" + std::to_string(view.configuration.routes.size()) +
+          " sound_ms=" + std::to_string(ToMs(now - mirror_.ConfirmedAt())));
+}
+
 void site_watch::LogAnnouncements(time_point now, const site_view& view) const {
   for (const auto& [model, wanted] : view.weights) {
     const auto known = view_->weights.find(model);
--- a/src/site_watch.h
+++ b/src/site_watch.h
@@ -81,6 +81,8 @@
   /// @param call Without the hooks that this sets.
   void Read(time_point now, async_http_call call, const call_hook& done);
   void OnAnswer(time_point now, const store_answer& answer);
+  /// Takes what a relay knows beyond a restored store, before its listing.
+  void TakeEarlier(time_point now, const store_answer& answer);
   /// Logs what the answer to a listing tells.
   void LogListing(const std::string& address,
                   const store_call& call,
@@ -91,6 +93,10 @@
   /// @param before Era known before.
   void ReportEra(uint64_t before);
   void Publish(time_point now);
+  /// Builds the view of the mirror's present content.
+  site_view BuildView(time_point now) const;
+  /// Logs the configuration of a view if it is another one than before.
+  void LogConfiguration(time_point now, const site_view& view) const;
   /// Logs the versions of the weights that are new in a view.
   void LogAnnouncements(time_point now, const site_view& view) const;
   /// Updates the relays from the registrations among the items.
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -1,5 +1,6 @@
 /// @file store_mirror.cc Local copy of the platform's store.
 #include <algorithm>
+#include <cassert>
 #include <set>
 #include <utility>
 
@@ -225,11 +226,26 @@
              std::max<duration>(options_.burst_spacing, paced);
 }
 
+void store_mirror::TakeEarlier(const store_answer& answer) {
+  assert(!is_loaded_);
+  for (const store_item& item : answer.earlier_items) {
+    store_item& taken = items_[item.key];
+    taken = item;
+    taken.revision = {answer.earlier_revision.era, item.revision.number};
+    if (item.max_age)
+      taken.changed_after = sent_at_ - answer.confirmed_age - *item.max_age;
+  }
+  revision_ = answer.earlier_revision;
+  is_loaded_ = true;
+}
+
 bool store_mirror::RunDue(time_point now) {
   const bool is_copy_settled =
       restored_at_ && now - *restored_at_ >= options_.copy_grace;
-  if (is_copy_settled)
+  if (is_copy_settled) {
     restored_at_.reset();
+    superseded_.clear();
+  }
   if (IsInExpiryGrace(now))
     return is_copy_settled;
   bool has_changed = is_copy_settled;
@@ -296,6 +312,10 @@
   newest_ = std::max(newest_, OfEra(item.revision));
   kept_.erase(item.key);
   const store_item known = it == items_.end() ? store_item{} : it->second;
+  const bool is_of_copy =
+      restored_at_ && OfEra(item.revision) <= restored_revision_;
+  if (!is_of_copy)
+    superseded_.erase(item.key);
   store_item& applied = items_[item.key];
   applied = item;
   applied.revision = OfEra(item.revision);
@@ -306,6 +326,8 @@
         known.revision.era == era_ ? known.replaced_revision : 0;
     return;
   }
+  if (is_of_copy && known.revision.number > 0 && known.revision.era < era_)
+    superseded_.try_emplace(item.key, known);
   applied.replaced_revision =
       known.revision.era == era_ ? known.revision.number : 0;
   applied.changed_after = is_loaded_ ? ChangedAfter() : time_point{};
@@ -366,6 +388,7 @@
     outage_ended_at_ = now;
     restored_at_ = now;
     restored_revision_ = listing.revision;
+    earlier_revision_ = revision_;
   }
   // Content that is ahead lacks items that readers at its revision may have.
   const store_revision gap_begin =
--- a/src/store_mirror_base.h
+++ b/src/store_mirror_base.h
@@ -57,6 +57,11 @@
   bool has_more = false;    ///< Whether a listing has another page.
   /// Revision of the store. Refusals state only its era.
   store_revision revision;
+  /// Answers of relays to a listing: what they know of an older era and still
+  /// go by, although the restored store has older content or none, and the
+  /// revision that it is of.
+  std::vector<store_item> earlier_items;
+  store_revision earlier_revision;
   /// Answers of relays to a watch: whether changes may be left out that were
   /// undone before this revision.
   bool has_gap = false;
@@ -188,6 +193,9 @@
   /// is of an older era, or a listing of an older revision. Such an answer is
   /// not taken, since a listing replaces the whole content.
   bool IsBehind(const store_answer& answer) const;
+  /// Takes content of an older era from a relay, as if it had been read before
+  /// the store was restored. Before the first listing only.
+  void TakeEarlier(const store_answer& answer);
   /// Removes expired items that were not written again in time, and ends the
   /// time in which items may come from a copy.
   /// @return Whether the known state has changed.
@@ -203,6 +211,13 @@
                                 outage_ended_at_ + options_.expiry_grace);
   }
   const mirror_history& History() const { return history_; }
+  /// Items that the copy of a restored store has replaced, by key, until they
+  /// are written again.
+  const std::map<std::string, store_item>& Superseded() const {
+    return superseded_;
+  }
+  /// Revision of the content before the store was restored.
+  store_revision EarlierRevision() const { return earlier_revision_; }
   /// Revision of the content.
   store_revision Revision() const { return revision_; }
   /// Newest known era of the store; the content may still be of an older one.
@@ -280,6 +295,8 @@
   /// they are continued after relays that have failed.
   store_listing pages_;
   std::map<std::string, kept_item> kept_;  ///< By key.
+  std::map<std::string, store_item> superseded_;
+  store_revision earlier_revision_;
   mirror_history history_;
   /// Newest revision that a part of the content is of. It is after the
   /// content's revision if pages of a listing have shown changes that the watch
--- a/src/tests/mirror_relay_test.cc
+++ b/src/tests/mirror_relay_test.cc
@@ -415,6 +415,55 @@
   BOOST_TEST(!it.relay.Answer(it.now, {1, 20}).has_gap());
 }
 
+// Regression: an entry that started after a drill took the older configuration
+// of the restored store from a relay that went by a newer one, and served a key
+// that the newer one had taken away.
+BOOST_AUTO_TEST_CASE(a_starting_reader_learns_what_its_relay_knows_of_before) {
+  restored_relay it;
+  it.List({{.key = "op/config", .value = "newer", .revision = 30},
+           {.key = "op/same", .value = "same", .revision = 31},
+           {.key = "servers/lost", .value = "x", .revision = 37}},
+          {1, 37});
+  it.List({{.key = "op/config", .value = "copy", .revision = 20},
+           {.key = "op/same", .value = "same", .revision = 21}},
+          {2, 31});
+  const auto answer = DecodeRelayAnswer(it.relay.Answer(it.now, 0));
+  BOOST_TEST(answer.earlier_items.size() == 2u);
+  store_mirror reader{{}};
+  reader.NextCall(it.now, true);
+  reader.TakeEarlier(answer);
+  BOOST_TEST(reader.Items().at("op/config").value == "newer");
+  BOOST_TEST(reader.Items().contains("servers/lost"));
+  reader.OnAnswer(it.now, answer);
+  BOOST_TEST(reader.Revision() == store_revision(2, 31));
+  BOOST_TEST(reader.Items().at("op/config").value == "copy");
+  BOOST_TEST(reader.MayBeFromCopy(reader.Items().at("op/config")));
+  BOOST_TEST(reader.Items().contains("servers/lost"));
+  BOOST_TEST(reader.Superseded().at("op/config").value == "newer");
+  // A reader with content of its own is told the same, and does not need it.
+  BOOST_TEST(it.relay.Answer(it.now, {2, 31}).earlier_items_size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_written_again_is_no_longer_known_of_before) {
+  for (const bool is_settled : {true, false}) {
+    restored_relay it;
+    it.List({{.key = "op/config", .value = "newer", .revision = 30}}, {1, 37});
+    it.List({{.key = "op/config", .value = "copy", .revision = 20}}, {2, 31});
+    it.now += seconds(is_settled ? 6 : 1);
+    it.mirror.RunDue(it.now);
+    if (!is_settled) {
+      it.mirror.NextCall(it.now);
+      it.mirror.OnAnswer(
+          it.now,
+          {.status = store_answer::status_type::kOk,
+           .items = {{.key = "op/config", .value = "new", .revision = 32}},
+           .revision = {2, 32}});
+    }
+    it.relay.Update(it.mirror);
+    BOOST_TEST(it.relay.Answer(it.now, 0).earlier_items_size() == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/mirror_series_test.cc
+++ b/src/tests/mirror_series_test.cc
@@ -225,8 +225,7 @@
   }
 
   void CallStore(size_t i, uint64_t life, const store_call& call) {
-    const time_point sent = now_;
-    At(DrawDelay(true), [this, i, life, call, sent] {
+    At(DrawDelay(true), [this, i, life, call] {
       auto silent = silent_.find(i);
       const bool is_silent = silent != silent_.end() && now_ < silent->second;
       store_answer answer = store_.Answer(call, page_size_);
