Fix: A load order of the agent before is taken for the own unload

Cause: the report of a server shows that an order was accepted, not which one. An agent whose open orders were all unloads took it for its unload, also if it was the load order of the agent before the restart, accepted late. So it compared nothing and wrote the piece anew while the layers were loaded, and the next agent found all staged pieces right.

Why this works: the accepted order counts as the own unload only if the answer to the unload says so and it named the count just before. Otherwise it is a load that is to be compared, and nothing is written until then.

--- a/src/load_verifier.cc
+++ b/src/load_verifier.cc
@@ -37,10 +37,13 @@
 
 void load_verifier::OnOrderAccepted(const load_id& reported) {
   const bool is_restart = reported.started_at_ms != load_.started_at_ms;
-  is_unloading_ =
-      !open_orders_.empty() &&
-      std::all_of(open_orders_.begin(), open_orders_.end(),
-                  [](const auto& item) { return item.second.is_unload; });
+  // A load that an agent before this one has ordered may be accepted instead of
+  // an unload; only the answer tells.
+  is_unloading_ = !is_restart &&
+                  std::any_of(open_orders_.begin(), open_orders_.end(),
+                              [&](const auto& item) {
+                                return IsAcceptedUnload(item.second, reported);
+                              });
   // Layers that no order has loaded were there from the start.
   state_ = reported.orders == 0 ? load_state::kIntact : load_state::kUnverified;
   accepted_after_ = has_report_ ? shown_at_ : time_point::min();
@@ -52,13 +55,22 @@
       accepted_after_ = std::max(accepted_after_, order.sent_at);
   }
   // The engine refuses the others, which name a count that is past; after a
-  // restart the count may be theirs again.
+  // restart the count may be theirs again. The accepted one may be an unload
+  // whose answer is on its way.
   std::erase_if(open_orders_, [&](const auto& item) {
-    return !is_restart || item.second.is_accepted;
+    const bool is_answered = item.second.open_until != time_point::max();
+    return item.second.is_accepted ||
+           (!is_restart && (is_answered || !item.second.is_unload));
   });
   load_ = reported;
 }
 
+bool load_verifier::IsAcceptedUnload(const open_order& order,
+                                     const load_id& load) {
+  return order.is_unload && order.is_accepted &&
+         order.reported_orders + 1 == load.orders;
+}
+
 uint64_t load_verifier::OnOrderSent(time_point now, const engine_order& order) {
   const uint64_t number = next_order_++;
   open_orders_[number] = {.sent_at = now,
@@ -76,6 +88,10 @@
   if (result.status == kStatusAccepted) {
     it->second.is_accepted = true;
     it->second.open_until = now + options_.max_delay_given_up;
+    if (!IsAcceptedUnload(it->second, load_))
+      return;
+    is_unloading_ = true;
+    open_orders_.erase(it);
   } else if (result.status == 0) {
     it->second.open_until = EffectEnd(now, result);
   } else {
--- a/src/load_verifier_base.h
+++ b/src/load_verifier_base.h
@@ -102,6 +102,8 @@
   };
 
   void OnOrderAccepted(const load_id& reported);
+  /// Whether an order is an unload, and the last one that the engine accepted.
+  static bool IsAcceptedUnload(const open_order& order, const load_id& load);
   bool HoldsLayers() const { return is_loading_ || has_layers_; }
   /// Returns until when a write may take effect; max() while one is open.
   time_point WritesEnd() const {
--- a/src/tests/weight_loader_test.cc
+++ b/src/tests/weight_loader_test.cc
@@ -115,6 +115,34 @@
   BOOST_TEST(verifier.IsSpoilt());
 }
 
+// Regression: an agent that had ordered an unload took a load order of the
+// agent before it, accepted late, for its own. It wrote the pieces anew while
+// they were loaded, and the next agent found them all right.
+BOOST_AUTO_TEST_CASE(a_load_of_the_agent_before_is_not_taken_for_an_unload) {
+  const time_point now{std::chrono::hours(1)};
+  const engine_order unload{.is_unload = true, .reported_orders = 3};
+  for (const int status : {0, 202, 409}) {
+    load_verifier verifier({});
+    staged_engine_report report{.orders = 3, .started_at_ms = 77};
+    auto report_twice = [&] {
+      for (int i = 0; i < 2; ++i)
+        verifier.OnReport(now, now, report, !report.held.empty());
+    };
+    report.held = {{.model = "m", .version = 2, .from = 0, .to = 4}};
+    report_twice();
+    const uint64_t number = verifier.OnOrderSent(now, unload);
+    report.orders = 4;
+    report.is_loading = true;
+    report_twice();
+    BOOST_TEST(!verifier.MayWrite(now));
+    BOOST_TEST(verifier.VerifiesFrom().has_value());
+    // The answer is late.
+    verifier.OnOrderEnded(now, number, {.status = status});
+    BOOST_TEST(verifier.MayWrite(now) == (status == 202));
+    BOOST_TEST(verifier.VerifiesFrom().has_value() == (status != 202));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_load_is_ordered_while_a_write_may_take_effect) {
   fake_staged_engine engine(1);
   engine.Advance(milliseconds(300));
