--- a/src/tests/mirror_series_test.cc
+++ b/src/tests/mirror_series_test.cc
@@ -156,6 +156,7 @@
     });
   }
 
+  /// Changes an item, or brings about a fault, a few times a second.
   void Disturb() {
     At(milliseconds(20 + Draw(150)), [this] { Disturb(); });
     if (now_ >= kStart + kCalm) {
@@ -164,22 +165,25 @@
     }
     const uint64_t kind = Draw(20);
     const size_t i = Draw(kProcesses);
-    if (kind < 12) {
+    if (kind < 12)
       store_.Write(keys_[Draw(keys_.size())], Draw(3) == 0);
-    } else if (kind == 12) {
+    else if (kind == 12)
       processes_[i]->frozen_until = now_ + milliseconds(Draw(6000));
-    } else if (kind == 13 && Draw(3) == 0) {
-      const uint64_t life = processes_[i]->life + 1;
-      processes_[i] = std::make_unique<process>();
-      processes_[i]->life = life;
-      RunProcess(i, life);
-    } else if (kind < 16) {
+    else if (kind == 13 && Draw(3) == 0)
+      Restart(i);
+    else if (kind < 16)
       silent_[i] = now_ + milliseconds(Draw(4000));
-    } else if (kind == 16) {
+    else if (kind == 16)
       slow_until_ = now_ + milliseconds(Draw(3000));
-    } else if (kind == 17 && Draw(3) == 0) {
+    else if (kind == 17 && Draw(3) == 0)
       BeginOutage();
-    }
+  }
+
+  void Restart(size_t i) {
+    const uint64_t life = processes_[i]->life + 1;
+    processes_[i] = std::make_unique<process>();
+    processes_[i]->life = life;
+    RunProcess(i, life);
   }
 
   /// All leases lapse while nobody reaches the store; most servers write their
