Fix: Bytes of no event reach the caller inside a complete stream

Nothing remembered that it had no place, so that the stream was resumed after the last event with an id. What is known of a stream lay in nine fields of the call, of which each path set its own choice.

Change: event_sequence holds all of it, without input or output. ParseEventBlock() takes a block for an event only if it is UTF-8, has nothing but fields and comments, and exactly one numeric id. Anything else makes the answer malformed before any of it is passed on, so that the stream can be resumed after its last event. Comments are passed on, but are no progress.

The fix works because no byte reaches the caller that isn't part of an event in order, a comment or a retry time.

Tests: bytes_that_are_no_event_reach_the_caller, garbage_in_a_stream_that_may_not_be_resumed_looks_whole and comments_do_not_postpone_the_search failed on the code before.

--- a/src/call_dispatch.cc
+++ b/src/call_dispatch.cc
@@ -104,7 +104,8 @@
   call.request = request;
   call.arrived_at = arrived_at;
   call.deadline = arrived_at + request.time_left.value_or(kDefaultTimeLimit);
-  call.last_event = request.last_event;
+  call.events = event_sequence({.last_event = request.last_event,
+                                .max_event_bytes = options_.max_event_bytes});
   hooks_.count("requests");
   if (index_ == nullptr || index_->View().configuration.version == 0)
     return Refuse(now, &call, call_refusal::kNoConfiguration);
@@ -207,7 +208,7 @@
     hooks_.log(log_event::kAttemptRepeated,
                Describe(now, *call) + " may_have_run=" +
                    (call->possible_runs > 0 ? "1" : "0") + " last_event=" +
-                   std::to_string(LastCertainEvent(*call).value_or(0)));
+                   std::to_string(call->events.ResumePoint().value_or(0)));
   }
   if (call->has_attempt) {
     AbortAttempt(now, call);
@@ -226,13 +227,10 @@
   call->has_attempt = true;
   call->place = place;
   call->has_head = false;
-  call->has_event = false;
   call->forwards_events = false;
-  call->has_new_event = false;
-  call->answer_event.reset();
   call->is_silent = false;
   std::string().swap(call->body);
-  call->events.Clear();
+  call->events.BeginAttempt();
   call->tried.insert(server.id);
   selector_.OnAttemptSent(server.id);
   ++call->possible_runs;
@@ -246,7 +244,7 @@
   }
   attempt_headers headers{.instance = server.id,
                           .tenant = call->tenant,
-                          .last_event = LastCertainEvent(*call),
+                          .last_event = call->events.ResumePoint(),
                           .weights = call->weights};
   // The server refuses the request if it has loaded another version meanwhile,
   // which is not known to be intact.
@@ -360,8 +358,8 @@
                               call_refusal reason) {
   const std::string text(TextOf(reason));
   hooks_.log(log_event::kStreamCut,
-             Describe(now, *call) +
-                 " events=" + std::to_string(call->last_event.value_or(0)) +
+             Describe(now, *call) + " events=" +
+                 std::to_string(call->events.LastEvent().value_or(0)) +
                  " silent_ms=" + std::to_string(ToMs(now - call->progress_at)) +
                  " why=\"" + text + "\"");
   hooks_.count("streams_aborted " + text);
@@ -398,7 +396,8 @@
     return;
   hooks_.count("answers_over_budget");
   std::string().swap(call->body);
-  OnMalformedAnswer(now, call);
+  call->events.DropIncomplete();
+  OnMalformedAnswer(now, call, "no memory");
 }
 
 bool call_dispatch::OnRequestOverBudget(time_point now, uint64_t id) {
@@ -457,7 +456,7 @@
 
 time_point call_dispatch::DueAt(const call_state& call) {
   time_point at = call.deadline;
-  if (call.has_attempt && call.recall_at && !call.has_event)
+  if (call.has_attempt && call.recall_at && !call.events.HasAnswerEvent())
     at = std::min(at, *call.recall_at);
   if (call.place_inquiry)
     return std::min(at, call.place_inquiry->timeout_at);
--- a/src/call_dispatch_answer.cc
+++ b/src/call_dispatch_answer.cc
@@ -93,7 +93,7 @@
   if (call->forwards_events || !call->is_streaming)
     OnProgress(now, call);
   if (call->forwards_events) {
-    call->is_resumed = call->is_streaming;
+    call->events.BeginAnswer();
     if (!call->is_streaming) {
       call->is_streaming = true;
       call->weights = head.weights;
@@ -118,113 +118,40 @@
     }
     return;
   }
-  call->events.Add(bytes);
-  std::string out;
-  std::string event;
-  while (call->events.Next(&event)) {
-    call->has_event = true;
-    const auto event_id = hooks_.event_id(event);
-    if (event_id) {
-      if (IsOutOfOrder(*call, *event_id)) {
-        // They count as forwarded.
-        if (!out.empty())
-          hooks_.send_events(id, out);
-        return OnEventOutOfOrder(now, call, *event_id);
-      }
-      call->answer_event = event_id;
-      if (IsRepeated(*call, *event_id))
-        continue;
-      if (!call->last_event)
-        hooks_.record_duration("first_event", now - call->arrived_at);
-      RecordEvent(call, *event_id);
-    } else if (call->is_resumed && !call->has_new_event) {
-      continue;  // Its place in the stream is unknown.
-    }
-    call->has_new_event = true;
-    ++call->event_count;
-    out += event;
-  }
-  if (!out.empty()) {
+  const uint32_t count_before = call->events.ForwardedCount();
+  const bool had_event = call->events.LastEvent().has_value();
+  std::string forwarded;
+  const answer_verdict verdict = call->events.OnBytes(bytes, &forwarded);
+  if (!had_event && call->events.LastEvent())
+    hooks_.record_duration("first_event", now - call->arrived_at);
+  if (call->events.ForwardedCount() > count_before)
     OnProgress(now, call);
-    hooks_.send_events(id, out);
-  }
-  if (call->events.Incomplete().size() > options_.max_event_bytes)
-    OnMalformedAnswer(now, call);
-}
-
-bool call_dispatch::HasGapBefore(const call_state& call, uint64_t event_id) {
-  return call.is_resumed && !call.has_new_event && call.last_event &&
-         call.max_event_step > 0 &&
-         event_id - *call.last_event > call.max_event_step;
-}
-
-bool call_dispatch::IsRepeated(const call_state& call, uint64_t event_id) {
-  return call.is_resumed && call.last_event && event_id <= *call.last_event;
-}
-
-bool call_dispatch::IsOutOfOrder(const call_state& call, uint64_t event_id) {
-  if (call.answer_event && event_id <= *call.answer_event)
-    return true;
-  if (!call.last_event)
-    return false;
-  const std::optional<uint64_t> resumed_after = LastCertainEvent(call);
-  const bool is_last_expected = resumed_after != call.last_event;
-  if (IsRepeated(call, event_id)) {
-    // An event between the two would mean that the last one is not the next.
-    return is_last_expected && event_id > *resumed_after &&
-           event_id < *call.last_event;
+  if (!forwarded.empty())
+    hooks_.send_events(id, forwarded);
+  if (verdict == answer_verdict::kMalformed)
+    return OnMalformedAnswer(now, call, call->events.Fault());
+  if (verdict == answer_verdict::kUnresumable) {
+    AbortMalformed(now, call, call->events.Fault());
+    Refuse(now, call, call_refusal::kServerFailed);
   }
-  if (event_id <= *call.last_event)
-    return true;  // The first answer goes on after what the caller has.
-  if (!call.is_resumed || call.has_new_event)
-    return false;
-  // Events that come again lead up to the last one.
-  const bool has_repeated = is_last_expected || call.answer_event.has_value();
-  return (has_repeated && call.answer_event != call.last_event) ||
-         HasGapBefore(call, event_id);
-}
-
-std::optional<uint64_t> call_dispatch::LastCertainEvent(
-    const call_state& call) {
-  return call.is_last_uncertain && call.previous_event ? call.previous_event
-                                                       : call.last_event;
-}
-
-void call_dispatch::RecordEvent(call_state* call, uint64_t event_id) {
-  const uint64_t step = call->last_event ? event_id - *call->last_event : 0;
-  // Ids need not step evenly, but a wrong id that is too high shows as a step
-  // larger than those before. There is no room for one in a step of 1.
-  call->is_last_uncertain =
-      !call->last_event || step > std::max<uint64_t>(1, call->max_event_step);
-  if (call->has_new_event && call->last_event)
-    call->max_event_step = std::max(call->max_event_step, step);
-  call->previous_event = call->last_event;
-  call->last_event = event_id;
 }
 
-void call_dispatch::OnEventOutOfOrder(time_point now,
-                                      call_state* call,
-                                      uint64_t event_id) {
-  if (call->is_last_uncertain) {
-    // The caller may have an event at a wrong place. Any that follows it could
-    // skip some or come twice.
-    AbortMalformed(now, call);
-    return Refuse(now, call, call_refusal::kServerFailed);
-  }
-  // If there is room for this event before the last one, either may be wrong.
-  call->is_last_uncertain = call->has_new_event && call->previous_event &&
-                            event_id > *call->previous_event + 1;
-  OnMalformedAnswer(now, call);
-}
-
-void call_dispatch::AbortMalformed(time_point now, call_state* call) {
+void call_dispatch::AbortMalformed(time_point now,
+                                   call_state* call,
+                                   std::string_view why) {
   AbortAttempt(now, call);
   selector_.OnFailure(now, call->server.id);
   hooks_.count("attempts_malformed");
+  hooks_.log(log_event::kAnswerMalformed,
+             Describe(now, *call) + " events=" +
+                 std::to_string(call->events.LastEvent().value_or(0)) +
+                 " why=\"" + std::string(why) + "\"");
 }
 
-void call_dispatch::OnMalformedAnswer(time_point now, call_state* call) {
-  AbortMalformed(now, call);
+void call_dispatch::OnMalformedAnswer(time_point now,
+                                      call_state* call,
+                                      std::string_view why) {
+  AbortMalformed(now, call, why);
   Retry(now, call, true);
 }
 
@@ -302,14 +229,13 @@
 }
 
 void call_dispatch::FinishStream(time_point now, call_state* call) {
-  if (!call->events.Incomplete().empty() || !call->has_new_event) {
-    // The answer ended in the middle of an event, or had no new one.
+  if (!call->events.OnAnswerEnd(call->head.ends_by_close)) {
     hooks_.count("streams_cut");
     return Retry(now, call, true);
   }
   hooks_.log(log_event::kCallAnswered,
              Describe(now, *call) + " status=200 events=" +
-                 std::to_string(call->last_event.value_or(0)));
+                 std::to_string(call->events.LastEvent().value_or(0)));
   hooks_.record_duration("call", now - call->arrived_at);
   CountByRank(*call, "answered");
   RecordLength(*call);
@@ -328,7 +254,7 @@
   }
   answer_lengths_.Record(
       call.route.name, call.tenant, call.request.hinted_tokens,
-      call.event_count * std::max(1U, service->engine->stride));
+      call.events.ForwardedCount() * std::max(1U, service->engine->stride));
 }
 
 void call_dispatch::FinishBuffered(time_point now, call_state* call) {
@@ -352,8 +278,9 @@
   }
   if (call.head.ends_by_close)
     return attempt_result::kClosed;
-  const bool is_whole = !call.is_streaming ||
-                        (call.has_event && call.events.Incomplete().empty());
+  const bool is_whole =
+      !call.is_streaming ||
+      (call.events.HasAnswerEvent() && call.events.Incomplete().empty());
   return call.head.is_sealed && is_whole ? attempt_result::kAnswered
                                          : attempt_result::kOther;
 }
--- a/src/call_dispatch_base.h
+++ b/src/call_dispatch_base.h
@@ -14,7 +14,7 @@
 
 #include "caller_call_type.h"
 #include "crash_ledger_base.h"
-#include "event_splitter_base.h"
+#include "event_sequence_base.h"
 #include "hash_func.h"
 #include "load/answer_length_base.h"
 #include "load/place_search_base.h"
@@ -133,8 +133,6 @@
   std::function<void(uint64_t call, const refusal_answer&)> send_refusal;
   /// Closes the connection to the caller in the middle of a stream.
   std::function<void(uint64_t call)> abort_stream;
-  /// Parses the id of an event.
-  std::function<std::optional<uint64_t>(std::string_view)> event_id;
   /// Sends a message about crashes to another entry; it may be lost.
   std::function<void(const std::string& address, const proto::envelope&)>
       send_crash_note;
@@ -291,29 +289,16 @@
     /// When the current attempt is aborted unless it has begun to run.
     std::optional<time_point> recall_at;
     bool has_head = false;
-    bool has_event = false;  ///< Whether the current answer had an event.
     server_answer head;
     bool is_streaming = false;  ///< Whether a streamed answer has begun.
     /// Whether the body of the current answer is forwarded as events.
     bool forwards_events = false;
-    bool is_resumed = false;  ///< Whether an earlier answer began the stream.
-    /// Whether it had one that the caller did not have yet.
-    bool has_new_event = false;
-    std::optional<uint64_t> last_event;      ///< Last one that the caller has.
-    std::optional<uint64_t> previous_event;  ///< The one before it.
-    /// Whether the place of the last event in the stream is uncertain: its id
-    /// may be wrong.
-    bool is_last_uncertain = false;
-    std::optional<uint64_t> answer_event;  ///< Last one of the current answer.
-    /// Largest step between the ids of two events of one answer; 0 if unknown.
-    uint64_t max_event_step = 0;
-    uint32_t event_count = 0;  ///< Events that were forwarded.
+    event_sequence events;
     /// Expected answer length, in tokens; 0 if unknown.
     uint32_t expected_tokens = 0;
     std::optional<uint64_t> weights;  ///< Version that serves the stream.
     bool names_version = false;  ///< Whether its attempt expects a version.
-    event_splitter events;
-    std::string body;  ///< Body of an answer that is not streamed.
+    std::string body;            ///< Body of an answer that is not streamed.
     /// Time until a slot is expected to be free; the minimum over the denials.
     std::optional<milliseconds> expected_free_in;
     /// The same for a request of its rank; nullopt if no agent told it.
@@ -401,24 +386,13 @@
   void FinishStream(time_point now, call_state* call);
   /// Records the length of the answer of a complete stream.
   void RecordLength(const call_state& call);
-  /// Whether events are missing between those forwarded and a resumed answer.
-  static bool HasGapBefore(const call_state& call, uint64_t event_id);
-  /// Whether the caller has an event by an earlier answer.
-  static bool IsRepeated(const call_state& call, uint64_t event_id);
-  /// Whether the next event of the current answer cannot have this id, unless
-  /// it or the one before it is wrong.
-  static bool IsOutOfOrder(const call_state& call, uint64_t event_id);
-  /// Finds the event after which a stream is resumed.
-  static std::optional<uint64_t> LastCertainEvent(const call_state& call);
-  /// Records an event that is forwarded to the caller.
-  static void RecordEvent(call_state* call, uint64_t event_id);
-  /// Aborts an attempt whose events are out of order. The stream goes on
-  /// elsewhere if it is certain which events the caller has.
-  void OnEventOutOfOrder(time_point now, call_state* call, uint64_t event_id);
   /// Aborts an attempt whose answer is malformed.
-  void AbortMalformed(time_point now, call_state* call);
+  /// @param why For the log.
+  void AbortMalformed(time_point now, call_state* call, std::string_view why);
   /// The same, and repeats the request.
-  void OnMalformedAnswer(time_point now, call_state* call);
+  void OnMalformedAnswer(time_point now,
+                         call_state* call,
+                         std::string_view why);
   /// Records what the server announced in the head of its answer.
   void RecordNotices(time_point now, const call_state& call);
   /// Whether a call may be taken with what is left before the exit.
--- a/src/call_dispatch_retry.cc
+++ b/src/call_dispatch_retry.cc
@@ -83,7 +83,7 @@
 
 bool call_dispatch::IsRecalled(time_point now, const call_state& call) {
   return call.has_attempt && call.recall_at && now >= *call.recall_at &&
-         !call.has_event;
+         !call.events.HasAnswerEvent();
 }
 
 }  // namespace fuchsiafall
--- a/src/hosted_entry_hooks.cc
+++ b/src/hosted_entry_hooks.cc
@@ -131,7 +131,6 @@
     RemoveCall(call);
     caller->Abort();
   };
-  hooks.event_id = platform::ParseEventId;
   hooks.send_crash_note = [this](const std::string& address,
                                  const proto::envelope& message) {
     links_.Send(address, message);
--- a/src/tests/event_order_test.cc
+++ b/src/tests/event_order_test.cc
@@ -242,6 +242,56 @@
   }
 }
 
+// The bytes were passed on as an event, and the stream was resumed behind them.
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_event_reach_the_caller) {
+  for (const char* garbage :
+       {"\xf3\x8e garbage\n\n", "data: x\n\n", "id: x\ndata: x\n\n",
+        "id:4\ndata: \xff\n\n", "id:4\nid:5\n\n"}) {
+    for (bool is_first_answer : {true, false}) {
+      ordered_stream entry;
+      entry.DeliverBody(Events({1, 2}));
+      if (!is_first_answer) {
+        entry.EndExchange(exchange_end::kBroken);
+        entry.BeginAnswer();
+      }
+      entry.DeliverBody(Events({3}) + garbage + Events({4, 5}));
+      BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3}));
+      BOOST_TEST(entry.counts["attempts_malformed"] == 1);
+      entry.BeginAnswer();
+      BOOST_TEST(entry.ResumedAfter() == 3u);
+      entry.DeliverAnswer({4, 5});
+      BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5}) + ">");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(garbage_before_the_first_event_reaches_the_caller) {
+  ordered_stream entry;
+  entry.DeliverBody("\xf3\x8e garbage\n\n");
+  entry.BeginAnswer();
+  BOOST_TEST(!entry.attempts.back().headers.last_event.has_value());
+  entry.DeliverAnswer({1, 2});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2}) + ">");
+}
+
+BOOST_AUTO_TEST_CASE(garbage_in_a_stream_that_may_not_be_resumed_looks_whole) {
+  ordered_stream entry(std::nullopt, false);
+  entry.DeliverBody(Events({1, 2}) + "\xf3\x8e garbage\n\n");
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2}) + "|");
+}
+
+BOOST_AUTO_TEST_CASE(a_comment_ends_a_sound_stream) {
+  ordered_stream entry;
+  entry.DeliverBody(": alive\n\n" + Events({1}) + ":\n\n");
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 1u);
+  entry.DeliverBody(":\n\n" + Events({2}) + ":\n\n");
+  entry.EndExchange(exchange_end::kComplete);
+  BOOST_TEST(entry.received_text ==
+             "<: alive\n\n" + Events({1}) + ":\n\n" + Events({2}) + ":\n\n>");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace fuchsiafall::tests
--- a/src/tests/fake_crash_fleet.cc
+++ b/src/tests/fake_crash_fleet.cc
@@ -140,9 +140,6 @@
   hooks.abort_stream = [this](uint64_t call) {
     CountAll(call, &part_outcomes::refused);
   };
-  hooks.event_id = [](std::string_view event) -> std::optional<uint64_t> {
-    return std::stoull(std::string(event.substr(3)));
-  };
   hooks.log = [](log_event, const std::string&) {};
   hooks.count = [](const std::string&) {};
   hooks.record_duration = [](const std::string&, duration) {};
--- a/src/tests/fake_site.h
+++ b/src/tests/fake_site.h
@@ -145,11 +145,6 @@
       refusals.push_back(answer);
     };
     hooks.abort_stream = [this](uint64_t) { received_text += "|"; };
-    hooks.event_id = [](std::string_view event) -> std::optional<uint64_t> {
-      if (!event.starts_with("id:"))
-        return std::nullopt;
-      return std::stoull(std::string(event.substr(3)));
-    };
     hooks.log = [this](log_event event, const std::string& detail) {
       log_lines.emplace_back(event, detail);
     };
--- a/src/tests/resumed_stream_test.cc
+++ b/src/tests/resumed_stream_test.cc
@@ -121,6 +121,19 @@
   BOOST_TEST(entry.received_text == "<id:1\n\n|");
 }
 
+BOOST_AUTO_TEST_CASE(comments_do_not_postpone_the_search) {
+  fake_entry entry;
+  entry.SendRequest(1, "models");
+  entry.GrantPlace();
+  entry.DeliverHead(200, true);
+  entry.DeliverBody("id:1\n\n");
+  for (int i = 0; i < 12; ++i) {
+    entry.Advance(milliseconds(100));
+    entry.DeliverBody(":\n\n");
+  }
+  BOOST_TEST(entry.place_requests.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_without_an_event_do_not_extend_the_timeout) {
   resumed_stream entry;
   entry.Answer({.status = 200, .is_sealed = true}, true);
