Fix: A stream that broke off after its last event never ends

Cause: an answer without a new event counted as one that was cut off, also if its length or last chunk showed that it was whole. It was repeated until the attempts of the route were used up.

Change: an answer without an event completes the stream if it is framed, whole, and went on after an event whose place is certain. One that ends with its connection shows nothing without an event, as a server that fails after its head looks the same: the next answer has to repeat the last event then, and completes the stream by it. Where the last event has to be repeated, the answer begins with it and not with an earlier one: two wrong ids could agree before.

--- a/src/event_sequence.cc
+++ b/src/event_sequence.cc
@@ -9,7 +9,9 @@
 namespace fuchsiafall {
 
 std::optional<uint64_t> event_sequence::ResumePoint() const {
-  return is_last_uncertain_ && previous_event_ ? previous_event_ : last_event_;
+  return (is_last_uncertain_ || must_repeat_last_) && previous_event_
+             ? previous_event_
+             : last_event_;
 }
 
 void event_sequence::BeginAttempt() {
@@ -40,10 +42,14 @@
     }
     if (IsOutOfOrder(parsed.id))
       return OnOutOfOrder(parsed.id);
+    const bool is_repeated = IsRepeated(parsed.id);
+    if (!is_repeated)
+      RecordEvent(parsed.id);
+    else if (parsed.id == last_event_ && resumed_after_ != last_event_)
+      is_last_uncertain_ = false;  // Two answers agree.
     answer_event_ = parsed.id;
-    if (IsRepeated(parsed.id))
+    if (is_repeated)
       continue;
-    RecordEvent(parsed.id);
     *forwarded += block;
   }
   if (Incomplete().size() > options_.max_event_bytes)
@@ -51,8 +57,18 @@
   return answer_verdict::kSound;
 }
 
-bool event_sequence::OnAnswerEnd(bool) {
-  return Incomplete().empty() && has_new_event_;
+bool event_sequence::OnAnswerEnd(bool ends_by_close) {
+  if (!Incomplete().empty())
+    return false;
+  if (has_new_event_)
+    return true;
+  const bool is_last_expected = resumed_after_ != last_event_;
+  const bool is_whole = is_last_expected
+                            ? answer_event_ && answer_event_ == last_event_
+                            : !answer_event_ && last_event_ &&
+                                  !is_last_uncertain_ && !ends_by_close;
+  must_repeat_last_ = !is_whole;
+  return is_whole;
 }
 
 bool event_sequence::IsRepeated(uint64_t id) const {
@@ -66,8 +82,8 @@
     return false;
   const bool is_last_expected = resumed_after_ != last_event_;
   if (IsRepeated(id)) {
-    // An event between the two would mean that the last one is not the next.
-    return is_last_expected && id > resumed_after_ && id < *last_event_;
+    // Another event would mean that the last one is not the next.
+    return is_last_expected && id != *last_event_;
   }
   if (id <= *last_event_)
     return true;  // The first answer goes on after what the caller has.
@@ -76,7 +92,7 @@
   // Events that come again lead up to the last one.
   if ((is_last_expected || answer_event_) && answer_event_ != last_event_)
     return true;
-  // Otherwise a step larger than those before shows that events are missing.
+  // A step larger than those before may show that events are missing.
   return max_step_ > 0 && id - *last_event_ > max_step_;
 }
 
@@ -104,6 +120,7 @@
     max_step_ = std::max(max_step_, step);
   previous_event_ = last_event_;
   last_event_ = id;
+  must_repeat_last_ = false;
   has_new_event_ = true;
   ++forwarded_count_;
 }
--- a/src/event_sequence_base.h
+++ b/src/event_sequence_base.h
@@ -47,7 +47,9 @@
   answer_verdict OnBytes(std::string_view bytes, std::string* forwarded);
   /// Tells what is wrong with a malformed answer, for the log.
   std::string_view Fault() const { return fault_; }
-  /// Handles an end of the answer that is not known to be a break.
+  /// Handles an end of the answer that is not known to be a break. Without a
+  /// new event, the stream is complete if the answer repeated the last one as
+  /// it had to, or if its framing shows that none is left after the last one.
   /// @param ends_by_close Whether it is that of the connection, which a server
   /// that fails causes as well.
   /// @return Whether the stream is complete.
@@ -84,6 +86,9 @@
   /// Whether the place of the last event in the stream is uncertain: its id
   /// may be wrong.
   bool is_last_uncertain_ = false;
+  /// Whether the next answer has to repeat the last event, to show what follows
+  /// it.
+  bool must_repeat_last_ = false;
   /// Largest step between the ids of two events of one answer; 0 if unknown.
   uint64_t max_step_ = 0;
   uint32_t forwarded_count_ = 0;
--- a/src/tests/event_order_test.cc
+++ b/src/tests/event_order_test.cc
@@ -175,6 +175,28 @@
   }
 }
 
+// An answer that ends with its connection proves nothing without an event; one
+// that repeats the last event does.
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_with_its_connection_is_never_whole) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3}));
+  entry.EndExchange(exchange_end::kBroken);
+  for (uint64_t resumed_after : {3, 2}) {
+    entry.GrantPlace();
+    BOOST_TEST(entry.ResumedAfter() == resumed_after);
+    const started_attempt& last = entry.attempts.back();
+    entry.dispatch.OnAnswerHead(entry.now, last.call, last.number,
+                                {.status = 200,
+                                 .call_id = "r1",
+                                 .is_sealed = true,
+                                 .ends_by_close = true},
+                                true);
+    entry.DeliverBody(resumed_after == 3 ? "" : Events({3}));
+    entry.EndExchange(exchange_end::kComplete);
+  }
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3}) + ">");
+}
+
 // The step between ids is unknown after one event.
 BOOST_AUTO_TEST_CASE(events_that_come_again_lead_up_to_the_last_one) {
   ordered_stream entry;
@@ -280,6 +302,26 @@
   BOOST_TEST(entry.received_text == "<" + Events({1, 2}) + "|");
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_has_all_events_gets_no_end) {
+  for (bool is_resumable : {true, false}) {
+    ordered_stream entry(12, is_resumable);
+    entry.EndExchange(exchange_end::kComplete);
+    BOOST_TEST(entry.received_text == "<>");
+    BOOST_TEST(entry.attempts.size() == 1u);
+  }
+}
+
+// Each answer to a request that runs has an event.
+BOOST_AUTO_TEST_CASE(a_stream_without_any_event_looks_whole) {
+  ordered_stream entry;
+  for (int i = 0; i < 3; ++i) {
+    if (i > 0)
+      entry.BeginAnswer();
+    entry.EndExchange(exchange_end::kComplete);
+  }
+  BOOST_TEST(entry.received_text == "<|");
+}
+
 BOOST_AUTO_TEST_CASE(a_comment_ends_a_sound_stream) {
   ordered_stream entry;
   entry.DeliverBody(": alive\n\n" + Events({1}) + ":\n\n");
--- a/src/tests/spoilt_stream.h
+++ b/src/tests/spoilt_stream.h
@@ -41,6 +41,12 @@
   /// break between two events would not.
   static drawn_answer DrawFaulty(const std::string& text,
                                  std::mt19937_64* random);
+  /// Draws the whole answer of a server that overwrites a digit of an id. The
+  /// first event does not get the id of the last one that the caller has, as if
+  /// it were repeated.
+  static drawn_answer DrawWrongId(const std::string& text,
+                                  std::optional<uint64_t> last_event,
+                                  std::mt19937_64* random);
   const std::vector<uint64_t>& Ids() const { return ids_; }
 
  private:
@@ -50,6 +56,9 @@
 /// Returns the id of the last event that a text contains in full.
 std::optional<uint64_t> LastIdOf(const std::string& text);
 
+/// Returns the data of all events that a text contains.
+std::string DataOf(const std::string& text);
+
 /// Returns whether an answer contains nothing but the first events of a text.
 bool IsPrefixInEvents(const std::string& received, const std::string& text);
 
