Fix: A larger step of ids after a break closes a sound stream

Cause: such a step counted as a gap, and every other server shows the same one.

Change: an answer that has to repeat the last event shows what follows it. Streams whose ids stepped unevenly are resumed one event earlier; after a larger step than before, the next answer has to repeat the last event.

Tests: a_larger_step_after_a_break_closes_a_sound_stream and a_larger_step_after_uneven_ones_closes_a_sound_stream failed on the code before.

--- a/src/event_sequence.cc
+++ b/src/event_sequence.cc
@@ -9,9 +9,11 @@
 namespace fuchsiafall {
 
 std::optional<uint64_t> event_sequence::ResumePoint() const {
-  return (is_last_uncertain_ || must_repeat_last_) && previous_event_
-             ? previous_event_
-             : last_event_;
+  // Where ids step unevenly, the next id does not show whether events are
+  // missing before it, unless the answer begins with the last event.
+  const bool is_repeat_needed =
+      is_last_uncertain_ || must_repeat_last_ || min_step_ != max_step_;
+  return is_repeat_needed && previous_event_ ? previous_event_ : last_event_;
 }
 
 void event_sequence::BeginAttempt() {
@@ -92,8 +94,9 @@
   // Events that come again lead up to the last one.
   if ((is_last_expected || answer_event_) && answer_event_ != last_event_)
     return true;
-  // A step larger than those before may show that events are missing.
-  return max_step_ > 0 && id - *last_event_ > max_step_;
+  // A step larger than those before may show that events are missing. It does
+  // not in an answer that had to repeat the last event.
+  return !is_last_expected && max_step_ > 0 && id - *last_event_ > max_step_;
 }
 
 answer_verdict event_sequence::OnMalformed(std::string_view fault) {
@@ -105,6 +108,8 @@
   const answer_verdict verdict = OnMalformed("event out of order");
   if (is_last_uncertain_)
     return answer_verdict::kUnresumable;
+  if (last_event_ && id > *last_event_)
+    must_repeat_last_ = true;
   // If there is room for this event before the last one, either may be wrong.
   is_last_uncertain_ =
       has_new_event_ && previous_event_ && id > *previous_event_ + 1;
@@ -116,8 +121,10 @@
   // Ids need not step evenly, but a wrong id that is too high shows as a step
   // larger than those before. There is no room for one in a step of 1.
   is_last_uncertain_ = !last_event_ || step > std::max<uint64_t>(1, max_step_);
-  if (has_new_event_)
+  if (answer_event_ && answer_event_ == last_event_) {
+    min_step_ = min_step_ == 0 ? step : std::min(min_step_, step);
     max_step_ = std::max(max_step_, step);
+  }
   previous_event_ = last_event_;
   last_event_ = id;
   must_repeat_last_ = false;
--- a/src/event_sequence_base.h
+++ b/src/event_sequence_base.h
@@ -89,7 +89,8 @@
   /// Whether the next answer has to repeat the last event, to show what follows
   /// it.
   bool must_repeat_last_ = false;
-  /// Largest step between the ids of two events of one answer; 0 if unknown.
+  /// Steps between the ids of two events of one answer; 0 if unknown.
+  uint64_t min_step_ = 0;
   uint64_t max_step_ = 0;
   uint32_t forwarded_count_ = 0;
   bool has_answer_ = false;  ///< Whether the head of an answer has arrived.
--- a/src/tests/event_order_test.cc
+++ b/src/tests/event_order_test.cc
@@ -246,6 +246,44 @@
   BOOST_TEST(entry.received_text == "<" + Events({1, 2, 9, 12, 13}) + ">");
 }
 
+// The steps before were even, or the ids after the break step further.
+BOOST_AUTO_TEST_CASE(a_larger_step_after_a_break_closes_a_sound_stream) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 3u);
+  entry.DeliverBody(Events({9}));
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3}));
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 2u);
+  entry.DeliverAnswer({3, 9, 10});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 9, 10}) + ">");
+}
+
+BOOST_AUTO_TEST_CASE(a_larger_step_after_uneven_ones_closes_a_sound_stream) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({2, 5, 9, 10}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  BOOST_TEST(entry.ResumedAfter() == 9u);
+  entry.DeliverAnswer({10, 17, 18});
+  BOOST_TEST(entry.received_text == "<" + Events({2, 5, 9, 10, 17, 18}) + ">");
+  BOOST_TEST(entry.attempts.size() == 2u);
+}
+
+// The server of the second answer leaves out an event.
+BOOST_AUTO_TEST_CASE(an_event_left_out_after_a_break_stays_missing) {
+  ordered_stream entry;
+  entry.DeliverBody(Events({1, 2, 3}));
+  entry.EndExchange(exchange_end::kBroken);
+  entry.BeginAnswer();
+  entry.DeliverAnswer({5, 6});
+  entry.BeginAnswer();
+  entry.DeliverAnswer({3, 4, 5, 6});
+  BOOST_TEST(entry.received_text == "<" + Events({1, 2, 3, 4, 5, 6}) + ">");
+}
+
 // One of the last two ids is wrong; another server's answer tells which.
 BOOST_AUTO_TEST_CASE(an_answer_with_even_steps_goes_on_after_a_low_id) {
   for (bool is_last_wrong : {false, true}) {
