--- a/src/tests/entry_process.cc
+++ b/src/tests/entry_process.cc
@@ -22,9 +22,11 @@
       options.route_kind + R"(","TimeoutMs":)" +
       std::to_string(options.route_timeout.count()) +
       R"(,"TargetLatencyMs":400,"Priority":1,"Service":"desk",)"
-      R"("Attempts":2,"Anonymous":)" +
-      (options.key.empty() ? "true" : "false") +
-      R"(,"Resumable":false,"TargetGapMs":300,"AllowedRegions":[]})";
+      R"("Attempts":)" +
+      std::to_string(options.attempts) + R"(,"Anonymous":)" +
+      (options.key.empty() ? "true" : "false") + R"(,"Resumable":)" +
+      (options.is_resumable ? "true" : "false") +
+      R"(,"TargetGapMs":300,"AllowedRegions":[]})";
   return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
          (options.has_route ? route : "") +
          R"(],"Services":[{"Name":"desk"}],"Limits":{"MaxHeaderBytes":16384,)"
@@ -110,9 +112,12 @@
   });
 }
 
+std::string entry_process::Address() const {
+  return IpOf(kProcessNumber) + ":8005";
+}
+
 Poco::Net::StreamSocket entry_process::Connect() const {
-  Poco::Net::StreamSocket caller{
-      Poco::Net::SocketAddress(IpOf(kProcessNumber) + ":8005")};
+  Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(Address())};
   caller.setReceiveTimeout(Poco::Timespan(5, 0));
   return caller;
 }
--- a/src/tests/entry_process.h
+++ b/src/tests/entry_process.h
@@ -57,6 +57,8 @@
   std::string network;  ///< First three numbers of its IP addresses.
   std::string route_kind = "non_idempotent";
   milliseconds route_timeout{3000};
+  int attempts = 2;
+  bool is_resumable = false;
   size_t max_body_bytes = 1U << 20;
   milliseconds header_timeout{3000};
   std::string settings;  ///< Further lines of the settings file.
@@ -70,6 +72,8 @@
   explicit entry_process(const entry_process_options& options);
 
   std::string AddressOfServer(int number) const;
+  /// Returns the address for callers.
+  std::string Address() const;
   /// Registers a server of the service.
   void AddServer(int number);
   /// Starts the entry and waits until it is ready.
