Test: The soak's servers spoil and break off streams, and its callers resume

Servers break off or spoil a tenth of the streams (--spoilt), also after the last event; a caller whose stream broke off resumes it at any entry. Draws of their own, so that the other faults of a seed stay.

--- a/src/tests/soak/site_standin.cc
+++ b/src/tests/soak/site_standin.cc
@@ -5,6 +5,7 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <optional>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr size_t kSlots = 8;
+constexpr size_t kGarbageBytes = 100;
 constexpr milliseconds kTickInterval{20};  // Between events of a stream.
 constexpr milliseconds kCallTime{15};
 constexpr milliseconds kLongCallTime{400};
@@ -136,6 +138,7 @@
   id_ = "i-" + proxy_address + "-0";
   random_.seed(Hash64(proxy_address, 1));
   held_random_.seed(Hash64(proxy_address, 2));
+  spoilt_random_.seed(Hash64(proxy_address, 3));
   if (is_model_) {
     loaded_version_ = 1;
     for (uint32_t i = 0; i < kChunks; ++i)
@@ -421,6 +424,7 @@
                           .next = static_cast<uint32_t>(std::stoul(after)) + 1,
                           .last = EventCountOf(request.head.getURI()),
                           .version = loaded_version_};
+  DrawStreamFault(&streams_[from.get()]);
   if (!DrawBool(faults_->silent_share, &random_))
     return;
   stream& item = streams_[from.get()];
@@ -431,6 +435,22 @@
   }
 }
 
+void server_standin::DrawStreamFault(stream* item) {
+  if (item->next > item->last + 1 ||
+      !DrawBool(faults_->spoilt_stream_share, &spoilt_random_))
+    return;
+  const uint32_t event =
+      item->next +
+      static_cast<uint32_t>(spoilt_random_() % (item->last + 2 - item->next));
+  if (spoilt_random_() % 2 == 0) {
+    item->broken_before = event;
+    ++record_->counts["streams broken off"];
+  } else {
+    item->spoilt_before = event;
+    ++record_->counts["streams spoilt"];
+  }
+}
+
 void server_standin::Tick(time_point now) {
   // SendChunk removes a stream from the map if its connection is closed.
   std::vector<std::shared_ptr<http_server_connection>> open;
@@ -447,6 +467,19 @@
     }
     if (now < item.silent_until)
       continue;
+    if (item.next == item.broken_before) {
+      streams_.erase(it);
+      connection->Abort();
+      continue;
+    }
+    if (item.next == item.spoilt_before) {
+      item.spoilt_before = 0;
+      std::string garbage(kGarbageBytes, '\0');
+      std::generate(garbage.begin(), garbage.end(),
+                    [this] { return static_cast<char>(spoilt_random_()); });
+      connection->SendChunk(garbage + "\n\n");
+      continue;
+    }
     if (item.next > item.last) {
       streams_.erase(it);
       connection->EndChunks(now);
--- a/src/tests/soak/site_standin.h
+++ b/src/tests/soak/site_standin.h
@@ -64,6 +64,9 @@
   double origin_corrupt_share = 0;     ///< Of its answers.
   double lost_plain_answer_share = 0;  ///< Of the plain runs.
   double silent_share = 0;             ///< Of the streams and plain runs.
+  /// Of the streams, which a server breaks off or spoils before some event, or
+  /// after the last one.
+  double spoilt_stream_share = 0;
   /// Of the orders, which servers take late; of the calls of staged chunks and
   /// the reports a smaller part is late as well.
   double held_share = 0;
@@ -110,6 +113,8 @@
     uint64_t version = 0;
     uint32_t silent_before = 0;  ///< Event before which it falls silent.
     time_point silent_until{};
+    uint32_t broken_before = 0;  ///< Event before which it is broken off.
+    uint32_t spoilt_before = 0;  ///< Event before which it sends garbage.
   };
 
   void OnRequest(time_point now,
@@ -148,6 +153,8 @@
   std::string Report() const;
   /// Draws how long a sound server falls silent.
   milliseconds DrawSilence();
+  /// Draws whether a stream is broken off or spoilt, and where.
+  void DrawStreamFault(stream* item);
   bool IsBusy() const { return loading_version_ > 0 || is_unloading_; }
   /// Writes its record to the store.
   void WriteServerRecord();
@@ -177,7 +184,8 @@
   std::map<http_server_connection*, stream> streams_;
   http_listener listener_;
   std::mt19937_64 random_;
-  std::mt19937_64 held_random_;  ///< Of the calls that are held back.
+  std::mt19937_64 held_random_;    ///< Of the calls that are held back.
+  std::mt19937_64 spoilt_random_;  ///< Of the streams that are spoilt.
 };
 
 /// Origin of the weights of all versions.
--- a/src/tests/soak/soak_callers.cc
+++ b/src/tests/soak/soak_callers.cc
@@ -25,6 +25,15 @@
 constexpr milliseconds kCutsExcusedFrom{6660};
 constexpr milliseconds kLagInterval{20};
 
+/// Returns the number of events that a body contains in full.
+uint32_t CountEvents(const std::string& body) {
+  uint32_t count = 0;
+  for (size_t at = body.find("\n\n"); at != body.npos;
+       at = body.find("\n\n", at + 2))
+    ++count;
+  return count;
+}
+
 /// Returns whether a status promises the caller that its request did not run.
 bool PromisesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -41,9 +50,10 @@
       entries_(entries),
       options_(options),
       random_(options.seed),
+      resume_random_(options.seed),
       connections_(loop, options.seed) {}
 
-void soak_callers::Start(time_point now) {
+void soak_callers::Begin(time_point now) {
   MeasureLag(now, now);
   Send(now);
 }
@@ -88,23 +98,14 @@
   item->id =
       "q" + std::to_string(options_.seed) + "-" + std::to_string(next_++);
   item->entry = random_() % entries_->size();
-  const entry_endpoint& entry = (*entries_)[item->entry];
-  item->start_count = entry.start_count;
   const auto draw = random_() % 100;
   item->type = draw < 55   ? kind::kStream
                : draw < 75 ? kind::kNonIdempotent
                : draw < 90 ? kind::kIdempotent
                            : kind::kProbe;
-  std::string host = "desk.example";
-  std::string extra_headers;
-  milliseconds deadline = kPlainDeadline;
   switch (item->type) {
     case kind::kStream:
-      host = "models.example";
       item->target = "/s/" + item->id;
-      extra_headers = "Model: " + std::string(kModel) +
-                      "\r\nToken-Counts: 900,300\r\nLength-Hint: 100\r\n";
-      deadline = kStreamDeadline;
       break;
     case kind::kNonIdempotent:
       item->target = "/book/" + item->id;
@@ -113,48 +114,65 @@
       item->target = "/read/" + item->id;
       break;
     case kind::kProbe:
-      host = "probe.example";
       item->probe = 1 + random_() % std::max<uint64_t>(1, probe_routes);
       item->target = "/v" + std::to_string(item->probe) + "/x";
       break;
   }
-  const std::string key = keys[random_() % keys.size()];
+  item->key = keys[random_() % keys.size()];
+  item->is_in_window = is_window_open;
+  if (item->is_in_window)
+    ++window.sent;
+  Start(now, item);
+}
+
+void soak_callers::Start(time_point now, const std::shared_ptr<call>& item) {
+  const entry_endpoint& entry = (*entries_)[item->entry];
+  item->start_count = entry.start_count;
   record_->requests[item->id] = {
       .sent_at = now,
-      .key = key,
+      .key = item->key,
       .may_repeat = item->type != kind::kNonIdempotent};
   ++record_->counts["sent"];
-  item->is_in_window = is_window_open;
-  if (item->is_in_window)
-    ++window.sent;
   auto taken = connections_.Take(now, entry.address, MaxIdle(now));
   if (!taken) {
     ++record_->counts["not connected"];
     return;
   }
+  const bool is_stream = item->type == kind::kStream;
   item->sent_at = now;
-  item->deadline = deadline;
+  item->deadline = is_stream ? kStreamDeadline : kPlainDeadline;
   item->idle = taken->idle;
   item->is_first = taken->is_new;
   ++record_->counts[item->is_first ? "new connections" : "connections reused"];
   ++open_;
   if (item->is_in_window)
     ++window.open;
+  std::string host = item->type == kind::kProbe ? "probe" : "desk";
+  std::string extra_headers;
+  if (is_stream) {
+    host = "models";
+    extra_headers = "Model: " + std::string(kModel) +
+                    "\r\nToken-Counts: 900,300\r\nLength-Hint: 100\r\n";
+    if (item->last_event > 0)
+      extra_headers +=
+          "Last-Event-Id: " + std::to_string(item->last_event) + "\r\n";
+  }
   const bool has_body = item->type != kind::kIdempotent;
   const std::string request =
       std::string(has_body ? "POST " : "GET ") + item->target +
-      " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: " + item->id +
-      "\r\nDeadline-Ms: " + std::to_string(deadline.count()) + "\r\n" +
-      extra_headers + "Authorization: Bearer " + key +
+      " HTTP/1.1\r\nHost: " + host + ".example\r\nRequest-Id: " + item->id +
+      "\r\nDeadline-Ms: " + std::to_string(item->deadline.count()) + "\r\n" +
+      extra_headers + "Authorization: Bearer " + item->key +
       (has_body ? "\r\nContent-Length: 4\r\n\r\nbody" : "\r\n\r\n");
   exchange_hooks hooks;
   auto connection = taken->connection;
-  const timer_id abort_timer = loop_->StartTimer(
-      now + deadline + kAbortMargin, [this, connection, item](time_point) {
-        ++record_->counts["gave up"];
-        EndCall(*item);
-        connection->Abort();
-      });
+  const timer_id abort_timer =
+      loop_->StartTimer(now + item->deadline + kAbortMargin,
+                        [this, connection, item](time_point) {
+                          ++record_->counts["gave up"];
+                          EndCall(*item);
+                          connection->Abort();
+                        });
   hooks.on_head = [item](time_point, const Poco::Net::HTTPResponse& head) {
     item->head = head;
     return true;
@@ -168,10 +186,26 @@
     if (IsBroken(end))
       CheckCut(at, *item);
     CheckAnswer(*item, end);
+    if (IsBroken(end) && item->type == kind::kStream)
+      Resume(at, *item);
   };
   connection->Start(request, false, std::move(hooks));
 }
 
+void soak_callers::Resume(time_point now, const call& broken) {
+  if (is_stopping_ || broken.head.getStatus() != 200)
+    return;
+  auto item = std::make_shared<call>();
+  item->id =
+      "q" + std::to_string(options_.seed) + "-" + std::to_string(next_++);
+  item->target = broken.target;
+  item->key = broken.key;
+  item->entry = resume_random_() % entries_->size();
+  item->last_event = broken.last_event + CountEvents(broken.body);
+  ++record_->counts["streams resumed"];
+  Start(now, item);
+}
+
 void soak_callers::EndCall(const call& item) {
   --open_;
   if (item.is_in_window)
@@ -254,7 +288,7 @@
 void soak_callers::CheckStream(const call& item) {
   std::istringstream lines(item.body);
   std::string line;
-  uint32_t event = 0;
+  uint32_t event = item.last_event;
   std::string version;
   while (std::getline(lines, line)) {
     if (line.starts_with("id: ")) {
@@ -262,8 +296,10 @@
         return record_->AddViolation("order", item.id + " at " + line);
       continue;
     }
-    if (!line.starts_with("data: "))
+    if (line.empty())
       continue;
+    if (!line.starts_with("data: "))
+      return record_->AddViolation("bytes of no event", item.id);
     std::istringstream fields(line.substr(6));
     std::string id;
     std::string from;
@@ -275,7 +311,11 @@
     version = from;
   }
   if (event != EventCountOf(item.target))
-    record_->AddViolation("cut stream looks whole", item.id);
+    return record_->AddViolation("cut stream looks whole", item.id);
+  if (item.last_event > 0)
+    ++record_->counts["resumed streams complete"];
+  if (item.last_event == event)
+    ++record_->counts["streams ended after their last event"];
 }
 
 }  // namespace fuchsiafall::soak
--- a/src/tests/soak/soak_callers.h
+++ b/src/tests/soak/soak_callers.h
@@ -41,7 +41,7 @@
                run_record* record,
                std::vector<entry_endpoint>* entries,
                caller_options options);
-  void Start(time_point now);
+  void Begin(time_point now);
   void Stop() { is_stopping_ = true; }
   size_t Open() const { return open_; }
   /// Returns how late the soak's own loop was at most.
@@ -71,11 +71,17 @@
     milliseconds idle{0};   ///< Of its connection before.
     bool is_first = false;  ///< On its connection.
     bool is_in_window = false;
+    std::string key;
+    uint32_t last_event = 0;  ///< Event after which it resumes a stream.
     Poco::Net::HTTPResponse head;
     std::string body;
   };
 
   void Send(time_point now);
+  /// Sends a call to its entry.
+  void Start(time_point now, const std::shared_ptr<call>& item);
+  /// Resumes a stream that has broken off, at any entry.
+  void Resume(time_point now, const call& broken);
   void EndCall(const call& item);
   void CheckAnswer(const call& item, exchange_end end);
   void CheckStream(const call& item);
@@ -93,6 +99,7 @@
   std::vector<entry_endpoint>* entries_;
   caller_options options_;
   std::mt19937_64 random_;
+  std::mt19937_64 resume_random_;  ///< Of the streams that are resumed.
   caller_connections connections_;
   /// Idle times of the configurations that may be in force, by the time of
   /// their acknowledgement.
--- a/src/tests/soak/soak_main.cc
+++ b/src/tests/soak/soak_main.cc
@@ -32,6 +32,9 @@
       "share of the streams in which a server falls silent");
   add("held", po::value(&options.held_share),
       "share of the orders that servers take late; none with --planned");
+  add("spoilt", po::value(&options.spoilt_share),
+      "share of the streams that servers break off or spoil; none with "
+      "--planned");
   add("rate", po::value(&options.rate), "requests per second");
   po::variables_map values;
   try {
--- a/src/tests/soak/soak_site.cc
+++ b/src/tests/soak/soak_site.cc
@@ -292,7 +292,7 @@
   faults_end_at_ = now + kWarmUp + options_.span;
   SuperviseProcesses(now);
   loop_->StartTimer(now + kWarmUp / 2,
-                    [this](time_point at) { callers_->Start(at); });
+                    [this](time_point at) { callers_->Begin(at); });
   faults_.silent_share = options_.silent_share;
   loop_->StartTimer(now + kWarmUp,
                     [this](time_point at) { BeginPlannedSeries(at); });
@@ -303,6 +303,7 @@
   }
   loop_->StartTimer(now + kWarmUp, [this](time_point at) {
     faults_.held_share = options_.held_share;
+    faults_.spoilt_stream_share = options_.spoilt_share;
     InjectFault(at);
   });
   loop_->StartTimer(now + kWarmUp + kRestoreInterval,
--- a/src/tests/soak/soak_site.h
+++ b/src/tests/soak/soak_site.h
@@ -24,6 +24,9 @@
   double silent_share = 0.15;
   /// Share of the orders that a server takes late, beside other faults.
   double held_share = 0.2;
+  /// Of the streams, which servers break off or spoil; none with planned work
+  /// only.
+  double spoilt_share = 0.1;
   uint32_t site = 0;      ///< Number of a run beside others, 0 to 9.
   std::string directory;  ///< For settings and logs.
 
