Fix: A caller that stops reading for some seconds loses its answer

Cause: TCP_USER_TIMEOUT of 2 s is there for silent paths, but the kernel also closes a connection by it whose peer acknowledges every probe and has no room for more. Connections to servers have the same option.

Change: while bytes are queued, a connection looks every 0.5 s whether the peer has acknowledged all that was sent and answers probes; if so, the timeout is 30 s, and as short as before otherwise. A call's deadline, the limits on unsent bytes and the 30 s end a caller that never reads.

--- a/src/network/tcp_connection.cc
+++ b/src/network/tcp_connection.cc
@@ -4,7 +4,9 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -24,6 +26,12 @@
 constexpr int kKeepAliveIdleS = 1;      // Before the first probe.
 constexpr int kKeepAliveIntervalS = 1;  // Between probes.
 constexpr int kKeepAliveProbes = 3;     // Unanswered probes until it closes.
+constexpr milliseconds kWindowCheckInterval{500};
+
+void SetUserTimeout(Poco::Net::StreamSocket* socket, milliseconds timeout) {
+  socket->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                    static_cast<int>(timeout.count()));
+}
 
 void SetTcpOptions(Poco::Net::StreamSocket* socket, milliseconds user_timeout) {
   socket->setNoDelay(true);
@@ -31,8 +39,22 @@
   socket->setOption(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
   socket->setOption(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
   socket->setOption(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  socket->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
-                    static_cast<int>(user_timeout.count()));
+  SetUserTimeout(socket, user_timeout);
+}
+
+/// Returns the bytes that the peer has not acknowledged, sent or not.
+int QueuedBytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+/// Whether the peer has acknowledged all that was sent, and answers the probes
+/// for room for the rest.
+bool HasClosedWindow(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_unacked == 0 && info.tcpi_probes < kKeepAliveProbes;
 }
 
 }  // namespace
@@ -202,6 +224,8 @@
   }
   unsent_.append(bytes.substr(sent));
   UpdateShare();
+  if (sent > 0 && !is_window_watched_)
+    WatchWindow(BootNow());
   if (HasUnsent() && !wants_write_) {
     wants_write_ = true;
     UpdateInterest();
@@ -241,6 +265,8 @@
     }
     if (count <= 0)
       return;
+    if (!is_window_watched_)
+      WatchWindow(now);
     RemoveSent(static_cast<size_t>(count));
   }
   UpdateShare();
@@ -295,6 +321,31 @@
                                     });
 }
 
+void tcp_connection::WatchWindow(time_point now) {
+  is_window_watched_ = true;
+  loop_->StartTimer(now + kWindowCheckInterval,
+                    [weak = weak_from_this()](time_point at) {
+                      if (auto self = weak.lock())
+                        self->CheckWindow(at);
+                    });
+}
+
+void tcp_connection::CheckWindow(time_point now) {
+  is_window_watched_ = false;
+  if (!is_open_ && !is_lingering_)
+    return;
+  const int fd = socket_.impl()->sockfd();
+  const bool has_queued = QueuedBytes(fd) > 0;
+  const bool is_closed = has_queued && HasClosedWindow(fd);
+  if (is_closed != is_window_closed_) {
+    is_window_closed_ = is_closed;
+    SetUserTimeout(&socket_, is_closed ? options_.closed_window_timeout
+                                       : options_.user_timeout);
+  }
+  if (has_queued)
+    WatchWindow(now);
+}
+
 void tcp_connection::Discard() {
   std::array<char, kReadBytes> buffer{};
   for (int reads = 0; reads < kMaxReads; ++reads) {
--- a/src/network/tcp_connection.h
+++ b/src/network/tcp_connection.h
@@ -35,6 +35,9 @@
   /// cut, or the connection has been dropped on the way without a reset, no
   /// packet comes back, and only this timeout detects it.
   milliseconds user_timeout{2000};
+  /// The same while the peer has no room for more bytes. One that reads slowly
+  /// acknowledges all that it is sent.
+  milliseconds closed_window_timeout{30000};
   /// Bytes that may wait for a slow peer when more are sent.
   size_t max_unsent_bytes = 1U << 20;
   /// Limit on the buffers of all connections. A connection is closed when its
@@ -110,6 +113,11 @@
   void Discard();
   void UpdateInterest();
   void Linger(time_point now);
+  /// Schedules CheckWindow().
+  void WatchWindow(time_point now);
+  /// Sets the timeout of the socket by whether the peer has room for more
+  /// bytes, and checks again while bytes are queued.
+  void CheckWindow(time_point now);
   /// Closes the connection and calls on_closed.
   void CloseAndNotify(time_point now, close_cause cause);
 
@@ -129,6 +137,8 @@
   bool closes_when_sent_ = false;
   bool is_lingering_ = false;
   timer_id linger_timer_ = 0;
+  bool is_window_watched_ = false;  ///< Whether the timeout is checked again.
+  bool is_window_closed_ = false;   ///< As of the last check.
   size_t discarded_bytes_ = 0;
   bool is_overflowing_ = false;  ///< Whether bytes to be sent were dropped.
 };
