--- a/src/server_sent_event.cc
+++ b/src/server_sent_event.cc
@@ -17,6 +17,10 @@
   const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
   const auto size = static_cast<int>(text.size());
   for (int at = 0; at < size;) {
+    if (bytes[at] < 0x80) {
+      ++at;
+      continue;
+    }
     const int length = encoding.sequenceLength(bytes + at, size - at);
     if (length > size - at ||
         !Poco::UTF8Encoding::isLegal(bytes + at, length)) {
