--- a/src/event_sequence.cc
+++ b/src/event_sequence.cc
@@ -44,15 +44,13 @@
     }
     if (IsOutOfOrder(parsed.id))
       return OnOutOfOrder(parsed.id);
-    const bool is_repeated = IsRepeated(parsed.id);
-    if (!is_repeated)
+    if (!IsRepeated(parsed.id)) {
       RecordEvent(parsed.id);
-    else if (parsed.id == last_event_ && resumed_after_ != last_event_)
+      *forwarded += block;
+    } else if (parsed.id == last_event_ && HasToRepeatLast()) {
       is_last_uncertain_ = false;  // Two answers agree.
+    }
     answer_event_ = parsed.id;
-    if (is_repeated)
-      continue;
-    *forwarded += block;
   }
   if (Incomplete().size() > options_.max_event_bytes)
     return OnMalformed("event too long");
@@ -64,13 +62,19 @@
     return false;
   if (has_new_event_)
     return true;
-  const bool is_last_expected = resumed_after_ != last_event_;
-  const bool is_whole = is_last_expected
-                            ? answer_event_ && answer_event_ == last_event_
-                            : !answer_event_ && last_event_ &&
-                                  !is_last_uncertain_ && !ends_by_close;
-  must_repeat_last_ = !is_whole;
-  return is_whole;
+  bool is_complete = false;
+  if (HasToRepeatLast()) {
+    is_complete = answer_event_ && answer_event_ == last_event_;
+  } else {
+    is_complete =
+        !answer_event_ && last_event_ && !is_last_uncertain_ && !ends_by_close;
+  }
+  must_repeat_last_ = !is_complete;
+  return is_complete;
+}
+
+bool event_sequence::HasToRepeatLast() const {
+  return resumed_after_ != last_event_;
 }
 
 bool event_sequence::IsRepeated(uint64_t id) const {
@@ -82,21 +86,20 @@
     return true;
   if (!last_event_)
     return false;
-  const bool is_last_expected = resumed_after_ != last_event_;
   if (IsRepeated(id)) {
     // Another event would mean that the last one is not the next.
-    return is_last_expected && id != *last_event_;
+    return HasToRepeatLast() && id != *last_event_;
   }
   if (id <= *last_event_)
     return true;  // The first answer goes on after what the caller has.
   if (!is_resumed_ || has_new_event_)
     return false;
   // Events that come again lead up to the last one.
-  if ((is_last_expected || answer_event_) && answer_event_ != last_event_)
+  if ((HasToRepeatLast() || answer_event_) && answer_event_ != last_event_)
     return true;
   // A step larger than those before may show that events are missing. It does
   // not in an answer that had to repeat the last event.
-  return !is_last_expected && max_step_ > 0 && id - *last_event_ > max_step_;
+  return !HasToRepeatLast() && max_step_ > 0 && id - *last_event_ > max_step_;
 }
 
 answer_verdict event_sequence::OnMalformed(std::string_view fault) {
--- a/src/event_sequence_base.h
+++ b/src/event_sequence_base.h
@@ -70,6 +70,9 @@
   void DropIncomplete() { splitter_.Clear(); }
 
  private:
+  /// Whether the current answer has to begin with the last event. Only valid
+  /// before its first new event.
+  bool HasToRepeatLast() const;
   /// Whether the caller has an event by an earlier answer.
   bool IsRepeated(uint64_t id) const;
   /// Whether the next event of the current answer cannot have this id, unless
