--- a/src/tests/answer_length_test.cc
+++ b/src/tests/answer_length_test.cc
@@ -48,7 +48,7 @@
   entry->GrantPlace();
   entry->DeliverHead(200, true);
   for (int i = 1; i <= events; ++i)
-    entry->DeliverBody("id:" + std::to_string(i) + "\n\n");
+    entry->DeliverBody("id:" + std::to_string(i) + "\ndata\n\n");
   entry->EndExchange(exchange_end::kComplete);
 }
 
@@ -124,7 +124,7 @@
   BOOST_TEST(entry.place_requests.back().answer_tokens == 120u);
   entry.GrantPlace();
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.dispatch.OnCallerDisconnected(entry.now, id);
   entry.SendRequest(++id, "models");
   BOOST_TEST(entry.place_requests.back().answer_tokens == 120u);
--- a/src/tests/call_dispatch_test.cc
+++ b/src/tests/call_dispatch_test.cc
@@ -19,7 +19,7 @@
       entry->now, first.call, first.number,
       {.status = 200, .call_id = "r1", .is_sealed = true, .weights = version},
       true);
-  entry->DeliverBody("id:1\n\n");
+  entry->DeliverBody("id:1\ndata\n\n");
   return first;
 }
 
@@ -213,7 +213,7 @@
   entry.SendRequest(2, "models");
   entry.GrantPlace();
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.SendRequest(3, "models");
   entry.dispatch.SetExitTime(entry.now, entry.now);
   entry.dispatch.EndCalls(entry.now);
@@ -224,7 +224,7 @@
   BOOST_TEST(entry.refusals[1].status == 503);
   BOOST_TEST(entry.refusals[1].retry_after.has_value());
   // A begun stream doesn't look complete.
-  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\n|");
   BOOST_TEST(entry.aborted_calls.size() == 2u);
   BOOST_TEST(entry.released_requests.size() == 2u);
   entry.SendRequest(4, "plain");
@@ -299,7 +299,7 @@
   entry.SendRequest(1, "models");
   entry.GrantPlace();
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\nid:2\n\nid:");
+  entry.DeliverBody("id:1\ndata\n\nid:2\ndata\n\nid:");
   entry.EndExchange(exchange_end::kBroken);
   BOOST_REQUIRE(entry.place_requests.size() == 2u);
   BOOST_TEST(entry.place_requests[1].is_resumed);
@@ -307,9 +307,10 @@
   BOOST_REQUIRE(entry.attempts.size() == 2u);
   BOOST_TEST((entry.attempts[1].headers.last_event == 2u));
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:2\n\nid:3\n\n");
+  entry.DeliverBody("id:2\ndata\n\nid:3\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\nid:3\n\n>");
+  BOOST_TEST(entry.received_text ==
+             "<id:1\ndata\n\nid:2\ndata\n\nid:3\ndata\n\n>");
 }
 
 // During a rollout, servers of both versions are in service.
@@ -324,7 +325,7 @@
   entry.EndExchange(exchange_end::kBroken);
   // The only other server already has the next version.
   BOOST_TEST(entry.attempts.size() == 1u);
-  BOOST_TEST(entry.received_text == "<id:1\n\n|");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\n|");
 }
 
 BOOST_AUTO_TEST_CASE(a_resumed_stream_names_the_version_that_began_it) {
@@ -358,10 +359,10 @@
   for (int i = 0; i < 2; ++i) {
     entry.GrantPlace();
     entry.DeliverHead(200, true);
-    entry.DeliverBody("id:" + std::to_string(i + 1) + "\n\n");
+    entry.DeliverBody("id:" + std::to_string(i + 1) + "\ndata\n\n");
     entry.EndExchange(exchange_end::kBroken);
   }
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n|");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\nid:2\ndata\n\n|");
 }
 
 BOOST_AUTO_TEST_CASE(every_place_is_released) {
@@ -369,7 +370,7 @@
   entry.SendRequest(1, "models");
   entry.GrantPlace();
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
   BOOST_TEST((entry.released_requests ==
               std::vector<uint64_t>{entry.place_requests[0].call}));
@@ -627,7 +628,7 @@
   entry.dispatch.OnAnswerHead(
       entry.now, 2, entry.attempts.back().number,
       {.status = 200, .call_id = "r2", .is_sealed = true, .weights = 1}, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   while (entry.now + milliseconds(20) < outdated_at)
     entry.Advance(milliseconds(10));
   BOOST_TEST(entry.aborted_calls == std::vector<uint64_t>{1},
@@ -859,11 +860,11 @@
     entry.DeliverHead(200, true);
   };
   begin(1);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
   BOOST_TEST((entry.attempt_results.back() == attempt_result::kAnswered));
   begin(2);
-  entry.DeliverBody("id:1\n\nid:");
+  entry.DeliverBody("id:1\ndata\n\nid:");
   entry.EndExchange(exchange_end::kComplete);
   BOOST_TEST((entry.attempt_results.back() == attempt_result::kOther));
   begin(3);
@@ -877,7 +878,7 @@
                                .is_sealed = true,
                                .ends_by_close = true},
                               true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
   BOOST_TEST((entry.attempt_results.back() == attempt_result::kClosed));
 }
--- a/src/tests/event_order_test.cc
+++ b/src/tests/event_order_test.cc
@@ -13,7 +13,7 @@
 std::string Events(std::initializer_list<int> ids) {
   std::string text;
   for (int id : ids)
-    text += "id:" + std::to_string(id) + "\n\n";
+    text += "id:" + std::to_string(id) + "\ndata\n\n";
   return text;
 }
 
@@ -306,7 +306,7 @@
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_event_reach_the_caller) {
   for (const char* garbage :
        {"\xf3\x8e garbage\n\n", "data: x\n\n", "id: x\ndata: x\n\n",
-        "id:4\ndata: \xff\n\n", "id:4\nid:5\n\n"}) {
+        "id:4\ndata: \xff\n\n", "id:4\nid:5\ndata\n\n"}) {
     for (bool is_first_answer : {true, false}) {
       ordered_stream entry;
       entry.DeliverBody(Events({1, 2}));
--- a/src/tests/fake_crash_fleet.cc
+++ b/src/tests/fake_crash_fleet.cc
@@ -209,7 +209,7 @@
     call_dispatch& dispatch = *entries_[attempt.entry].dispatch;
     dispatch.OnAnswerHead(now, attempt.call, attempt.number,
                           {.status = 200, .is_sealed = true}, true);
-    dispatch.OnAnswerBody(now, attempt.call, attempt.number, "id:1\n\n");
+    dispatch.OnAnswerBody(now, attempt.call, attempt.number, "id:1\ndata\n\n");
   }
   std::vector<running_attempt> finished;
   std::erase_if(item->running, [&](const running_attempt& attempt) {
@@ -220,7 +220,7 @@
   });
   for (const running_attempt& attempt : finished) {
     call_dispatch& dispatch = *entries_[attempt.entry].dispatch;
-    dispatch.OnAnswerBody(now, attempt.call, attempt.number, "id:2\n\n");
+    dispatch.OnAnswerBody(now, attempt.call, attempt.number, "id:2\ndata\n\n");
     dispatch.OnExchangeEnd(now, attempt.call, attempt.number,
                            exchange_end::kComplete);
   }
--- a/src/tests/ranked_entry_property_test.cc
+++ b/src/tests/ranked_entry_property_test.cc
@@ -89,7 +89,7 @@
     if (choice % 3 == 0)
       return EndExchange(exchange_end::kBroken);
     DeliverHead(200, true);
-    DeliverBody("id:1\n\n");
+    DeliverBody("id:1\ndata\n\n");
     if (choice % 3 == 1)
       EndExchange(exchange_end::kComplete);
   }
--- a/src/tests/ranked_entry_test.cc
+++ b/src/tests/ranked_entry_test.cc
@@ -188,17 +188,17 @@
   entry.SendOfRank(1, 0);
   entry.GrantPlace();
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.Advance(milliseconds(1200));
   entry.DenyPlace();
   entry.DenyPlace();
   const uint64_t waiting = entry.QueueLast();
   entry.Advance(milliseconds(20));
-  entry.DeliverBody("id:2\n\n");
+  entry.DeliverBody("id:2\ndata\n\n");
   BOOST_TEST(entry.ReleaseCount(waiting) == 1);
   BOOST_TEST(entry.gauges["waiting rank_0"] == 0);
   entry.EndExchange(exchange_end::kComplete);
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\nid:2\ndata\n\n>");
   BOOST_TEST(entry.attempts.size() == 1u);
 }
 
--- a/src/tests/ranked_load_test.cc
+++ b/src/tests/ranked_load_test.cc
@@ -94,7 +94,7 @@
                                   .is_sealed = true},
                                  true);
     entry_.dispatch.OnAnswerBody(entry_.now, attempt.call, attempt.number,
-                                 "id:1\n\n");
+                                 "id:1\ndata\n\n");
     entry_.dispatch.OnExchangeEnd(entry_.now, attempt.call, attempt.number,
                                   exchange_end::kComplete);
   }
--- a/src/tests/server_notices_test.cc
+++ b/src/tests/server_notices_test.cc
@@ -102,8 +102,8 @@
   entry.GrantPlace();
   const std::string leaving = entry.attempts.back().server;
   entry.Answer({.status = 200, .is_sealed = true, .is_leaving = true}, true);
-  entry.DeliverBody("id:1\n\n");
-  BOOST_TEST(entry.received_text == "<id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\n");
   entry.SendRequest(2, "models");
   BOOST_TEST(entry.requested_servers.back() != leaving);
   entry.SendRequest(3, "models");
--- a/src/tests/silent_server_test.cc
+++ b/src/tests/silent_server_test.cc
@@ -14,7 +14,7 @@
     SendRequest(1, "models");
     GrantPlace();
     DeliverHead(200, true);
-    DeliverBody("id:1\n\n");
+    DeliverBody("id:1\ndata\n\n");
     first = attempts.back();
     Advance(milliseconds(1200));
     BOOST_REQUIRE(place_requests.size() == 2u);
@@ -34,9 +34,9 @@
 BOOST_AUTO_TEST_CASE(a_silent_stream_without_a_place_elsewhere_is_not_cut) {
   silent_stream entry;
   entry.DenyPlace();
-  entry.DeliverBodyOfFirst("id:2\n\n");
+  entry.DeliverBodyOfFirst("id:2\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\nid:2\ndata\n\n>");
   BOOST_TEST(entry.aborted_calls.empty());
 }
 
@@ -46,17 +46,18 @@
   entry.GrantPlace();
   BOOST_TEST(entry.aborted_calls.size() == 1u);
   BOOST_REQUIRE(entry.attempts.size() == 2u);
-  entry.DeliverBodyOfFirst("id:2\n\n");
+  entry.DeliverBodyOfFirst("id:2\ndata\n\n");
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:2\n\nid:3\n\n");
+  entry.DeliverBody("id:2\ndata\n\nid:3\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\nid:3\n\n>");
+  BOOST_TEST(entry.received_text ==
+             "<id:1\ndata\n\nid:2\ndata\n\nid:3\ndata\n\n>");
   BOOST_TEST(entry.released_requests.size() == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_that_goes_on_releases_the_place_elsewhere) {
   silent_stream entry;
-  entry.DeliverBodyOfFirst("id:2\n\n");
+  entry.DeliverBodyOfFirst("id:2\ndata\n\n");
   entry.GrantPlace();
   BOOST_TEST(entry.attempts.size() == 1u);
   BOOST_TEST(entry.aborted_calls.empty());
@@ -99,11 +100,11 @@
   entry.GrantPlace();
   entry.Advance(milliseconds(1500));
   entry.DeliverHead(200, true);
-  entry.DeliverBody("id:1\n\n");
+  entry.DeliverBody("id:1\ndata\n\n");
   entry.Advance(milliseconds(1500));
-  entry.DeliverBody("id:2\n\n");
+  entry.DeliverBody("id:2\ndata\n\n");
   entry.EndExchange(exchange_end::kComplete);
-  BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+  BOOST_TEST(entry.received_text == "<id:1\ndata\n\nid:2\ndata\n\n>");
   BOOST_TEST(entry.place_requests.size() == 1u);
 }
 
@@ -172,14 +173,14 @@
     entry.SendRequest(1, "models");
     entry.GrantPlace();
     entry.DeliverHead(200, true);
-    entry.DeliverBody("id:1\n\n");
+    entry.DeliverBody("id:1\ndata\n\n");
     entry.EndExchange(exchange_end::kBroken);
     for (int i = 0; i < 10; ++i) {
       BOOST_REQUIRE(entry.place_requests.size() >= 2u);
       entry.DenyPlace();
       entry.Advance(milliseconds(100));
     }
-    BOOST_TEST(entry.received_text == "<id:1\n\n");
+    BOOST_TEST(entry.received_text == "<id:1\ndata\n\n");
     BOOST_TEST(entry.place_requests.size() <= 6u);
     if (gets_place) {
       const size_t asked = entry.place_requests.size();
@@ -187,12 +188,12 @@
         entry.Advance(milliseconds(10));
       entry.GrantPlace();
       entry.DeliverHead(200, true);
-      entry.DeliverBody("id:2\n\n");
+      entry.DeliverBody("id:2\ndata\n\n");
       entry.EndExchange(exchange_end::kComplete);
-      BOOST_TEST(entry.received_text == "<id:1\n\nid:2\n\n>");
+      BOOST_TEST(entry.received_text == "<id:1\ndata\n\nid:2\ndata\n\n>");
     } else {
       entry.Advance(milliseconds(5100));
-      BOOST_TEST(entry.received_text == "<id:1\n\n|");
+      BOOST_TEST(entry.received_text == "<id:1\ndata\n\n|");
     }
   }
 }
