Fix: An id without data passes for an event

A caller could get a complete stream that missed the data of an event: a server in trouble sends a line's end after the id of an event, so that the id stands alone and the data in a block of its own. The first was forwarded as an event, the second given up as bytes of no event, and the stream went on after the id.

Cause: ParseEventBlock asked for an id only. The standard of event streams dispatches no event without data. Evidence: found by reading; an_id_without_data_passes_for_an_event failed on five blocks, and with such bytes among those drawn, no_series_of_faults_adds_to_a_stream_or_takes_from_it was falsified by its first series.

Change: an event needs data, and no line may follow a blank one in a block. Streams without such bytes are parsed as before.

--- a/src/server_sent_event.cc
+++ b/src/server_sent_event.cc
@@ -40,6 +40,16 @@
   });
 }
 
+/// Removes the first line, which ends with CR, LF or both.
+std::string_view TakeLine(std::string_view* block) {
+  const size_t end = std::min(block->find_first_of("\r\n"), block->size());
+  const std::string_view line = block->substr(0, end);
+  block->remove_prefix(end);
+  if (!block->empty())
+    block->remove_prefix(block->starts_with("\r\n") ? 2 : 1);
+  return line;
+}
+
 std::optional<uint64_t> ParseId(std::string_view value) {
   while (value.starts_with(' '))
     value.remove_prefix(1);
@@ -57,12 +67,20 @@
   if (!IsUtf8(block))
     return {};
   std::optional<uint64_t> id;
-  bool has_content = false;
+  bool has_data = false;
+  bool has_other_field = false;
+  bool has_line = false;
+  bool has_ended = false;
   while (!block.empty()) {
-    const size_t end = std::min(block.find_first_of("\r\n"), block.size());
-    const std::string_view line = block.substr(0, end);
-    block.remove_prefix(std::min(end + 1, block.size()));
-    if (line.empty() || line.starts_with(':'))
+    const std::string_view line = TakeLine(&block);
+    if (line.empty()) {
+      has_ended = has_line;
+      continue;
+    }
+    if (has_ended)
+      return {};
+    has_line = true;
+    if (line.starts_with(':'))
       continue;
     const size_t colon = std::min(line.find(':'), line.size());
     const std::string_view name = line.substr(0, colon);
@@ -73,14 +91,17 @@
       if (id || !value)
         return {};
       id = value;
+    } else if (name == "data") {
+      has_data = true;
     } else if (name != "retry") {
-      has_content = true;
+      has_other_field = true;
     }
   }
-  if (id)
+  if (id && has_data)
     return {.type = event_block_type::kEvent, .id = *id};
-  return {.type = has_content ? event_block_type::kMalformed
-                              : event_block_type::kFiller};
+  if (id || has_data || has_other_field)
+    return {.type = event_block_type::kMalformed};
+  return {.type = event_block_type::kFiller};
 }
 
 }  // namespace fuchsiafall
--- a/src/server_sent_event_func.h
+++ b/src/server_sent_event_func.h
@@ -10,7 +10,7 @@
 
 /// What a block of an event stream contains.
 enum class event_block_type {
-  kEvent,      ///< An event with its id.
+  kEvent,      ///< An event with its id and data.
   kFiller,     ///< No event: only comments, empty lines and retry times.
   kMalformed,  ///< Anything else; it cannot be placed in the stream.
 };
@@ -20,8 +20,8 @@
   uint64_t id = 0;  ///< Of an event.
 };
 
-/// Parses a block of an event stream. Each event needs one numeric id: two in
-/// a block are two events whose separator was lost.
+/// Parses a block of an event stream. Each event needs data and one numeric id:
+/// two in a block are two events whose separator was lost.
 /// @param block Including its terminating blank line.
 parsed_event_block ParseEventBlock(std::string_view block);
 
